Add the base and consensus packages

Cause: configuration and the run-once ledger both need a replicated log that survives kills, cuts, freezes and lost disks.

RapidCheck drives a group over a simulated network and disks.

A replica that no leader writes to now asks to join whatever its list says.

Conclusion: the log is ready to carry the configuration and the ledger.

--- /dev/null
+++ b/base/src/json.cc
@@ -0,0 +1,95 @@
+#include "trestlepost/base/json.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+
+namespace trestlepost {
+namespace {
+
+Json::CharReaderBuilder make_builder(json_comments comments) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["allowComments"] = comments == json_comments::allow;
+  builder["collectComments"] = false;
+  builder["strictRoot"] = false;
+  builder["failIfExtra"] = true;
+  builder["rejectDupKeys"] = true;
+  builder["allowTrailingCommas"] = comments == json_comments::allow;
+  builder["stackLimit"] = max_json_depth;
+  return builder;
+}
+
+Json::CharReader& reader_for(json_comments comments) {
+  static const std::unique_ptr<Json::CharReader> strict(
+      make_builder(json_comments::refuse).newCharReader());
+  static const std::unique_ptr<Json::CharReader> commented(
+      make_builder(json_comments::allow).newCharReader());
+  return comments == json_comments::allow ? *commented : *strict;
+}
+
+}  // namespace
+
+result<json> parse_json(std::string_view text, json_comments comments) {
+  json value;
+  std::string problems;
+  bool ok = false;
+  try {
+    ok = reader_for(comments).parse(text.data(), text.data() + text.size(),
+                                    &value, &problems);
+  } catch (const Json::Exception& ex) {
+    problems = ex.what();
+  }
+  if (!ok) {
+    return fail(error_kind::bad_input, "not valid JSON: " + problems,
+                "send one well-formed JSON document");
+  }
+  return value;
+}
+
+std::string to_text(const json& value) {
+  static const std::unique_ptr<Json::StreamWriter> writer = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+  }();
+  std::ostringstream out;
+  writer->write(value, &out);
+  return out.str();
+}
+
+std::string to_pretty_text(const json& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "  ";
+  builder["emitUTF8"] = true;
+  return Json::writeString(builder, value);
+}
+
+const json& member_of(const json& object, const char* key) {
+  if (!object.isObject()) return json::nullSingleton();
+  return object[key];
+}
+
+std::string text_of(const json& object, const char* key) {
+  const json& value = member_of(object, key);
+  return value.isString() ? value.asString() : std::string();
+}
+
+std::uint64_t number_of(const json& object, const char* key) {
+  const json& value = member_of(object, key);
+  return value.isUInt64() ? value.asUInt64() : 0;
+}
+
+double real_of(const json& object, const char* key) {
+  const json& value = member_of(object, key);
+  return value.isNumeric() ? value.asDouble() : 0;
+}
+
+bool flag_of(const json& object, const char* key) {
+  const json& value = member_of(object, key);
+  return value.isBool() && value.asBool();
+}
+
+}  // namespace trestlepost
--- /dev/null
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -0,0 +1,102 @@
+// Runs one replica: writes before it sends, applies what is committed, keeps
+// the group's voters what they should be, and trims the log.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trestlepost/consensus/storage.h"
+
+namespace trestlepost::consensus {
+
+/// What the log's commands act on. `apply` must depend on nothing else.
+class state_machine {
+ public:
+  virtual ~state_machine() = default;
+  virtual void apply(const entry& committed) = 0;
+  virtual std::string save() const = 0;
+  virtual void load(std::string_view data) = 0;
+};
+
+/// Carries messages to other replicas; may lose them.
+class message_sink {
+ public:
+  virtual ~message_sink() = default;
+  virtual void send(const message& out) = 0;
+};
+
+struct group_options {
+  replica_options replica;
+  /// Entries applied between two snapshots.
+  std::size_t snapshot_every = 1000;
+  /// A learner that was silent for so long is not made a voter.
+  std::chrono::milliseconds member_silence{3000};
+};
+
+class group_host {
+ public:
+  group_host(replica_id self, group_options options,
+             std::unique_ptr<storage> store, state_machine& machine,
+             message_sink& sink, random_source& random);
+
+  /// Loads what is stored; call once before anything else.
+  result<void> start(monotonic_time now);
+
+  result<void> found(monotonic_time now, std::string group_id,
+                     member_list members);
+  void tick(monotonic_time now);
+  void receive(monotonic_time now, const message& in);
+  result<log_index> propose(monotonic_time now, std::string command);
+  result<void> request_read(monotonic_time now, std::uint64_t token,
+                            std::function<void()> ready);
+
+  /// A node that is no member yet asks to become one.
+  void handle_join(monotonic_time now, const replica_id& joiner);
+
+  /// The nodes that should be voters. The leader brings the group there, one
+  /// committed change at a time.
+  void set_desired_voters(std::vector<std::string> nodes);
+
+  const replica& core() const { return *replica_; }
+  bool holds_lease(monotonic_time now) const;
+  bool is_member() const;
+  /// True when this replica should ask the leader to take it in: it is no
+  /// member, or no leader writes to it. An own member list proves nothing, for
+  /// the entry that added this replica may have been overwritten.
+  bool needs_join(monotonic_time now) const;
+  const std::optional<error>& failure() const { return failure_; }
+  log_index applied() const { return applied_; }
+
+ private:
+  struct waiting_read {
+    std::uint64_t token = 0;
+    std::function<void()> ready;
+  };
+
+  void drain();
+  void apply_committed(const output& out);
+  void compact_if_due();
+  void adjust_members(monotonic_time now);
+  std::optional<member_list> next_members(monotonic_time now) const;
+  bool is_desired(const std::string& node) const;
+  bool ready_to_vote(monotonic_time now, const member& learner) const;
+
+  replica_id self_;
+  group_options options_;
+  std::unique_ptr<storage> storage_;
+  state_machine& machine_;
+  message_sink& sink_;
+  random_source& random_;
+  std::unique_ptr<replica> replica_;
+  std::vector<std::string> desired_;
+  std::vector<waiting_read> reads_;
+  std::optional<error> failure_;
+  log_index applied_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace trestlepost::consensus
--- /dev/null
+++ b/consensus/src/file_storage.cc
@@ -0,0 +1,364 @@
+#include "trestlepost/consensus/file_storage.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+#include <utility>
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::consensus {
+namespace {
+
+constexpr char snapshot_name[] = "snapshot";
+constexpr char log_name[] = "log";
+constexpr char identity_name[] = "identity";
+constexpr char lock_name[] = "lock";
+constexpr mode_t file_mode = 0600;
+
+// Each record: magic, length, checksum of the payload, payload.
+constexpr std::uint32_t record_magic = 0x31505254;  // "TRP1"
+constexpr std::size_t header_size = 16;
+constexpr std::uint32_t largest_record = 1U << 30;
+
+struct record_header {
+  std::uint32_t magic = record_magic;
+  std::uint32_t size = 0;
+  std::uint64_t checksum = 0;
+};
+static_assert(sizeof(record_header) == header_size);
+
+std::string make_record(const json& payload) {
+  const std::string text = to_text(payload);
+  record_header header;
+  header.size = static_cast<std::uint32_t>(text.size());
+  header.checksum = hash64(text);
+  std::string out(header_size, '\0');
+  std::memcpy(out.data(), &header, header_size);
+  return out + text;
+}
+
+/// The payload of the record at `at`, or nothing when none is whole there.
+std::optional<std::string_view> record_at(std::string_view data,
+                                          std::size_t at) {
+  if (data.size() - at < header_size) return std::nullopt;
+  record_header header;
+  std::memcpy(&header, data.data() + at, header_size);
+  if (header.magic != record_magic || header.size > largest_record) {
+    return std::nullopt;
+  }
+  if (data.size() - at - header_size < header.size) return std::nullopt;
+  const std::string_view payload = data.substr(at + header_size, header.size);
+  if (hash64(payload) != header.checksum) return std::nullopt;
+  return payload;
+}
+
+bool any_record_after(std::string_view data, std::size_t at) {
+  for (std::size_t i = at + 1; i + header_size <= data.size(); ++i) {
+    if (record_at(data, i)) return true;
+  }
+  return false;
+}
+
+std::string read_file(const std::filesystem::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+json entry_record(const entry& value) {
+  json out;
+  out["entry"] = to_json(value);
+  return out;
+}
+
+json hard_record(const hard_state& value) {
+  json out;
+  out["hard"] = to_json(value);
+  return out;
+}
+
+json truncate_record(log_index from) {
+  json out;
+  out["truncate_from"] = json(Json::UInt64(from));
+  return out;
+}
+
+void truncate_entries(std::vector<entry>& entries, log_index from) {
+  while (!entries.empty() && entries.back().index >= from) entries.pop_back();
+}
+
+/// False when the record does not follow what was read before it.
+bool replay(const json& record, durable_state& state) {
+  if (record.isMember("hard")) {
+    state.hard = hard_state_from(record["hard"]);
+    return true;
+  }
+  if (record.isMember("truncate_from")) {
+    truncate_entries(state.entries, number_of(record, "truncate_from"));
+    return true;
+  }
+  entry read = entry_from(member_of(record, "entry"));
+  if (read.index <= state.base.index) return true;
+  const log_index last =
+      state.entries.empty() ? state.base.index : state.entries.back().index;
+  if (read.index != last + 1) return false;
+  state.entries.push_back(std::move(read));
+  return true;
+}
+
+result<void> sync_folder(const std::filesystem::path& folder) {
+  const unique_fd fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY));
+  if (!fd.valid() || ::fsync(fd.get()) != 0) {
+    return fail(error_kind::storage_failed,
+                "cannot sync the folder " + folder.string() + ": " +
+                    std::strerror(errno),
+                "check the disk, then restart this node");
+  }
+  return {};
+}
+
+}  // namespace
+
+std::ptrdiff_t file_operations::write(int fd, const char* data,
+                                      std::size_t n) {
+  return ::write(fd, data, n);
+}
+
+int file_operations::sync(int fd) { return ::fdatasync(fd); }
+
+unique_fd::unique_fd(unique_fd&& other) noexcept
+    : fd_(std::exchange(other.fd_, -1)) {}
+
+unique_fd& unique_fd::operator=(unique_fd&& other) noexcept {
+  std::swap(fd_, other.fd_);
+  return *this;
+}
+
+unique_fd::~unique_fd() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+file_storage::file_storage(std::filesystem::path folder,
+                           std::shared_ptr<file_operations> operations)
+    : folder_(std::move(folder)), operations_(std::move(operations)) {}
+
+tl::unexpected<error> file_storage::failed(const std::string& what) {
+  failed_ = true;
+  return fail(error_kind::storage_failed,
+              what + " in " + folder_.string() + ": " + std::strerror(errno),
+              "free or replace the disk, then restart this node");
+}
+
+result<void> file_storage::write_all(int fd, std::string_view data) {
+  while (!data.empty()) {
+    const std::ptrdiff_t n = operations_->write(fd, data.data(), data.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return failed("a write failed");
+    data.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return {};
+}
+
+result<void> file_storage::sync(int fd) {
+  if (operations_->sync(fd) != 0) return failed("a sync failed");
+  return {};
+}
+
+result<void> file_storage::replace_file(const std::string& name,
+                                        std::string_view data) {
+  const std::filesystem::path aside = folder_ / (name + ".new");
+  {
+    const unique_fd fd(
+        ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode));
+    if (!fd.valid()) return failed("cannot create " + aside.string());
+    result<void> done = write_all(fd.get(), data);
+    if (!done) return done;
+    done = sync(fd.get());
+    if (!done) return done;
+  }
+  std::error_code ec;
+  std::filesystem::rename(aside, folder_ / name, ec);
+  if (ec) return failed("cannot rename " + aside.string());
+  const result<void> done = sync_folder(folder_);
+  if (!done) failed_ = true;
+  return done;
+}
+
+result<durable_state> file_storage::load() {
+  std::error_code ec;
+  std::filesystem::create_directories(folder_, ec);
+  if (ec) return failed("cannot create the folder");
+  durable_state state;
+  result<void> done = load_snapshot(state);
+  if (done) done = load_log(state);
+  if (done) done = open_log();
+  if (!done) {
+    failed_ = true;
+    return tl::make_unexpected(done.error());
+  }
+  hard_ = state.hard;
+  return state;
+}
+
+result<void> file_storage::load_snapshot(durable_state& state) {
+  const std::filesystem::path path = folder_ / snapshot_name;
+  if (!std::filesystem::exists(path)) return {};
+  const std::string data = read_file(path);
+  const std::optional<std::string_view> payload = record_at(data, 0);
+  result<json> parsed =
+      payload ? parse_json(*payload)
+              : result<json>(fail(error_kind::corrupt, "checksum", ""));
+  if (!parsed) {
+    return fail(error_kind::corrupt, "the snapshot " + path.string() +
+                                         " is damaged",
+                "replace the disk or empty this folder: the node then returns "
+                "as a learner and copies the state from the others");
+  }
+  state.base = snapshot_from(*parsed);
+  return {};
+}
+
+result<void> file_storage::load_log(durable_state& state) {
+  const std::filesystem::path path = folder_ / log_name;
+  const std::string data = read_file(path);
+  std::size_t at = 0;
+  while (at < data.size()) {
+    const std::optional<std::string_view> payload = record_at(data, at);
+    if (!payload) break;
+    const result<json> parsed = parse_json(*payload);
+    if (!parsed || !replay(*parsed, state)) break;
+    at += header_size + payload->size();
+  }
+  torn_bytes_ = data.size() - at;
+  if (torn_bytes_ == 0) return {};
+  if (record_at(data, at) || any_record_after(data, at)) {
+    return fail(error_kind::corrupt,
+                "the log " + path.string() + " is damaged at byte " +
+                    std::to_string(at),
+                "replace the disk or empty this folder: the node then returns "
+                "as a learner and copies the state from the others");
+  }
+  std::error_code ec;
+  std::filesystem::resize_file(path, at, ec);
+  if (ec) return failed("cannot cut the torn tail");
+  return {};
+}
+
+result<void> file_storage::open_log() {
+  const std::filesystem::path path = folder_ / log_name;
+  log_ = unique_fd(
+      ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND, file_mode));
+  if (!log_.valid()) return failed("cannot open the log");
+  const result<void> done = sync(log_.get());
+  if (!done) return done;
+  return sync_folder(folder_);
+}
+
+result<void> file_storage::save(const write_batch& batch) {
+  if (failed_) {
+    return fail(error_kind::storage_failed, "an earlier write failed",
+                "free or replace the disk, then restart this node");
+  }
+  if (batch.hard) hard_ = *batch.hard;
+  if (batch.base) return compact(*batch.base, hard_, batch.entries);
+  std::string data;
+  if (batch.hard) data += make_record(hard_record(*batch.hard));
+  if (batch.truncate_from) {
+    data += make_record(truncate_record(*batch.truncate_from));
+  }
+  for (const entry& it : batch.entries) data += make_record(entry_record(it));
+  if (data.empty()) return {};
+  const result<void> done = write_all(log_.get(), data);
+  if (!done) return done;
+  return sync(log_.get());
+}
+
+result<void> file_storage::compact(const snapshot& base,
+                                   const hard_state& hard,
+                                   const std::vector<entry>& entries) {
+  if (failed_) {
+    return fail(error_kind::storage_failed, "an earlier write failed",
+                "free or replace the disk, then restart this node");
+  }
+  // The snapshot first: a crash in between leaves entries that it covers,
+  // which `load` passes over.
+  const result<void> done =
+      replace_file(snapshot_name, make_record(to_json(base)));
+  if (!done) return done;
+  return replace_log(hard, entries);
+}
+
+result<void> file_storage::replace_log(const hard_state& hard,
+                                       const std::vector<entry>& entries) {
+  hard_ = hard;
+  std::string data = make_record(hard_record(hard));
+  for (const entry& it : entries) data += make_record(entry_record(it));
+  const result<void> done = replace_file(log_name, data);
+  if (!done) return done;
+  return open_log();
+}
+
+result<std::uint64_t> load_or_create_incarnation(
+    const std::filesystem::path& folder, random_source& random) {
+  const std::filesystem::path path = folder / identity_name;
+  if (std::filesystem::exists(path)) {
+    const result<json> parsed = parse_json(read_file(path));
+    const std::uint64_t n = parsed ? number_of(*parsed, "incarnation") : 0;
+    if (n != 0) return n;
+    return fail(error_kind::corrupt, path.string() + " is damaged",
+                "empty the data folder: the node then returns as a learner");
+  }
+  json value;
+  const std::uint64_t n = (random.next() >> 1) | 1;
+  value["incarnation"] = json(Json::UInt64(n));
+  const std::filesystem::path aside = folder / "identity.new";
+  {
+    const unique_fd fd(
+        ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode));
+    const std::string text = to_text(value);
+    const bool stored =
+        fd.valid() &&
+        ::write(fd.get(), text.data(), text.size()) ==
+            static_cast<ssize_t>(text.size()) &&
+        ::fsync(fd.get()) == 0;
+    if (!stored) {
+      return fail(error_kind::storage_failed,
+                  "cannot write " + aside.string() + ": " +
+                      std::strerror(errno),
+                  "make the data folder writable");
+    }
+  }
+  std::error_code ec;
+  std::filesystem::rename(aside, path, ec);
+  if (ec) {
+    return fail(error_kind::storage_failed, "cannot rename " + aside.string(),
+                "make the data folder writable");
+  }
+  const result<void> done = sync_folder(folder);
+  if (!done) return tl::make_unexpected(done.error());
+  return n;
+}
+
+result<unique_fd> lock_folder(const std::filesystem::path& folder) {
+  const std::filesystem::path path = folder / lock_name;
+  unique_fd fd(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode));
+  if (!fd.valid()) {
+    return fail(error_kind::storage_failed,
+                "cannot open " + path.string() + ": " + std::strerror(errno),
+                "make the data folder writable for this user");
+  }
+  if (::flock(fd.get(), LOCK_EX | LOCK_NB) != 0) {
+    return fail(error_kind::storage_failed,
+                "another process uses the data folder " + folder.string(),
+                "stop the other process or give this node its own folder");
+  }
+  return fd;
+}
+
+}  // namespace trestlepost::consensus
--- /dev/null
+++ b/consensus/src/group_host.cc
@@ -0,0 +1,228 @@
+#include "trestlepost/consensus/group_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::consensus {
+
+group_host::group_host(replica_id self, group_options options,
+                       std::unique_ptr<storage> store, state_machine& machine,
+                       message_sink& sink, random_source& random)
+    : self_(std::move(self)),
+      options_(options),
+      storage_(std::move(store)),
+      machine_(machine),
+      sink_(sink),
+      random_(random) {}
+
+result<void> group_host::start(monotonic_time now) {
+  result<durable_state> state = storage_->load();
+  if (!state) return tl::make_unexpected(state.error());
+  applied_ = state->base.index;
+  if (!state->base.data.empty()) machine_.load(state->base.data);
+  replica_ = std::make_unique<replica>(self_, options_.replica,
+                                       std::move(*state), random_, now);
+  return {};
+}
+
+result<void> group_host::found(monotonic_time now, std::string group_id,
+                               member_list members) {
+  result<void> done =
+      replica_->found(std::move(group_id), std::move(members));
+  if (!done) return done;
+  drain();
+  if (failure_) return tl::make_unexpected(*failure_);
+  tick(now);
+  return {};
+}
+
+void group_host::tick(monotonic_time now) {
+  if (failure_) return;
+  replica_->tick(now);
+  if (replica_->is_leader()) adjust_members(now);
+  drain();
+}
+
+void group_host::receive(monotonic_time now, const message& in) {
+  if (failure_) return;
+  replica_->receive(now, in);
+  drain();
+}
+
+result<log_index> group_host::propose(monotonic_time now,
+                                      std::string command) {
+  if (failure_) return tl::make_unexpected(*failure_);
+  if (replica_->is_leader() && !replica_->holds_lease(now) &&
+      replica_->leads_settled()) {
+    return fail(error_kind::unavailable, "the leader has lost its majority",
+                "try again; another leader will be elected");
+  }
+  result<log_index> index =
+      replica_->propose(entry_type::command, std::move(command));
+  drain();
+  if (failure_) return tl::make_unexpected(*failure_);
+  return index;
+}
+
+result<void> group_host::request_read(monotonic_time now, std::uint64_t token,
+                                      std::function<void()> ready) {
+  if (failure_) return tl::make_unexpected(*failure_);
+  replica_->tick(now);
+  reads_.push_back({token, std::move(ready)});
+  result<void> asked = replica_->request_read(token);
+  if (!asked) reads_.pop_back();
+  drain();
+  return asked;
+}
+
+bool group_host::holds_lease(monotonic_time now) const {
+  return !failure_ && replica_->leads_settled() && replica_->holds_lease(now);
+}
+
+bool group_host::is_member() const {
+  for (const member& it : replica_->members()) {
+    if (it.id == self_) return true;
+  }
+  return false;
+}
+
+bool group_host::needs_join(monotonic_time now) const {
+  if (failure_ || replica_->is_leader()) return false;
+  if (!is_member()) return true;
+  constexpr int silent_timeouts = 3;
+  return replica_->leader_heard_at() +
+             silent_timeouts * options_.replica.election_timeout <
+         now;
+}
+
+void group_host::set_desired_voters(std::vector<std::string> nodes) {
+  desired_ = std::move(nodes);
+}
+
+bool group_host::is_desired(const std::string& node) const {
+  return std::find(desired_.begin(), desired_.end(), node) != desired_.end();
+}
+
+void group_host::handle_join(monotonic_time now, const replica_id& joiner) {
+  if (failure_ || !replica_->is_leader() || !is_desired(joiner.node)) return;
+  member_list next = replica_->members();
+  for (const member& it : next) {
+    if (it.id == joiner) return;
+  }
+  std::erase_if(next, [&joiner](const member& it) {
+    return it.id.node == joiner.node && !it.voter;
+  });
+  next.push_back({joiner, false});
+  const result<log_index> asked = replica_->propose_members(std::move(next));
+  if (asked) {
+    log_event(log_level::info, "learner-added", {{"replica", joiner.node}});
+  }
+  tick(now);
+}
+
+bool group_host::ready_to_vote(monotonic_time now,
+                               const member& learner) const {
+  const std::optional<monotonic_time> heard =
+      replica_->last_heard(learner.id);
+  return heard && *heard + options_.member_silence > now &&
+         replica_->caught_up(learner.id);
+}
+
+std::optional<member_list> group_host::next_members(monotonic_time now) const {
+  const member_list& members = replica_->members();
+  // Add before removing: the group never has fewer copies than before.
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (members[i].voter || !is_desired(members[i].id.node)) continue;
+    if (!ready_to_vote(now, members[i])) continue;
+    member_list next = members;
+    next[i].voter = true;
+    return next;
+  }
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const member& it = members[i];
+    const bool replaced = std::any_of(
+        members.begin(), members.end(), [&it](const member& other) {
+          return other.voter && other.id.node == it.id.node &&
+                 other.id != it.id;
+        });
+    const bool silent =
+        !replica_->last_heard(it.id) ||
+        *replica_->last_heard(it.id) + options_.member_silence < now;
+    const bool undesired = !is_desired(it.id.node);
+    const bool leaves = (replaced && silent) || (undesired && it.voter) ||
+                        (undesired && silent);
+    if (it.id == self_ || !leaves) continue;
+    member_list next = members;
+    next.erase(next.begin() + static_cast<std::ptrdiff_t>(i));
+    return next;
+  }
+  return std::nullopt;
+}
+
+void group_host::adjust_members(monotonic_time now) {
+  if (replica_->members_change_pending() || !replica_->leads_settled() ||
+      desired_.empty()) {
+    return;
+  }
+  std::optional<member_list> next = next_members(now);
+  if (!next) return;
+  const result<log_index> asked = replica_->propose_members(std::move(*next));
+  if (asked) log_event(log_level::info, "group-members-changed");
+}
+
+void group_host::drain() {
+  if (draining_) return;
+  draining_ = true;
+  while (!failure_ && replica_->has_output()) {
+    const output out = replica_->take();
+    const result<void> saved = storage_->save(out.writes);
+    if (!saved) {
+      failure_ = saved.error();
+      log_event(log_level::error, "storage-failed",
+                {{"detail", saved.error().message}});
+      break;
+    }
+    replica_->written();
+    for (const message& it : out.messages) sink_.send(it);
+    apply_committed(out);
+  }
+  draining_ = false;
+}
+
+void group_host::apply_committed(const output& out) {
+  if (out.restore) {
+    machine_.load(out.restore->data);
+    applied_ = out.restore->index;
+  }
+  for (const entry& it : out.committed) {
+    if (it.type == entry_type::command) machine_.apply(it);
+    applied_ = it.index;
+  }
+  for (const std::uint64_t token : out.reads_ready) {
+    const auto it = std::find_if(
+        reads_.begin(), reads_.end(),
+        [token](const waiting_read& read) { return read.token == token; });
+    if (it == reads_.end()) continue;
+    const std::function<void()> ready = std::move(it->ready);
+    reads_.erase(it);
+    ready();
+  }
+  compact_if_due();
+}
+
+void group_host::compact_if_due() {
+  const log_index first = replica_->first_index();
+  if (applied_ < first + options_.snapshot_every) return;
+  // Entries not yet written would be stored twice.
+  if (replica_->has_output()) return;
+  const snapshot base = replica_->compact(applied_, machine_.save());
+  const hard_state hard{replica_->term(), replica_->voted_for(),
+                        replica_->group_id()};
+  const result<void> saved =
+      storage_->compact(base, hard, replica_->entries());
+  if (!saved) failure_ = saved.error();
+}
+
+}  // namespace trestlepost::consensus
--- /dev/null
+++ b/consensus/test/file_storage-test.cc
@@ -0,0 +1,184 @@
+#include "trestlepost/consensus/file_storage.h"
+
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <cstdlib>
+#include <fstream>
+
+namespace trestlepost::consensus {
+namespace {
+
+class file_storage_test : public testing::Test {
+ protected:
+  void SetUp() override {
+    std::string name = testing::TempDir() + "/trestlepost-XXXXXX";
+    ASSERT_NE(mkdtemp(name.data()), nullptr);
+    folder_ = name;
+  }
+  void TearDown() override { std::filesystem::remove_all(folder_); }
+
+  void write_entries(log_index first, log_index last) {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.load());
+    for (log_index i = first; i <= last; ++i) {
+      write_batch batch;
+      batch.hard = hard_state{i, std::nullopt, "group"};
+      batch.entries.push_back(
+          {i, i, entry_type::command, "entry " + std::to_string(i)});
+      ASSERT_TRUE(storage.save(batch));
+    }
+  }
+
+  std::filesystem::path log() const { return folder_ / "log"; }
+
+  std::filesystem::path folder_;
+};
+
+TEST_F(file_storage_test, returns_what_was_saved) {
+  write_entries(1, 5);
+  file_storage storage(folder_);
+  const result<durable_state> state = storage.load();
+  ASSERT_TRUE(state);
+  EXPECT_EQ(state->entries.size(), 5U);
+  EXPECT_EQ(state->hard.term, 5U);
+  EXPECT_EQ(state->entries[4].data, "entry 5");
+}
+
+TEST_F(file_storage_test, cuts_a_torn_tail_at_every_length) {
+  write_entries(1, 3);
+  const std::uintmax_t whole = std::filesystem::file_size(log());
+  write_entries(4, 4);
+  const std::uintmax_t longer = std::filesystem::file_size(log());
+  std::string data(longer, '\0');
+  std::ifstream(log(), std::ios::binary)
+      .read(data.data(), static_cast<std::streamsize>(longer));
+  for (std::uintmax_t n = whole; n < longer; ++n) {
+    std::ofstream(log(), std::ios::binary)
+        .write(data.data(), static_cast<std::streamsize>(n));
+    file_storage storage(folder_);
+    const result<durable_state> state = storage.load();
+    ASSERT_TRUE(state) << n << " " << state.error().message;
+    ASSERT_EQ(state->entries.size(), 3U) << n;
+  }
+}
+
+TEST_F(file_storage_test, refuses_damage_before_the_tail_with_a_remedy) {
+  write_entries(1, 5);
+  const std::uintmax_t size = std::filesystem::file_size(log());
+  for (std::uintmax_t at = 0; at < size / 2; at += 7) {
+    std::fstream file(log(), std::ios::binary | std::ios::in | std::ios::out);
+    file.seekg(static_cast<std::streamoff>(at));
+    const char original = static_cast<char>(file.get());
+    file.seekp(static_cast<std::streamoff>(at));
+    file.put(static_cast<char>(original ^ 0x20));
+    file.close();
+    file_storage storage(folder_);
+    const result<durable_state> state = storage.load();
+    ASSERT_FALSE(state) << at;
+    EXPECT_EQ(state.error().kind, error_kind::corrupt);
+    EXPECT_NE(state.error().remedy.find("learner"), std::string::npos);
+    EXPECT_EQ(std::filesystem::file_size(log()), size) << "damage was cut off";
+    std::fstream back(log(), std::ios::binary | std::ios::in | std::ios::out);
+    back.seekp(static_cast<std::streamoff>(at));
+    back.put(original);
+  }
+}
+
+TEST_F(file_storage_test, a_snapshot_replaces_the_entries_it_covers) {
+  write_entries(1, 5);
+  {
+    file_storage storage(folder_);
+    const result<durable_state> state = storage.load();
+    ASSERT_TRUE(state);
+    const snapshot base{4, 4, {{{"a", 1}, true}}, "state"};
+    ASSERT_TRUE(storage.compact(base, state->hard, {state->entries[4]}));
+  }
+  file_storage storage(folder_);
+  const result<durable_state> state = storage.load();
+  ASSERT_TRUE(state);
+  EXPECT_EQ(state->base.index, 4U);
+  EXPECT_EQ(state->base.data, "state");
+  ASSERT_EQ(state->entries.size(), 1U);
+  EXPECT_EQ(state->entries[0].index, 5U);
+}
+
+TEST_F(file_storage_test, a_crash_between_snapshot_and_log_loses_nothing) {
+  write_entries(1, 5);
+  const std::filesystem::path kept = folder_ / "kept";
+  std::filesystem::copy_file(log(), kept);
+  {
+    file_storage storage(folder_);
+    const result<durable_state> state = storage.load();
+    ASSERT_TRUE(state);
+    ASSERT_TRUE(storage.compact({4, 4, {}, "state"}, state->hard,
+                                {state->entries[4]}));
+  }
+  std::filesystem::rename(kept, log());
+  file_storage storage(folder_);
+  const result<durable_state> state = storage.load();
+  ASSERT_TRUE(state);
+  ASSERT_EQ(state->entries.size(), 1U);
+  EXPECT_EQ(state->entries[0].data, "entry 5");
+}
+
+enum class disk_fault { full, failed_sync };
+
+class failing_operations final : public file_operations {
+ public:
+  explicit failing_operations(disk_fault fault) : fault_(fault) {}
+  bool armed = false;
+  int attempts = 0;
+
+  std::ptrdiff_t write(int fd, const char* data, std::size_t n) override {
+    if (!armed || fault_ != disk_fault::full) {
+      return file_operations::write(fd, data, n);
+    }
+    ++attempts;
+    errno = ENOSPC;
+    return -1;
+  }
+  int sync(int fd) override {
+    if (!armed || fault_ != disk_fault::failed_sync) {
+      return file_operations::sync(fd);
+    }
+    ++attempts;
+    errno = EIO;
+    return -1;
+  }
+
+ private:
+  disk_fault fault_;
+};
+
+TEST_F(file_storage_test, after_a_failure_nothing_is_acknowledged_again) {
+  for (const disk_fault fault : {disk_fault::full, disk_fault::failed_sync}) {
+    const std::shared_ptr<failing_operations> operations =
+        std::make_shared<failing_operations>(fault);
+    file_storage storage(folder_, operations);
+    ASSERT_TRUE(storage.load());
+    operations->armed = true;
+    write_batch batch;
+    batch.hard = hard_state{9, std::nullopt, "group"};
+    EXPECT_FALSE(storage.save(batch));
+    operations->armed = false;
+    const result<void> again = storage.save(batch);
+    ASSERT_FALSE(again);
+    EXPECT_EQ(again.error().kind, error_kind::storage_failed);
+    EXPECT_EQ(operations->attempts, 1);
+  }
+}
+
+TEST_F(file_storage_test, a_folder_has_one_user_and_one_identity) {
+  seeded_random random(1);
+  const result<unique_fd> first = lock_folder(folder_);
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(lock_folder(folder_));
+  const result<std::uint64_t> drawn =
+      load_or_create_incarnation(folder_, random);
+  ASSERT_TRUE(drawn);
+  EXPECT_EQ(*load_or_create_incarnation(folder_, random), *drawn);
+}
+
+}  // namespace
+}  // namespace trestlepost::consensus
--- /dev/null
+++ b/consensus/test/replica-test.cc
@@ -0,0 +1,97 @@
+#include "trestlepost/consensus/replica.h"
+
+#include <gtest/gtest.h>
+
+namespace trestlepost::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+const replica_id id_a{"a", 1};
+const replica_id id_b{"b", 1};
+
+member_list two_voters() { return {{id_a, true}, {id_b, true}}; }
+
+durable_state founded_state() {
+  durable_state state;
+  state.hard = hard_state{1, std::nullopt, "group"};
+  state.base = snapshot{1, 1, two_voters(), ""};
+  return state;
+}
+
+TEST(replica_test, an_empty_replica_never_stands_for_election) {
+  seeded_random random(1);
+  monotonic_time now;
+  replica it(id_a, {}, {}, random, now);
+  for (int i = 0; i < 1000; ++i) it.tick(now += milliseconds(100));
+  EXPECT_EQ(it.current_role(), role::follower);
+  EXPECT_FALSE(it.has_output());
+}
+
+TEST(replica_test, a_group_is_founded_once) {
+  seeded_random random(1);
+  replica it(id_a, {}, {}, random, monotonic_time());
+  EXPECT_TRUE(it.found("group", {{id_a, true}}));
+  it.take();
+  it.written();
+  const result<void> again = it.found("other", {{id_a, true}});
+  ASSERT_FALSE(again);
+  EXPECT_EQ(again.error().kind, error_kind::conflict);
+}
+
+TEST(replica_test, a_voter_grants_one_vote_a_term) {
+  seeded_random random(1);
+  monotonic_time now;
+  replica it(id_a, {}, founded_state(), random, now);
+  now += milliseconds(1500);
+  const message first{"group", id_b, id_a, 5, vote_request{false, 1, 1}};
+  const message second{"group", {"c", 1}, id_a, 5, vote_request{false, 1, 1}};
+  it.receive(now, first);
+  it.receive(now, second);
+  const output out = it.take();
+  ASSERT_TRUE(out.writes.hard);
+  EXPECT_EQ(out.writes.hard->voted_for, id_b);
+  ASSERT_EQ(out.messages.size(), 2U);
+  EXPECT_TRUE(std::get<vote_reply>(out.messages[0].body).granted);
+  EXPECT_FALSE(std::get<vote_reply>(out.messages[1].body).granted);
+}
+
+TEST(replica_test, a_message_for_a_former_incarnation_is_ignored) {
+  seeded_random random(1);
+  replica it({"a", 2}, {}, {}, random, monotonic_time());
+  it.receive(monotonic_time(),
+             {"group", id_b, id_a, 5, vote_request{false, 1, 1}});
+  EXPECT_FALSE(it.has_output());
+  EXPECT_EQ(it.term(), 0U);
+}
+
+TEST(replica_test, a_fresh_leader_is_not_deposed_by_a_higher_term) {
+  seeded_random random(1);
+  const monotonic_time now;
+  replica it(id_a, {}, founded_state(), random, now);
+  it.receive(now, {"group", id_b, id_a, 1, append_request{1, 1, 1, 1, {}}});
+  it.take();
+  it.receive(now, {"group", {"c", 1}, id_a, 9, vote_request{false, 9, 9}});
+  EXPECT_EQ(it.term(), 1U);
+  EXPECT_EQ(it.leader(), id_b);
+}
+
+TEST(message_test, survives_its_encoding) {
+  append_request body{4, 2, 3, 7, {{5, 2, entry_type::command, "x\"\n"}}};
+  const message sent{"group", id_a, id_b, 2, body};
+  const result<message> received = message_from(to_json(sent));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->from, id_a);
+  EXPECT_EQ(std::get<append_request>(received->body).entries, body.entries);
+}
+
+TEST(message_test, damaged_messages_are_refused) {
+  const message sent{"group", id_a, id_b, 2,
+                     append_request{4, 2, 3, 7, {{6, 2, entry_type::noop, ""}}}};
+  EXPECT_FALSE(message_from(to_json(sent)));
+  EXPECT_FALSE(message_from(json("text")));
+  EXPECT_FALSE(message_from(json(Json::objectValue)));
+}
+
+}  // namespace
+}  // namespace trestlepost::consensus
--- /dev/null
+++ b/support/packages.cmake
@@ -0,0 +1,26 @@
+# Declares one package of the workspace: library trestlepost-<name> with the
+# alias target trestlepost::<name>, and one test program for its test/ folder.
+include(GoogleTest)
+
+function(trestlepost_package name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINK;TESTS" ${ARGN})
+  add_library(trestlepost-${name} STATIC ${arg_SOURCES})
+  add_library(trestlepost::${name} ALIAS trestlepost-${name})
+  target_include_directories(trestlepost-${name} PUBLIC include)
+  target_link_libraries(trestlepost-${name} PUBLIC ${arg_LINK})
+  if(arg_TESTS)
+    trestlepost_test(${name} SOURCES ${arg_TESTS} LINK trestlepost::${name})
+  endif()
+endfunction()
+
+# Declares a test program; RapidCheck's seed is fixed so that every run of CI
+# gives the same verdict. `support/test --long` overrides RC_PARAMS.
+function(trestlepost_test name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name}-test ${arg_SOURCES})
+  target_link_libraries(${name}-test PRIVATE ${arg_LINK} rapidcheck
+                        GTest::gtest GTest::gtest_main)
+  add_test(NAME ${name} COMMAND ${name}-test)
+  set_tests_properties(${name} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=$ENV{TRESTLEPOST_RC_PARAMS}" TIMEOUT 600)
+endfunction()
