--- /dev/null
+++ b/charts/include/trestlepost/charts/chart.h
@@ -0,0 +1,55 @@
+// State charts: read from files, checked whole, then interpreted.
+#pragma once
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trestlepost/base/error.h"
+
+namespace trestlepost::charts {
+
+/// What the code that drives a chart can offer it.
+struct chart_interface {
+  std::vector<std::string> states;  // states that the code asks about
+  std::vector<std::string> events;
+  std::vector<std::string> guards;
+};
+
+/// Answers whether a named guard holds now.
+using guard_function = std::function<bool(const std::string&)>;
+
+/// A checked chart. Every state handles or ignores every event, every state
+/// can be reached, and every guard is known to the code.
+class chart {
+ public:
+  /// Reads a chart in JSON with comments. All mistakes are reported at once.
+  static result<chart> parse(const std::string& text, const std::string& file,
+                             const chart_interface& code);
+  static result<chart> load(const std::filesystem::path& file,
+                            const chart_interface& code);
+
+  const std::string& initial() const { return initial_; }
+
+  /// The state after `event`; the same state when the event is ignored or no
+  /// guard holds.
+  const std::string& next(const std::string& state, const std::string& event,
+                          const guard_function& holds) const;
+
+ private:
+  struct transition {
+    std::string target;
+    std::string guard;  // empty: always
+  };
+  using event_map = std::map<std::string, std::vector<transition>, std::less<>>;
+
+  std::string initial_;
+  std::map<std::string, event_map, std::less<>> states_;
+
+  friend class chart_reader;
+};
+
+}  // namespace trestlepost::charts
--- /dev/null
+++ b/config/include/trestlepost/config/change.h
@@ -0,0 +1,67 @@
+// Changes of the configuration, their results, and the audit trail.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trestlepost/config/store.h"
+#include "trestlepost/consensus/types.h"
+
+namespace trestlepost::config {
+
+/// Where the record of run-once requests of a region lives: the group and its
+/// first voters. Written once a region, by the leader.
+struct ledger_founding {
+  std::string region;
+  std::string group_id;
+  consensus::member_list members;
+};
+
+/// One change, as it stands in the log. It is decided when it is applied.
+struct change {
+  std::string id;
+  std::string operator_name;
+  wall_time at;
+  std::vector<edit> edits;
+  /// Refuse unless the whole configuration is at this revision.
+  std::optional<revision_number> if_revision;
+  std::optional<ledger_founding> founding;
+};
+
+enum class change_status { accepted, conflict, invalid, mismatch };
+
+std::string_view to_string(change_status status);
+
+struct change_result {
+  change_status status = change_status::invalid;
+  revision_number revision = 0;  // of the configuration after the decision
+  std::string message;
+  std::string remedy;
+  std::vector<std::string> warnings;
+};
+
+/// One line of the audit trail.
+struct audit_record {
+  std::uint64_t sequence = 0;
+  wall_time at;
+  std::string operator_name;
+  std::string change_id;
+  change_result outcome;
+  json objects;  // [{"kind","name","before","after"}]
+};
+
+json to_json(const ledger_founding& value);
+ledger_founding ledger_founding_from(const json& value);
+json to_json(const change& value);
+result<change> change_from(const json& value);
+json to_json(const change_result& value);
+change_result change_result_from(const json& value);
+json to_json(const audit_record& value);
+audit_record audit_record_from(const json& value);
+
+/// Digest of what an operator asked, to tell a resent change from another one
+/// under the same id. Bases that a node filled in do not count.
+std::string request_digest(const change& value);
+
+}  // namespace trestlepost::config
--- /dev/null
+++ b/config/include/trestlepost/config/objects.h
@@ -0,0 +1,95 @@
+// The objects that operators write.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trestlepost/config/selector.h"
+
+namespace trestlepost::config {
+
+enum class object_kind { region, service, endpoint, placement_rule, caller };
+
+inline constexpr object_kind all_object_kinds[] = {
+    object_kind::region, object_kind::service, object_kind::endpoint,
+    object_kind::placement_rule, object_kind::caller};
+
+/// "region", "service", ...
+std::string_view to_string(object_kind kind);
+/// The list's name in files: "regions", "services", ...
+std::string_view list_name(object_kind kind);
+result<object_kind> object_kind_from(std::string_view name);
+
+/// A place to which data may be bound. Its labels include region=NAME.
+struct region {
+  std::string name;
+  label_map labels;
+};
+
+enum class service_kind { model, plain };
+
+/// What callers ask for. Its labels include service=NAME.
+struct service {
+  std::string name;
+  label_map labels;
+  service_kind kind = service_kind::plain;
+  /// Whether a request may run twice when it does not say.
+  bool repeatable = true;
+  /// The endpoints' 503 means that the request was not run.
+  bool refusal_means_not_run = false;
+  /// Longest time until an answer is whole, when the request sets none.
+  std::chrono::milliseconds timeout{30000};
+  /// How long the outcome of a request with an idempotency key is kept.
+  std::chrono::milliseconds key_window{86400000};
+};
+
+/// One replica of a service, at an address.
+struct endpoint {
+  std::string name;
+  label_map labels;
+  std::string service;
+  std::string region;
+  std::string availability_zone;
+  std::string address;  // "IP:PORT"
+  unsigned slots = 8;   // requests that it works on at once
+};
+
+enum class transit_policy { allow, refuse };
+
+/// Where requests that match may be served.
+struct placement_rule {
+  std::string name;
+  label_map labels;
+  selector callers;
+  selector services;
+  selector requests;
+  selector permit;  // over the labels of regions
+  selector home;    // over the labels of regions; the first by name
+  std::chrono::milliseconds away_penalty{0};
+  transit_policy transit = transit_policy::allow;
+};
+
+/// Who asks. Its labels include caller=NAME.
+struct caller {
+  std::string name;
+  label_map labels;
+  std::string token_sha256;
+  /// Labels that a request of this caller may carry, with their values.
+  std::map<std::string, std::vector<std::string>> request_labels;
+  /// Weight among the callers that wait for the same service.
+  unsigned share = 1;
+};
+
+region read_region(const json& spec, problem_list& problems);
+service read_service(const json& spec, problem_list& problems);
+endpoint read_endpoint(const json& spec, problem_list& problems);
+placement_rule read_placement_rule(const json& spec, problem_list& problems);
+caller read_caller(const json& spec, problem_list& problems);
+
+/// Splits "IP:PORT"; false when it is not one.
+bool is_address(std::string_view text);
+
+}  // namespace trestlepost::config
--- /dev/null
+++ b/config/src/change.cc
@@ -0,0 +1,148 @@
+#include "trestlepost/config/change.h"
+
+#include <array>
+#include <utility>
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::config {
+namespace {
+
+struct status_name {
+  change_status status;
+  std::string_view name;
+};
+
+constexpr std::array<status_name, 4> status_names{{
+    {change_status::accepted, "accepted"},
+    {change_status::conflict, "conflict"},
+    {change_status::invalid, "invalid"},
+    {change_status::mismatch, "mismatch"},
+}};
+
+json ms_of(wall_time at) { return json(Json::Int64(to_unix_ms(at))); }
+
+wall_time time_of(const json& value, const char* key) {
+  return from_unix_ms(static_cast<std::int64_t>(number_of(value, key)));
+}
+
+}  // namespace
+
+std::string_view to_string(change_status status) {
+  for (const status_name& it : status_names) {
+    if (it.status == status) return it.name;
+  }
+  return "";
+}
+
+json to_json(const ledger_founding& value) {
+  json out;
+  out["region"] = value.region;
+  out["group_id"] = value.group_id;
+  out["members"] = consensus::to_json(value.members);
+  return out;
+}
+
+ledger_founding ledger_founding_from(const json& value) {
+  return {text_of(value, "region"), text_of(value, "group_id"),
+          consensus::member_list_from(member_of(value, "members"))};
+}
+
+json to_json(const change& value) {
+  json out;
+  out["id"] = value.id;
+  out["operator"] = value.operator_name;
+  out["at"] = ms_of(value.at);
+  json edits(Json::arrayValue);
+  for (const edit& it : value.edits) edits.append(to_json(it));
+  out["edits"] = std::move(edits);
+  if (value.if_revision) {
+    out["if_revision"] = json(Json::UInt64(*value.if_revision));
+  }
+  if (value.founding) out["founding"] = to_json(*value.founding);
+  return out;
+}
+
+result<change> change_from(const json& value) {
+  change out;
+  out.id = text_of(value, "id");
+  out.operator_name = text_of(value, "operator");
+  out.at = time_of(value, "at");
+  for (const json& it : member_of(value, "edits")) {
+    result<edit> one = edit_from(it);
+    if (!one) return tl::make_unexpected(one.error());
+    out.edits.push_back(std::move(*one));
+  }
+  const json& if_revision = member_of(value, "if_revision");
+  if (if_revision.isUInt64()) out.if_revision = if_revision.asUInt64();
+  const json& founding = member_of(value, "founding");
+  if (founding.isObject()) out.founding = ledger_founding_from(founding);
+  if (out.id.empty()) {
+    return fail(error_kind::bad_input, "the change has no id",
+                "give --change-id, or let `trestlepost apply` draw one");
+  }
+  return out;
+}
+
+json to_json(const change_result& value) {
+  json out;
+  out["status"] = std::string(to_string(value.status));
+  out["revision"] = json(Json::UInt64(value.revision));
+  out["message"] = value.message;
+  out["remedy"] = value.remedy;
+  json warnings(Json::arrayValue);
+  for (const std::string& it : value.warnings) warnings.append(it);
+  out["warnings"] = std::move(warnings);
+  return out;
+}
+
+change_result change_result_from(const json& value) {
+  change_result out;
+  const std::string status = text_of(value, "status");
+  for (const status_name& it : status_names) {
+    if (it.name == status) out.status = it.status;
+  }
+  out.revision = number_of(value, "revision");
+  out.message = text_of(value, "message");
+  out.remedy = text_of(value, "remedy");
+  for (const json& it : member_of(value, "warnings")) {
+    out.warnings.push_back(it.asString());
+  }
+  return out;
+}
+
+json to_json(const audit_record& value) {
+  json out;
+  out["sequence"] = json(Json::UInt64(value.sequence));
+  out["at"] = format_utc(value.at);
+  out["at_ms"] = ms_of(value.at);
+  out["operator"] = value.operator_name;
+  out["change_id"] = value.change_id;
+  out["outcome"] = to_json(value.outcome);
+  out["objects"] = value.objects;
+  return out;
+}
+
+audit_record audit_record_from(const json& value) {
+  audit_record out;
+  out.sequence = number_of(value, "sequence");
+  out.at = time_of(value, "at_ms");
+  out.operator_name = text_of(value, "operator");
+  out.change_id = text_of(value, "change_id");
+  out.outcome = change_result_from(member_of(value, "outcome"));
+  out.objects = member_of(value, "objects");
+  return out;
+}
+
+std::string request_digest(const change& value) {
+  json asked;
+  json edits(Json::arrayValue);
+  for (const edit& it : value.edits) {
+    edits.append(to_json(edit{it.kind, it.name, it.spec, std::nullopt}));
+  }
+  asked["edits"] = std::move(edits);
+  if (value.founding) asked["founding"] = to_json(*value.founding);
+  return sha256_hex(to_text(asked));
+}
+
+}  // namespace trestlepost::config
--- /dev/null
+++ b/config/src/state_machine.cc
@@ -0,0 +1,345 @@
+#include "trestlepost/config/state_machine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::config {
+namespace {
+
+json to_json(const applied_change& value) {
+  json out;
+  out["revision"] = json(Json::UInt64(value.revision));
+  out["at"] = json(Json::Int64(to_unix_ms(value.at)));
+  json edits(Json::arrayValue);
+  for (const edit& it : value.edits) edits.append(config::to_json(it));
+  out["edits"] = std::move(edits);
+  return out;
+}
+
+result<applied_change> applied_change_from(const json& value) {
+  applied_change out;
+  out.revision = number_of(value, "revision");
+  out.at = from_unix_ms(static_cast<std::int64_t>(number_of(value, "at")));
+  for (const json& it : member_of(value, "edits")) {
+    result<edit> one = edit_from(it);
+    if (!one) return tl::make_unexpected(one.error());
+    out.edits.push_back(std::move(*one));
+  }
+  return out;
+}
+
+void apply_to(object_store& store, const applied_change& it,
+              problem_list& problems) {
+  for (const edit& one : it.edits) {
+    store.remember_former(one, it.at);
+    store.put(one, it.revision, problems);
+  }
+  store.set_revision(it.revision);
+}
+
+change_result refusal(change_status status, revision_number revision,
+                      std::string message, std::string remedy) {
+  return {status, revision, std::move(message), std::move(remedy), {}};
+}
+
+}  // namespace
+
+json to_json(const watch_update& value) {
+  json out;
+  out["to"] = json(Json::UInt64(value.to));
+  json changes(Json::arrayValue);
+  for (const applied_change& it : value.changes) changes.append(to_json(it));
+  out["changes"] = std::move(changes);
+  if (value.whole) out["whole"] = *value.whole;
+  return out;
+}
+
+result<watch_update> watch_update_from(const json& value) {
+  watch_update out;
+  out.to = number_of(value, "to");
+  for (const json& it : member_of(value, "changes")) {
+    result<applied_change> one = applied_change_from(it);
+    if (!one) return tl::make_unexpected(one.error());
+    out.changes.push_back(std::move(*one));
+  }
+  const json& whole = member_of(value, "whole");
+  if (whole.isObject()) out.whole = whole;
+  return out;
+}
+
+result<void> apply_update(object_store& store, const watch_update& update) {
+  if (update.to <= store.revision()) return {};
+  if (update.whole) {
+    result<object_store> loaded = object_store::from_json(*update.whole);
+    if (!loaded) return tl::make_unexpected(loaded.error());
+    if (loaded->revision() <= store.revision()) return {};
+    store = std::move(*loaded);
+    return {};
+  }
+  problem_list problems;
+  for (const applied_change& it : update.changes) {
+    if (it.revision <= store.revision()) continue;
+    if (it.revision != store.revision() + 1) {
+      return fail(error_kind::configuration_behind,
+                  "the update leaves a gap after revision " +
+                      std::to_string(store.revision()),
+                  "ask again from that revision");
+    }
+    apply_to(store, it, problems);
+  }
+  return {};
+}
+
+config_state_machine::config_state_machine(state_limits limits)
+    : limits_(limits) {}
+
+void config_state_machine::apply(const consensus::entry& committed) {
+  const result<json> parsed = parse_json(committed.data);
+  result<change> asked =
+      parsed ? change_from(*parsed)
+             : result<change>(tl::make_unexpected(parsed.error()));
+  if (!asked) {
+    log_event(log_level::error, "change-unreadable",
+              {{"detail", asked.error().message}});
+    return;
+  }
+  const auto known = known_.find(asked->id);
+  if (known != known_.end() && !limits_.forget_change_ids) {
+    if (known->second.digest == request_digest(*asked)) return;
+    record(*asked,
+           refusal(change_status::mismatch, store_.revision(),
+                   "change id " + asked->id + " was used for another change",
+                   "use a new --change-id for a new change"),
+           json(Json::arrayValue));
+    return;
+  }
+  json touched(Json::arrayValue);
+  const change_result outcome = decide(*asked, touched);
+  remember(*asked, outcome);
+  record(*asked, outcome, std::move(touched));
+}
+
+change_result config_state_machine::decide(const change& asked,
+                                           json& touched) {
+  if (asked.founding) return decide_founding(asked);
+  std::optional<change_result> conflict = find_conflict(asked);
+  if (conflict) return std::move(*conflict);
+  if (asked.edits.empty()) {
+    return refusal(change_status::invalid, store_.revision(),
+                   "the change edits nothing", "write at least one object");
+  }
+  return accept(asked, touched);
+}
+
+change_result config_state_machine::decide_founding(const change& asked) {
+  const bool added =
+      ledgers_.emplace(asked.founding->region, *asked.founding).second;
+  if (added) {
+    return {change_status::accepted, store_.revision(),
+            "the ledger of " + asked.founding->region + " is founded", "", {}};
+  }
+  return refusal(change_status::conflict, store_.revision(),
+                 "region " + asked.founding->region + " has a ledger already",
+                 "use the one that exists");
+}
+
+std::string config_state_machine::last_writer_of(const edit& one) const {
+  for (auto it = audit_.rbegin(); it != audit_.rend(); ++it) {
+    if (it->outcome.status != change_status::accepted) continue;
+    for (const json& object : it->objects) {
+      if (text_of(object, "kind") == to_string(one.kind) &&
+          text_of(object, "name") == one.name) {
+        return it->operator_name + " with change " + it->change_id;
+      }
+    }
+  }
+  return "an earlier change";
+}
+
+std::optional<change_result> config_state_machine::find_conflict(
+    const change& asked) const {
+  const revision_number now = store_.revision();
+  if (asked.if_revision && *asked.if_revision != now) {
+    const std::string winner =
+        audit_.empty() ? "" : " by " + audit_.back().operator_name;
+    return refusal(change_status::conflict, now,
+                   "the configuration is at revision " + std::to_string(now) +
+                       winner + ", not at " +
+                       std::to_string(*asked.if_revision),
+                   "read it again with `trestlepost get`, then apply with "
+                   "--if-revision " +
+                       std::to_string(now));
+  }
+  for (const edit& it : asked.edits) {
+    if (!it.base) continue;
+    const stored_spec* stored = store_.find_spec(it.kind, it.name);
+    const revision_number current = stored == nullptr ? 0 : stored->revision;
+    if (current == *it.base) continue;
+    const std::string what = std::string(to_string(it.kind)) + " " + it.name;
+    return refusal(change_status::conflict, now,
+                   what + " was written by " + last_writer_of(it) +
+                       " at revision " + std::to_string(current) +
+                       ", after the revision " + std::to_string(*it.base) +
+                       " that this change was made from",
+                   "read it again with `trestlepost get " + what +
+                       "`, make the change anew, and apply it under a new "
+                       "--change-id");
+  }
+  return std::nullopt;
+}
+
+change_result config_state_machine::accept(const change& asked,
+                                           json& touched) {
+  const revision_number next = store_.revision() + 1;
+  problem_list problems;
+  std::vector<edit> previous;
+  for (const edit& it : asked.edits) {
+    const stored_spec* old = store_.find_spec(it.kind, it.name);
+    const json before = old == nullptr ? json() : old->spec;
+    const revision_number base = old == nullptr ? 0 : old->revision;
+    if (old == nullptr && it.spec.isNull()) {
+      problems.add(json(), it.name, "there is no such object to remove",
+                   "check the name with `trestlepost get`");
+      continue;
+    }
+    previous.push_back({it.kind, it.name, before, base});
+    json one;
+    one["kind"] = std::string(to_string(it.kind));
+    one["name"] = it.name;
+    one["before"] = before;
+    one["after"] = it.spec;
+    touched.append(std::move(one));
+    store_.put(it, next, problems);
+  }
+  if (problems.empty()) store_.check(problems);
+  roll_back(previous);
+  if (!problems.empty()) {
+    return refusal(change_status::invalid, store_.revision(),
+                   problems.to_text("change"),
+                   "mend the objects named and apply again under a new "
+                   "--change-id");
+  }
+  applied_change accepted{next, asked.at, asked.edits};
+  for (edit& it : accepted.edits) it.base.reset();
+  apply_to(store_, accepted, problems);
+  history_.push_back(std::move(accepted));
+  if (history_.size() > limits_.history) history_.pop_front();
+  return {change_status::accepted, next, "in the log at revision " +
+          std::to_string(next), "", store_.warnings()};
+}
+
+void config_state_machine::roll_back(const std::vector<edit>& previous) {
+  problem_list problems;
+  for (auto it = previous.rbegin(); it != previous.rend(); ++it) {
+    store_.put(*it, it->base.value_or(0), problems);
+  }
+}
+
+void config_state_machine::remember(const change& asked,
+                                    const change_result& outcome) {
+  known_[asked.id] = {request_digest(asked), outcome};
+  known_order_.push_back(asked.id);
+  if (known_order_.size() <= limits_.change_ids) return;
+  known_.erase(known_order_.front());
+  known_order_.pop_front();
+}
+
+void config_state_machine::record(const change& asked,
+                                  const change_result& outcome, json touched) {
+  audit_.push_back({next_sequence_++, asked.at, asked.operator_name, asked.id,
+                    outcome, std::move(touched)});
+  if (audit_.size() > limits_.audit_records) audit_.pop_front();
+  if (on_decided) on_decided(audit_.back());
+}
+
+std::optional<change_result> config_state_machine::result_of(
+    const std::string& change_id) const {
+  const auto it = known_.find(change_id);
+  if (it == known_.end()) return std::nullopt;
+  return it->second.outcome;
+}
+
+watch_update config_state_machine::update_since(revision_number from) const {
+  watch_update out;
+  out.to = store_.revision();
+  if (from >= out.to) return out;
+  const bool covered =
+      !history_.empty() && history_.front().revision <= from + 1;
+  if (!covered) {
+    out.whole = store_.to_json();
+    return out;
+  }
+  for (const applied_change& it : history_) {
+    if (it.revision > from) out.changes.push_back(it);
+  }
+  return out;
+}
+
+std::string config_state_machine::save() const {
+  json out;
+  out["store"] = store_.to_json();
+  json known(Json::arrayValue);
+  for (const std::string& id : known_order_) {
+    const known_change& it = known_.at(id);
+    json one;
+    one["id"] = id;
+    one["digest"] = it.digest;
+    one["outcome"] = config::to_json(it.outcome);
+    known.append(std::move(one));
+  }
+  out["changes"] = std::move(known);
+  json audit(Json::arrayValue);
+  for (const audit_record& it : audit_) audit.append(config::to_json(it));
+  out["audit"] = std::move(audit);
+  json history(Json::arrayValue);
+  for (const applied_change& it : history_) history.append(to_json(it));
+  out["history"] = std::move(history);
+  json ledgers(Json::arrayValue);
+  for (const auto& [region, it] : ledgers_) ledgers.append(config::to_json(it));
+  out["ledgers"] = std::move(ledgers);
+  out["next_sequence"] = json(Json::UInt64(next_sequence_));
+  return to_text(out);
+}
+
+void config_state_machine::load(std::string_view data) {
+  store_ = object_store();
+  known_.clear();
+  known_order_.clear();
+  audit_.clear();
+  history_.clear();
+  ledgers_.clear();
+  next_sequence_ = 1;
+  if (data.empty()) return;
+  const result<json> parsed = parse_json(data);
+  if (!parsed) {
+    log_event(log_level::error, "snapshot-unreadable",
+              {{"detail", parsed.error().message}});
+    return;
+  }
+  result<object_store> store =
+      object_store::from_json(member_of(*parsed, "store"));
+  if (store) store_ = std::move(*store);
+  for (const json& it : member_of(*parsed, "changes")) {
+    const std::string id = text_of(it, "id");
+    known_[id] = {text_of(it, "digest"),
+                  change_result_from(member_of(it, "outcome"))};
+    known_order_.push_back(id);
+  }
+  for (const json& it : member_of(*parsed, "audit")) {
+    audit_.push_back(audit_record_from(it));
+  }
+  for (const json& it : member_of(*parsed, "history")) {
+    result<applied_change> one = applied_change_from(it);
+    if (one) history_.push_back(std::move(*one));
+  }
+  for (const json& it : member_of(*parsed, "ledgers")) {
+    const ledger_founding one = ledger_founding_from(it);
+    ledgers_[one.region] = one;
+  }
+  next_sequence_ = std::max<std::uint64_t>(
+      1, number_of(*parsed, "next_sequence"));
+}
+
+}  // namespace trestlepost::config
--- /dev/null
+++ b/config/test/state_machine-test.cc
@@ -0,0 +1,185 @@
+#include "trestlepost/config/state_machine.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace trestlepost::config {
+namespace {
+
+edit put(object_kind kind, const std::string& text,
+         std::optional<revision_number> base = std::nullopt) {
+  const json spec = *parse_json(text);
+  return {kind, spec["name"].asString(), spec, base};
+}
+
+edit region_edit(const std::string& name,
+                 std::optional<revision_number> base = std::nullopt,
+                 const std::string& mark = "x") {
+  return put(object_kind::region,
+             R"({"name": ")" + name + R"(", "labels": {"mark": ")" + mark +
+                 R"("}})",
+             base);
+}
+
+change change_of(std::string id, std::vector<edit> edits,
+                 const std::string& by = "anna") {
+  change out;
+  out.id = std::move(id);
+  out.operator_name = by;
+  out.at = from_unix_ms(1'700'000'000'000);
+  out.edits = std::move(edits);
+  return out;
+}
+
+class driver {
+ public:
+  explicit driver(state_limits limits = {}) : machine(limits) {}
+
+  change_result apply(const change& asked) {
+    consensus::entry entry;
+    entry.data = to_text(to_json(asked));
+    machine.apply(entry);
+    return machine.result_of(asked.id).value_or(change_result());
+  }
+
+  config_state_machine machine;
+};
+
+TEST(config_state_machine_test, of_two_changes_with_one_base_one_wins) {
+  driver it;
+  it.apply(change_of("c1", {region_edit("isola")}));
+  const change_result first =
+      it.apply(change_of("c2", {region_edit("isola", 1, "a")}, "anna"));
+  const change_result second =
+      it.apply(change_of("c3", {region_edit("isola", 1, "b")}, "bruno"));
+  EXPECT_EQ(first.status, change_status::accepted);
+  EXPECT_EQ(second.status, change_status::conflict);
+  EXPECT_NE(second.message.find("anna"), std::string::npos);
+  EXPECT_NE(second.remedy.find("trestlepost get"), std::string::npos);
+  EXPECT_EQ(it.machine.store().revision(), 2U);
+}
+
+TEST(config_state_machine_test, a_resent_change_gets_its_first_result) {
+  driver it;
+  it.apply(change_of("c1", {region_edit("isola")}));
+  const change asked = change_of("c2", {region_edit("isola", 1, "a")});
+  const change_result first = it.apply(asked);
+  it.apply(change_of("c3", {region_edit("isola", 2, "b")}));
+  const change_result again = it.apply(asked);
+  EXPECT_EQ(again.status, change_status::accepted);
+  EXPECT_EQ(again.revision, first.revision);
+  EXPECT_EQ(it.machine.store().revision(), 3U);
+  config_state_machine restored;
+  restored.load(it.machine.save());
+  EXPECT_EQ(restored.result_of("c2")->revision, first.revision);
+}
+
+TEST(config_state_machine_test, a_forgotten_change_id_is_caught) {
+  state_limits broken;
+  broken.forget_change_ids = true;
+  driver it(broken);
+  const change asked = change_of("c1", {region_edit("isola")});
+  it.apply(asked);
+  it.apply(asked);
+  EXPECT_EQ(it.machine.store().revision(), 2U) << "applied twice";
+}
+
+TEST(config_state_machine_test, one_id_for_two_changes_is_refused) {
+  driver it;
+  it.apply(change_of("c1", {region_edit("isola")}));
+  it.apply(change_of("c1", {region_edit("golfo")}));
+  EXPECT_EQ(it.machine.store().revision(), 1U);
+  EXPECT_EQ(it.machine.audit().back().outcome.status, change_status::mismatch);
+}
+
+struct invalid_case {
+  const char* what;
+  edit one;
+};
+
+TEST(config_state_machine_test, a_change_is_checked_whole_or_not_applied) {
+  const invalid_case cases[] = {
+      {"dangling service",
+       put(object_kind::endpoint,
+           R"({"name":"e","service":"none","region":"isola",
+               "availability_zone":"z","address":"127.0.0.1:1"})")},
+      {"no region permitted",
+       put(object_kind::placement_rule,
+           R"({"name":"r","permit":{"region":"nowhere"}})")},
+      {"unknown key",
+       put(object_kind::region, R"({"name":"x","lables":{}})")},
+      {"bad address",
+       put(object_kind::endpoint,
+           R"({"name":"e","service":"s","region":"isola",
+               "availability_zone":"z","address":"here"})")},
+      {"removed in use", {object_kind::region, "isola", json(), std::nullopt}},
+      {"removed twice", {object_kind::caller, "nobody", json(), std::nullopt}},
+  };
+  for (const invalid_case& it : cases) {
+    driver d;
+    d.apply(change_of(
+        "c0", {region_edit("isola"),
+               put(object_kind::service, R"({"name":"s"})"),
+               put(object_kind::endpoint,
+                   R"({"name":"used","service":"s","region":"isola",
+                      "availability_zone":"z","address":"127.0.0.1:2"})")}));
+    const std::string before = to_text(d.machine.store().to_json());
+    const change_result outcome =
+        d.apply(change_of("c1", {region_edit("golfo"), it.one}));
+    EXPECT_EQ(outcome.status, change_status::invalid) << it.what;
+    EXPECT_FALSE(outcome.remedy.empty()) << it.what;
+    EXPECT_EQ(to_text(d.machine.store().to_json()), before) << it.what;
+    EXPECT_EQ(d.machine.audit().back().change_id, "c1") << it.what;
+  }
+}
+
+TEST(config_state_machine_test, a_selector_that_matches_nothing_is_reported) {
+  driver it;
+  const change_result outcome = it.apply(change_of(
+      "c1", {region_edit("isola"),
+             put(object_kind::placement_rule,
+                 R"({"name":"r","callers":{"team":"none"}})")}));
+  EXPECT_EQ(outcome.status, change_status::accepted);
+  EXPECT_FALSE(outcome.warnings.empty());
+}
+
+RC_GTEST_PROP(config_watch_test, a_watcher_never_goes_back_and_catches_up,
+              (std::vector<std::uint8_t> polls)) {
+  state_limits limits;
+  limits.history = 3;
+  driver it(limits);
+  object_store watcher;
+  std::vector<watch_update> late;
+  int n = 0;
+  for (const std::uint8_t poll : polls) {
+    const std::string name = "r" + std::to_string(poll % 3);
+    it.apply(change_of("c" + std::to_string(n), {region_edit(name)}));
+    ++n;
+    if (poll % 2 == 0) late.push_back(
+        it.machine.update_since(watcher.revision()));
+    if (poll % 5 == 0 && !late.empty()) {
+      // Updates arrive out of order and more than once.
+      const watch_update update = late[poll % late.size()];
+      const revision_number before = watcher.revision();
+      apply_update(watcher, *watch_update_from(to_json(update)));
+      RC_ASSERT(watcher.revision() >= before);
+    }
+  }
+  apply_update(watcher, it.machine.update_since(watcher.revision()));
+  RC_ASSERT(to_text(watcher.to_json()) ==
+            to_text(it.machine.store().to_json()));
+}
+
+TEST(config_state_machine_test, a_snapshot_restores_everything) {
+  driver it;
+  for (int i = 0; i < 20; ++i) {
+    it.apply(change_of("c" + std::to_string(i), {region_edit("isola")}));
+  }
+  config_state_machine restored;
+  restored.load(it.machine.save());
+  EXPECT_EQ(restored.save(), it.machine.save());
+}
+
+}  // namespace
+}  // namespace trestlepost::config
--- a/consensus/include/trestlepost/consensus/file_storage.h
+++ b/consensus/include/trestlepost/consensus/file_storage.h
@@ -35,6 +35,14 @@
   int fd_;
 };
 
+/// Replaces a file so that a crash leaves the old one or the new one: writes
+/// aside, syncs, renames, syncs the folder.
+result<void> replace_file(const std::filesystem::path& folder,
+                          const std::string& name, std::string_view data,
+                          file_operations& operations);
+result<void> replace_file(const std::filesystem::path& folder,
+                          const std::string& name, std::string_view data);
+
 /// The identity of a data folder: drawn when the folder is first used.
 result<std::uint64_t> load_or_create_incarnation(
     const std::filesystem::path& folder, random_source& random);
@@ -62,7 +70,7 @@
   result<void> open_log();
   result<void> write_all(int fd, std::string_view data);
   result<void> sync(int fd);
-  result<void> replace_file(const std::string& name, std::string_view data);
+  result<void> replace(const std::string& name, std::string_view data);
   result<void> replace_log(const hard_state& hard,
                            const std::vector<entry>& entries);
   tl::unexpected<error> failed(const std::string& what);
--- a/consensus/src/file_storage.cc
+++ b/consensus/src/file_storage.cc
@@ -112,6 +112,16 @@
   return true;
 }
 
+bool write_fully(file_operations& operations, int fd, std::string_view data) {
+  while (!data.empty()) {
+    const std::ptrdiff_t n = operations.write(fd, data.data(), data.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    data.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
 result<void> sync_folder(const std::filesystem::path& folder) {
   const unique_fd fd(::open(folder.c_str(), O_RDONLY | O_DIRECTORY));
   if (!fd.valid() || ::fsync(fd.get()) != 0) {
@@ -156,12 +166,7 @@
 }
 
 result<void> file_storage::write_all(int fd, std::string_view data) {
-  while (!data.empty()) {
-    const std::ptrdiff_t n = operations_->write(fd, data.data(), data.size());
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return failed("a write failed");
-    data.remove_prefix(static_cast<std::size_t>(n));
-  }
+  if (!write_fully(*operations_, fd, data)) return failed("a write failed");
   return {};
 }
 
@@ -170,22 +175,9 @@
   return {};
 }
 
-result<void> file_storage::replace_file(const std::string& name,
-                                        std::string_view data) {
-  const std::filesystem::path aside = folder_ / (name + ".new");
-  {
-    const unique_fd fd(
-        ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode));
-    if (!fd.valid()) return failed("cannot create " + aside.string());
-    result<void> done = write_all(fd.get(), data);
-    if (!done) return done;
-    done = sync(fd.get());
-    if (!done) return done;
-  }
-  std::error_code ec;
-  std::filesystem::rename(aside, folder_ / name, ec);
-  if (ec) return failed("cannot rename " + aside.string());
-  const result<void> done = sync_folder(folder_);
+result<void> file_storage::replace(const std::string& name,
+                                   std::string_view data) {
+  const result<void> done = replace_file(folder_, name, data, *operations_);
   if (!done) failed_ = true;
   return done;
 }
@@ -289,7 +281,7 @@
   // The snapshot first: a crash in between leaves entries that it covers,
   // which `load` passes over.
   const result<void> done =
-      replace_file(snapshot_name, make_record(to_json(base)));
+      replace(snapshot_name, make_record(to_json(base)));
   if (!done) return done;
   return replace_log(hard, entries);
 }
@@ -299,11 +291,42 @@
   hard_ = hard;
   std::string data = make_record(hard_record(hard));
   for (const entry& it : entries) data += make_record(entry_record(it));
-  const result<void> done = replace_file(log_name, data);
+  const result<void> done = replace(log_name, data);
   if (!done) return done;
   return open_log();
 }
 
+result<void> replace_file(const std::filesystem::path& folder,
+                          const std::string& name, std::string_view data,
+                          file_operations& operations) {
+  const std::filesystem::path aside = folder / (name + ".new");
+  {
+    const unique_fd fd(
+        ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode));
+    if (!fd.valid() || !write_fully(operations, fd.get(), data) ||
+        operations.sync(fd.get()) != 0) {
+      return fail(error_kind::storage_failed,
+                  "cannot write " + aside.string() + ": " +
+                      std::strerror(errno),
+                  "free or replace the disk, then restart this node");
+    }
+  }
+  std::error_code ec;
+  std::filesystem::rename(aside, folder / name, ec);
+  if (ec) {
+    return fail(error_kind::storage_failed,
+                "cannot rename " + aside.string() + ": " + ec.message(),
+                "make the data folder writable, then restart this node");
+  }
+  return sync_folder(folder);
+}
+
+result<void> replace_file(const std::filesystem::path& folder,
+                          const std::string& name, std::string_view data) {
+  file_operations operations;
+  return replace_file(folder, name, data, operations);
+}
+
 result<std::uint64_t> load_or_create_incarnation(
     const std::filesystem::path& folder, random_source& random) {
   const std::filesystem::path path = folder / identity_name;
@@ -317,30 +340,7 @@
   json value;
   const std::uint64_t n = (random.next() >> 1) | 1;
   value["incarnation"] = json(Json::UInt64(n));
-  const std::filesystem::path aside = folder / "identity.new";
-  {
-    const unique_fd fd(
-        ::open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC, file_mode));
-    const std::string text = to_text(value);
-    const bool stored =
-        fd.valid() &&
-        ::write(fd.get(), text.data(), text.size()) ==
-            static_cast<ssize_t>(text.size()) &&
-        ::fsync(fd.get()) == 0;
-    if (!stored) {
-      return fail(error_kind::storage_failed,
-                  "cannot write " + aside.string() + ": " +
-                      std::strerror(errno),
-                  "make the data folder writable");
-    }
-  }
-  std::error_code ec;
-  std::filesystem::rename(aside, path, ec);
-  if (ec) {
-    return fail(error_kind::storage_failed, "cannot rename " + aside.string(),
-                "make the data folder writable");
-  }
-  const result<void> done = sync_folder(folder);
+  const result<void> done = replace_file(folder, identity_name, to_text(value));
   if (!done) return tl::make_unexpected(done.error());
   return n;
 }
--- /dev/null
+++ b/membership/include/trestlepost/membership/endpoint_tracker.h
@@ -0,0 +1,122 @@
+// What this gateway knows of each endpoint of its region: chart state, own
+// requests, reported load, an adaptive limit, and warmth after a return.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/charts/chart.h"
+
+namespace trestlepost::membership {
+
+namespace endpoint_states {
+inline constexpr char joining[] = "joining";
+inline constexpr char serving[] = "serving";
+inline constexpr char ejected[] = "ejected";
+inline constexpr char leaving[] = "leaving";
+}  // namespace endpoint_states
+
+charts::chart_interface endpoint_chart_interface();
+
+struct endpoint_options {
+  /// Failures in a row after which an endpoint is ejected.
+  unsigned failures_to_eject = 3;
+  std::chrono::milliseconds first_ejection{1000};
+  std::chrono::milliseconds longest_ejection{30'000};
+  /// Time in which a returned endpoint's limit grows to its full size.
+  std::chrono::milliseconds ramp{8000};
+  /// Share of a service's endpoints that failures may eject, in percent.
+  unsigned most_ejected_percent = 50;
+  /// A load report counts for nothing after this time.
+  std::chrono::milliseconds report_lifetime{5000};
+};
+
+/// What an endpoint says of itself, as read at `at`.
+struct load_report {
+  unsigned running = 0;
+  unsigned waiting = 0;
+  monotonic_time at;
+  unsigned own_in_flight_then = 0;
+};
+
+/// One endpoint as routing sees it.
+struct endpoint_view {
+  std::string name;
+  std::string service;
+  std::string address;
+  bool usable = false;
+  std::string state;
+  double limit = 0;          // requests at once, all gateways together
+  unsigned own_in_flight = 0;
+  unsigned others_in_flight = 0;
+  double load = 0;           // own plus the best estimate of the others'
+};
+
+class endpoint_tracker {
+ public:
+  endpoint_tracker(charts::chart chart, endpoint_options options)
+      : chart_(std::move(chart)), options_(options) {}
+
+  /// Makes the set of known endpoints exactly these.
+  struct declared_endpoint {
+    std::string name;
+    std::string service;
+    std::string address;
+    unsigned slots = 1;
+    bool drained = false;
+  };
+  void declare(const std::vector<declared_endpoint>& endpoints,
+               monotonic_time now);
+
+  void request_started(const std::string& name);
+  void request_ended(const std::string& name);
+  void request_succeeded(const std::string& name);
+  void request_failed(const std::string& name, monotonic_time now);
+  void connection_refused(const std::string& name, monotonic_time now);
+  void report(const std::string& name, load_report in);
+  /// The platform's list, by address. An address that it does not name keeps
+  /// its last state: the list lags.
+  void platform_listed(const std::string& address, bool leaving,
+                       monotonic_time now);
+  void others_in_flight(std::map<std::string, std::uint32_t> by_endpoint);
+  void tick(monotonic_time now);
+
+  std::vector<endpoint_view> views(const std::string& service,
+                                   monotonic_time now) const;
+  std::map<std::string, std::uint32_t> own_in_flight() const;
+  std::vector<endpoint_view> all_views(monotonic_time now) const;
+
+ private:
+  struct record {
+    declared_endpoint declared;
+    std::string state;
+    double limit = 1;
+    unsigned in_flight = 0;
+    unsigned failures = 0;
+    unsigned ejections = 0;
+    monotonic_time warming_since;
+    monotonic_time ejected_until;
+    load_report last_report;
+    bool listed_leaving = false;
+  };
+
+  void handle(record& it, const std::string& event, monotonic_time now);
+  bool guard_holds(const record& it, const std::string& guard) const;
+  bool ejection_allowed(const record& it) const;
+  double warmth(const record& it, monotonic_time now) const;
+  void adapt_limit(record& it);
+  endpoint_view view_of(const record& it, monotonic_time now) const;
+  record* find(const std::string& name);
+
+  charts::chart chart_;
+  endpoint_options options_;
+  std::map<std::string, record> endpoints_;
+  std::map<std::string, std::uint32_t> others_;
+  bool any_seen_ = false;
+};
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -0,0 +1,61 @@
+// This node's own state, by the node chart.
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/charts/chart.h"
+
+namespace trestlepost::membership {
+
+/// States of the node chart that the code asks about.
+namespace node_states {
+inline constexpr char starting[] = "starting";
+inline constexpr char ready[] = "ready";
+inline constexpr char isolated[] = "isolated";
+inline constexpr char draining[] = "draining";
+}  // namespace node_states
+
+/// The part of a node chart that the code offers.
+charts::chart_interface node_chart_interface();
+
+struct node_state_options {
+  /// Time for which a confirmation of the configuration holds.
+  std::chrono::milliseconds config_lease{5000};
+  /// Time to wait for a first confirmation before serving from the stored
+  /// copy, isolated.
+  std::chrono::milliseconds startup_wait{5000};
+};
+
+class node_state {
+ public:
+  node_state(charts::chart chart, node_state_options options,
+             monotonic_time now);
+
+  /// The leader confirmed that the configuration was current at `asked_at`,
+  /// the time at which this node asked.
+  void confirm(monotonic_time asked_at, monotonic_time now);
+  void order_stop();
+  void tick(monotonic_time now, bool has_configuration);
+
+  const std::string& name() const { return state_; }
+  bool is(const char* state) const { return state_ == state; }
+  /// Whether new requests of this node's own callers are taken.
+  bool serves_callers() const;
+  /// Whether requests may cross to or from other regions.
+  bool crosses_regions() const { return is(node_states::ready); }
+  bool confirmed_at(monotonic_time now) const;
+
+ private:
+  void handle(const std::string& event, bool has_configuration);
+
+  charts::chart chart_;
+  node_state_options options_;
+  std::string state_;
+  monotonic_time started_at_;
+  monotonic_time confirmed_until_;
+  bool ever_confirmed_ = false;
+};
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -0,0 +1,109 @@
+// The nodes that this node knows, from heartbeats and region summaries.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/json.h"
+
+namespace trestlepost::membership {
+
+/// Where a node stands and where it listens. Addresses are "IP:PORT".
+struct node_info {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::string region;
+  std::string availability_zone;
+  std::string caller_address;
+  std::string forward_address;
+  std::string peer_address;
+  bool control = false;
+  bool durable = false;  // has a data folder
+
+  bool operator==(const node_info&) const = default;
+};
+
+/// Load of one service on one gateway, or summed over a region.
+struct service_load {
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t free_slots = 0;
+  /// Expected time in the queue of a request that comes now.
+  std::chrono::milliseconds wait{0};
+};
+
+/// What a node tells the nodes of its region.
+struct heartbeat {
+  node_info node;
+  std::uint64_t sequence = 0;
+  std::string state;  // of the node chart
+  std::uint64_t revision = 0;
+  std::map<std::string, std::uint32_t> endpoint_in_flight;
+  std::map<std::string, service_load> services;
+};
+
+/// What a relay tells other regions of its own region.
+struct region_summary {
+  std::string region;
+  std::string relay;
+  std::uint64_t sequence = 0;
+  std::vector<heartbeat> nodes;  // without endpoint detail
+};
+
+json to_json(const node_info& value);
+node_info node_info_from(const json& value);
+json to_json(const heartbeat& value);
+heartbeat heartbeat_from(const json& value);
+json to_json(const region_summary& value);
+region_summary region_summary_from(const json& value);
+
+enum class peer_state { live, suspect, dead };
+
+struct node_record {
+  heartbeat last;
+  monotonic_time heard_at;
+};
+
+struct suspicion_options {
+  std::chrono::milliseconds suspect_after{1500};
+  std::chrono::milliseconds dead_after{5000};
+  /// A dead node is forgotten after this time.
+  std::chrono::milliseconds forget_after{600'000};
+};
+
+class node_table {
+ public:
+  explicit node_table(suspicion_options options = {}) : options_(options) {}
+
+  /// Takes in a heartbeat; an older one of the same incarnation is ignored.
+  void observe(const heartbeat& in, monotonic_time now);
+  void observe(const region_summary& in, monotonic_time now);
+  void forget_old(monotonic_time now);
+
+  const node_record* find(const std::string& name) const;
+  peer_state state_of(const node_record& record, monotonic_time now) const;
+  bool is_live(const std::string& name, monotonic_time now) const;
+  std::vector<const node_record*> all() const;
+  std::vector<const node_record*> live_in(const std::string& region,
+                                          monotonic_time now) const;
+  std::vector<std::string> regions() const;
+
+  /// The relays of a region: the highest by rendezvous hash among its live
+  /// nodes. Every node of the region computes the same ones.
+  std::vector<const node_record*> relays_of(const std::string& region,
+                                            monotonic_time now) const;
+
+ private:
+  suspicion_options options_;
+  std::map<std::string, node_record> nodes_;
+};
+
+/// Relays a region has.
+inline constexpr std::size_t relays_per_region = 2;
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/src/endpoint_tracker.cc
@@ -0,0 +1,245 @@
+#include "trestlepost/membership/endpoint_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::membership {
+namespace {
+
+// Limits move between one request and this many times the endpoint's slots.
+constexpr double most_over_slots = 1.25;
+constexpr double limit_decrease = 0.9;
+constexpr double limit_increase = 0.5;
+constexpr double least_warmth = 0.25;
+constexpr double near_limit = 0.9;
+
+}  // namespace
+
+charts::chart_interface endpoint_chart_interface() {
+  return {{endpoint_states::joining, endpoint_states::serving,
+           endpoint_states::ejected, endpoint_states::leaving},
+          {"ramp_done", "request_failed", "connection_refused",
+           "ejection_over", "listed_live", "listed_leaving", "drain_ordered",
+           "drain_lifted"},
+          {"may_eject", "not_drained", "not_listed_leaving"}};
+}
+
+void endpoint_tracker::declare(const std::vector<declared_endpoint>& endpoints,
+                               monotonic_time now) {
+  std::set<std::string> kept;
+  for (const declared_endpoint& it : endpoints) {
+    kept.insert(it.name);
+    const auto found = endpoints_.find(it.name);
+    const bool same = found != endpoints_.end() &&
+                      found->second.declared.address == it.address;
+    if (!same) {
+      record fresh;
+      fresh.declared = it;
+      fresh.state = chart_.initial();
+      fresh.limit = it.slots;
+      // At this node's own start nothing is known to be cold.
+      fresh.warming_since = any_seen_ ? now : now - options_.ramp;
+      fresh.in_flight = same ? found->second.in_flight : 0;
+      endpoints_[it.name] = std::move(fresh);
+    }
+    record& one = endpoints_[it.name];
+    const bool was_drained = !same ? false : one.declared.drained;
+    one.declared = it;
+    if (it.drained != was_drained) {
+      handle(one, it.drained ? "drain_ordered" : "drain_lifted", now);
+    }
+  }
+  std::erase_if(endpoints_, [&kept](const auto& it) {
+    return !kept.contains(it.first);
+  });
+  any_seen_ = any_seen_ || !endpoints_.empty();
+}
+
+endpoint_tracker::record* endpoint_tracker::find(const std::string& name) {
+  const auto it = endpoints_.find(name);
+  return it == endpoints_.end() ? nullptr : &it->second;
+}
+
+bool endpoint_tracker::guard_holds(const record& it,
+                                   const std::string& guard) const {
+  if (guard == "may_eject") return ejection_allowed(it);
+  if (guard == "not_drained") return !it.declared.drained;
+  return !it.listed_leaving;
+}
+
+bool endpoint_tracker::ejection_allowed(const record& it) const {
+  if (it.failures < options_.failures_to_eject) return false;
+  unsigned total = 0;
+  unsigned ejected = 0;
+  for (const auto& [name, other] : endpoints_) {
+    if (other.declared.service != it.declared.service) continue;
+    ++total;
+    if (other.state == endpoint_states::ejected) ++ejected;
+  }
+  return (ejected + 1) * 100 <= total * options_.most_ejected_percent;
+}
+
+void endpoint_tracker::handle(record& it, const std::string& event,
+                              monotonic_time now) {
+  const std::string& next = chart_.next(
+      it.state, event,
+      [this, &it](const std::string& guard) { return guard_holds(it, guard); });
+  if (next == it.state) return;
+  log_event(log_level::info, "endpoint-state-changed",
+            {{"endpoint", it.declared.name},
+             {"from", it.state},
+             {"to", next},
+             {"cause", event}});
+  const bool returns =
+      it.state != endpoint_states::serving && next == endpoint_states::joining;
+  it.state = next;
+  if (returns) it.warming_since = now;
+  if (next != endpoint_states::ejected) return;
+  constexpr unsigned most_doublings = 10;
+  const std::chrono::milliseconds length = std::min(
+      options_.longest_ejection,
+      options_.first_ejection * (1U << std::min(it.ejections, most_doublings)));
+  ++it.ejections;
+  it.failures = 0;
+  it.ejected_until = now + length;
+}
+
+void endpoint_tracker::request_started(const std::string& name) {
+  record* it = find(name);
+  if (it != nullptr) ++it->in_flight;
+}
+
+void endpoint_tracker::request_ended(const std::string& name) {
+  record* it = find(name);
+  if (it != nullptr && it->in_flight > 0) --it->in_flight;
+}
+
+void endpoint_tracker::request_succeeded(const std::string& name) {
+  record* it = find(name);
+  if (it == nullptr) return;
+  it->failures = 0;
+  if (it->state == endpoint_states::serving) it->ejections = 0;
+}
+
+void endpoint_tracker::request_failed(const std::string& name,
+                                      monotonic_time now) {
+  record* it = find(name);
+  if (it == nullptr) return;
+  ++it->failures;
+  handle(*it, "request_failed", now);
+}
+
+void endpoint_tracker::connection_refused(const std::string& name,
+                                          monotonic_time now) {
+  record* it = find(name);
+  if (it != nullptr) handle(*it, "connection_refused", now);
+}
+
+void endpoint_tracker::report(const std::string& name, load_report in) {
+  record* it = find(name);
+  if (it == nullptr) return;
+  in.own_in_flight_then = it->in_flight;
+  it->last_report = in;
+  adapt_limit(*it);
+}
+
+void endpoint_tracker::adapt_limit(record& it) {
+  const double most = most_over_slots * it.declared.slots;
+  const bool congested = it.last_report.waiting > it.declared.slots / 4;
+  const bool pressed = it.in_flight >= near_limit * it.limit;
+  if (congested) {
+    it.limit = std::max(1.0, it.limit * limit_decrease);
+  } else if (pressed || it.limit < it.declared.slots) {
+    it.limit = std::min(most, it.limit + limit_increase);
+  }
+}
+
+void endpoint_tracker::platform_listed(const std::string& address,
+                                       bool leaving, monotonic_time now) {
+  for (auto& [name, it] : endpoints_) {
+    if (it.declared.address != address) continue;
+    if (it.listed_leaving == leaving) continue;
+    it.listed_leaving = leaving;
+    handle(it, leaving ? "listed_leaving" : "listed_live", now);
+  }
+}
+
+void endpoint_tracker::others_in_flight(
+    std::map<std::string, std::uint32_t> by_endpoint) {
+  others_ = std::move(by_endpoint);
+}
+
+void endpoint_tracker::tick(monotonic_time now) {
+  for (auto& [name, it] : endpoints_) {
+    if (it.state == endpoint_states::ejected && now >= it.ejected_until) {
+      handle(it, "ejection_over", now);
+    }
+    if (it.state == endpoint_states::joining && warmth(it, now) >= 1) {
+      handle(it, "ramp_done", now);
+    }
+  }
+}
+
+double endpoint_tracker::warmth(const record& it, monotonic_time now) const {
+  if (it.state != endpoint_states::joining) return 1;
+  const double passed = std::chrono::duration<double>(now - it.warming_since) /
+                        std::chrono::duration<double>(options_.ramp);
+  return std::clamp(least_warmth + (1 - least_warmth) * passed, least_warmth,
+                    1.0);
+}
+
+endpoint_view endpoint_tracker::view_of(const record& it,
+                                        monotonic_time now) const {
+  endpoint_view out;
+  out.name = it.declared.name;
+  out.service = it.declared.service;
+  out.address = it.declared.address;
+  out.state = it.state;
+  out.usable = it.state == endpoint_states::joining ||
+               it.state == endpoint_states::serving;
+  out.limit = std::max(1.0, it.limit * warmth(it, now));
+  out.own_in_flight = it.in_flight;
+  const auto others = others_.find(it.declared.name);
+  out.others_in_flight = others == others_.end() ? 0 : others->second;
+  // The report is a hint and ages; what gateways sent is fact.
+  double reported = 0;
+  const load_report& last = it.last_report;
+  const std::chrono::duration<double> age = now - last.at;
+  const std::chrono::duration<double> lifetime = options_.report_lifetime;
+  if (last.at != monotonic_time() && age < lifetime) {
+    const double total = last.running + last.waiting;
+    const double foreign = std::max(0.0, total - last.own_in_flight_then);
+    reported = foreign * (1 - age / lifetime);
+  }
+  out.load = out.own_in_flight +
+             std::max<double>(out.others_in_flight, reported);
+  return out;
+}
+
+std::vector<endpoint_view> endpoint_tracker::views(const std::string& service,
+                                                   monotonic_time now) const {
+  std::vector<endpoint_view> out;
+  for (const auto& [name, it] : endpoints_) {
+    if (it.declared.service == service) out.push_back(view_of(it, now));
+  }
+  return out;
+}
+
+std::vector<endpoint_view> endpoint_tracker::all_views(
+    monotonic_time now) const {
+  std::vector<endpoint_view> out;
+  for (const auto& [name, it] : endpoints_) out.push_back(view_of(it, now));
+  return out;
+}
+
+std::map<std::string, std::uint32_t> endpoint_tracker::own_in_flight() const {
+  std::map<std::string, std::uint32_t> out;
+  for (const auto& [name, it] : endpoints_) {
+    if (it.in_flight > 0) out[name] = it.in_flight;
+  }
+  return out;
+}
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/src/node_state.cc
@@ -0,0 +1,58 @@
+#include "trestlepost/membership/node_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::membership {
+
+charts::chart_interface node_chart_interface() {
+  return {{node_states::starting, node_states::ready, node_states::isolated,
+           node_states::draining},
+          {"confirmed", "lease_expired", "startup_over", "stop_ordered"},
+          {"has_configuration"}};
+}
+
+node_state::node_state(charts::chart chart, node_state_options options,
+                       monotonic_time now)
+    : chart_(std::move(chart)),
+      options_(options),
+      state_(chart_.initial()),
+      started_at_(now) {}
+
+void node_state::handle(const std::string& event, bool has_configuration) {
+  const std::string& next = chart_.next(
+      state_, event,
+      [has_configuration](const std::string&) { return has_configuration; });
+  if (next == state_) return;
+  log_event(log_level::info, "node-state-changed",
+            {{"from", state_}, {"to", next}, {"cause", event}});
+  state_ = next;
+}
+
+void node_state::confirm(monotonic_time asked_at, monotonic_time now) {
+  confirmed_until_ =
+      std::max(confirmed_until_, asked_at + options_.config_lease);
+  ever_confirmed_ = true;
+  if (confirmed_at(now)) handle("confirmed", true);
+}
+
+bool node_state::confirmed_at(monotonic_time now) const {
+  return ever_confirmed_ && now < confirmed_until_;
+}
+
+void node_state::order_stop() { handle("stop_ordered", true); }
+
+void node_state::tick(monotonic_time now, bool has_configuration) {
+  if (!confirmed_at(now)) handle("lease_expired", has_configuration);
+  if (now >= started_at_ + options_.startup_wait) {
+    handle("startup_over", has_configuration);
+  }
+}
+
+bool node_state::serves_callers() const {
+  return is(node_states::ready) || is(node_states::isolated);
+}
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/src/node_table.cc
@@ -0,0 +1,195 @@
+#include "trestlepost/membership/node_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::membership {
+namespace {
+
+json as_number(std::uint64_t n) { return json(Json::UInt64(n)); }
+
+std::uint32_t small_number_of(const json& value, const char* key) {
+  return static_cast<std::uint32_t>(number_of(value, key));
+}
+
+}  // namespace
+
+json to_json(const node_info& value) {
+  json out;
+  out["name"] = value.name;
+  out["incarnation"] = as_number(value.incarnation);
+  out["region"] = value.region;
+  out["availability_zone"] = value.availability_zone;
+  out["caller_address"] = value.caller_address;
+  out["forward_address"] = value.forward_address;
+  out["peer_address"] = value.peer_address;
+  out["control"] = value.control;
+  out["durable"] = value.durable;
+  return out;
+}
+
+node_info node_info_from(const json& value) {
+  node_info out;
+  out.name = text_of(value, "name");
+  out.incarnation = number_of(value, "incarnation");
+  out.region = text_of(value, "region");
+  out.availability_zone = text_of(value, "availability_zone");
+  out.caller_address = text_of(value, "caller_address");
+  out.forward_address = text_of(value, "forward_address");
+  out.peer_address = text_of(value, "peer_address");
+  out.control = flag_of(value, "control");
+  out.durable = flag_of(value, "durable");
+  return out;
+}
+
+json to_json(const heartbeat& value) {
+  json out;
+  out["node"] = to_json(value.node);
+  out["sequence"] = as_number(value.sequence);
+  out["state"] = value.state;
+  out["revision"] = as_number(value.revision);
+  json& endpoints = out["endpoints"] = json(Json::objectValue);
+  for (const auto& [name, n] : value.endpoint_in_flight) endpoints[name] = n;
+  json& services = out["services"] = json(Json::objectValue);
+  for (const auto& [name, it] : value.services) {
+    json one;
+    one["in_flight"] = it.in_flight;
+    one["queued"] = it.queued;
+    one["free_slots"] = it.free_slots;
+    one["wait_ms"] = as_number(static_cast<std::uint64_t>(it.wait.count()));
+    services[name] = std::move(one);
+  }
+  return out;
+}
+
+heartbeat heartbeat_from(const json& value) {
+  heartbeat out;
+  out.node = node_info_from(member_of(value, "node"));
+  out.sequence = number_of(value, "sequence");
+  out.state = text_of(value, "state");
+  out.revision = number_of(value, "revision");
+  const json& endpoints = member_of(value, "endpoints");
+  if (endpoints.isObject()) {
+    for (const std::string& it : endpoints.getMemberNames()) {
+      out.endpoint_in_flight[it] = small_number_of(endpoints, it.c_str());
+    }
+  }
+  const json& services = member_of(value, "services");
+  if (services.isObject()) {
+    for (const std::string& it : services.getMemberNames()) {
+      const json& one = services[it];
+      out.services[it] = {small_number_of(one, "in_flight"),
+                          small_number_of(one, "queued"),
+                          small_number_of(one, "free_slots"),
+                          std::chrono::milliseconds(number_of(one, "wait_ms"))};
+    }
+  }
+  return out;
+}
+
+json to_json(const region_summary& value) {
+  json out;
+  out["region"] = value.region;
+  out["relay"] = value.relay;
+  out["sequence"] = as_number(value.sequence);
+  json nodes(Json::arrayValue);
+  for (const heartbeat& it : value.nodes) nodes.append(to_json(it));
+  out["nodes"] = std::move(nodes);
+  return out;
+}
+
+region_summary region_summary_from(const json& value) {
+  region_summary out;
+  out.region = text_of(value, "region");
+  out.relay = text_of(value, "relay");
+  out.sequence = number_of(value, "sequence");
+  for (const json& it : member_of(value, "nodes")) {
+    out.nodes.push_back(heartbeat_from(it));
+  }
+  return out;
+}
+
+void node_table::observe(const heartbeat& in, monotonic_time now) {
+  if (in.node.name.empty()) return;
+  const auto it = nodes_.find(in.node.name);
+  if (it != nodes_.end()) {
+    const heartbeat& last = it->second.last;
+    const bool same_life = last.node.incarnation == in.node.incarnation;
+    if (same_life && in.sequence <= last.sequence) return;
+  }
+  nodes_[in.node.name] = {in, now};
+}
+
+void node_table::observe(const region_summary& in, monotonic_time now) {
+  for (const heartbeat& it : in.nodes) {
+    if (it.node.region == in.region) observe(it, now);
+  }
+}
+
+void node_table::forget_old(monotonic_time now) {
+  std::erase_if(nodes_, [this, now](const auto& it) {
+    return it.second.heard_at + options_.forget_after < now;
+  });
+}
+
+const node_record* node_table::find(const std::string& name) const {
+  const auto it = nodes_.find(name);
+  return it == nodes_.end() ? nullptr : &it->second;
+}
+
+peer_state node_table::state_of(const node_record& record,
+                                monotonic_time now) const {
+  if (now >= record.heard_at + options_.dead_after) return peer_state::dead;
+  if (now >= record.heard_at + options_.suspect_after) {
+    return peer_state::suspect;
+  }
+  return peer_state::live;
+}
+
+bool node_table::is_live(const std::string& name, monotonic_time now) const {
+  const node_record* it = find(name);
+  return it != nullptr && state_of(*it, now) == peer_state::live;
+}
+
+std::vector<const node_record*> node_table::all() const {
+  std::vector<const node_record*> out;
+  out.reserve(nodes_.size());
+  for (const auto& [name, it] : nodes_) out.push_back(&it);
+  return out;
+}
+
+std::vector<const node_record*> node_table::live_in(
+    const std::string& region, monotonic_time now) const {
+  std::vector<const node_record*> out;
+  for (const auto& [name, it] : nodes_) {
+    if (it.last.node.region == region &&
+        state_of(it, now) == peer_state::live) {
+      out.push_back(&it);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> node_table::regions() const {
+  std::vector<std::string> out;
+  for (const auto& [name, it] : nodes_) out.push_back(it.last.node.region);
+  std::sort(out.begin(), out.end());
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  return out;
+}
+
+std::vector<const node_record*> node_table::relays_of(
+    const std::string& region, monotonic_time now) const {
+  std::vector<const node_record*> out = live_in(region, now);
+  std::sort(out.begin(), out.end(),
+            [&region](const node_record* a, const node_record* b) {
+              return rendezvous_score(region, a->last.node.name) >
+                     rendezvous_score(region, b->last.node.name);
+            });
+  if (out.size() > relays_per_region) out.resize(relays_per_region);
+  return out;
+}
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/test/node_table-test.cc
@@ -0,0 +1,134 @@
+#include "trestlepost/membership/node_table.h"
+
+#include <gtest/gtest.h>
+
+#include "trestlepost/membership/directory.h"
+#include "trestlepost/membership/node_state.h"
+
+namespace trestlepost::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+heartbeat beat(const std::string& name, const std::string& region,
+               std::uint64_t sequence, const std::string& state = "ready") {
+  heartbeat out;
+  out.node.name = name;
+  out.node.incarnation = 1;
+  out.node.region = region;
+  out.node.caller_address = "127.0.0.1:1";
+  out.sequence = sequence;
+  out.state = state;
+  return out;
+}
+
+TEST(node_table_test, silence_makes_a_node_suspect_then_dead) {
+  node_table table;
+  const monotonic_time start;
+  table.observe(beat("a", "isola", 1), start);
+  const node_record& it = *table.find("a");
+  EXPECT_EQ(table.state_of(it, start + milliseconds(1499)), peer_state::live);
+  EXPECT_EQ(table.state_of(it, start + milliseconds(1500)),
+            peer_state::suspect);
+  EXPECT_EQ(table.state_of(it, start + milliseconds(5000)), peer_state::dead);
+}
+
+TEST(node_table_test, an_old_heartbeat_does_not_revive_a_node) {
+  node_table table;
+  const monotonic_time start;
+  table.observe(beat("a", "isola", 5), start);
+  table.observe(beat("a", "isola", 4), start + milliseconds(2000));
+  EXPECT_FALSE(table.is_live("a", start + milliseconds(2000)));
+}
+
+TEST(node_table_test, a_summary_speaks_only_for_its_own_region) {
+  node_table table;
+  region_summary summary;
+  summary.region = "golfo";
+  summary.nodes = {beat("v1", "golfo", 1), beat("e1", "isola", 9)};
+  table.observe(region_summary_from(to_json(summary)), monotonic_time());
+  EXPECT_NE(table.find("v1"), nullptr);
+  EXPECT_EQ(table.find("e1"), nullptr);
+}
+
+TEST(node_table_test, relays_are_two_live_nodes_of_the_region) {
+  node_table table;
+  const monotonic_time now;
+  for (int i = 0; i < 9; ++i) {
+    table.observe(beat("n" + std::to_string(i), "isola", 1), now);
+  }
+  const std::vector<const node_record*> relays = table.relays_of("isola", now);
+  ASSERT_EQ(relays.size(), relays_per_region);
+  const std::string lost = relays[0]->last.node.name;
+  for (int i = 0; i < 9; ++i) {
+    const std::string name = "n" + std::to_string(i);
+    if (name != lost) {
+      table.observe(beat(name, "isola", 2), now + milliseconds(2000));
+    }
+  }
+  for (const node_record* it :
+       table.relays_of("isola", now + milliseconds(2000))) {
+    EXPECT_NE(it->last.node.name, lost);
+  }
+}
+
+TEST(directory_test, ranks_by_state_distance_and_load) {
+  node_table table;
+  const monotonic_time now;
+  table.observe(beat("far", "golfo", 1), now);
+  table.observe(beat("cut", "isola", 1, "isolated"), now);
+  table.observe(beat("leaving", "isola", 1, "draining"), now);
+  heartbeat busy = beat("busy", "isola", 1);
+  busy.services["s"].in_flight = 9;
+  table.observe(busy, now);
+  table.observe(beat("idle", "isola", 1), now);
+  const std::vector<entry_view> ranked =
+      rank_entries(table, {"isola", "", {}}, now);
+  ASSERT_EQ(ranked.size(), 4U);
+  EXPECT_EQ(ranked[0].node, "idle");
+  EXPECT_EQ(ranked[1].node, "busy");
+  EXPECT_EQ(ranked[2].node, "far");
+  EXPECT_EQ(ranked[3].node, "cut");
+  EXPECT_EQ(rank_entries(table, {"isola", "", {"golfo"}}, now).size(), 1U);
+}
+
+node_state make_state(monotonic_time now) {
+  const result<charts::chart> chart =
+      charts::chart::load(std::string(TRESTLEPOST_CHARTS) + "/node.jsonc",
+                          node_chart_interface());
+  return {chart.value(), {}, now};
+}
+
+TEST(node_state_test, a_node_without_confirmation_becomes_isolated) {
+  monotonic_time now;
+  node_state it = make_state(now);
+  EXPECT_FALSE(it.serves_callers());
+  it.confirm(now, now);
+  EXPECT_TRUE(it.crosses_regions());
+  now += milliseconds(5001);
+  it.tick(now, true);
+  EXPECT_TRUE(it.is(node_states::isolated));
+  EXPECT_TRUE(it.serves_callers());
+  EXPECT_FALSE(it.crosses_regions());
+}
+
+TEST(node_state_test, a_confirmation_counts_from_when_it_was_asked) {
+  monotonic_time now;
+  node_state it = make_state(now);
+  const monotonic_time asked = now;
+  now += milliseconds(6000);  // frozen while the answer waited
+  it.confirm(asked, now);
+  EXPECT_FALSE(it.crosses_regions());
+}
+
+TEST(node_state_test, without_a_stored_configuration_it_keeps_waiting) {
+  monotonic_time now;
+  node_state it = make_state(now);
+  it.tick(now += milliseconds(9000), false);
+  EXPECT_FALSE(it.serves_callers());
+  it.tick(now, true);
+  EXPECT_TRUE(it.is(node_states::isolated));
+}
+
+}  // namespace
+}  // namespace trestlepost::membership
