Add the run-once ledger and the routing decisions

Cause: a booking that is sent twice must run once, and each request must be placed by configuration alone before load is looked at.

Ruled out: trusting a claim that was given up to vanish; it may be committed late, so the claimer then records it as not run.

Without the rule that unknown is final a request is granted twice, as its test shows.

--- /dev/null
+++ b/ledger/include/trestlepost/ledger/claim_table.h
@@ -0,0 +1,78 @@
+// The claims and outcomes of one gateway that are under way: proposes them
+// until its own replica has applied them.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "trestlepost/ledger/record.h"
+
+namespace trestlepost::ledger {
+
+/// Brings a command to the leader of the region's group; may lose it.
+class command_proposer {
+ public:
+  virtual ~command_proposer() = default;
+  virtual void propose(const json& command) = 0;
+};
+
+class claim_table {
+ public:
+  explicit claim_table(
+      command_proposer& proposer,
+      std::chrono::milliseconds resend_after = std::chrono::milliseconds(300))
+      : proposer_(proposer), resend_after_(resend_after) {}
+
+  using decided_function = std::function<void(const claim_decision&)>;
+
+  /// Proposes until decided; `decided` is called once unless abandoned.
+  void claim(const claim_command& asked, monotonic_time now,
+             decided_function decided);
+  void fence(const fence_command& asked, monotonic_time now,
+             decided_function decided);
+
+  /// Gives a claim up. Should it be granted later, it is released as not run.
+  void abandon(const std::string& attempt);
+
+  /// Proposes an outcome until it is recorded.
+  void finish(const finish_command& told, monotonic_time now);
+
+  /// From the state machine of this node's replica.
+  void on_decided(const claim_decision& decided, const std::string& key,
+                  monotonic_time now);
+  void on_finished(const std::string& attempt);
+
+  void tick(monotonic_time now);
+  std::size_t pending() const { return claims_.size() + outcomes_.size(); }
+
+  /// Marks the attempts of this process, so that a late grant of one that was
+  /// given up is recognised.
+  static bool is_own(const std::string& attempt, const std::string& prefix) {
+    return attempt.starts_with(prefix);
+  }
+  void set_own_prefix(std::string prefix) { own_prefix_ = std::move(prefix); }
+
+ private:
+  struct pending_claim {
+    json command;
+    decided_function decided;
+    monotonic_time sent_at;
+  };
+  struct pending_outcome {
+    json command;
+    monotonic_time sent_at;
+  };
+
+  void add(const std::string& attempt, json command, monotonic_time now,
+           decided_function decided);
+
+  command_proposer& proposer_;
+  std::chrono::milliseconds resend_after_;
+  std::string own_prefix_;
+  std::map<std::string, pending_claim> claims_;
+  std::map<std::string, pending_outcome> outcomes_;
+  std::map<std::string, monotonic_time> granted_;
+};
+
+}  // namespace trestlepost::ledger
--- /dev/null
+++ b/ledger/include/trestlepost/ledger/record.h
@@ -0,0 +1,102 @@
+// The run-once ledger's records and commands.
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/json.h"
+
+namespace trestlepost::ledger {
+
+/// Largest answer that is kept for replay, in bytes.
+inline constexpr std::size_t largest_kept_answer = 64 * 1024;
+
+/// After a key's window its record shrinks to a tombstone, kept this long, so
+/// that an expired key is refused and not run afresh.
+inline constexpr std::chrono::hours tombstone_lifetime{24 * 7};
+
+/// Names one request of one caller to one service; not reversible.
+std::string record_key(const std::string& caller, const std::string& service,
+                       const std::string& idempotency_key);
+
+/// An answer as it went to the caller.
+struct stored_answer {
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+  bool complete = false;  // false: too large to keep
+};
+
+enum class record_state { claimed, done, unknown, moved, expired };
+
+struct record {
+  record_state state = record_state::claimed;
+  std::string digest;   // of the request
+  std::string attempt;  // id of the attempt that holds the claim
+  wall_time claimed_at;
+  wall_time deadline;   // after it a claim without outcome is unknown
+  wall_time kept_until;
+  stored_answer answer;
+};
+
+/// Asks for the right to run a request.
+struct claim_command {
+  std::string key;
+  std::string digest;
+  std::string attempt;
+  wall_time at;
+  wall_time deadline;
+  std::chrono::milliseconds window{0};
+};
+
+enum class run_outcome { done, not_run, unknown };
+
+/// Tells how an attempt ended.
+struct finish_command {
+  std::string key;
+  std::string attempt;
+  run_outcome outcome = run_outcome::unknown;
+  stored_answer answer;
+};
+
+/// Closes a key here because another region owns it from now on.
+struct fence_command {
+  std::string key;
+  std::string attempt;
+  wall_time at;
+  std::chrono::milliseconds window{0};
+};
+
+enum class claim_verdict {
+  granted,
+  replay,
+  in_progress,
+  unknown,
+  mismatch,
+  expired,
+  moved
+};
+
+std::string_view to_string(claim_verdict verdict);
+
+struct claim_decision {
+  std::string attempt;
+  claim_verdict verdict = claim_verdict::unknown;
+  std::optional<stored_answer> answer;  // for a replay
+  std::chrono::milliseconds retry_after{0};
+};
+
+json to_json(const claim_command& value);
+json to_json(const finish_command& value);
+json to_json(const fence_command& value);
+claim_command claim_from(const json& value);
+finish_command finish_from(const json& value);
+fence_command fence_from(const json& value);
+json to_json(const claim_decision& value);
+claim_decision claim_decision_from(const json& value);
+json to_json(const record& value);
+record record_from(const json& value);
+
+}  // namespace trestlepost::ledger
--- /dev/null
+++ b/ledger/include/trestlepost/ledger/state_machine.h
@@ -0,0 +1,53 @@
+// The ledger of one region: who may run a request that must not run twice.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "trestlepost/consensus/group_host.h"
+#include "trestlepost/ledger/record.h"
+
+namespace trestlepost::ledger {
+
+struct ledger_limits {
+  /// Records kept at most; a claim beyond is refused, never run unrecorded.
+  std::size_t records = 1'000'000;
+  /// Mechanisms left out on purpose, for tests that show what catches it.
+  bool grant_after_unknown = false;
+  bool skip_digest_check = false;
+};
+
+class ledger_state_machine final : public consensus::state_machine {
+ public:
+  explicit ledger_state_machine(ledger_limits limits = {}) : limits_(limits) {}
+
+  void apply(const consensus::entry& committed) override;
+  std::string save() const override;
+  void load(std::string_view data) override;
+
+  std::size_t size() const { return records_.size(); }
+  const record* find(const std::string& key) const;
+
+  /// Called for every decided claim or fence, on every replica.
+  std::function<void(const claim_decision&, const std::string& key)>
+      on_decided;
+  /// Called when an outcome is recorded.
+  std::function<void(const std::string& attempt)> on_finished;
+
+ private:
+  claim_decision claim(const claim_command& asked);
+  claim_decision judge_existing(const claim_command& asked, record& found);
+  claim_decision fence(const fence_command& asked);
+  void finish(const finish_command& told);
+  void expire(wall_time now);
+  void keep_until(const std::string& key, record& it, wall_time until);
+  void erase(const std::string& key);
+
+  ledger_limits limits_;
+  std::map<std::string, record> records_;
+  std::set<std::pair<wall_time, std::string>> by_expiry_;
+};
+
+}  // namespace trestlepost::ledger
--- /dev/null
+++ b/ledger/src/state_machine.cc
@@ -0,0 +1,188 @@
+#include "trestlepost/ledger/state_machine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::ledger {
+namespace {
+
+claim_decision decision(const std::string& attempt, claim_verdict verdict) {
+  claim_decision out;
+  out.attempt = attempt;
+  out.verdict = verdict;
+  return out;
+}
+
+std::chrono::milliseconds positive(wall_time::duration n) {
+  return std::max(std::chrono::milliseconds(1),
+                  std::chrono::duration_cast<std::chrono::milliseconds>(n));
+}
+
+}  // namespace
+
+const record* ledger_state_machine::find(const std::string& key) const {
+  const auto it = records_.find(key);
+  return it == records_.end() ? nullptr : &it->second;
+}
+
+void ledger_state_machine::apply(const consensus::entry& committed) {
+  const result<json> parsed = parse_json(committed.data);
+  if (!parsed) return;
+  const std::string command = text_of(*parsed, "command");
+  if (command == "finish") {
+    finish(finish_from(*parsed));
+    return;
+  }
+  const std::string key = text_of(*parsed, "key");
+  const claim_decision decided = command == "fence"
+                                     ? fence(fence_from(*parsed))
+                                     : claim(claim_from(*parsed));
+  if (on_decided) on_decided(decided, key);
+}
+
+void ledger_state_machine::keep_until(const std::string& key, record& it,
+                                      wall_time until) {
+  by_expiry_.erase({it.kept_until, key});
+  it.kept_until = until;
+  by_expiry_.emplace(until, key);
+}
+
+void ledger_state_machine::erase(const std::string& key) {
+  const auto it = records_.find(key);
+  if (it == records_.end()) return;
+  by_expiry_.erase({it->second.kept_until, key});
+  records_.erase(it);
+}
+
+void ledger_state_machine::expire(wall_time now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first < now) {
+    const std::string key = by_expiry_.begin()->second;
+    record& it = records_[key];
+    if (it.state == record_state::expired) {
+      erase(key);
+      continue;
+    }
+    const wall_time until = it.kept_until + tombstone_lifetime;
+    it.state = record_state::expired;
+    it.answer = stored_answer();
+    keep_until(key, it, until);
+  }
+}
+
+claim_decision ledger_state_machine::claim(const claim_command& asked) {
+  expire(asked.at);
+  const auto found = records_.find(asked.key);
+  if (found != records_.end()) return judge_existing(asked, found->second);
+  if (records_.size() >= limits_.records) {
+    claim_decision out = decision(asked.attempt, claim_verdict::in_progress);
+    out.retry_after = std::chrono::minutes(1);
+    return out;
+  }
+  record& added = records_[asked.key];
+  added.digest = asked.digest;
+  added.attempt = asked.attempt;
+  added.claimed_at = asked.at;
+  added.deadline = asked.deadline;
+  keep_until(asked.key, added, asked.at + asked.window);
+  return decision(asked.attempt, claim_verdict::granted);
+}
+
+claim_decision ledger_state_machine::judge_existing(const claim_command& asked,
+                                                    record& found) {
+  if (found.state == record_state::expired) {
+    return decision(asked.attempt, claim_verdict::expired);
+  }
+  if (found.state == record_state::moved) {
+    return decision(asked.attempt, claim_verdict::moved);
+  }
+  if (found.digest != asked.digest && !limits_.skip_digest_check) {
+    return decision(asked.attempt, claim_verdict::mismatch);
+  }
+  // The same proposal may reach the log twice.
+  if (found.state == record_state::claimed && found.attempt == asked.attempt) {
+    return decision(asked.attempt, claim_verdict::granted);
+  }
+  if (found.state == record_state::claimed && asked.at > found.deadline) {
+    found.state = record_state::unknown;
+  }
+  if (found.state == record_state::claimed) {
+    claim_decision out = decision(asked.attempt, claim_verdict::in_progress);
+    out.retry_after = positive(found.deadline - asked.at);
+    return out;
+  }
+  if (found.state == record_state::unknown) {
+    if (limits_.grant_after_unknown) {
+      return decision(asked.attempt, claim_verdict::granted);
+    }
+    return decision(asked.attempt, claim_verdict::unknown);
+  }
+  claim_decision out = decision(asked.attempt, claim_verdict::replay);
+  out.answer = found.answer;
+  return out;
+}
+
+claim_decision ledger_state_machine::fence(const fence_command& asked) {
+  expire(asked.at);
+  const auto found = records_.find(asked.key);
+  if (found != records_.end() && found->second.state != record_state::moved) {
+    claim_command as_claim;
+    as_claim.key = asked.key;
+    as_claim.digest = found->second.digest;
+    as_claim.attempt = asked.attempt;
+    as_claim.at = asked.at;
+    return judge_existing(as_claim, found->second);
+  }
+  record& fenced = records_[asked.key];
+  fenced.state = record_state::moved;
+  keep_until(asked.key, fenced, asked.at + asked.window);
+  return decision(asked.attempt, claim_verdict::moved);
+}
+
+void ledger_state_machine::finish(const finish_command& told) {
+  const auto it = records_.find(told.key);
+  const bool held = it != records_.end() &&
+                    it->second.attempt == told.attempt &&
+                    (it->second.state == record_state::claimed ||
+                     it->second.state == record_state::unknown);
+  if (held) {
+    switch (told.outcome) {
+      case run_outcome::done:
+        it->second.state = record_state::done;
+        it->second.answer = told.answer;
+        break;
+      case run_outcome::not_run:
+        erase(told.key);
+        break;
+      case run_outcome::unknown:
+        it->second.state = record_state::unknown;
+        break;
+    }
+  }
+  if (on_finished) on_finished(told.attempt);
+}
+
+std::string ledger_state_machine::save() const {
+  json out(Json::objectValue);
+  for (const auto& [key, it] : records_) out[key] = to_json(it);
+  return to_text(out);
+}
+
+void ledger_state_machine::load(std::string_view data) {
+  records_.clear();
+  by_expiry_.clear();
+  if (data.empty()) return;
+  const result<json> parsed = parse_json(data);
+  if (!parsed || !parsed->isObject()) {
+    log_event(log_level::error, "ledger-snapshot-unreadable");
+    return;
+  }
+  for (auto it = parsed->begin(); it != parsed->end(); ++it) {
+    const std::string key = it.name();
+    records_[key] = record_from(*it);
+    by_expiry_.emplace(records_[key].kept_until, key);
+  }
+}
+
+}  // namespace trestlepost::ledger
--- /dev/null
+++ b/ledger/test/ledger-test.cc
@@ -0,0 +1,206 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "trestlepost/ledger/claim_table.h"
+#include "trestlepost/ledger/state_machine.h"
+
+namespace trestlepost::ledger {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+constexpr hours window{24};
+const wall_time start = from_unix_ms(1'700'000'000'000);
+
+/// Applies commands in order and keeps the last decision.
+class driver {
+ public:
+  explicit driver(ledger_limits limits = {}) : machine(limits) {
+    machine.on_decided = [this](const claim_decision& it, const std::string&) {
+      last = it;
+    };
+  }
+
+  void apply(const json& command) {
+    consensus::entry entry;
+    entry.data = to_text(command);
+    machine.apply(entry);
+  }
+
+  claim_verdict claim(const std::string& attempt, wall_time at = start,
+                      const std::string& digest = "d",
+                      const std::string& key = "k") {
+    apply(to_json(claim_command{key, digest, attempt, at,
+                                at + milliseconds(5000), window}));
+    return last.verdict;
+  }
+
+  void finish(const std::string& attempt, run_outcome outcome) {
+    apply(to_json(finish_command{
+        "k", attempt, outcome, {200, "text/plain", "booked \x01\xff", true}}));
+  }
+
+  ledger_state_machine machine;
+  claim_decision last;
+};
+
+TEST(ledger_test, a_key_is_granted_once) {
+  driver it;
+  EXPECT_EQ(it.claim("a1"), claim_verdict::granted);
+  EXPECT_EQ(it.claim("a2"), claim_verdict::in_progress);
+  EXPECT_GT(it.last.retry_after, milliseconds(0));
+  it.finish("a1", run_outcome::done);
+  EXPECT_EQ(it.claim("a3"), claim_verdict::replay);
+  EXPECT_EQ(it.last.answer->body, "booked \x01\xff");
+}
+
+TEST(ledger_test, another_body_under_the_same_key_is_a_mismatch) {
+  driver it;
+  it.claim("a1");
+  EXPECT_EQ(it.claim("a2", start, "other"), claim_verdict::mismatch);
+  ledger_limits broken;
+  broken.skip_digest_check = true;
+  driver without(broken);
+  without.claim("a1");
+  EXPECT_NE(without.claim("a2", start, "other"), claim_verdict::mismatch);
+}
+
+TEST(ledger_test, a_claimer_that_died_leaves_unknown_for_good) {
+  driver it;
+  it.claim("a1");
+  const wall_time later = start + milliseconds(5001);
+  EXPECT_EQ(it.claim("a2", later), claim_verdict::unknown);
+  EXPECT_EQ(it.claim("a3", later + hours(1)), claim_verdict::unknown);
+  ledger_limits broken;
+  broken.grant_after_unknown = true;
+  driver without(broken);
+  without.claim("a1");
+  EXPECT_EQ(without.claim("a2", later), claim_verdict::granted)
+      << "without the mechanism the request runs twice";
+}
+
+TEST(ledger_test, a_late_outcome_of_the_claimer_still_counts) {
+  driver it;
+  it.claim("a1");
+  it.claim("a2", start + milliseconds(5001));
+  it.finish("a1", run_outcome::done);
+  EXPECT_EQ(it.claim("a3", start + milliseconds(6000)), claim_verdict::replay);
+}
+
+TEST(ledger_test, what_was_not_run_frees_the_key) {
+  driver it;
+  it.claim("a1");
+  it.finish("a1", run_outcome::not_run);
+  EXPECT_EQ(it.claim("a2"), claim_verdict::granted);
+  it.finish("a1", run_outcome::not_run);  // late, of a former attempt
+  EXPECT_EQ(it.claim("a3"), claim_verdict::in_progress);
+}
+
+TEST(ledger_test, an_expired_key_is_refused_and_not_run_afresh) {
+  driver it;
+  it.claim("a1");
+  it.finish("a1", run_outcome::done);
+  EXPECT_EQ(it.claim("a2", start + hours(25)), claim_verdict::expired);
+  EXPECT_EQ(it.claim("a3", start + hours(24 * 6)), claim_verdict::expired);
+}
+
+TEST(ledger_test, a_fence_closes_a_key_or_tells_what_is_known) {
+  driver it;
+  it.apply(to_json(fence_command{"k", "f1", start, window}));
+  EXPECT_EQ(it.last.verdict, claim_verdict::moved);
+  EXPECT_EQ(it.claim("a1"), claim_verdict::moved);
+  it.claim("b1", start, "d", "other");
+  it.apply(to_json(fence_command{"other", "f2", start, window}));
+  EXPECT_EQ(it.last.verdict, claim_verdict::in_progress);
+}
+
+TEST(ledger_test, a_snapshot_restores_every_record) {
+  driver it;
+  it.claim("a1");
+  it.finish("a1", run_outcome::done);
+  it.claim("b1", start, "d", "other");
+  driver restored;
+  restored.machine.load(it.machine.save());
+  EXPECT_EQ(restored.machine.save(), it.machine.save());
+  EXPECT_EQ(restored.claim("a2"), claim_verdict::replay);
+  EXPECT_EQ(restored.claim("b2", start, "d", "other"),
+            claim_verdict::in_progress);
+}
+
+/// Loses, delays and repeats proposals before they reach the log.
+class lossy_proposer final : public command_proposer {
+ public:
+  explicit lossy_proposer(std::uint64_t seed) : random(seed) {}
+  void propose(const json& command) override {
+    const std::uint64_t n = random.below(10);
+    if (n < 3) return;
+    waiting.push_back(command);
+    if (n > 7) waiting.push_back(command);
+  }
+  seeded_random random;
+  std::vector<json> waiting;
+};
+
+/// Several gateways race for few keys; some give up, some die.
+RC_GTEST_PROP(ledger_property, no_key_runs_twice, (std::uint64_t seed)) {
+  ledger_state_machine machine;
+  lossy_proposer proposer(seed);
+  claim_table first(proposer);
+  claim_table second(proposer);
+  first.set_own_prefix("p0-");
+  second.set_own_prefix("p1-");
+  claim_table* tables[] = {&first, &second};
+  monotonic_time now;
+  wall_time wall = start;
+  std::map<std::string, int> runs;
+  std::set<std::string> not_run;
+  machine.on_decided = [&](const claim_decision& it, const std::string& key) {
+    for (claim_table* table : tables) table->on_decided(it, key, now);
+  };
+  machine.on_finished = [&](const std::string& attempt) {
+    for (claim_table* table : tables) table->on_finished(attempt);
+  };
+  for (int step = 0; step < 300; ++step) {
+    now += milliseconds(100);
+    wall += milliseconds(100);
+    const std::uint64_t which = proposer.random.below(2);
+    claim_table& table = *tables[which];
+    if (proposer.random.below(4) == 0) {
+      const std::string key = "k" + std::to_string(proposer.random.below(3));
+      const std::string attempt =
+          "p" + std::to_string(which) + "-" + std::to_string(step);
+      const std::uint64_t fate = proposer.random.below(4);
+      table.claim({key, "d", attempt, wall, wall + milliseconds(2000), window},
+                  now, [&, key, attempt, fate](const claim_decision& it) {
+                    if (it.verdict != claim_verdict::granted) return;
+                    if (fate == 0) {  // refused before the first byte
+                      table.finish({key, attempt, run_outcome::not_run, {}},
+                                   now);
+                      return;
+                    }
+                    ++runs[key];
+                    if (fate == 1) return;  // died: no outcome
+                    table.finish({key, attempt, run_outcome::done, {}}, now);
+                  });
+      if (fate == 3) table.abandon(attempt);
+    }
+    first.tick(now);
+    second.tick(now);
+    for (int i = 0; i < 3 && !proposer.waiting.empty(); ++i) {
+      const std::size_t at = proposer.random.below(proposer.waiting.size());
+      consensus::entry entry;
+      entry.data = to_text(proposer.waiting[at]);
+      proposer.waiting.erase(proposer.waiting.begin() +
+                             static_cast<std::ptrdiff_t>(at));
+      machine.apply(entry);
+    }
+  }
+  for (const auto& [key, n] : runs) RC_ASSERT(n <= 1);
+}
+
+}  // namespace
+}  // namespace trestlepost::ledger
--- /dev/null
+++ b/routing/include/trestlepost/routing/fair_queue.h
@@ -0,0 +1,72 @@
+// A bounded queue in which callers share a service by weight. Within one
+// caller, higher priority goes first, then the earlier deadline.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+
+namespace trestlepost::routing {
+
+/// One waiting request.
+struct waiter {
+  std::uint64_t id = 0;
+  std::string caller;
+  unsigned share = 1;
+  int priority = 0;  // higher first
+  monotonic_time deadline;
+};
+
+class fair_queue {
+ public:
+  explicit fair_queue(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Adds a waiter. When the queue is full, the waiter pushed out is one of
+  /// the caller with the most waiting for its share; it may be the new one.
+  std::optional<std::uint64_t> push(const waiter& added);
+
+  /// The next one to run, or nothing.
+  std::optional<std::uint64_t> pop();
+
+  /// Takes out those whose deadline has passed.
+  std::vector<std::uint64_t> take_expired(monotonic_time now);
+
+  /// Takes out one that gave up.
+  void remove(std::uint64_t id);
+
+  std::size_t size() const { return by_id_.size(); }
+  std::size_t waiting_of(const std::string& caller) const;
+
+ private:
+  struct order {
+    int priority = 0;
+    monotonic_time deadline;
+    std::uint64_t id = 0;
+    bool operator<(const order& other) const;
+  };
+  struct caller_queue {
+    std::set<order> waiting;
+    unsigned share = 1;
+    double virtual_time = 0;  // served requests by share
+  };
+  struct location {
+    std::string caller;
+    order position;
+  };
+
+  std::string most_over_share() const;
+  std::uint64_t take(const std::string& caller, const order& position);
+
+  std::size_t capacity_;
+  std::map<std::string, caller_queue> callers_;
+  std::map<std::uint64_t, location> by_id_;
+  double virtual_now_ = 0;
+};
+
+}  // namespace trestlepost::routing
--- /dev/null
+++ b/routing/src/former_homes.cc
@@ -0,0 +1,101 @@
+#include <algorithm>
+#include <memory>
+#include <optional>
+
+#include "trestlepost/routing/placement.h"
+
+namespace trestlepost::routing {
+namespace {
+
+/// The objects of one request as they were at an earlier time.
+class earlier_objects {
+ public:
+  earlier_objects(const config::object_store& store,
+                  const config::caller& caller,
+                  const config::service& service)
+      : regions_(store.regions()),
+        rules_(store.rules()),
+        caller_(caller),
+        service_(service) {}
+
+  /// Undoes one replacement; false when it does not concern the request.
+  bool undo(const config::former_spec& it) {
+    const bool existed = !it.spec.isNull();
+    problem_list problems;
+    switch (it.kind) {
+      case config::object_kind::region:
+        regions_.erase(it.name);
+        if (existed) {
+          regions_[it.name] = std::make_shared<const config::region>(
+              config::read_region(it.spec, problems));
+        }
+        return true;
+      case config::object_kind::placement_rule:
+        rules_.erase(it.name);
+        if (existed) {
+          rules_[it.name] = std::make_shared<const config::placement_rule>(
+              config::read_placement_rule(it.spec, problems));
+        }
+        return true;
+      case config::object_kind::service:
+        if (it.name != service_.name) return false;
+        exists_ = exists_ && existed;
+        if (existed) service_ = config::read_service(it.spec, problems);
+        return true;
+      case config::object_kind::caller:
+        if (it.name != caller_.name) return false;
+        exists_ = exists_ && existed;
+        if (existed) caller_ = config::read_caller(it.spec, problems);
+        return true;
+      case config::object_kind::endpoint:
+        break;
+    }
+    return false;
+  }
+
+  std::optional<std::string> home(const config::label_map& labels) const {
+    if (!exists_) return std::nullopt;
+    const result<placement> placed =
+        place({regions_, rules_}, caller_, service_, labels);
+    if (!placed) return std::nullopt;
+    return placed->home;
+  }
+
+ private:
+  config::object_map<config::region> regions_;
+  config::object_map<config::placement_rule> rules_;
+  config::caller caller_;
+  config::service service_;
+  bool exists_ = true;
+};
+
+}  // namespace
+
+std::vector<std::string> former_homes(const config::object_store& store,
+                                      const config::caller& caller,
+                                      const config::service& service,
+                                      const config::label_map& request_labels,
+                                      const std::string& present_home,
+                                      wall_time now) {
+  std::vector<std::string> out;
+  const std::deque<config::former_spec>& former = store.former();
+  earlier_objects earlier(store, caller, service);
+  bool changed = false;
+  for (auto it = former.rbegin(); it != former.rend(); ++it) {
+    if (it->replaced_at + service.key_window < now) break;
+    changed = earlier.undo(*it) || changed;
+    const auto older = std::next(it);
+    const bool change_ends =
+        older == former.rend() || older->replaced_at != it->replaced_at;
+    if (!changed || !change_ends) continue;
+    changed = false;
+    const std::optional<std::string> home = earlier.home(request_labels);
+    if (!home || *home == present_home) continue;
+    if (std::find(out.begin(), out.end(), *home) == out.end()) {
+      out.push_back(*home);
+    }
+  }
+  return out;
+}
+
+}  // namespace trestlepost::routing
