Add the transport package

Cause: callers, endpoints, operators and peers need servers and clients that never mistake a cut answer for a whole one and never listen to a stranger.

Change: HTTP server and client on Beast, JSON-RPC dispatch on libjsonrpccpp, framed peer links with a keyed digest over challenge, counter and payload.

Ruled out: answering 408 to a slow head; Beast's stream closes its socket when it times out, so the connection just ends.

--- /dev/null
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -0,0 +1,81 @@
+// HTTP/1.1 calls to endpoints and peers, over kept connections. A connection
+// whose call timed out, was cancelled or went wrong is closed, never reused.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/transport/http_server.h"
+
+namespace trestlepost::transport {
+
+struct http_client_options {
+  std::chrono::milliseconds connect_timeout{1000};
+  /// A kept connection that is idle for longer is closed.
+  std::chrono::milliseconds keep_idle{5000};
+  std::size_t most_kept = 64;  // for each address
+};
+
+struct http_request {
+  std::string method = "POST";
+  std::string target;
+  header_list headers;
+  std::string body;
+};
+
+/// Why a call failed before its answer's head arrived.
+struct call_failure {
+  error cause;
+  /// Whether any byte of the request may have reached the other side.
+  bool bytes_written = false;
+  /// Nobody listens there.
+  bool refused = false;
+};
+
+class http_client;
+
+/// One call. `cancel` may be called at any time.
+class http_call {
+ public:
+  virtual ~http_call() = default;
+
+  /// Sends the request and reads the answer's head.
+  virtual awaitable<tl::expected<void, call_failure>> send(
+      http_request request, monotonic_time deadline) = 0;
+
+  virtual unsigned status() const = 0;
+  virtual std::string_view header(std::string_view name) const = 0;
+
+  /// The next piece of the body; empty at its end. An answer that is cut
+  /// short is an error.
+  virtual awaitable<result<std::string>> read_piece() = 0;
+
+  /// Reads the rest of the body, `limit` bytes at most.
+  virtual awaitable<result<std::string>> read_rest(std::size_t limit) = 0;
+
+  virtual void cancel() = 0;
+};
+
+class http_client {
+ public:
+  http_client(asio::io_context& context, http_client_options options);
+  ~http_client();
+
+  /// A call to "IP:PORT".
+  std::shared_ptr<http_call> call(const std::string& address);
+
+  /// Closes what is kept.
+  void close();
+
+  /// Implementation detail.
+  struct state;
+
+ private:
+  friend class pooled_call;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -0,0 +1,75 @@
+// Messages between nodes: JSON-RPC notifications in frames over persistent
+// connections. Each frame carries a digest keyed with the peers' secret, over
+// a challenge of the receiver and a counter, so that a stranger can neither
+// speak nor replay. Delivery is not guaranteed.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "trestlepost/base/json.h"
+#include "trestlepost/base/random.h"
+#include "trestlepost/transport/asio.h"
+#include "trestlepost/transport/rpc.h"
+
+namespace trestlepost::transport {
+
+struct peer_options {
+  std::size_t frame_limit = 64 * 1024 * 1024;
+  /// The first frame of a connection, before its sender is known.
+  std::size_t first_frame_limit = 4 * 1024;
+  std::size_t queue_limit = 64 * 1024 * 1024;  // bytes waiting for one peer
+};
+
+/// Counters for metrics.
+struct peer_traffic {
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t messages_dropped = 0;
+  std::uint64_t strangers_refused = 0;
+};
+
+/// Sends to any number of peers; connects when there is something to send.
+class peer_links {
+ public:
+  peer_links(asio::io_context& context, std::string secret,
+             peer_options options);
+  ~peer_links();
+
+  /// Queues a notification for the node at `address`.
+  void send(const std::string& address, const std::string& method,
+            const json& params);
+
+  const peer_traffic& traffic() const;
+  void close();
+
+  /// Implementation detail.
+  struct state;
+
+ private:
+  std::shared_ptr<state> state_;
+};
+
+/// Receives from peers and hands each notification to the dispatcher.
+class peer_server {
+ public:
+  peer_server(asio::io_context& context, std::string secret,
+              rpc_dispatcher& dispatcher, random_source& random,
+              peer_options options);
+  ~peer_server();
+
+  result<void> listen(const std::string& address);
+  const peer_traffic& traffic() const;
+  void close();
+
+  /// Implementation detail.
+  struct state;
+
+ private:
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/src/http_server.cc
@@ -0,0 +1,427 @@
+#include "trestlepost/transport/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <set>
+
+#include "trestlepost/base/json.h"
+
+namespace trestlepost::transport {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using error_code = boost::system::error_code;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+using request_parser = http::request_parser<http::string_body>;
+using string_response = http::response<http::string_body>;
+
+constexpr char server_name[] = "trestlepost";
+
+http::status status_of(unsigned n) { return http::int_to_status(n); }
+
+string_response make_head(const http_answer& answer, unsigned version) {
+  string_response out(status_of(answer.status), version);
+  out.result(answer.status);
+  out.set(http::field::server, server_name);
+  if (!answer.content_type.empty()) {
+    out.set(http::field::content_type, answer.content_type);
+  }
+  for (const auto& [name, value] : answer.headers) out.set(name, value);
+  return out;
+}
+
+}  // namespace
+
+http_answer problem_answer(unsigned status, const error& cause,
+                           std::string_view ran,
+                           std::chrono::seconds retry_after) {
+  json body;
+  body["type"] = "about:blank";
+  body["title"] = std::string(http::obsolete_reason(status_of(status)));
+  body["status"] = status;
+  body["kind"] = std::string(to_string(cause.kind));
+  body["ran"] = std::string(ran);
+  body["detail"] = cause.message;
+  body["remedy"] = cause.remedy;
+  http_answer out;
+  out.status = status;
+  out.content_type = "application/problem+json";
+  out.headers.emplace_back("Trestlepost-Ran", std::string(ran));
+  if (retry_after.count() > 0) {
+    out.headers.emplace_back("Retry-After",
+                             std::to_string(retry_after.count()));
+  }
+  out.body = to_text(body);
+  return out;
+}
+
+struct http_server::state {
+  state(asio::io_context& c, http_handler& h, http_server_options o)
+      : context(c), handler(h), options(o) {}
+
+  asio::io_context& context;
+  http_handler& handler;
+  http_server_options options;
+  std::optional<tcp::acceptor> acceptor;
+  std::set<beast::tcp_stream*> idle;
+  std::size_t connections = 0;
+  std::size_t in_progress = 0;
+  bool draining = false;
+};
+
+namespace {
+
+/// One connection; lives as long as its coroutine.
+class connection final : public http_exchange {
+ public:
+  connection(tcp::socket socket, const http_server_options& options)
+      : stream_(std::move(socket)), options_(options) {}
+
+  beast::tcp_stream& stream() { return stream_; }
+
+  /// Reads the next head; false when the connection ends.
+  awaitable<bool> read_head();
+  bool keeps_alive(bool draining) const {
+    return !broken_ && whole_ && parser_->is_done() &&
+           parser_->get().keep_alive() && !draining;
+  }
+  void set_draining(bool draining) { draining_ = draining; }
+  void end_exchange();
+
+  std::string_view method() const override {
+    return {parser_->get().method_string().data(),
+            parser_->get().method_string().size()};
+  }
+  std::string_view target() const override {
+    return {parser_->get().target().data(), parser_->get().target().size()};
+  }
+  std::string_view header(std::string_view name) const override {
+    const auto it = parser_->get().find({name.data(), name.size()});
+    if (it == parser_->get().end()) return {};
+    return {it->value().data(), it->value().size()};
+  }
+  awaitable<result<std::string>> read_body() override;
+  awaitable<bool> respond(http_answer answer) override;
+  awaitable<bool> start_stream(http_answer head) override;
+  awaitable<bool> write_piece(std::string piece) override;
+  awaitable<bool> finish_stream() override;
+  void abort() override { break_off(); }
+  bool answered() const override { return started_; }
+  bool gone() const override { return gone_; }
+  void on_gone(std::function<void()> action) override;
+
+ private:
+  awaitable<bool> refuse_head(error_code ec);
+  awaitable<bool> write(asio::const_buffer data);
+  awaitable<void> watch(std::uint64_t exchange);
+  void break_off();
+  void notice_gone();
+
+  beast::tcp_stream stream_;
+  const http_server_options& options_;
+  beast::flat_buffer buffer_;
+  std::optional<request_parser> parser_;
+  std::function<void()> on_gone_;
+  std::uint64_t exchange_ = 0;
+  bool watching_ = false;
+  bool started_ = false;
+  bool whole_ = false;
+  bool broken_ = false;
+  bool gone_ = false;
+  bool draining_ = false;
+  bool first_ = true;
+
+  friend awaitable<void> serve(std::shared_ptr<http_server::state> server,
+                               std::shared_ptr<connection> self);
+  std::weak_ptr<connection> weak_;
+
+ public:
+  void set_self(std::weak_ptr<connection> self) { weak_ = std::move(self); }
+};
+
+void connection::break_off() {
+  broken_ = true;
+  error_code ec;
+  // A reset, so that a half-sent answer can't be taken for a whole one.
+  stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  stream_.socket().close(ec);
+}
+
+void connection::notice_gone() {
+  if (gone_) return;
+  gone_ = true;
+  broken_ = true;
+  const std::function<void()> action = std::exchange(on_gone_, nullptr);
+  if (action) action();
+}
+
+void connection::on_gone(std::function<void()> action) {
+  if (gone_) {
+    action();
+    return;
+  }
+  on_gone_ = std::move(action);
+  if (watching_) return;
+  watching_ = true;
+  asio::co_spawn(
+      stream_.get_executor(),
+      [self = weak_.lock(), n = exchange_]() -> awaitable<void> {
+        co_await self->watch(n);
+      },
+      asio::detached);
+}
+
+awaitable<void> connection::watch(std::uint64_t exchange) {
+  error_code ec;
+  co_await stream_.socket().async_wait(tcp::socket::wait_read,
+                                       redirect_error(use_awaitable, ec));
+  if (ec || exchange != exchange_ || !stream_.socket().is_open()) co_return;
+  char byte = 0;
+  const ssize_t n = ::recv(stream_.socket().native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+  // More data is a next request, which has to wait.
+  if (n > 0) co_return;
+  notice_gone();
+}
+
+void connection::end_exchange() {
+  ++exchange_;
+  on_gone_ = nullptr;
+  if (watching_ && stream_.socket().is_open()) {
+    error_code ec;
+    stream_.socket().cancel(ec);
+  }
+  watching_ = false;
+}
+
+awaitable<bool> connection::read_head() {
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
+  parser_->body_limit(options_.body_limit);
+  started_ = false;
+  whole_ = false;
+  error_code ec;
+  if (buffer_.size() == 0 && !first_) {
+    stream_.expires_after(options_.idle_timeout);
+    co_await stream_.socket().async_wait(tcp::socket::wait_read,
+                                         redirect_error(use_awaitable, ec));
+    if (ec) co_return false;
+  }
+  first_ = false;
+  stream_.expires_after(options_.header_timeout);
+  co_await http::async_read_header(stream_, buffer_, *parser_,
+                                   redirect_error(use_awaitable, ec));
+  if (ec) co_return co_await refuse_head(ec);
+  const bool both = parser_->get().count(http::field::content_length) > 0 &&
+                    parser_->get().count(http::field::transfer_encoding) > 0;
+  if (both) {
+    ec = http::error::bad_transfer_encoding;
+    co_return co_await refuse_head(ec);
+  }
+  stream_.expires_never();
+  co_return true;
+}
+
+awaitable<bool> connection::refuse_head(error_code ec) {
+  broken_ = true;
+  const bool silent = ec == http::error::end_of_stream ||
+                      ec == asio::error::connection_reset ||
+                      ec == asio::error::eof ||
+                      ec == asio::error::bad_descriptor ||
+                      // The stream has closed its socket already.
+                      ec == beast::error::timeout;
+  if (silent) co_return false;
+  unsigned status = 400;
+  error cause{error_kind::bad_input, "the request's head: " + ec.message(),
+              "send a well-formed HTTP/1.1 request"};
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    status = 431;
+    cause = {error_kind::too_large, "the request's head is too large",
+             "send fewer or shorter headers"};
+  } else if (ec == http::error::body_limit) {
+    status = 413;
+    cause = {error_kind::too_large, "the body is too large",
+             "send a smaller request"};
+  }
+  parser_.emplace();
+  whole_ = false;
+  const http_answer answer =
+      problem_answer(status, cause, "no", std::chrono::seconds(0));
+  co_await respond(answer);
+  co_return false;
+}
+
+awaitable<result<std::string>> connection::read_body() {
+  error_code ec;
+  if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> go(http::status::continue_, 11);
+    co_await http::async_write(stream_, go, redirect_error(use_awaitable, ec));
+  }
+  if (!parser_->is_done()) {
+    stream_.expires_after(options_.body_timeout);
+    co_await http::async_read(stream_, buffer_, *parser_,
+                              redirect_error(use_awaitable, ec));
+    stream_.expires_never();
+  }
+  if (!ec) co_return std::move(parser_->get().body());
+  if (ec == http::error::body_limit) {
+    co_return fail(error_kind::too_large,
+                   "the body is larger than " +
+                       std::to_string(options_.body_limit) + " bytes",
+                   "send a smaller request");
+  }
+  if (ec == beast::error::timeout) {
+    // The stream closes its socket on a time-out: nobody is left to answer.
+    broken_ = true;
+    co_return fail(error_kind::deadline, "the body came too slowly",
+                   "send the body without pauses");
+  }
+  co_return fail(error_kind::bad_input, "the body: " + ec.message(),
+                 "send as many bytes as Content-Length says, or well-formed "
+                 "chunks");
+}
+
+awaitable<bool> connection::respond(http_answer answer) {
+  if (gone_ || started_) co_return false;
+  started_ = true;
+  string_response out = make_head(answer, 11);
+  const bool keep =
+      parser_->is_done() && parser_->get().keep_alive() && !draining_ &&
+      !broken_;
+  out.keep_alive(keep);
+  if (method() == "HEAD") {
+    out.content_length(answer.body.size());
+  } else {
+    out.body() = std::move(answer.body);
+    out.prepare_payload();
+  }
+  error_code ec;
+  stream_.expires_after(options_.write_timeout);
+  co_await http::async_write(stream_, out, redirect_error(use_awaitable, ec));
+  stream_.expires_never();
+  if (ec) {
+    broken_ = true;
+    co_return false;
+  }
+  whole_ = keep;
+  co_return true;
+}
+
+awaitable<bool> connection::start_stream(http_answer head) {
+  if (gone_ || started_) co_return false;
+  started_ = true;
+  http::response<http::empty_body> out;
+  static_cast<http::response_header<>&>(out) = make_head(head, 11).base();
+  out.chunked(true);
+  out.keep_alive(parser_->get().keep_alive() && !draining_);
+  http::response_serializer<http::empty_body> serializer(out);
+  error_code ec;
+  stream_.expires_after(options_.write_timeout);
+  co_await http::async_write_header(stream_, serializer,
+                                    redirect_error(use_awaitable, ec));
+  stream_.expires_never();
+  if (ec) notice_gone();
+  co_return !ec;
+}
+
+awaitable<bool> connection::write(asio::const_buffer data) {
+  if (gone_ || broken_) co_return false;
+  error_code ec;
+  stream_.expires_after(options_.write_timeout);
+  co_await asio::async_write(stream_, data, redirect_error(use_awaitable, ec));
+  stream_.expires_never();
+  if (ec) notice_gone();
+  co_return !ec;
+}
+
+awaitable<bool> connection::write_piece(std::string piece) {
+  if (piece.empty()) co_return !gone_;
+  char size[32];
+  const int n = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+  std::string framed(size, static_cast<std::size_t>(n));
+  framed += piece;
+  framed += "\r\n";
+  co_return co_await write(asio::buffer(framed));
+}
+
+awaitable<bool> connection::finish_stream() {
+  static constexpr std::string_view last = "0\r\n\r\n";
+  const bool sent = co_await write(asio::buffer(last));
+  whole_ = sent && !draining_;
+  co_return sent;
+}
+
+awaitable<void> serve(std::shared_ptr<http_server::state> server,
+                      std::shared_ptr<connection> self) {
+  self->set_self(self);
+  while (true) {
+    server->idle.insert(&self->stream());
+    const bool more = co_await self->read_head();
+    server->idle.erase(&self->stream());
+    if (!more) break;
+    ++server->in_progress;
+    self->set_draining(server->draining);
+    co_await server->handler.handle(*self);
+    --server->in_progress;
+    self->end_exchange();
+    if (!self->keeps_alive(server->draining)) break;
+  }
+  --server->connections;
+  error_code ec;
+  self->stream().socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+awaitable<void> accept_loop(std::shared_ptr<http_server::state> server) {
+  while (server->acceptor && server->acceptor->is_open()) {
+    error_code ec;
+    tcp::socket socket(server->context);
+    co_await server->acceptor->async_accept(socket,
+                                            redirect_error(use_awaitable, ec));
+    if (ec == asio::error::operation_aborted) co_return;
+    if (ec || server->connections >= server->options.most_connections) {
+      continue;
+    }
+    set_socket_options(socket);
+    ++server->connections;
+    std::shared_ptr<connection> one =
+        std::make_shared<connection>(std::move(socket), server->options);
+    asio::co_spawn(server->context, serve(server, one), asio::detached);
+  }
+}
+
+}  // namespace
+
+http_server::http_server(asio::io_context& context, http_handler& handler,
+                         http_server_options options)
+    : state_(std::make_shared<state>(context, handler, options)) {}
+
+http_server::~http_server() { drain(); }
+
+result<void> http_server::listen(const std::string& address) {
+  result<tcp::acceptor> opened = listen_on(state_->context, address);
+  if (!opened) return tl::make_unexpected(opened.error());
+  state_->acceptor.emplace(std::move(*opened));
+  asio::co_spawn(state_->context, accept_loop(state_), asio::detached);
+  return {};
+}
+
+void http_server::drain() {
+  state_->draining = true;
+  error_code ec;
+  if (state_->acceptor) state_->acceptor->close(ec);
+  for (beast::tcp_stream* it : state_->idle) it->socket().cancel(ec);
+}
+
+std::size_t http_server::in_progress() const { return state_->in_progress; }
+
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/src/peer_links.cc
@@ -0,0 +1,165 @@
+#include "trestlepost/transport/peer_links.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <deque>
+#include <map>
+
+#include "peer_frame.h"
+
+namespace trestlepost::transport {
+namespace {
+
+using error_code = boost::system::error_code;
+using asio::redirect_error;
+using asio::use_awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds connect_timeout{2000};
+constexpr milliseconds write_timeout{10'000};
+constexpr milliseconds reconnect_delay{200};
+
+/// The connection to one peer and what waits for it.
+struct link {
+  link(asio::io_context& context, std::string to)
+      : address(std::move(to)), stream(context), wake(context) {}
+
+  std::string address;
+  boost::beast::tcp_stream stream;
+  asio::steady_timer wake;
+  std::deque<std::string> queue;
+  std::size_t queued_bytes = 0;
+  std::string challenge;
+  std::uint64_t counter = 0;
+  bool closed = false;
+};
+
+}  // namespace
+
+struct peer_links::state {
+  state(asio::io_context& c, std::string s, peer_options o)
+      : context(c), secret(std::move(s)), options(o) {}
+
+  asio::io_context& context;
+  std::string secret;
+  peer_options options;
+  std::map<std::string, std::shared_ptr<link>> links;
+  peer_traffic traffic;
+};
+
+namespace {
+
+using links_state = std::shared_ptr<peer_links::state>;
+
+awaitable<bool> connect(link& to) {
+  const result<tcp::endpoint> at = parse_address(to.address);
+  if (!at) co_return false;
+  error_code ec;
+  to.stream.socket().close(ec);
+  to.stream.expires_after(connect_timeout);
+  co_await to.stream.async_connect(*at, redirect_error(use_awaitable, ec));
+  if (ec) co_return false;
+  set_socket_options(to.stream.socket());
+  to.challenge.assign(detail::challenge_size, '\0');
+  co_await asio::async_read(to.stream, asio::buffer(to.challenge),
+                            redirect_error(use_awaitable, ec));
+  to.counter = 0;
+  co_return !ec;
+}
+
+awaitable<bool> write(peer_links::state& all, link& to, std::string_view text) {
+  const std::string frame = detail::encode_frame(
+      all.secret, to.challenge, to.counter++, text);
+  error_code ec;
+  to.stream.expires_after(write_timeout);
+  co_await asio::async_write(to.stream, asio::buffer(frame),
+                             redirect_error(use_awaitable, ec));
+  if (ec) co_return false;
+  all.traffic.bytes_sent += frame.size();
+  ++all.traffic.messages_sent;
+  co_return true;
+}
+
+/// Sends what is queued until the connection breaks.
+awaitable<void> send_queue(peer_links::state& all, link& to) {
+  const std::string hello =
+      make_rpc_notification(detail::hello_method, json(Json::objectValue));
+  bool connected = co_await write(all, to, hello);
+  while (connected && !to.closed) {
+    if (to.queue.empty()) {
+      error_code ec;
+      to.wake.expires_at(asio::steady_timer::time_point::max());
+      co_await to.wake.async_wait(redirect_error(use_awaitable, ec));
+      continue;
+    }
+    const std::string text = std::move(to.queue.front());
+    to.queue.pop_front();
+    to.queued_bytes -= text.size();
+    connected = co_await write(all, to, text);
+  }
+}
+
+awaitable<void> run_link(links_state all, std::shared_ptr<link> to) {
+  while (!to->closed) {
+    const bool connected = co_await connect(*to);
+    if (connected) co_await send_queue(*all, *to);
+    if (to->closed) co_return;
+    // What waited is stale by the time of the next connection.
+    all->traffic.messages_dropped += to->queue.size();
+    to->queue.clear();
+    to->queued_bytes = 0;
+    error_code ec;
+    to->wake.expires_after(reconnect_delay);
+    co_await to->wake.async_wait(redirect_error(use_awaitable, ec));
+    while (to->queue.empty() && !to->closed) {
+      to->wake.expires_at(asio::steady_timer::time_point::max());
+      co_await to->wake.async_wait(redirect_error(use_awaitable, ec));
+    }
+  }
+}
+
+}  // namespace
+
+peer_links::peer_links(asio::io_context& context, std::string secret,
+                       peer_options options)
+    : state_(std::make_shared<state>(context, std::move(secret), options)) {}
+
+peer_links::~peer_links() { close(); }
+
+void peer_links::send(const std::string& address, const std::string& method,
+                      const json& params) {
+  if (address.empty()) return;
+  std::shared_ptr<link>& to = state_->links[address];
+  if (!to) {
+    to = std::make_shared<link>(state_->context, address);
+    asio::co_spawn(state_->context, run_link(state_, to), asio::detached);
+  }
+  std::string text = make_rpc_notification(method, params);
+  if (to->queued_bytes + text.size() > state_->options.queue_limit) {
+    ++state_->traffic.messages_dropped;
+    return;
+  }
+  to->queued_bytes += text.size();
+  to->queue.push_back(std::move(text));
+  to->wake.cancel();
+}
+
+const peer_traffic& peer_links::traffic() const { return state_->traffic; }
+
+void peer_links::close() {
+  for (const auto& [address, it] : state_->links) {
+    it->closed = true;
+    it->wake.cancel();
+    error_code ec;
+    it->stream.socket().close(ec);
+  }
+  state_->links.clear();
+}
+
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/src/socket_options.cc
@@ -0,0 +1,58 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+#include "trestlepost/transport/asio.h"
+
+namespace trestlepost::transport {
+namespace {
+
+// Unacknowledged data for so long means that the peer or the link is gone.
+constexpr int unacknowledged_ms = 5000;
+
+}  // namespace
+
+result<tcp::endpoint> parse_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  boost::system::error_code ec;
+  std::uint16_t port = 0;
+  if (colon != std::string::npos) {
+    const char* end = text.data() + text.size();
+    const std::from_chars_result parsed =
+        std::from_chars(text.data() + colon + 1, end, port);
+    const asio::ip::address ip =
+        asio::ip::make_address(text.substr(0, colon), ec);
+    const bool ok = !ec && parsed.ec == std::errc() && parsed.ptr == end;
+    if (ok) return tcp::endpoint(ip, port);
+  }
+  return fail(error_kind::bad_input, "\"" + text + "\" is not an address",
+              "write IP:PORT, for example \"127.0.1.1:8000\"");
+}
+
+void set_socket_options(tcp::socket& socket) {
+  boost::system::error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &unacknowledged_ms, sizeof unacknowledged_ms);
+}
+
+result<tcp::acceptor> listen_on(asio::io_context& context,
+                                const std::string& address) {
+  const result<tcp::endpoint> at = parse_address(address);
+  if (!at) return tl::make_unexpected(at.error());
+  tcp::acceptor out(context);
+  boost::system::error_code ec;
+  out.open(at->protocol(), ec);
+  if (!ec) out.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) out.bind(*at, ec);
+  if (!ec) out.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return fail(error_kind::bad_settings,
+                "cannot listen on " + address + ": " + ec.message(),
+                "stop what uses the address, or set another one");
+  }
+  return out;
+}
+
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/test/http-test.cc
@@ -0,0 +1,192 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include "trestlepost/transport/http_client.h"
+#include "trestlepost/transport/http_server.h"
+
+namespace trestlepost::transport {
+namespace {
+
+constexpr char address[] = "127.99.0.1:7802";
+
+/// Answers by path.
+class test_handler final : public http_handler {
+ public:
+  awaitable<void> handle(http_exchange& exchange) override {
+    const result<std::string> body = co_await exchange.read_body();
+    ++handled;
+    if (!body) {
+      const http_answer refusal = problem_answer(
+          400, body.error(), "no", std::chrono::seconds(0));
+      co_await exchange.respond(refusal);
+      co_return;
+    }
+    if (exchange.target() == "/stream" || exchange.target() == "/cut") {
+      http_answer head;
+      head.content_type = "text/event-stream";
+      co_await exchange.start_stream(head);
+      co_await exchange.write_piece("one ");
+      co_await exchange.write_piece("two");
+      if (exchange.target() == "/cut") {
+        exchange.abort();
+      } else {
+        co_await exchange.finish_stream();
+      }
+      co_return;
+    }
+    http_answer answer;
+    answer.body = "echo " + *body;
+    co_await exchange.respond(answer);
+  }
+
+  int handled = 0;
+};
+
+class http_test : public testing::Test {
+ protected:
+  http_test()
+      : server_(context_, handler_, make_options()), client_(context_, {}) {
+    EXPECT_TRUE(server_.listen(address));
+  }
+
+  static http_server_options make_options() {
+    http_server_options out;
+    out.body_limit = 1000;
+    out.header_limit = 2000;
+    out.header_timeout = std::chrono::milliseconds(300);
+    out.body_timeout = std::chrono::milliseconds(300);
+    return out;
+  }
+
+  template <typename Condition>
+  bool run_until(Condition done) {
+    for (int i = 0; i < 3000 && !done(); ++i) {
+      context_.restart();
+      context_.run_one_for(std::chrono::milliseconds(2));
+    }
+    return done();
+  }
+
+  /// The body of the answer, or "error".
+  std::string get(const std::string& target, const std::string& body = "") {
+    std::optional<std::string> out;
+    const auto task = [&]() -> awaitable<void> {
+      const std::shared_ptr<http_call> call = client_.call(address);
+      http_request request;
+      request.target = target;
+      request.body = body;
+      const tl::expected<void, call_failure> sent = co_await call->send(
+          request, std::chrono::steady_clock::now() + std::chrono::seconds(5));
+      if (!sent) {
+        out = "error";
+        co_return;
+      }
+      const result<std::string> rest = co_await call->read_rest(100'000);
+      out = rest ? *rest : "error";
+    };
+    asio::co_spawn(context_, task(), asio::detached);
+    EXPECT_TRUE(run_until([&out] { return out.has_value(); }));
+    return out.value_or("none");
+  }
+
+  /// What the server answers to raw bytes, until it closes or falls silent.
+  std::string raw(const std::string& bytes) {
+    tcp::socket socket(context_);
+    socket.connect(*parse_address(address));
+    asio::write(socket, asio::buffer(bytes));
+    std::string out;
+    bool closed = false;
+    std::array<char, 4096> buf{};
+    std::function<void()> read_more = [&] {
+      socket.async_read_some(
+          asio::buffer(buf),
+          [&](const boost::system::error_code& ec, std::size_t n) {
+            out.append(buf.data(), n);
+            closed = static_cast<bool>(ec);
+            if (!closed) read_more();
+          });
+    };
+    read_more();
+    run_until([&] { return closed; });
+    return closed ? out : out + "(open)";
+  }
+
+  asio::io_context context_;
+  test_handler handler_;
+  http_server server_;
+  http_client client_;
+};
+
+TEST_F(http_test, answers_and_reuses_connections) {
+  EXPECT_EQ(get("/", "a"), "echo a");
+  EXPECT_EQ(get("/", "b"), "echo b");
+  EXPECT_EQ(get("/stream"), "one two");
+  EXPECT_EQ(get("/", "c"), "echo c");
+}
+
+TEST_F(http_test, a_cut_answer_is_never_a_whole_one) {
+  EXPECT_EQ(get("/cut"), "error");
+  EXPECT_EQ(get("/", "next"), "echo next");
+}
+
+struct bad_request {
+  const char* what;
+  std::string bytes;
+  const char* expected;
+};
+
+TEST_F(http_test, bad_input_gets_a_typed_error_and_the_next_is_served) {
+  const bad_request cases[] = {
+      {"garbage", "\x01\x02garbage\r\n\r\n", "HTTP/1.1 400"},
+      {"big head",
+       "GET / HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n",
+       "HTTP/1.1 431"},
+      {"big body",
+       "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" +
+           std::string(5000, 'x'),
+       "HTTP/1.1 413"},
+      {"both lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked"
+       "\r\n\r\n0\r\n\r\n",
+       "HTTP/1.1 400"},
+      {"bad length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+       "HTTP/1.1 400"},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+       "HTTP/1.1 400"},
+  };
+  for (const bad_request& it : cases) {
+    const std::string answer = raw(it.bytes);
+    EXPECT_EQ(answer.rfind(it.expected, 0), 0U) << it.what << ": " << answer;
+    EXPECT_NE(answer.find("remedy"), std::string::npos) << it.what;
+    EXPECT_EQ(get("/", "next"), "echo next") << it.what;
+  }
+}
+
+TEST_F(http_test, a_slow_sender_is_closed_and_the_next_is_served) {
+  EXPECT_EQ(raw("GET / HT"), "");
+  EXPECT_EQ(raw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"), "");
+  EXPECT_EQ(get("/", "next"), "echo next");
+}
+
+TEST_F(http_test, a_refused_connection_is_told_apart) {
+  std::optional<call_failure> failed;
+  const auto task = [&]() -> awaitable<void> {
+    const std::shared_ptr<http_call> call = client_.call("127.99.0.1:7803");
+    const http_request request;
+    const tl::expected<void, call_failure> sent = co_await call->send(
+        request, std::chrono::steady_clock::now() + std::chrono::seconds(5));
+    if (!sent) failed = sent.error();
+  };
+  asio::co_spawn(context_, task(), asio::detached);
+  ASSERT_TRUE(run_until([&failed] { return failed.has_value(); }));
+  EXPECT_TRUE(failed->refused);
+  EXPECT_FALSE(failed->bytes_written);
+}
+
+}  // namespace
+}  // namespace trestlepost::transport
--- /dev/null
+++ b/transport/test/peer-test.cc
@@ -0,0 +1,109 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "../src/peer_frame.h"
+#include "trestlepost/transport/peer_links.h"
+
+namespace trestlepost::transport {
+namespace {
+
+constexpr char address[] = "127.99.0.1:7801";
+constexpr char secret[] = "a secret of the peers";
+
+class peer_test : public testing::Test {
+ protected:
+  peer_test()
+      : random_(1), server_(context_, secret, dispatcher_, random_, {}) {
+    dispatcher_.add_notification(
+        "count", [this](const json& params, const rpc_context&) {
+          received_.push_back(params["n"].asInt());
+        });
+    EXPECT_TRUE(server_.listen(address));
+  }
+
+  /// Runs the loop until `done` holds, a bounded number of turns.
+  template <typename Condition>
+  bool run_until(Condition done) {
+    for (int i = 0; i < 5000 && !done(); ++i) {
+      context_.restart();
+      context_.run_one_for(std::chrono::milliseconds(2));
+    }
+    return done();
+  }
+
+  asio::io_context context_;
+  seeded_random random_;
+  rpc_dispatcher dispatcher_;
+  peer_server server_;
+  std::vector<int> received_;
+};
+
+json numbered(int n) {
+  json out;
+  out["n"] = n;
+  return out;
+}
+
+TEST_F(peer_test, delivers_in_order_to_a_peer_with_the_secret) {
+  peer_links links(context_, secret, {});
+  for (int i = 0; i < 100; ++i) links.send(address, "count", numbered(i));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 100; }));
+  for (int i = 0; i < 100; ++i) EXPECT_EQ(received_[i], i);
+}
+
+TEST_F(peer_test, a_peer_with_another_secret_gets_nothing) {
+  peer_links links(context_, "another secret", {});
+  links.send(address, "count", numbered(1));
+  ASSERT_TRUE(run_until(
+      [this] { return server_.traffic().strangers_refused > 0; }));
+  EXPECT_TRUE(received_.empty());
+}
+
+struct garbage_case {
+  const char* what;
+  std::string bytes;
+};
+
+TEST_F(peer_test, garbage_closes_the_connection_and_the_next_peer_is_served) {
+  const garbage_case cases[] = {
+      {"http", "GET / HTTP/1.1\r\nHost: x\r\n\r\n" + std::string(64, 'x')},
+      {"huge length", std::string(64, '\xff')},
+      {"zeros", std::string(64, '\0')},
+  };
+  for (const garbage_case& it : cases) {
+    tcp::socket socket(context_);
+    socket.connect(*parse_address(address));
+    asio::write(socket, asio::buffer(it.bytes));
+    bool closed = false;
+    std::array<char, 256> buf{};
+    std::function<void()> read_more = [&] {
+      socket.async_read_some(
+          asio::buffer(buf),
+          [&](const boost::system::error_code& ec, std::size_t) {
+            closed = static_cast<bool>(ec);
+            if (!closed) read_more();
+          });
+    };
+    read_more();
+    EXPECT_TRUE(run_until([&closed] { return closed; })) << it.what;
+  }
+  peer_links links(context_, secret, {});
+  links.send(address, "count", numbered(7));
+  EXPECT_TRUE(run_until([this] { return received_.size() == 1; }));
+}
+
+TEST(peer_frame_test, a_replayed_frame_has_the_wrong_digest) {
+  const std::string challenge(detail::challenge_size, 'c');
+  const std::string other(detail::challenge_size, 'd');
+  const digest first = detail::frame_digest(secret, challenge, 0, "text");
+  EXPECT_FALSE(same_digest(
+      first, detail::frame_digest(secret, challenge, 1, "text")));
+  EXPECT_FALSE(
+      same_digest(first, detail::frame_digest(secret, other, 0, "text")));
+}
+
+}  // namespace
+}  // namespace trestlepost::transport
