--- a/config/include/trestlepost/config/objects.h
+++ b/config/include/trestlepost/config/objects.h
@@ -55,6 +55,7 @@
   std::string availability_zone;
   std::string address;  // "IP:PORT"
   unsigned slots = 8;   // requests that it works on at once
+  bool drained = false; // takes no new requests
 };
 
 enum class transit_policy { allow, refuse };
--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -56,6 +56,9 @@
 
   const object_store& store() const { return store_; }
   std::optional<change_result> result_of(const std::string& change_id) const;
+  /// The first result of this change, a mismatch when its id was used for
+  /// another change, or nothing when the id is new.
+  std::optional<change_result> known_result(const change& asked) const;
   const std::deque<audit_record>& audit() const { return audit_; }
   const std::map<std::string, ledger_founding>& ledgers() const {
     return ledgers_;
--- a/config/src/objects.cc
+++ b/config/src/objects.cc
@@ -120,6 +120,7 @@
   }
   out.slots = static_cast<unsigned>(
       reader.number_or("slots", out.slots, 1, most_slots));
+  out.drained = reader.flag_or("drained", out.drained);
   reader.finish();
   return out;
 }
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -107,12 +107,10 @@
   }
   const auto known = known_.find(asked->id);
   if (known != known_.end() && !limits_.forget_change_ids) {
-    if (known->second.digest == request_digest(*asked)) return;
-    record(*asked,
-           refusal(change_status::mismatch, store_.revision(),
-                   "change id " + asked->id + " was used for another change",
-                   "use a new --change-id for a new change"),
-           json(Json::arrayValue));
+    const change_result first = *known_result(*asked);
+    if (first.status == change_status::mismatch) {
+      record(*asked, first, json(Json::arrayValue));
+    }
     return;
   }
   json touched(Json::arrayValue);
@@ -261,6 +259,16 @@
   return it->second.outcome;
 }
 
+std::optional<change_result> config_state_machine::known_result(
+    const change& asked) const {
+  const auto it = known_.find(asked.id);
+  if (it == known_.end()) return std::nullopt;
+  if (it->second.digest == request_digest(asked)) return it->second.outcome;
+  return refusal(change_status::mismatch, store_.revision(),
+                 "change id " + asked.id + " was used for another change",
+                 "use a new --change-id for a new change");
+}
+
 watch_update config_state_machine::update_since(revision_number from) const {
   watch_update out;
   out.to = store_.revision();
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/admission.h
@@ -0,0 +1,83 @@
+// Admission to the endpoints of the own region: at once when one has room,
+// else through a fair queue, else a refusal that says when to come back.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "trestlepost/gateway/attempt.h"
+#include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/request.h"
+#include "trestlepost/routing/endpoint_choice.h"
+#include "trestlepost/routing/fair_queue.h"
+
+namespace trestlepost::gateway {
+
+/// The right to send one request to one endpoint; ends with its life.
+class endpoint_lease {
+ public:
+  endpoint_lease(std::function<void()> release, std::string name,
+                 std::string address);
+  endpoint_lease(endpoint_lease&& other) noexcept;
+  endpoint_lease& operator=(endpoint_lease&&) = delete;
+  ~endpoint_lease();
+
+  const std::string& name() const { return name_; }
+  const std::string& address() const { return address_; }
+
+ private:
+  std::function<void()> release_;
+  std::string name_;
+  std::string address_;
+};
+
+class admission {
+ public:
+  explicit admission(gateway_context& context) : context_(context) {}
+
+  /// Waits for an endpoint until the request's deadline.
+  transport::awaitable<tl::expected<endpoint_lease, attempt>> admit(
+      const incoming_request& request, std::set<std::string> avoid,
+      transport::http_exchange& exchange);
+
+  /// Expected time in the queue of a request that comes now.
+  std::chrono::milliseconds expected_wait(const std::string& service) const;
+
+  /// Tells how long a request took at its endpoint.
+  void observe_duration(const std::string& service,
+                        std::chrono::nanoseconds duration);
+
+  /// Gives freed room to those who wait; ends what is too late.
+  void pump_all();
+
+  membership::service_load load_of(const std::string& service) const;
+
+ private:
+  struct slot;
+  struct service_queue {
+    explicit service_queue(std::size_t capacity) : queue(capacity) {}
+    routing::fair_queue queue;
+    std::map<std::uint64_t, std::shared_ptr<slot>> slots;
+    std::chrono::duration<double> mean_duration{0};
+  };
+
+  service_queue& queue_of(const std::string& service);
+  void pump(const std::string& service);
+  std::optional<membership::endpoint_view> choose(
+      const std::string& service, std::uint64_t affinity,
+      const std::set<std::string>& avoid) const;
+  endpoint_lease make_lease(const std::string& service,
+                            const membership::endpoint_view& chosen);
+  void end_wait(service_queue& queue, std::uint64_t id, attempt outcome);
+  unsigned gateways() const;
+  double capacity_of(const std::string& service) const;
+  attempt overload(std::chrono::milliseconds wait) const;
+
+  gateway_context& context_;
+  std::map<std::string, service_queue> queues_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/entry_handler.h
@@ -0,0 +1,58 @@
+// The callers' interface: the entry directory, model calls, plain services.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/forwarder.h"
+#include "trestlepost/gateway/local_service.h"
+#include "trestlepost/routing/placement.h"
+#include "trestlepost/routing/retry_budget.h"
+
+namespace trestlepost::gateway {
+
+class entry_handler final : public transport::http_handler {
+ public:
+  entry_handler(gateway_context& context, local_service& local,
+                forwarder& remote)
+      : context_(context), local_(local), remote_(remote) {}
+
+  transport::awaitable<void> handle(
+      transport::http_exchange& exchange) override;
+
+ private:
+  struct call_target {
+    std::string service;  // empty: the body names it
+    std::string path;     // at the endpoint
+  };
+
+  transport::awaitable<void> answer_entries(
+      transport::http_exchange& exchange);
+  transport::awaitable<void> answer_health(
+      transport::http_exchange& exchange, bool readiness);
+  transport::awaitable<void> answer_call(transport::http_exchange& exchange,
+                                         call_target target);
+  transport::awaitable<tl::expected<incoming_request, attempt>> read_request(
+      transport::http_exchange& exchange, call_target target,
+      const std::string& id);
+  result<std::shared_ptr<const config::caller>> authenticate(
+      const transport::http_exchange& exchange) const;
+  result<void> check_early(const config::caller& caller,
+                           const call_target& target,
+                           const config::label_map& labels) const;
+  result<void> check_transit(const routing::placement& placed) const;
+  error transit_error(const std::vector<std::string>& permitted) const;
+  transport::awaitable<attempt> run(const incoming_request& request,
+                                    transport::http_exchange& exchange);
+  bool may_retry(const incoming_request& request, const attempt& last,
+                 unsigned attempts);
+
+  gateway_context& context_;
+  local_service& local_;
+  forwarder& remote_;
+  routing::retry_budget retries_;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/forward_message.h
@@ -0,0 +1,44 @@
+// What one gateway sends to a gateway of another region. It is a type of its
+// own: what arrives as one can be served or refused, never sent on.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "trestlepost/gateway/request.h"
+
+namespace trestlepost::gateway {
+
+/// The target of forwarded requests on the peers' HTTP address.
+inline constexpr char forward_target[] = "/forward";
+inline constexpr char forward_header[] = "Trestlepost-Forward";
+inline constexpr char forward_digest_header[] = "Trestlepost-Forward-Digest";
+/// Marks a refusal of the other gateway, as opposed to an endpoint's answer.
+inline constexpr char refused_header[] = "Trestlepost-Refused";
+
+struct forward_message {
+  std::string request_id;
+  std::string caller;
+  std::string service;
+  config::label_map labels;
+  std::string method;
+  std::string path;
+  std::string content_type;
+  bool repeatable = true;
+  std::string idempotency_key;
+  int priority = 0;
+  std::chrono::milliseconds remaining{0};  // until the deadline
+  std::uint64_t affinity = 0;
+  std::set<std::string> avoid;  // endpoints
+  std::uint64_t revision = 0;   // of the sender's configuration
+  wall_time sent_at;
+};
+
+json to_json(const forward_message& value);
+result<forward_message> forward_message_from(const std::string& text);
+
+/// Digest that proves that a peer wrote the head and the body.
+std::string forward_digest(const std::string& secret, const std::string& head,
+                           const std::string& body);
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/metrics.h
@@ -0,0 +1,41 @@
+// The gateway's metrics, on prometheus-cpp.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <string>
+
+namespace trestlepost::gateway {
+
+class gateway_metrics {
+ public:
+  explicit gateway_metrics(prometheus::Registry& registry);
+
+  /// `outcome` is "answered" or the kind of the refusal.
+  void request_done(const std::string& service, const std::string& outcome,
+                    std::chrono::nanoseconds duration);
+  void served_in(const std::string& service, const std::string& region);
+  void first_piece(const std::string& service,
+                   std::chrono::nanoseconds duration);
+  void retried(const std::string& service);
+  void forwarded(const std::string& region);
+  void queue_length(const std::string& service, std::size_t n);
+  void in_flight(const std::string& service, std::size_t n);
+
+ private:
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Histogram>& durations_;
+  prometheus::Family<prometheus::Histogram>& first_pieces_;
+  prometheus::Family<prometheus::Counter>& served_;
+  prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& forwards_;
+  prometheus::Family<prometheus::Gauge>& queue_;
+  prometheus::Family<prometheus::Gauge>& in_flight_;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/region_views.h
@@ -0,0 +1,18 @@
+// What this gateway knows of every region for one service.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "trestlepost/gateway/admission.h"
+#include "trestlepost/gateway/context.h"
+
+namespace trestlepost::gateway {
+
+/// One view a region; regions in `exhausted` have refused the request.
+std::vector<routing::region_view> region_views(
+    const gateway_context& context, const admission& own,
+    const std::string& service, const std::set<std::string>& exhausted);
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/forward_message.cc
@@ -0,0 +1,74 @@
+#include "trestlepost/gateway/forward_message.h"
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::gateway {
+
+json to_json(const forward_message& value) {
+  json out;
+  out["request_id"] = value.request_id;
+  out["caller"] = value.caller;
+  out["service"] = value.service;
+  json& labels = out["labels"] = json(Json::objectValue);
+  for (const auto& [key, it] : value.labels) labels[key] = it;
+  out["method"] = value.method;
+  out["path"] = value.path;
+  out["content_type"] = value.content_type;
+  out["repeatable"] = value.repeatable;
+  out["idempotency_key"] = value.idempotency_key;
+  out["priority"] = static_cast<unsigned>(value.priority);
+  out["remaining_ms"] =
+      json(Json::UInt64(static_cast<std::uint64_t>(value.remaining.count())));
+  out["affinity"] = json(Json::UInt64(value.affinity));
+  json& avoid = out["avoid"] = json(Json::arrayValue);
+  for (const std::string& it : value.avoid) avoid.append(it);
+  out["revision"] = json(Json::UInt64(value.revision));
+  out["sent_at"] = json(Json::UInt64(
+      static_cast<std::uint64_t>(to_unix_ms(value.sent_at))));
+  return out;
+}
+
+result<forward_message> forward_message_from(const std::string& text) {
+  const result<json> parsed = parse_json(text);
+  if (!parsed) return tl::make_unexpected(parsed.error());
+  const json& value = *parsed;
+  forward_message out;
+  out.request_id = text_of(value, "request_id");
+  out.caller = text_of(value, "caller");
+  out.service = text_of(value, "service");
+  const json& labels = member_of(value, "labels");
+  if (labels.isObject()) {
+    for (const std::string& key : labels.getMemberNames()) {
+      out.labels[key] = text_of(labels, key.c_str());
+    }
+  }
+  out.method = text_of(value, "method");
+  out.path = text_of(value, "path");
+  out.content_type = text_of(value, "content_type");
+  out.repeatable = flag_of(value, "repeatable");
+  out.idempotency_key = text_of(value, "idempotency_key");
+  out.priority = static_cast<int>(number_of(value, "priority"));
+  out.remaining = std::chrono::milliseconds(number_of(value, "remaining_ms"));
+  out.affinity = number_of(value, "affinity");
+  for (const json& it : member_of(value, "avoid")) {
+    if (it.isString()) out.avoid.insert(it.asString());
+  }
+  out.revision = number_of(value, "revision");
+  out.sent_at =
+      from_unix_ms(static_cast<std::int64_t>(number_of(value, "sent_at")));
+  const bool whole = !out.caller.empty() && !out.service.empty() &&
+                     !out.method.empty() && out.path.starts_with('/');
+  if (!whole) {
+    return fail(error_kind::bad_input, "a forwarded request is incomplete",
+                "run one version of trestlepostd on all nodes");
+  }
+  return out;
+}
+
+std::string forward_digest(const std::string& secret, const std::string& head,
+                           const std::string& body) {
+  const digest sum = keyed_digest(secret, head + "\n" + sha256_hex(body));
+  return to_hex(sum.data(), sum.size());
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/forwarder.cc
@@ -0,0 +1,133 @@
+#include "trestlepost/gateway/forwarder.h"
+
+#include <charconv>
+#include <utility>
+
+#include "trestlepost/gateway/delivery.h"
+#include "trestlepost/gateway/forward_message.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using membership::node_record;
+using std::chrono::milliseconds;
+using transport::awaitable;
+using transport::http_exchange;
+
+constexpr std::size_t largest_refusal = 64 * 1024;
+
+std::uint32_t busyness(const node_record& it, const std::string& service) {
+  const auto found = it.last.services.find(service);
+  if (found == it.last.services.end()) return 0;
+  return found->second.in_flight + found->second.queued;
+}
+
+forward_message make_message(const incoming_request& request,
+                             std::set<std::string> avoid,
+                             const gateway_context& context) {
+  forward_message out;
+  out.request_id = request.id;
+  out.caller = request.caller->name;
+  out.service = request.service->name;
+  out.labels = request.labels;
+  out.method = request.method;
+  out.path = request.path;
+  out.content_type = request.content_type;
+  out.repeatable = request.repeatable;
+  out.idempotency_key = request.idempotency_key;
+  out.priority = request.priority;
+  out.remaining = std::chrono::duration_cast<milliseconds>(
+      request.deadline - context.clock.now());
+  out.affinity = request.affinity;
+  out.avoid = std::move(avoid);
+  out.revision = context.store.revision();
+  out.sent_at = context.clock.wall_now();
+  return out;
+}
+
+/// What the other gateway said when it refused.
+attempt read_refusal(const std::string& body, std::string_view retry_after) {
+  const result<json> parsed = parse_json(body);
+  const json value = parsed ? *parsed : json(Json::objectValue);
+  const std::string ran = text_of(value, "ran");
+  std::int64_t seconds = 0;
+  std::from_chars(retry_after.data(), retry_after.data() + retry_after.size(),
+                  seconds);
+  attempt out = failed_attempt(
+      ran == "no" ? run_state::no
+                  : (ran == "yes" ? run_state::yes : run_state::unknown),
+      {error_kind_from(text_of(value, "kind")), text_of(value, "detail"),
+       text_of(value, "remedy")},
+      std::chrono::seconds(seconds));
+  out.endpoint = text_of(value, "endpoint");
+  return out;
+}
+
+}  // namespace
+
+const node_record* forwarder::choose_gateway(const std::string& region) {
+  const monotonic_time now = context_.clock.now();
+  std::vector<const node_record*> open;
+  for (const node_record* it : context_.nodes.live_in(region, now)) {
+    const bool takes = it->last.state == membership::node_states::ready &&
+                       !it->last.node.forward_address.empty();
+    if (takes) open.push_back(it);
+  }
+  if (open.empty()) return nullptr;
+  return open[context_.random.below(open.size())];
+}
+
+awaitable<attempt> forwarder::serve(const incoming_request& request,
+                                    const std::string& region,
+                                    std::set<std::string> avoid,
+                                    http_exchange& exchange) {
+  const std::string service = request.service->name;
+  const node_record* first = choose_gateway(region);
+  const node_record* second = choose_gateway(region);
+  if (first == nullptr) {
+    co_return failed_attempt(
+        run_state::no,
+        {error_kind::unavailable, "no gateway of " + region + " is reachable",
+         "send it again after Retry-After"},
+        std::chrono::seconds(2));
+  }
+  const bool second_is_better =
+      busyness(*second, service) < busyness(*first, service);
+  const std::string address =
+      (second_is_better ? second : first)->last.node.forward_address;
+  const std::string head =
+      to_text(to_json(make_message(request, std::move(avoid), context_)));
+  transport::http_request out;
+  out.target = forward_target;
+  out.headers = {
+      {forward_header, head},
+      {forward_digest_header,
+       forward_digest(context_.peer_secret, head, request.body)}};
+  out.body = request.body;
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(address);
+  if (request.repeatable) exchange.on_gone([call] { call->cancel(); });
+  context_.metrics.forwarded(region);
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(std::move(out), request.deadline);
+  if (!sent) {
+    const run_state ran =
+        sent.error().bytes_written ? run_state::unknown : run_state::no;
+    co_return failed_attempt(ran, sent.error().cause, std::chrono::seconds(1));
+  }
+  if (!call->header(refused_header).empty()) {
+    const result<std::string> body =
+        co_await call->read_rest(largest_refusal);
+    co_return read_refusal(body ? *body : "{}", call->header("Retry-After"));
+  }
+  transport::header_list headers =
+      answer_headers(region, run_state::yes, request.id);
+  if (!call->header("Trestlepost-Replayed").empty()) {
+    headers.emplace_back("Trestlepost-Replayed", "true");
+  }
+  const delivery_result delivered =
+      co_await deliver(*call, exchange, std::move(headers), [] {});
+  co_return delivered.outcome;
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/local_service.cc
@@ -0,0 +1,328 @@
+#include "trestlepost/gateway/local_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+#include "trestlepost/gateway/region_views.h"
+#include "trestlepost/routing/placement.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using ledger::claim_verdict;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using transport::awaitable;
+using transport::http_exchange;
+
+// A claim without outcome is unknown this long after the request's deadline.
+constexpr milliseconds claim_grace{2000};
+constexpr unsigned service_unavailable = 503;
+
+seconds round_up(milliseconds n) {
+  return std::chrono::ceil<seconds>(std::max(n, milliseconds(1)));
+}
+
+attempt refused_by_ledger(const ledger::claim_decision& decided) {
+  switch (decided.verdict) {
+    case claim_verdict::in_progress:
+      return failed_attempt(
+          run_state::unknown,
+          {error_kind::in_progress, "a request with this key is in progress",
+           "send it again after Retry-After to hear its outcome"},
+          round_up(decided.retry_after));
+    case claim_verdict::mismatch:
+      return failed_attempt(
+          run_state::no,
+          {error_kind::mismatch, "this key was used for another request",
+           "use a new Idempotency-Key for a new request"});
+    case claim_verdict::expired:
+      return failed_attempt(
+          run_state::no,
+          {error_kind::key_expired, "this key's window has passed",
+           "look up what became of the request; use a new key for a new one"});
+    case claim_verdict::moved:
+      return failed_attempt(
+          run_state::no,
+          {error_kind::configuration_behind,
+           "another region keeps this key's record now",
+           "send it again after Retry-After"},
+          seconds(1));
+    default:
+      break;
+  }
+  return failed_attempt(
+      run_state::unknown,
+      {error_kind::outcome_unknown,
+       "a request with this key may have run; its outcome is not known",
+       "look up its effect at the service; it will not be run again"});
+}
+
+awaitable<attempt> replay(http_exchange& exchange,
+                          const ledger::stored_answer& answer,
+                          const std::string& region, const std::string& id) {
+  if (!answer.complete) {
+    co_return failed_attempt(
+        run_state::yes,
+        {error_kind::outcome_unknown,
+         "the request ran; its answer was too large to keep",
+         "look up its effect at the service"});
+  }
+  transport::http_answer out;
+  out.status = answer.status;
+  out.content_type = answer.content_type;
+  out.headers = answer_headers(region, run_state::yes, id);
+  out.headers.emplace_back("Trestlepost-Replayed", "true");
+  out.body = answer.body;
+  co_await exchange.respond(std::move(out));
+  attempt done;
+  done.delivered = true;
+  done.ran = run_state::yes;
+  co_return done;
+}
+
+}  // namespace
+
+std::vector<routing::region_view> local_service::views(
+    const std::string& service) const {
+  return region_views(context_, admission_, service, {});
+}
+
+awaitable<attempt> local_service::serve(const incoming_request& request,
+                                        std::set<std::string> avoid,
+                                        http_exchange& exchange) {
+  const result<routing::placement> placed =
+      routing::place(routing::inputs_of(context_.store), *request.caller,
+                     *request.service, request.labels);
+  if (!placed) co_return failed_attempt(run_state::no, placed.error());
+  if (!placed->permits(context_.self.region)) {
+    co_return failed_attempt(
+        run_state::no,
+        {error_kind::not_permitted,
+         "region " + context_.self.region + " may not serve this request",
+         "run `trestlepost explain` to see the rules that decide"});
+  }
+  if (request.runs_once()) {
+    co_return co_await serve_once(request, placed->home, std::move(avoid),
+                                  exchange);
+  }
+  const std::string attempt_id = make_request_id(context_.random);
+  delivery_result delivered = co_await dispatch(request, attempt_id,
+                                                std::move(avoid), exchange);
+  co_return std::move(delivered.outcome);
+}
+
+awaitable<attempt> local_service::serve_once(const incoming_request& request,
+                                             const std::string& home,
+                                             std::set<std::string> avoid,
+                                             http_exchange& exchange) {
+  if (home != context_.self.region) {
+    co_return failed_attempt(
+        run_state::no,
+        {error_kind::configuration_behind,
+         "the record of this key is kept in " + home,
+         "send it again after Retry-After"},
+        seconds(1));
+  }
+  const std::string attempt_id = context_.ledger.make_attempt_id();
+  std::optional<attempt> stopped =
+      co_await fence_former(request, attempt_id);
+  if (stopped) co_return std::move(*stopped);
+  stopped = co_await claim(request, attempt_id, exchange);
+  if (stopped) co_return std::move(*stopped);
+  const delivery_result delivered = co_await dispatch(
+      request, attempt_id, std::move(avoid), exchange);
+  finish(request, attempt_id, delivered);
+  co_return delivered.outcome;
+}
+
+awaitable<std::optional<attempt>> local_service::fence_former(
+    const incoming_request& request, const std::string& attempt_id) {
+  const std::vector<std::string> former = routing::former_homes(
+      context_.store, *request.caller, *request.service, request.labels,
+      context_.self.region, context_.clock.wall_now());
+  if (former.empty()) co_return std::nullopt;
+  const result<routing::placement> placed =
+      routing::place(routing::inputs_of(context_.store), *request.caller,
+                     *request.service, request.labels);
+  int n = 0;
+  for (const std::string& region : former) {
+    // A record may not be looked for where the request may no longer go.
+    if (!placed || !placed->permits(region)) {
+      co_return failed_attempt(
+          run_state::no,
+          {error_kind::configuration_behind,
+           "the record of this key may be in " + region +
+               ", which may no longer hold it",
+           "wait for the service's key_window after the change of rules"},
+          seconds(60));
+    }
+    ledger::fence_command asked;
+    asked.key = ledger::record_key(request.caller->name, request.service->name,
+                                   request.idempotency_key);
+    asked.attempt = attempt_id + "-f" + std::to_string(n++);
+    asked.at = context_.clock.wall_now();
+    asked.window = request.service->key_window;
+    const monotonic_time until = std::min(
+        request.deadline, context_.clock.now() + context_.options.claim_timeout);
+    const result<ledger::claim_decision> decided =
+        co_await context_.ledger.fence(region, asked, until);
+    if (!decided) {
+      co_return failed_attempt(run_state::no, decided.error(), seconds(2));
+    }
+    if (decided->verdict != claim_verdict::moved) {
+      co_return refused_by_ledger(*decided);
+    }
+  }
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<attempt>> local_service::claim(
+    const incoming_request& request, const std::string& attempt_id,
+    http_exchange& exchange) {
+  const monotonic_time now = context_.clock.now();
+  ledger::claim_command asked;
+  asked.key = ledger::record_key(request.caller->name, request.service->name,
+                                 request.idempotency_key);
+  asked.digest = request_digest(request);
+  asked.attempt = attempt_id;
+  asked.at = context_.clock.wall_now();
+  asked.deadline =
+      asked.at +
+      std::chrono::duration_cast<milliseconds>(request.deadline - now) +
+      claim_grace;
+  asked.window = request.service->key_window;
+  const monotonic_time until =
+      std::min(request.deadline, now + context_.options.claim_timeout);
+  const result<ledger::claim_decision> decided =
+      co_await context_.ledger.claim(asked, until);
+  if (!decided) {
+    co_return failed_attempt(run_state::no, decided.error(), seconds(2));
+  }
+  if (decided->verdict == claim_verdict::granted) co_return std::nullopt;
+  if (decided->verdict == claim_verdict::replay && decided->answer) {
+    co_return co_await replay(exchange, *decided->answer,
+                              context_.self.region, request.id);
+  }
+  co_return refused_by_ledger(*decided);
+}
+
+void local_service::finish(const incoming_request& request,
+                           const std::string& attempt_id,
+                           const delivery_result& delivered) {
+  ledger::finish_command told;
+  told.key = ledger::record_key(request.caller->name, request.service->name,
+                                request.idempotency_key);
+  told.attempt = attempt_id;
+  told.answer = delivered.answer;
+  switch (delivered.outcome.ran) {
+    case run_state::yes:
+      told.outcome = ledger::run_outcome::done;
+      break;
+    case run_state::no:
+      told.outcome = ledger::run_outcome::not_run;
+      break;
+    case run_state::unknown:
+      told.outcome = ledger::run_outcome::unknown;
+      break;
+  }
+  context_.ledger.finish(told);
+}
+
+delivery_result local_service::send_failed(
+    const incoming_request& request, const std::string& endpoint,
+    const transport::call_failure& failure) {
+  const monotonic_time now = context_.clock.now();
+  if (failure.refused) {
+    context_.endpoints.connection_refused(endpoint, now);
+  } else {
+    context_.endpoints.request_failed(endpoint, now);
+  }
+  delivery_result out;
+  out.outcome = failed_attempt(
+      failure.bytes_written ? run_state::unknown : run_state::no,
+      failure.cause, seconds(1));
+  out.outcome.endpoint = endpoint;
+  log_event(log_level::warn, "endpoint-failed",
+            {{"request_id", request.id},
+             {"endpoint", endpoint},
+             {"detail", failure.cause.message}});
+  return out;
+}
+
+awaitable<delivery_result> local_service::dispatch(
+    const incoming_request& request, const std::string& attempt_id,
+    std::set<std::string> avoid, http_exchange& exchange) {
+  tl::expected<endpoint_lease, attempt> lease =
+      co_await admission_.admit(request, std::move(avoid), exchange);
+  if (!lease) {
+    delivery_result refused;
+    refused.outcome = lease.error();
+    co_return refused;
+  }
+  const monotonic_time started = context_.clock.now();
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(lease->address());
+  // What must not run twice is left to end, so that its outcome is known.
+  if (request.repeatable) exchange.on_gone([call] { call->cancel(); });
+  transport::http_request out;
+  out.method = request.method;
+  out.target = request.path;
+  out.headers = {{"X-Request-Id", request.id},
+                 {"Trestlepost-Attempt", attempt_id},
+                 {"Trestlepost-Priority", std::to_string(request.priority)}};
+  if (!request.content_type.empty()) {
+    out.headers.emplace_back("Content-Type", request.content_type);
+  }
+  if (!request.idempotency_key.empty()) {
+    out.headers.emplace_back("Idempotency-Key", request.idempotency_key);
+  }
+  out.body = request.body;
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(std::move(out), request.deadline);
+  if (!sent) co_return send_failed(request, lease->name(), sent.error());
+  const std::string_view echoed = call->header("Trestlepost-Attempt");
+  if (!echoed.empty() && echoed != attempt_id) {
+    call->cancel();
+    transport::call_failure crossed;
+    crossed.cause = {error_kind::endpoint_failed,
+                     "the endpoint answered another request",
+                     "check the endpoint " + lease->name()};
+    crossed.bytes_written = true;
+    co_return send_failed(request, lease->name(), crossed);
+  }
+  if (call->status() == service_unavailable &&
+      request.service->refusal_means_not_run) {
+    call->cancel();
+    context_.endpoints.request_failed(lease->name(), context_.clock.now());
+    delivery_result refused;
+    refused.outcome = failed_attempt(
+        run_state::no,
+        {error_kind::unavailable, "the endpoint refused the request",
+         "send it again after Retry-After"},
+        seconds(1));
+    refused.outcome.endpoint = lease->name();
+    co_return refused;
+  }
+  const std::string service = request.service->name;
+  delivery_result delivered = co_await deliver(
+      *call, exchange,
+      answer_headers(context_.self.region, run_state::yes, request.id),
+      [this, started, service] {
+        context_.metrics.first_piece(service, context_.clock.now() - started);
+      });
+  delivered.outcome.endpoint = lease->name();
+  if (!delivered.outcome.delivered) {
+    if (!exchange.gone()) {
+      context_.endpoints.request_failed(lease->name(), context_.clock.now());
+    }
+    co_return delivered;
+  }
+  context_.endpoints.request_succeeded(lease->name());
+  context_.metrics.served_in(service, context_.self.region);
+  admission_.observe_duration(service, context_.clock.now() - started);
+  co_return delivered;
+}
+
+}  // namespace trestlepost::gateway
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -33,10 +33,17 @@
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
   std::uint32_t free_slots = 0;
+  std::uint32_t endpoints = 0;  // usable ones
   /// Expected time in the queue of a request that comes now.
   std::chrono::milliseconds wait{0};
 };
 
+/// What an endpoint reported to the node that polls it.
+struct reported_load {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+};
+
 /// What a node tells the nodes of its region.
 struct heartbeat {
   node_info node;
@@ -45,6 +52,7 @@
   std::uint64_t revision = 0;
   std::map<std::string, std::uint32_t> endpoint_in_flight;
   std::map<std::string, service_load> services;
+  std::map<std::string, reported_load> reports;
 };
 
 /// What a relay tells other regions of its own region.
--- a/membership/src/endpoint_tracker.cc
+++ b/membership/src/endpoint_tracker.cc
@@ -159,7 +159,10 @@
 void endpoint_tracker::platform_listed(const std::string& address,
                                        bool leaving, monotonic_time now) {
   for (auto& [name, it] : endpoints_) {
-    if (it.declared.address != address) continue;
+    // The platform names VMs by IP number, endpoints add their port.
+    const bool same = it.declared.address == address ||
+                      it.declared.address.starts_with(address + ":");
+    if (!same) continue;
     if (it.listed_leaving == leaving) continue;
     it.listed_leaving = leaving;
     handle(it, leaving ? "listed_leaving" : "listed_live", now);
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -58,9 +58,15 @@
     one["in_flight"] = it.in_flight;
     one["queued"] = it.queued;
     one["free_slots"] = it.free_slots;
+    one["endpoints"] = it.endpoints;
     one["wait_ms"] = as_number(static_cast<std::uint64_t>(it.wait.count()));
     services[name] = std::move(one);
   }
+  json& reports = out["reports"] = json(Json::objectValue);
+  for (const auto& [name, it] : value.reports) {
+    reports[name]["running"] = it.running;
+    reports[name]["waiting"] = it.waiting;
+  }
   return out;
 }
 
@@ -83,9 +89,17 @@
       out.services[it] = {small_number_of(one, "in_flight"),
                           small_number_of(one, "queued"),
                           small_number_of(one, "free_slots"),
+                          small_number_of(one, "endpoints"),
                           std::chrono::milliseconds(number_of(one, "wait_ms"))};
     }
   }
+  const json& reports = member_of(value, "reports");
+  if (reports.isObject()) {
+    for (const std::string& it : reports.getMemberNames()) {
+      out.reports[it] = {small_number_of(reports[it], "running"),
+                         small_number_of(reports[it], "waiting")};
+    }
+  }
   return out;
 }
 
--- /dev/null
+++ b/node/src/control_service.cc
@@ -0,0 +1,387 @@
+#include "control_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+#include "trestlepost/consensus/file_storage.h"
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds join_interval{1000};
+constexpr milliseconds watcher_lifetime{5000};
+constexpr milliseconds founding_timeout{5000};
+constexpr milliseconds ledger_founding_delay{4000};
+constexpr std::size_t ledger_voters = 3;
+constexpr std::size_t default_audit_rows = 50;
+constexpr char group_kind[] = "config";
+
+consensus::group_options make_group_options(const settings& options) {
+  consensus::group_options out;
+  out.replica.election_timeout = options.timing.election_timeout;
+  out.replica.heartbeat_interval = options.timing.election_timeout / 5;
+  out.snapshot_every = options.snapshot_every;
+  return out;
+}
+
+json as_number(std::uint64_t n) { return json(Json::UInt64(n)); }
+
+}  // namespace
+
+std::vector<membership::node_info> choose_ledger_voters(
+    std::vector<membership::node_info> gateways) {
+  std::sort(gateways.begin(), gateways.end(),
+            [](const membership::node_info& a, const membership::node_info& b) {
+              if (a.durable != b.durable) return a.durable;
+              return a.name < b.name;
+            });
+  if (gateways.size() >= ledger_voters) {
+    gateways.resize(ledger_voters);
+    return gateways;
+  }
+  std::erase_if(gateways, [](const membership::node_info& it) {
+    return !it.durable;
+  });
+  return gateways;
+}
+
+result<void> control_service::start() {
+  machine_.on_decided = [this](const config::audit_record& it) {
+    on_decided(it);
+  };
+  host_ = std::make_unique<consensus::group_host>(
+      consensus::replica_id{context_.self.name, context_.self.incarnation},
+      make_group_options(context_.options),
+      std::make_unique<consensus::file_storage>(context_.options.data_folder +
+                                                "/config"),
+      machine_, *this, context_.random);
+  std::vector<std::string> voters;
+  for (const control_node& it : context_.options.control_nodes) {
+    voters.push_back(it.name);
+  }
+  host_->set_desired_voters(std::move(voters));
+  register_peer_methods();
+  return host_->start(context_.clock.now());
+}
+
+void control_service::register_peer_methods() {
+  transport::rpc_dispatcher& peers = context_.peers;
+  peers.add_notification(
+      "config.consensus",
+      [this](const json& params, const transport::rpc_context&) {
+        const result<consensus::message> in = consensus::message_from(params);
+        if (in) host_->receive(context_.clock.now(), *in);
+      });
+  peers.add_notification(
+      "config.join", [this](const json& params, const transport::rpc_context&) {
+        host_->handle_join(context_.clock.now(),
+                           consensus::replica_id_from(params));
+      });
+  peers.add_notification(
+      "config.poll", [this](const json& params, const transport::rpc_context&) {
+        handle_poll(params);
+      });
+  peers.add_notification(
+      "config.probe",
+      [this](const json& params, const transport::rpc_context&) {
+        handle_probe(params);
+      });
+  peers.add_notification(
+      "config.probed",
+      [this](const json& params, const transport::rpc_context&) {
+        handle_probe_answer(params);
+      });
+}
+
+void control_service::send(const consensus::message& out) {
+  context_.links.send(context_.peer_address(out.to.node), "config.consensus",
+                      consensus::to_json(out));
+}
+
+bool control_service::leads() const {
+  return host_->holds_lease(context_.clock.now());
+}
+
+std::string control_service::leader_node() const {
+  const std::optional<consensus::replica_id> leader = host_->core().leader();
+  return leader ? leader->node : "";
+}
+
+void control_service::record_in_book(const membership::node_info& info) {
+  book_entry& it = book_[info.name];
+  if (it.info == info && it.version != 0) return;
+  it.info = info;
+  it.version = ++book_version_;
+}
+
+void control_service::handle_poll(const json& params) {
+  const membership::heartbeat beat =
+      membership::heartbeat_from(member_of(params, "heartbeat"));
+  const monotonic_time now = context_.clock.now();
+  const std::string& address = beat.node.peer_address;
+  json answer;
+  answer["token"] = as_number(number_of(params, "token"));
+  answer["leader"] = leader_node();
+  if (leads()) {
+    context_.nodes.observe(beat, now);
+    record_in_book(beat.node);
+    watchers_[beat.node.name] = {address, now};
+    answer["confirmed"] = true;
+    answer["update"] =
+        make_update(number_of(params, "revision"),
+                    number_of(params, "book_version"), beat.node.region);
+  }
+  context_.links.send(address, "config.update", answer);
+}
+
+json control_service::make_update(config::revision_number from,
+                                  std::uint64_t book_version,
+                                  const std::string& region) const {
+  json out = config::to_json(machine_.update_since(from));
+  // A book of another leader has other versions; then all of it is sent.
+  const std::uint64_t known = book_version > book_version_ ? 0 : book_version;
+  json& book = out["book"] = json(Json::arrayValue);
+  for (const auto& [name, it] : book_) {
+    const bool concerns = it.info.region == region || it.info.control;
+    const bool relay_of_other =
+        it.info.region != region && it.info.durable;
+    if (it.version > known && (concerns || relay_of_other)) {
+      book.append(membership::to_json(it.info));
+    }
+  }
+  out["book_version"] = as_number(book_version_);
+  json& ledgers = out["ledgers"] = json(Json::arrayValue);
+  for (const auto& [name, it] : machine_.ledgers()) {
+    ledgers.append(config::to_json(it));
+  }
+  return out;
+}
+
+void control_service::push_to_watchers() {
+  const monotonic_time now = context_.clock.now();
+  std::erase_if(watchers_, [now](const auto& it) {
+    return it.second.seen_at + watcher_lifetime < now;
+  });
+  for (const auto& [name, it] : watchers_) {
+    const membership::node_record* record = context_.nodes.find(name);
+    const config::revision_number known =
+        record == nullptr ? 0 : record->last.revision;
+    json answer;
+    answer["token"] = as_number(0);
+    answer["leader"] = leader_node();
+    answer["update"] = config::to_json(machine_.update_since(known));
+    context_.links.send(it.address, "config.update", answer);
+  }
+}
+
+void control_service::on_decided(const config::audit_record& record) {
+  log_event(log_level::info, "change-decided",
+            {{"change_id", record.change_id},
+             {"operator", record.operator_name},
+             {"status", std::string(to_string(record.outcome.status))},
+             {"revision", std::to_string(record.outcome.revision)}});
+  const auto it = waiting_.find(record.change_id);
+  if (it != waiting_.end()) {
+    const std::vector<answer_function> answers = std::move(it->second);
+    waiting_.erase(it);
+    for (const answer_function& answer : answers) {
+      answer(config::to_json(record.outcome));
+    }
+  }
+  if (leads()) push_to_watchers();
+}
+
+void control_service::propose(config::change asked, answer_function answer) {
+  const std::optional<config::change_result> known =
+      machine_.known_result(asked);
+  if (known && leads()) {
+    answer(config::to_json(*known));
+    return;
+  }
+  const std::string id = asked.id;
+  asked.at = context_.clock.wall_now();
+  waiting_[id].push_back(answer);
+  const result<consensus::log_index> proposed = host_->propose(
+      context_.clock.now(), to_text(config::to_json(asked)));
+  if (proposed) return;
+  waiting_.erase(id);
+  answer(tl::make_unexpected(proposed.error()));
+}
+
+void control_service::read_audit(const json& filter, answer_function answer) {
+  const result<void> asked = host_->request_read(
+      context_.clock.now(), next_read_++, [this, filter, answer] {
+        answer(audit_matching(filter));
+      });
+  if (!asked) answer(tl::make_unexpected(asked.error()));
+}
+
+json control_service::audit_matching(const json& filter) const {
+  const std::string by = text_of(filter, "operator");
+  const std::string name = text_of(filter, "name");
+  const std::string kind = text_of(filter, "kind");
+  const std::int64_t since =
+      static_cast<std::int64_t>(number_of(filter, "since_ms"));
+  const std::int64_t until =
+      static_cast<std::int64_t>(number_of(filter, "until_ms"));
+  std::size_t limit = number_of(filter, "limit");
+  if (limit == 0) limit = default_audit_rows;
+  json rows(Json::arrayValue);
+  const std::deque<config::audit_record>& all = machine_.audit();
+  for (auto it = all.rbegin(); it != all.rend() && rows.size() < limit; ++it) {
+    const std::int64_t at = to_unix_ms(it->at);
+    if (!by.empty() && it->operator_name != by) continue;
+    if (at < since || (until != 0 && at > until)) continue;
+    bool touches = name.empty() && kind.empty();
+    for (const json& object : it->objects) {
+      const bool same_name = name.empty() || text_of(object, "name") == name;
+      const bool same_kind = kind.empty() || text_of(object, "kind") == kind;
+      touches = touches || (same_name && same_kind);
+    }
+    if (touches) rows.append(config::to_json(*it));
+  }
+  json out;
+  out["records"] = std::move(rows);
+  return out;
+}
+
+void control_service::found(answer_function answer) {
+  const std::vector<control_node>& all = context_.options.control_nodes;
+  if (all.front().name != context_.self.name) {
+    answer(fail(error_kind::bad_input,
+                "only " + all.front().name + ", the first control node, founds",
+                "run `trestlepost init` against " + all.front().address));
+    return;
+  }
+  if (!host_->core().group_id().empty()) {
+    answer(fail(error_kind::conflict, "the configuration group exists already",
+                "use it; `trestlepost status` shows it"));
+    return;
+  }
+  if (founding_) {
+    answer(fail(error_kind::in_progress, "a founding is under way",
+                "wait for it to end"));
+    return;
+  }
+  founding_ = founding{std::move(answer), {}, context_.clock.now()};
+  founding_->incarnations[context_.self.name] = context_.self.incarnation;
+  for (const control_node& it : all) {
+    if (it.name == context_.self.name) continue;
+    json probe;
+    probe["reply_to"] = context_.self.peer_address;
+    context_.links.send(it.address, "config.probe", probe);
+  }
+  finish_founding_if_ready();
+}
+
+void control_service::handle_probe(const json& params) {
+  json answer;
+  answer["node"] = context_.self.name;
+  answer["incarnation"] = as_number(context_.self.incarnation);
+  answer["group_id"] = host_->core().group_id();
+  context_.links.send(text_of(params, "reply_to"), "config.probed", answer);
+}
+
+void control_service::handle_probe_answer(const json& params) {
+  if (!founding_) return;
+  if (!text_of(params, "group_id").empty()) {
+    const answer_function answer = std::move(founding_->answer);
+    founding_.reset();
+    answer(fail(error_kind::conflict,
+                text_of(params, "node") + " belongs to a group already",
+                "this node lost its disk: leave it running, it joins by "
+                "itself"));
+    return;
+  }
+  founding_->incarnations[text_of(params, "node")] =
+      number_of(params, "incarnation");
+  finish_founding_if_ready();
+}
+
+void control_service::finish_founding_if_ready() {
+  if (!founding_) return;
+  consensus::member_list members;
+  for (const control_node& it : context_.options.control_nodes) {
+    const auto found = founding_->incarnations.find(it.name);
+    if (found == founding_->incarnations.end()) return;
+    members.push_back({{it.name, found->second}, true});
+  }
+  const answer_function answer = std::move(founding_->answer);
+  founding_.reset();
+  const std::string group_id = make_request_id(context_.random);
+  const result<void> done =
+      host_->found(context_.clock.now(), group_id, members);
+  if (!done) {
+    answer(tl::make_unexpected(done.error()));
+    return;
+  }
+  log_event(log_level::info, "group-founded", {{"group_id", group_id}});
+  json out;
+  out["group_id"] = group_id;
+  out["members"] = consensus::to_json(members);
+  answer(out);
+}
+
+void control_service::ask_to_join() {
+  const monotonic_time now = context_.clock.now();
+  if (now < next_join_ || !host_->needs_join(now)) return;
+  next_join_ = now + join_interval;
+  const json id = consensus::to_json(host_->core().self());
+  for (const control_node& it : context_.options.control_nodes) {
+    if (it.name == context_.self.name) continue;
+    context_.links.send(it.address, "config.join", id);
+  }
+}
+
+void control_service::found_ledgers() {
+  const monotonic_time now = context_.clock.now();
+  if (!leads()) {
+    leading_since_.reset();
+    proposed_ledgers_.clear();
+    return;
+  }
+  if (!leading_since_) leading_since_ = now;
+  if (now < *leading_since_ + ledger_founding_delay) return;
+  for (const auto& [region, unused] : machine_.store().regions()) {
+    if (machine_.ledgers().contains(region)) continue;
+    if (proposed_ledgers_.contains(region)) continue;
+    std::vector<membership::node_info> gateways;
+    for (const membership::node_record* it :
+         context_.nodes.live_in(region, now)) {
+      gateways.push_back(it->last.node);
+    }
+    config::ledger_founding founding;
+    founding.region = region;
+    founding.group_id = make_request_id(context_.random);
+    for (const membership::node_info& it :
+         choose_ledger_voters(std::move(gateways))) {
+      founding.members.push_back({{it.name, it.incarnation}, true});
+    }
+    if (founding.members.empty()) continue;
+    config::change asked;
+    asked.id = "found-ledger-" + region;
+    asked.operator_name = "trestlepost";
+    asked.founding = std::move(founding);
+    proposed_ledgers_.insert(region);
+    propose(std::move(asked), [](const result<json>&) {});
+  }
+}
+
+void control_service::tick() {
+  const monotonic_time now = context_.clock.now();
+  host_->tick(now);
+  ask_to_join();
+  found_ledgers();
+  if (founding_ && now >= founding_->started_at + founding_timeout) {
+    const answer_function answer = std::move(founding_->answer);
+    founding_.reset();
+    answer(fail(error_kind::unavailable,
+                "not every control node answered",
+                "start all control nodes, then run `trestlepost init` again"));
+  }
+}
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/control_service.h
@@ -0,0 +1,90 @@
+// The configuration group on a control node: takes changes, answers watchers,
+// founds the group and the ledgers.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "node_context.h"
+#include "ticket_table.h"
+#include "trestlepost/config/state_machine.h"
+#include "trestlepost/consensus/group_host.h"
+
+namespace trestlepost::node {
+
+class control_service final : public consensus::message_sink {
+ public:
+  explicit control_service(node_context& context) : context_(context) {}
+
+  result<void> start();
+  void tick();
+
+  /// Runs `change` through the log; answers once it is decided.
+  void propose(config::change asked, answer_function answer);
+  /// Founds the group, once.
+  void found(answer_function answer);
+  /// The audit trail, as far as this node has applied it, after a read that
+  /// the majority confirms.
+  void read_audit(const json& filter, answer_function answer);
+
+  void send(const consensus::message& out) override;
+
+  const consensus::group_host& host() const { return *host_; }
+  const config::config_state_machine& machine() const { return machine_; }
+  bool leads() const;
+  std::string leader_node() const;
+
+ private:
+  struct watcher {
+    std::string address;
+    monotonic_time seen_at;
+  };
+  struct book_entry {
+    membership::node_info info;
+    std::uint64_t version = 0;
+  };
+  struct founding {
+    answer_function answer;
+    std::map<std::string, std::uint64_t> incarnations;
+    monotonic_time started_at;
+  };
+
+  void register_peer_methods();
+  void handle_poll(const json& params);
+  void handle_probe(const json& params);
+  void handle_probe_answer(const json& params);
+  void record_in_book(const membership::node_info& info);
+  json make_update(config::revision_number from, std::uint64_t book_version,
+                   const std::string& region) const;
+  void push_to_watchers();
+  void on_decided(const config::audit_record& record);
+  void finish_founding_if_ready();
+  void found_ledgers();
+  void ask_to_join();
+  json audit_matching(const json& filter) const;
+
+  node_context& context_;
+  config::config_state_machine machine_;
+  std::unique_ptr<consensus::group_host> host_;
+  std::map<std::string, watcher> watchers_;
+  std::map<std::string, book_entry> book_;
+  std::uint64_t book_version_ = 0;
+  std::map<std::string, std::vector<answer_function>> waiting_;
+  std::optional<founding> founding_;
+  monotonic_time next_join_;
+  std::optional<monotonic_time> leading_since_;
+  std::uint64_t next_read_ = 1;
+  std::set<std::string> proposed_ledgers_;
+};
+
+/// The nodes that should vote in the ledger of a region: three, those with a
+/// disk first; with fewer than three gateways only those with a disk, because
+/// two voters without a disk could not survive a restart.
+std::vector<membership::node_info> choose_ledger_voters(
+    std::vector<membership::node_info> gateways);
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/ledger_service.h
@@ -0,0 +1,73 @@
+// The run-once ledger of this node's region, and the way to other regions'.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "node_context.h"
+#include "trestlepost/config/change.h"
+#include "trestlepost/gateway/context.h"
+#include "trestlepost/ledger/claim_table.h"
+#include "trestlepost/ledger/state_machine.h"
+
+namespace trestlepost::node {
+
+class ledger_service final : public gateway::run_once,
+                             public ledger::command_proposer,
+                             public consensus::message_sink {
+ public:
+  explicit ledger_service(node_context& context);
+
+  void start();
+  void tick();
+
+  /// Tells where the ledger of this region was founded.
+  void learn(const config::ledger_founding& founding);
+
+  transport::awaitable<result<ledger::claim_decision>> claim(
+      ledger::claim_command asked, monotonic_time deadline) override;
+  transport::awaitable<result<ledger::claim_decision>> fence(
+      std::string region, ledger::fence_command asked,
+      monotonic_time deadline) override;
+  void finish(const ledger::finish_command& told) override;
+  std::string make_attempt_id() override;
+
+  void propose(const json& command) override;
+  void send(const consensus::message& out) override;
+
+  /// Null until the ledger is founded and this node takes part.
+  const consensus::group_host* host() const { return host_.get(); }
+  std::size_t records() const { return machine_.size(); }
+  std::size_t pending() const { return claims_.pending(); }
+
+ private:
+  struct remote_fence {
+    std::string region;
+    json params;
+    monotonic_time sent_at;
+    ledger::claim_table::decided_function decided;
+  };
+
+  void register_peer_methods();
+  void handle_fence(const json& params);
+  void handle_fenced(const json& params);
+  void send_fence(remote_fence& it);
+  void update_voters();
+  void ask_to_join();
+  transport::awaitable<result<ledger::claim_decision>> wait_for(
+      std::function<void(ledger::claim_table::decided_function)> begin,
+      std::function<void()> give_up, monotonic_time deadline);
+
+  node_context& context_;
+  std::string own_prefix_;
+  ledger::ledger_state_machine machine_;
+  ledger::claim_table claims_;
+  std::unique_ptr<consensus::group_host> host_;
+  std::string group_id_;
+  std::map<std::string, remote_fence> remote_fences_;
+  monotonic_time next_join_;
+};
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/node.cc
@@ -0,0 +1,359 @@
+#include "node.h"
+
+#include <prometheus/registry.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <utility>
+
+#include "control_service.h"
+#include "heartbeat_service.h"
+#include "ledger_service.h"
+#include "node_context.h"
+#include "operator_service.h"
+#include "probe_service.h"
+#include "trestlepost/consensus/file_storage.h"
+#include "trestlepost/gateway/entry_handler.h"
+#include "trestlepost/gateway/forward_handler.h"
+#include "watch_client.h"
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::awaitable;
+
+constexpr milliseconds tick_interval{25};
+// A stop is announced for so long before the node may exit.
+constexpr milliseconds announce_time{1500};
+
+}  // namespace
+
+/// Parts that others are built from.
+struct node::foundation {
+  result<void> prepare(const settings& options);
+
+  system_clock_source clock;
+  system_random random;
+  std::optional<consensus::unique_fd> folder_lock;
+  std::uint64_t incarnation = 0;
+  std::optional<charts::chart> node_chart;
+  std::optional<charts::chart> endpoint_chart;
+};
+
+result<void> node::foundation::prepare(const settings& options) {
+  result<charts::chart> node = charts::chart::load(
+      options.charts_folder + "/node.jsonc", membership::node_chart_interface());
+  if (!node) return tl::make_unexpected(node.error());
+  result<charts::chart> endpoint =
+      charts::chart::load(options.charts_folder + "/endpoint.jsonc",
+                          membership::endpoint_chart_interface());
+  if (!endpoint) return tl::make_unexpected(endpoint.error());
+  node_chart = std::move(*node);
+  endpoint_chart = std::move(*endpoint);
+  incarnation = (random.next() >> 1) | 1;
+  if (options.data_folder.empty()) return {};
+  result<consensus::unique_fd> lock =
+      consensus::lock_folder(options.data_folder);
+  if (!lock) return tl::make_unexpected(lock.error());
+  folder_lock = std::move(*lock);
+  const result<std::uint64_t> stored =
+      consensus::load_or_create_incarnation(options.data_folder, random);
+  if (!stored) return tl::make_unexpected(stored.error());
+  incarnation = *stored;
+  return {};
+}
+
+namespace {
+
+membership::node_info info_of(const settings& options,
+                              std::uint64_t incarnation) {
+  membership::node_info out;
+  out.name = options.node;
+  out.incarnation = incarnation;
+  out.region = options.region;
+  out.availability_zone = options.availability_zone;
+  if (options.gateway) {
+    out.caller_address = options.callers_address;
+    out.forward_address = options.forwards_address;
+  }
+  out.peer_address = options.peers_address;
+  out.control = options.control;
+  out.durable = !options.data_folder.empty();
+  return out;
+}
+
+gateway::gateway_options gateway_options_of(const settings& options) {
+  gateway::gateway_options out;
+  out.queue_capacity = options.queue_capacity;
+  out.region_choice = options.region_choice;
+  return out;
+}
+
+}  // namespace
+
+struct node::implementation {
+  implementation(settings o, foundation& base);
+
+  result<void> start();
+  membership::heartbeat make_heartbeat();
+  void declare_endpoints();
+  void begin_stop();
+  awaitable<void> run_ticks();
+  awaitable<void> wait_for_signal();
+  awaitable<void> finish_stop();
+  void collect_metrics();
+
+  settings options;
+  foundation& base;
+  transport::asio::io_context io{1};
+  boost::asio::signal_set signals{io};
+  config::object_store store;
+  membership::node_state state;
+  membership::node_table nodes;
+  membership::endpoint_tracker endpoints;
+  transport::rpc_dispatcher peer_dispatcher;
+  transport::peer_links links;
+  transport::peer_server peer_server;
+  transport::http_client client;
+  node_context context;
+  std::shared_ptr<prometheus::Registry> registry;
+  gateway::gateway_metrics metrics;
+  ledger_service ledger;
+  gateway::gateway_context gateway;
+  gateway::local_service local;
+  gateway::forwarder remote;
+  gateway::entry_handler entries;
+  gateway::forward_handler forwards;
+  std::unique_ptr<control_service> control;
+  watch_client watch;
+  heartbeat_service heartbeats;
+  probe_service probes;
+  operator_service operators;
+  transport::http_server entry_server;
+  transport::http_server forward_server;
+  transport::http_server operator_server;
+  prometheus::Family<prometheus::Gauge>& node_gauges;
+  std::uint64_t sequence = 0;
+  bool stopping = false;
+  bool stopped = false;
+};
+
+node::implementation::implementation(settings o, foundation& b)
+    : options(std::move(o)),
+      base(b),
+      state(*base.node_chart, options.state, base.clock.now()),
+      endpoints(*base.endpoint_chart, options.endpoints),
+      links(io, options.peer_secret, {}),
+      peer_server(io, options.peer_secret, peer_dispatcher, base.random, {}),
+      client(io, {}),
+      context{io,
+              options,
+              base.clock,
+              base.random,
+              info_of(options, base.incarnation),
+              store,
+              state,
+              nodes,
+              endpoints,
+              links,
+              peer_dispatcher,
+              client,
+              {},
+              {}},
+      registry(std::make_shared<prometheus::Registry>()),
+      metrics(*registry),
+      ledger(context),
+      gateway{io,
+              base.clock,
+              base.random,
+              store,
+              context.self,
+              state,
+              nodes,
+              endpoints,
+              client,
+              metrics,
+              ledger,
+              options.peer_secret,
+              gateway_options_of(options),
+              context.round_trips},
+      local(gateway),
+      remote(gateway),
+      entries(gateway, local, remote),
+      forwards(gateway, local),
+      control(options.control ? std::make_unique<control_service>(context)
+                              : nullptr),
+      watch(context, [this] { return make_heartbeat(); }),
+      heartbeats(context, [this] { return make_heartbeat(); }),
+      probes(context),
+      operators(context, control.get(), watch, ledger, local, *registry),
+      entry_server(io, entries, {}),
+      forward_server(io, forwards, {}),
+      operator_server(io, operators, {}),
+      node_gauges(prometheus::BuildGauge()
+                      .Name("trestlepost_node")
+                      .Help("State of this node, by what is measured.")
+                      .Register(*registry)) {
+  // Above every number of an earlier life, so that peers take it for newer.
+  sequence = static_cast<std::uint64_t>(to_unix_ms(base.clock.wall_now()));
+}
+
+membership::heartbeat node::implementation::make_heartbeat() {
+  membership::heartbeat out;
+  out.node = context.self;
+  out.sequence = ++sequence;
+  out.state = state.name();
+  out.revision = store.revision();
+  out.endpoint_in_flight = endpoints.own_in_flight();
+  out.reports = probes.reports();
+  for (const auto& [name, it] : store.services()) {
+    out.services[name] = local.queue().load_of(name);
+  }
+  return out;
+}
+
+void node::implementation::declare_endpoints() {
+  std::vector<membership::endpoint_tracker::declared_endpoint> own;
+  for (const auto& [name, it] : store.endpoints()) {
+    if (it->region != options.region) continue;
+    own.push_back({name, it->service, it->address, it->slots, it->drained});
+  }
+  endpoints.declare(own, base.clock.now());
+}
+
+result<void> node::implementation::start() {
+  if (control) {
+    result<void> started = control->start();
+    if (!started) return started;
+  }
+  watch.on_changed = [this] { declare_endpoints(); };
+  operators.on_drain = [this] { begin_stop(); };
+  watch.start();
+  ledger.start();
+  heartbeats.start();
+  operators.start();
+  declare_endpoints();
+  result<void> opened = peer_server.listen(options.peers_address);
+  if (opened) opened = operator_server.listen(options.operators_address);
+  if (opened && options.gateway) {
+    opened = entry_server.listen(options.callers_address);
+  }
+  if (opened && options.gateway) {
+    opened = forward_server.listen(options.forwards_address);
+  }
+  if (!opened) return opened;
+  signals.add(SIGTERM);
+  signals.add(SIGINT);
+  boost::asio::co_spawn(io, run_ticks(), boost::asio::detached);
+  boost::asio::co_spawn(io, wait_for_signal(), boost::asio::detached);
+  log_event(log_level::info, "node-started",
+            {{"revision", std::to_string(store.revision())}});
+  return {};
+}
+
+awaitable<void> node::implementation::run_ticks() {
+  boost::asio::steady_timer timer(io);
+  while (!stopped) {
+    const monotonic_time now = base.clock.now();
+    state.tick(now, store.revision() > 0);
+    if (control) control->tick();
+    watch.tick();
+    const auto founding = watch.ledgers().find(options.region);
+    if (founding != watch.ledgers().end() && options.gateway) {
+      ledger.learn(founding->second);
+    }
+    ledger.tick();
+    heartbeats.tick();
+    probes.tick();
+    endpoints.tick(now);
+    local.queue().pump_all();
+    operators.tick();
+    collect_metrics();
+    timer.expires_after(tick_interval);
+    boost::system::error_code ec;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  }
+}
+
+void node::implementation::collect_metrics() {
+  const auto set = [this](const char* what, double value) {
+    node_gauges.Add({{"what", what}}).Set(value);
+  };
+  set("configuration_revision", static_cast<double>(store.revision()));
+  set("ready", state.crosses_regions() ? 1 : 0);
+  set("isolated", state.is(membership::node_states::isolated) ? 1 : 0);
+  set("leads_configuration", control && control->leads() ? 1 : 0);
+  set("ledger_records", static_cast<double>(ledger.records()));
+  set("peer_bytes_sent", static_cast<double>(links.traffic().bytes_sent));
+  set("peer_bytes_received",
+      static_cast<double>(peer_server.traffic().bytes_received));
+  set("peer_messages_dropped",
+      static_cast<double>(links.traffic().messages_dropped));
+  set("peer_strangers_refused",
+      static_cast<double>(peer_server.traffic().strangers_refused));
+}
+
+void node::implementation::begin_stop() {
+  if (stopping) return;
+  stopping = true;
+  state.order_stop();
+  heartbeats.announce();
+  boost::asio::co_spawn(io, finish_stop(), boost::asio::detached);
+}
+
+awaitable<void> node::implementation::wait_for_signal() {
+  boost::system::error_code ec;
+  co_await signals.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  begin_stop();
+}
+
+awaitable<void> node::implementation::finish_stop() {
+  const monotonic_time started = base.clock.now();
+  boost::asio::steady_timer timer(io);
+  while (true) {
+    const monotonic_time now = base.clock.now();
+    const bool idle = entry_server.in_progress() == 0 &&
+                      forward_server.in_progress() == 0 &&
+                      ledger.pending() == 0;
+    const bool announced = now >= started + announce_time;
+    const bool late = now >= started + options.timing.drain_timeout;
+    if ((idle && announced) || late) break;
+    timer.expires_after(tick_interval);
+    boost::system::error_code ec;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  }
+  log_event(log_level::info, "node-stopped",
+            {{"in_progress", std::to_string(entry_server.in_progress() +
+                                            forward_server.in_progress())}});
+  stopped = true;
+  entry_server.drain();
+  forward_server.drain();
+  operator_server.drain();
+  io.stop();
+}
+
+node::node(settings options) : options_(std::move(options)) {}
+
+node::~node() = default;
+
+result<void> node::start() {
+  base_ = std::make_unique<foundation>();
+  result<void> prepared = base_->prepare(options_);
+  if (!prepared) return prepared;
+  implementation_ = std::make_unique<implementation>(options_, *base_);
+  return implementation_->start();
+}
+
+void node::run() { implementation_->io.run(); }
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/node_context.h
@@ -0,0 +1,49 @@
+// What the services of one node share.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "settings.h"
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/random.h"
+#include "trestlepost/config/store.h"
+#include "trestlepost/membership/endpoint_tracker.h"
+#include "trestlepost/membership/node_state.h"
+#include "trestlepost/membership/node_table.h"
+#include "trestlepost/transport/http_client.h"
+#include "trestlepost/transport/peer_links.h"
+
+namespace trestlepost::node {
+
+struct node_context {
+  transport::asio::io_context& io;
+  const settings& options;
+  const clock_source& clock;
+  random_source& random;
+  membership::node_info self;
+  config::object_store& store;
+  membership::node_state& state;
+  membership::node_table& nodes;
+  membership::endpoint_tracker& endpoints;
+  transport::peer_links& links;
+  transport::rpc_dispatcher& peers;
+  transport::http_client& client;
+  /// Peers' addresses by node, from the leader's book and the settings.
+  std::map<std::string, membership::node_info> book;
+  std::map<std::string, std::chrono::milliseconds> round_trips;
+
+  /// The peers' address of a node, or empty.
+  std::string peer_address(const std::string& node) const {
+    for (const control_node& it : options.control_nodes) {
+      if (it.name == node) return it.address;
+    }
+    const auto it = book.find(node);
+    if (it != book.end()) return it->second.peer_address;
+    const membership::node_record* record = nodes.find(node);
+    return record == nullptr ? "" : record->last.node.peer_address;
+  }
+};
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/operator_service.h
@@ -0,0 +1,80 @@
+// The operators' interface of a node: JSON-RPC over HTTP, and the metrics.
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "control_service.h"
+#include "ledger_service.h"
+#include "node_context.h"
+#include "ticket_table.h"
+#include "trestlepost/gateway/local_service.h"
+#include "watch_client.h"
+
+namespace trestlepost::node {
+
+class operator_service final : public transport::http_handler {
+ public:
+  /// `control` is null on a node without that role.
+  operator_service(node_context& context, control_service* control,
+                   watch_client& watch, ledger_service& ledger,
+                   gateway::local_service& local,
+                   prometheus::Registry& registry);
+
+  void start();
+  void tick();
+
+  transport::awaitable<void> handle(
+      transport::http_exchange& exchange) override;
+
+  /// Called when an operator orders this node to stop.
+  std::function<void()> on_drain;
+
+ private:
+  /// A call that another node answers.
+  struct relayed_call {
+    std::string target;  // a node; empty: whoever leads
+    json params;
+    monotonic_time opened_at;
+    monotonic_time sent_at;
+  };
+
+  void add_methods();
+  void add_slow(const std::string& name, const std::string& role,
+                bool at_founder, slow_method local);
+  void add_fast(const std::string& name, const std::string& role,
+                std::function<result<json>(const json&)> method);
+  void handle_ask(const json& params);
+  void handle_answer(const json& params);
+  void relay(const std::string& ticket, relayed_call call);
+  void send_relayed(const std::string& ticket, relayed_call& call);
+  bool runs_here(bool at_founder) const;
+  result<transport::rpc_context> authenticate(
+      const transport::http_exchange& exchange) const;
+
+  json status() const;
+  json control_status() const;
+  json nodes_status() const;
+  json endpoints_status() const;
+  result<json> get(const json& params) const;
+  result<json> explain(const json& params) const;
+  void apply(const json& params, const transport::rpc_context& caller,
+             answer_function answer);
+
+  node_context& context_;
+  control_service* control_;
+  watch_client& watch_;
+  ledger_service& ledger_;
+  gateway::local_service& local_;
+  prometheus::Registry& registry_;
+  transport::rpc_dispatcher dispatcher_;
+  ticket_table tickets_;
+  std::map<std::string, slow_method> slow_;
+  std::map<std::string, relayed_call> relayed_;
+};
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/probe_service.cc
@@ -0,0 +1,107 @@
+#include "probe_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "trestlepost/base/hash.h"
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::node {
+namespace {
+
+using transport::awaitable;
+
+constexpr std::chrono::milliseconds probe_timeout{1000};
+constexpr std::size_t largest_report = 1024 * 1024;
+constexpr std::size_t probers_per_endpoint = 2;
+constexpr unsigned ok_status = 200;
+
+}  // namespace
+
+bool probe_service::is_prober_of(const std::string& endpoint) const {
+  const std::uint64_t own = rendezvous_score(endpoint, context_.self.name);
+  std::size_t better = 0;
+  for (const membership::node_record* it : context_.nodes.live_in(
+           context_.self.region, context_.clock.now())) {
+    const std::string& name = it->last.node.name;
+    if (name != context_.self.name && rendezvous_score(endpoint, name) > own) {
+      ++better;
+    }
+  }
+  return better < probers_per_endpoint;
+}
+
+awaitable<void> probe_service::read_load(std::string endpoint,
+                                         std::string address) {
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(address);
+  transport::http_request request;
+  request.method = "GET";
+  request.target = "/load";
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(request, context_.clock.now() + probe_timeout);
+  if (!sent) {
+    reports_.erase(endpoint);
+    if (sent.error().refused) {
+      context_.endpoints.connection_refused(endpoint, context_.clock.now());
+    }
+    co_return;
+  }
+  const result<std::string> body = co_await call->read_rest(largest_report);
+  const result<json> parsed =
+      body ? parse_json(*body) : result<json>(tl::make_unexpected(body.error()));
+  if (!parsed || call->status() != ok_status) co_return;
+  const unsigned running =
+      static_cast<unsigned>(number_of(*parsed, "running"));
+  const unsigned waiting =
+      static_cast<unsigned>(number_of(*parsed, "waiting"));
+  reports_[endpoint] = {running, waiting};
+  context_.endpoints.report(endpoint,
+                            {running, waiting, context_.clock.now(), 0});
+}
+
+awaitable<void> probe_service::read_platform_list() {
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(context_.options.platform_address);
+  transport::http_request request;
+  request.method = "GET";
+  request.target = "/v1/vms";
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(request, context_.clock.now() + probe_timeout);
+  if (!sent) co_return;
+  const result<std::string> body = co_await call->read_rest(largest_report);
+  if (!body) co_return;
+  const result<json> parsed = parse_json(*body);
+  if (!parsed) {
+    log_event(log_level::warn, "platform-list-unreadable");
+    co_return;
+  }
+  const monotonic_time now = context_.clock.now();
+  for (const json& it : member_of(*parsed, "vms")) {
+    context_.endpoints.platform_listed(text_of(it, "address"),
+                                       text_of(it, "state") == "leaving", now);
+  }
+}
+
+void probe_service::tick() {
+  const monotonic_time now = context_.clock.now();
+  if (now >= next_load_) {
+    next_load_ = now + context_.options.timing.load_poll_interval;
+    for (const membership::endpoint_view& it :
+         context_.endpoints.all_views(now)) {
+      if (!is_prober_of(it.name)) {
+        reports_.erase(it.name);
+        continue;
+      }
+      boost::asio::co_spawn(context_.io, read_load(it.name, it.address),
+                            boost::asio::detached);
+    }
+  }
+  if (context_.options.platform_address.empty() || now < next_platform_) return;
+  next_platform_ = now + context_.options.timing.platform_poll_interval;
+  boost::asio::co_spawn(context_.io, read_platform_list(),
+                        boost::asio::detached);
+}
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/settings.h
@@ -0,0 +1,72 @@
+// The settings of one node: read from a JSON file with comments, checked whole
+// before anything starts.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/error.h"
+#include "trestlepost/base/log.h"
+#include "trestlepost/membership/endpoint_tracker.h"
+#include "trestlepost/membership/node_state.h"
+#include "trestlepost/routing/region_choice.h"
+
+namespace trestlepost::node {
+
+struct control_node {
+  std::string name;
+  std::string address;  // of its peers' port
+};
+
+struct operator_account {
+  std::string name;
+  std::string role;  // "read", "change" or "found"
+  std::string token_sha256;
+};
+
+struct timing_settings {
+  std::chrono::milliseconds election_timeout{1000};
+  std::chrono::milliseconds heartbeat_interval{300};
+  std::chrono::milliseconds poll_interval{500};
+  std::chrono::milliseconds load_poll_interval{250};
+  std::chrono::milliseconds platform_poll_interval{1000};
+  std::chrono::milliseconds drain_timeout{60'000};
+};
+
+struct settings {
+  std::string node;
+  std::string region;
+  std::string availability_zone;
+  bool gateway = true;
+  bool control = false;
+  std::string data_folder;  // empty: no disk
+  std::string charts_folder;
+  std::string callers_address;
+  std::string forwards_address;
+  std::string operators_address;
+  std::string peers_address;
+  std::vector<control_node> control_nodes;
+  std::vector<std::string> seeds;
+  std::string peer_secret;
+  std::vector<operator_account> operators;
+  std::string platform_address;  // empty: none
+  log_level log_lowest = log_level::info;
+  std::string log_file;
+  std::size_t queue_capacity = 2000;
+  std::size_t snapshot_every = 1000;
+  timing_settings timing;
+  membership::node_state_options state;
+  membership::endpoint_options endpoints;
+  routing::region_choice_options region_choice;
+};
+
+/// Reads and checks `text`; `file` is named in the mistakes.
+result<settings> parse_settings(const std::string& text,
+                                const std::string& file);
+result<settings> load_settings(const std::string& file);
+
+/// What has to hold on the machine: folders writable, secret readable.
+result<void> check_machine(settings& value, const std::string& file);
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/watch_client.cc
@@ -0,0 +1,120 @@
+#include "watch_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+#include "trestlepost/config/stored_copy.h"
+
+namespace trestlepost::node {
+namespace {
+
+constexpr std::size_t most_questions = 32;
+// Without an answer for so many polls the leader is asked for anew.
+constexpr int polls_without_answer = 3;
+
+}  // namespace
+
+watch_client::watch_client(node_context& context,
+                           std::function<membership::heartbeat()> beat)
+    : context_(context), make_heartbeat_(std::move(beat)) {}
+
+void watch_client::start() {
+  if (!context_.options.data_folder.empty()) {
+    context_.store = config::load_copy(context_.options.data_folder);
+  }
+  answered_at_ = context_.clock.now();
+  context_.peers.add_notification(
+      "config.update",
+      [this](const json& params, const transport::rpc_context&) {
+        handle_update(params);
+      });
+}
+
+void watch_client::tick() {
+  const monotonic_time now = context_.clock.now();
+  if (now < next_poll_) return;
+  next_poll_ = now + context_.options.timing.poll_interval;
+  const bool silent =
+      now > answered_at_ +
+                polls_without_answer * context_.options.timing.poll_interval;
+  if (silent) leader_.clear();
+  poll();
+}
+
+std::string watch_client::poll_address() {
+  if (!leader_.empty()) return context_.peer_address(leader_);
+  const std::vector<control_node>& all = context_.options.control_nodes;
+  return all[next_control_++ % all.size()].address;
+}
+
+void watch_client::poll() {
+  json params;
+  const std::uint64_t token = next_token_++;
+  params["token"] = json(Json::UInt64(token));
+  params["heartbeat"] = membership::to_json(make_heartbeat_());
+  params["revision"] = json(Json::UInt64(context_.store.revision()));
+  params["book_version"] = json(Json::UInt64(book_version_));
+  questions_.push_back({token, context_.clock.now()});
+  if (questions_.size() > most_questions) questions_.pop_front();
+  context_.links.send(poll_address(), "config.poll", params);
+}
+
+void watch_client::handle_update(const json& params) {
+  const monotonic_time now = context_.clock.now();
+  const std::string leader = text_of(params, "leader");
+  if (!leader.empty()) leader_ = leader;
+  const std::uint64_t token = number_of(params, "token");
+  const auto asked = std::find_if(
+      questions_.begin(), questions_.end(),
+      [token](const question& it) { return it.token == token; });
+  const json& update = member_of(params, "update");
+  if (update.isObject()) apply(update);
+  if (asked == questions_.end()) return;
+  if (flag_of(params, "confirmed")) {
+    answered_at_ = now;
+    take_book(update);
+    const bool current = context_.store.revision() >= number_of(update, "to");
+    if (current) context_.state.confirm(asked->asked_at, now);
+  }
+  questions_.erase(asked);
+}
+
+void watch_client::apply(const json& value) {
+  const result<config::watch_update> update = config::watch_update_from(value);
+  if (!update || update->to <= context_.store.revision()) return;
+  config::object_store next = context_.store;
+  const result<void> applied = config::apply_update(next, *update);
+  if (!applied) {
+    // A gap: the next poll brings what is missing.
+    next_poll_ = context_.clock.now();
+    return;
+  }
+  if (!context_.options.data_folder.empty()) {
+    // On disk first: a restart must not lead back.
+    const result<void> saved =
+        config::save_copy(context_.options.data_folder, next);
+    if (!saved) {
+      log_event(log_level::error, "configuration-copy-failed",
+                {{"detail", saved.error().message}});
+    }
+  }
+  context_.store = std::move(next);
+  log_event(log_level::info, "configuration-in-force",
+            {{"revision", std::to_string(context_.store.revision())}});
+  if (on_changed) on_changed();
+}
+
+void watch_client::take_book(const json& update) {
+  for (const json& it : member_of(update, "book")) {
+    const membership::node_info info = membership::node_info_from(it);
+    if (!info.name.empty()) context_.book[info.name] = info;
+  }
+  book_version_ = number_of(update, "book_version");
+  for (const json& it : member_of(update, "ledgers")) {
+    const config::ledger_founding one = config::ledger_founding_from(it);
+    ledgers_[one.region] = one;
+  }
+}
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/watch_client.h
@@ -0,0 +1,55 @@
+// Follows the configuration: polls the leader, takes pushed changes, keeps a
+// copy on disk, and tells the node state when the leader confirms.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "node_context.h"
+#include "trestlepost/config/state_machine.h"
+
+namespace trestlepost::node {
+
+class watch_client {
+ public:
+  watch_client(node_context& context,
+               std::function<membership::heartbeat()> make_heartbeat);
+
+  void start();
+  void tick();
+
+  /// The node that leads the configuration group, as far as is known.
+  const std::string& leader() const { return leader_; }
+  const std::map<std::string, config::ledger_founding>& ledgers() const {
+    return ledgers_;
+  }
+  /// Called after the configuration changed.
+  std::function<void()> on_changed;
+
+ private:
+  struct question {
+    std::uint64_t token = 0;
+    monotonic_time asked_at;
+  };
+
+  void poll();
+  std::string poll_address();
+  void handle_update(const json& params);
+  void apply(const json& update);
+  void take_book(const json& update);
+
+  node_context& context_;
+  std::function<membership::heartbeat()> make_heartbeat_;
+  std::string leader_;
+  std::map<std::string, config::ledger_founding> ledgers_;
+  std::deque<question> questions_;
+  std::uint64_t next_token_ = 1;
+  std::uint64_t book_version_ = 0;
+  std::size_t next_control_ = 0;
+  monotonic_time next_poll_;
+  monotonic_time answered_at_;
+};
+
+}  // namespace trestlepost::node
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -167,11 +167,11 @@
 
 void connection::on_gone(std::function<void()> action) {
   if (gone_) {
-    action();
+    if (action) action();
     return;
   }
   on_gone_ = std::move(action);
-  if (watching_) return;
+  if (watching_ || !on_gone_) return;
   watching_ = true;
   asio::co_spawn(
       stream_.get_executor(),
