--- /dev/null
+++ b/ctl/src/config_file.cc
@@ -0,0 +1,55 @@
+#include "config_file.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::ctl {
+namespace {
+
+constexpr char mend_remedy[] = "mend the file and try again";
+
+/// Operators write the token itself; only its hash leaves this machine.
+void hash_token(json& spec) {
+  if (!spec.isObject() || !spec["token"].isString()) {
+    if (spec.isObject()) spec.removeMember("token");
+    return;
+  }
+  spec["token_sha256"] = sha256_hex(spec["token"].asString());
+  spec.removeMember("token");
+}
+
+}  // namespace
+
+result<std::vector<config::edit>> read_config(const std::string& text,
+                                              const std::string& file,
+                                              bool whole) {
+  const result<json> document = parse_json(text, json_comments::allow);
+  if (!document) {
+    return fail(error_kind::bad_input,
+                file + ": " + document.error().message, mend_remedy);
+  }
+  problem_list problems(text);
+  object_reader reader(*document, "", problems);
+  std::vector<config::edit> out;
+  config::object_store trial;
+  for (const config::object_kind kind : config::all_object_kinds) {
+    const std::string list(config::list_name(kind));
+    for (json& spec : reader.objects_or_empty(list.c_str())) {
+      if (kind == config::object_kind::caller) hash_token(spec);
+      const std::string name = text_of(spec, "name");
+      config::edit one{kind, name, spec, std::nullopt};
+      trial.put(one, 1, problems);
+      out.push_back(std::move(one));
+    }
+  }
+  reader.finish();
+  if (problems.empty() && whole) trial.check(problems);
+  if (!problems.empty()) {
+    return fail(error_kind::bad_input, problems.to_text(file), mend_remedy);
+  }
+  return out;
+}
+
+}  // namespace trestlepost::ctl
--- /dev/null
+++ b/ctl/src/print.h
@@ -0,0 +1,16 @@
+// Text for people from the answers of a node.
+#pragma once
+
+#include <string>
+
+#include "trestlepost/base/json.h"
+
+namespace trestlepost::ctl {
+
+std::string print_status(const json& status);
+std::string print_objects(const json& answer);
+std::string print_audit(const json& answer);
+std::string print_explanation(const json& answer);
+std::string print_change(const json& outcome);
+
+}  // namespace trestlepost::ctl
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -353,18 +353,18 @@
          context_.nodes.live_in(region, now)) {
       gateways.push_back(it->last.node);
     }
-    config::ledger_founding founding;
-    founding.region = region;
-    founding.group_id = make_request_id(context_.random);
+    config::ledger_founding ledger;
+    ledger.region = region;
+    ledger.group_id = make_request_id(context_.random);
     for (const membership::node_info& it :
          choose_ledger_voters(std::move(gateways))) {
-      founding.members.push_back({{it.name, it.incarnation}, true});
+      ledger.members.push_back({{it.name, it.incarnation}, true});
     }
-    if (founding.members.empty()) continue;
+    if (ledger.members.empty()) continue;
     config::change asked;
     asked.id = "found-ledger-" + region;
     asked.operator_name = "trestlepost";
-    asked.founding = std::move(founding);
+    asked.founding = std::move(ledger);
     proposed_ledgers_.insert(region);
     propose(std::move(asked), [](const result<json>&) {});
   }
