--- /dev/null
+++ b/bench/src/platform.cc
@@ -0,0 +1,89 @@
+#include "platform.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+#include <map>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/json.h"
+#include "trestlepost/transport/http_server.h"
+
+namespace trestlepost::bench {
+namespace {
+
+using transport::awaitable;
+using transport::http_answer;
+using transport::http_exchange;
+
+class platform_handler final : public transport::http_handler {
+ public:
+  explicit platform_handler(const platform_options& options)
+      : options_(options) {
+    for (const std::string& it : options.vms) vms_[it] = {};
+  }
+
+  awaitable<void> handle(http_exchange& exchange) override {
+    const std::string target(exchange.target());
+    const result<std::string> body = co_await exchange.read_body();
+    if (!body) co_return;
+    http_answer answer;
+    if (target == "/v1/vms") {
+      answer.body = listed();
+    } else {
+      const std::size_t mark = target.find('?');
+      const bool leaving = target.starts_with("/stand-in/leaving");
+      if (mark != std::string::npos) set(target.substr(mark + 1), leaving);
+    }
+    co_await exchange.respond(std::move(answer));
+  }
+
+ private:
+  struct vm_state {
+    bool leaving = false;
+    bool listed_leaving = false;
+    monotonic_time changed_at;
+  };
+
+  void set(const std::string& ip, bool leaving) {
+    vms_[ip].leaving = leaving;
+    vms_[ip].changed_at = std::chrono::steady_clock::now();
+  }
+
+  std::string listed() {
+    const monotonic_time now = std::chrono::steady_clock::now();
+    json out;
+    json& vms = out["vms"] = json(Json::arrayValue);
+    for (auto& [ip, it] : vms_) {
+      if (now >= it.changed_at + options_.lag) it.listed_leaving = it.leaving;
+      json one;
+      one["address"] = ip;
+      one["state"] = it.listed_leaving ? "leaving" : "live";
+      vms.append(std::move(one));
+    }
+    return to_text(out);
+  }
+
+  const platform_options& options_;
+  std::map<std::string, vm_state> vms_;
+};
+
+}  // namespace
+
+int run_platform(const platform_options& options) {
+  transport::asio::io_context io(1);
+  platform_handler handler(options);
+  transport::http_server server(io, handler, {});
+  const result<void> opened = server.listen(options.address);
+  if (!opened) {
+    std::cerr << opened.error().message << "\n";
+    return 1;
+  }
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) {
+    io.stop();
+  });
+  io.run();
+  return 0;
+}
+
+}  // namespace trestlepost::bench
--- /dev/null
+++ b/bench/src/relay.cc
@@ -0,0 +1,264 @@
+#include "relay.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/transport/http_server.h"
+
+namespace trestlepost::bench {
+namespace {
+
+using boost::asio::redirect_error;
+using boost::asio::use_awaitable;
+using std::chrono::milliseconds;
+using transport::awaitable;
+using transport::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::size_t buffer_size = 64 * 1024;
+constexpr std::size_t most_waiting = 4 * 1024 * 1024;
+constexpr milliseconds cut_check{20};
+
+/// The second part of an IP number, which names the region here.
+std::string region_of(const tcp::endpoint& at) {
+  const std::string ip = at.address().to_string();
+  const std::size_t first = ip.find('.');
+  return ip.substr(first + 1, ip.find('.', first + 1) - first - 1);
+}
+
+struct link_state {
+  milliseconds delay{0};
+  bool cut = false;
+};
+
+struct network {
+  std::map<std::pair<std::string, std::string>, link_state> links;
+  milliseconds between_regions{0};
+
+  link_state& between(const std::string& from, const std::string& to) {
+    const auto [it, added] = links.try_emplace({from, to});
+    if (added && from != to) it->second.delay = between_regions;
+    return it->second;
+  }
+};
+
+/// Both directions of one connection.
+struct relayed_connection {
+  explicit relayed_connection(transport::asio::io_context& io)
+      : source(io), target(io) {}
+  tcp::socket source;
+  tcp::socket target;
+
+  void close() {
+    error_code ec;
+    source.close(ec);
+    target.close(ec);
+  }
+};
+
+struct waiting_piece {
+  monotonic_time due;
+  std::string data;
+};
+
+struct direction {
+  explicit direction(transport::asio::io_context& io) : wake(io) {}
+  std::deque<waiting_piece> queue;
+  std::size_t bytes = 0;
+  bool ended = false;
+  boost::asio::steady_timer wake;
+};
+
+awaitable<void> sleep_for(transport::asio::io_context& io, milliseconds n) {
+  boost::asio::steady_timer timer(io);
+  timer.expires_after(n);
+  error_code ec;
+  co_await timer.async_wait(redirect_error(use_awaitable, ec));
+}
+
+awaitable<void> read_side(transport::asio::io_context& io,
+                          std::shared_ptr<relayed_connection> pair,
+                          tcp::socket& from, std::shared_ptr<direction> way,
+                          link_state& link) {
+  std::array<char, buffer_size> buf{};
+  while (true) {
+    error_code ec;
+    const std::size_t n = co_await from.async_read_some(
+        boost::asio::buffer(buf), redirect_error(use_awaitable, ec));
+    if (ec || !pair->target.is_open()) break;
+    way->queue.push_back({std::chrono::steady_clock::now() + link.delay,
+                          std::string(buf.data(), n)});
+    way->bytes += n;
+    way->wake.cancel();
+    while (way->bytes > most_waiting) co_await sleep_for(io, cut_check);
+  }
+  way->ended = true;
+  way->wake.cancel();
+}
+
+awaitable<void> write_side(transport::asio::io_context& io,
+                           std::shared_ptr<relayed_connection> pair,
+                           tcp::socket& to, std::shared_ptr<direction> way,
+                           link_state& link) {
+  while (true) {
+    if (way->queue.empty()) {
+      if (way->ended) break;
+      way->wake.expires_at(boost::asio::steady_timer::time_point::max());
+      error_code ec;
+      co_await way->wake.async_wait(redirect_error(use_awaitable, ec));
+      continue;
+    }
+    // A cut link carries nothing, and tells nobody.
+    while (link.cut && to.is_open()) co_await sleep_for(io, cut_check);
+    const monotonic_time now = std::chrono::steady_clock::now();
+    if (way->queue.front().due > now) {
+      way->wake.expires_at(way->queue.front().due);
+      error_code ec;
+      co_await way->wake.async_wait(redirect_error(use_awaitable, ec));
+      continue;
+    }
+    const std::string data = std::move(way->queue.front().data);
+    way->queue.pop_front();
+    way->bytes -= data.size();
+    error_code ec;
+    co_await boost::asio::async_write(to, boost::asio::buffer(data),
+                                      redirect_error(use_awaitable, ec));
+    if (ec) break;
+  }
+  pair->close();
+}
+
+awaitable<void> connect_and_relay(transport::asio::io_context& io,
+                                  network& net, tcp::socket source,
+                                  std::string target_address) {
+  const std::shared_ptr<relayed_connection> pair =
+      std::make_shared<relayed_connection>(io);
+  pair->source = std::move(source);
+  error_code ec;
+  const std::string from = region_of(pair->source.remote_endpoint(ec));
+  const tcp::endpoint at = *transport::parse_address(target_address);
+  const std::string to = region_of(at);
+  link_state& forward = net.between(from, to);
+  link_state& back = net.between(to, from);
+  while (forward.cut || back.cut) co_await sleep_for(io, cut_check);
+  co_await sleep_for(io, forward.delay + back.delay);
+  co_await pair->target.async_connect(at, redirect_error(use_awaitable, ec));
+  if (ec) {
+    pair->close();
+    co_return;
+  }
+  transport::set_socket_options(pair->source);
+  transport::set_socket_options(pair->target);
+  const std::shared_ptr<direction> out = std::make_shared<direction>(io);
+  const std::shared_ptr<direction> in = std::make_shared<direction>(io);
+  using boost::asio::co_spawn;
+  using boost::asio::detached;
+  co_spawn(io, read_side(io, pair, pair->source, out, forward), detached);
+  co_spawn(io, write_side(io, pair, pair->target, out, forward), detached);
+  co_spawn(io, read_side(io, pair, pair->target, in, back), detached);
+  co_spawn(io, write_side(io, pair, pair->source, in, back), detached);
+}
+
+awaitable<void> accept_loop(transport::asio::io_context& io, network& net,
+                            tcp::acceptor acceptor, std::string target) {
+  while (true) {
+    tcp::socket socket(io);
+    error_code ec;
+    co_await acceptor.async_accept(socket, redirect_error(use_awaitable, ec));
+    if (ec) co_return;
+    boost::asio::co_spawn(
+        io, connect_and_relay(io, net, std::move(socket), target),
+        boost::asio::detached);
+  }
+}
+
+class control_handler final : public transport::http_handler {
+ public:
+  explicit control_handler(network& net) : net_(net) {}
+
+  awaitable<void> handle(transport::http_exchange& exchange) override {
+    std::map<std::string, std::string> query;
+    std::string rest(exchange.target());
+    rest.erase(0, rest.find('?') + 1);
+    while (!rest.empty()) {
+      const std::size_t end = rest.find('&');
+      const std::string one = rest.substr(0, end);
+      rest = end == std::string::npos ? "" : rest.substr(end + 1);
+      const std::size_t equals = one.find('=');
+      if (equals != std::string::npos) {
+        query[one.substr(0, equals)] = one.substr(equals + 1);
+      }
+    }
+    change(query);
+    transport::http_answer answer;
+    co_await exchange.respond(std::move(answer));
+  }
+
+ private:
+  void change(const std::map<std::string, std::string>& query) {
+    const auto value = [&query](const char* key) {
+      const auto it = query.find(key);
+      return it == query.end() ? std::string() : it->second;
+    };
+    const std::string from = value("from");
+    const std::string to = value("to");
+    if (from != "*" && to != "*") net_.between(from, to);
+    for (auto& [ends, it] : net_.links) {
+      const bool matches = (from == "*" || from == ends.first) &&
+                           (to == "*" || to == ends.second);
+      // "*" means the links between regions.
+      if (!matches || (ends.first == ends.second && from == "*")) continue;
+      if (query.contains("cut")) it.cut = value("cut") == "1";
+      if (query.contains("delay")) {
+        it.delay = milliseconds(std::atoi(value("delay").c_str()));
+      }
+    }
+  }
+
+  network& net_;
+};
+
+}  // namespace
+
+int run_relay(const relay_options& options) {
+  transport::asio::io_context io(1);
+  network net;
+  net.between_regions = milliseconds(options.delay_ms);
+  for (const relay_link& it : options.links) {
+    result<tcp::acceptor> acceptor = transport::listen_on(io, it.listen);
+    if (!acceptor) {
+      std::cerr << acceptor.error().message << "\n";
+      return 1;
+    }
+    boost::asio::co_spawn(
+        io, accept_loop(io, net, std::move(*acceptor), it.target),
+        boost::asio::detached);
+  }
+  control_handler handler(net);
+  transport::http_server control(io, handler, {});
+  const result<void> opened = control.listen(options.control_address);
+  if (!opened) {
+    std::cerr << opened.error().message << "\n";
+    return 1;
+  }
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) {
+    io.stop();
+  });
+  io.run();
+  return 0;
+}
+
+}  // namespace trestlepost::bench
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -80,15 +80,27 @@
   out.region = options.region;
   out.availability_zone = options.availability_zone;
   if (options.gateway) {
-    out.caller_address = options.callers_address;
-    out.forward_address = options.forwards_address;
+    out.caller_address = options.advertised_callers;
+    out.forward_address = options.advertised_forwards;
   }
-  out.peer_address = options.peers_address;
+  out.peer_address = options.advertised_peers;
   out.control = options.control;
   out.durable = !options.data_folder.empty();
   return out;
 }
 
+transport::peer_options peer_options_of(const settings& options) {
+  transport::peer_options out;
+  out.source_ip = options.outgoing_ip;
+  return out;
+}
+
+transport::http_client_options client_options_of(const settings& options) {
+  transport::http_client_options out;
+  out.source_ip = options.outgoing_ip;
+  return out;
+}
+
 gateway::gateway_options gateway_options_of(const settings& options) {
   gateway::gateway_options out;
   out.queue_capacity = options.queue_capacity;
@@ -150,9 +162,9 @@
       base(b),
       state(*base.node_chart, options.state, base.clock.now()),
       endpoints(*base.endpoint_chart, options.endpoints),
-      links(io, options.peer_secret, {}),
+      links(io, options.peer_secret, peer_options_of(options)),
       peer_server(io, options.peer_secret, peer_dispatcher, base.random, {}),
-      client(io, {}),
+      client(io, client_options_of(options)),
       context{io,
               options,
               base.clock,
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -35,6 +35,8 @@
     out_.data_folder = reader.text_or("data_folder", "");
     out_.charts_folder = reader.text("charts_folder");
     read_addresses(reader);
+    read_advertised(reader);
+    out_.outgoing_ip = reader.text_or("outgoing_ip", "");
     read_control_nodes(reader);
     read_seeds(reader);
     out_.peer_secret = reader.text("peer_secret_file");
@@ -102,6 +104,22 @@
     }
   }
 
+  void read_advertised(object_reader& outer) {
+    out_.advertised_callers = out_.callers_address;
+    out_.advertised_forwards = out_.forwards_address;
+    out_.advertised_peers = out_.peers_address;
+    const json& value = outer.raw("advertised");
+    if (value.isNull()) return;
+    object_reader reader(value, "advertised", problems_);
+    const auto read = [this, &reader](const char* key, std::string& target) {
+      if (!reader.raw(key).isNull()) target = read_address(reader, key);
+    };
+    read("callers", out_.advertised_callers);
+    read("forwards", out_.advertised_forwards);
+    read("peers", out_.advertised_peers);
+    reader.finish();
+  }
+
   void read_control_nodes(object_reader& outer) {
     for (const json& it : outer.objects_or_empty("control_nodes")) {
       object_reader reader(it, "control_nodes", problems_);
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -46,6 +46,11 @@
   std::string forwards_address;
   std::string operators_address;
   std::string peers_address;
+  /// What others are told, when it differs from where the node listens.
+  std::string advertised_callers;
+  std::string advertised_forwards;
+  std::string advertised_peers;
+  std::string outgoing_ip;  // empty: any
   std::vector<control_node> control_nodes;
   std::vector<std::string> seeds;
   std::string peer_secret;
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -23,6 +23,11 @@
 /// messages, and an end to connections whose peer is silently gone.
 void set_socket_options(tcp::socket& socket);
 
+/// Opens `socket` for a connection to `to` from the own address `source_ip`;
+/// an empty one leaves the choice to the system.
+void open_from(tcp::socket& socket, const tcp::endpoint& to,
+               const std::string& source_ip);
+
 /// Opens a listening socket, or tells that the address is taken.
 result<tcp::acceptor> listen_on(asio::io_context& context,
                                 const std::string& address);
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -17,6 +17,7 @@
   /// A kept connection that is idle for longer is closed.
   std::chrono::milliseconds keep_idle{5000};
   std::size_t most_kept = 64;  // for each address
+  std::string source_ip;       // of outgoing connections; empty: any
 };
 
 struct http_request {
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -45,7 +45,7 @@
 }  // namespace
 
 struct http_client::state {
-  state(asio::io_context& c, http_client_options o) : context(c), options(o) {}
+  state(asio::io_context& c, http_client_options o) : context(c), options(std::move(o)) {}
 
   connection_ptr take(const std::string& address) {
     std::deque<connection_ptr>& kept = idle[address];
@@ -132,6 +132,7 @@
   const monotonic_time latest =
       std::chrono::steady_clock::now() + client_->options.connect_timeout;
   connection_->stream.expires_at(std::min(latest, deadline));
+  open_from(connection_->stream.socket(), *at, client_->options.source_ip);
   error_code ec;
   co_await connection_->stream.async_connect(*at,
                                              redirect_error(use_awaitable, ec));
@@ -232,7 +233,7 @@
 
 http_client::http_client(asio::io_context& context,
                          http_client_options options)
-    : state_(std::make_shared<state>(context, options)) {}
+    : state_(std::make_shared<state>(context, std::move(options))) {}
 
 http_client::~http_client() { close(); }
 
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -44,7 +44,7 @@
 
 struct peer_links::state {
   state(asio::io_context& c, std::string s, peer_options o)
-      : context(c), secret(std::move(s)), options(o) {}
+      : context(c), secret(std::move(s)), options(std::move(o)) {}
 
   asio::io_context& context;
   std::string secret;
@@ -57,11 +57,12 @@
 
 using links_state = std::shared_ptr<peer_links::state>;
 
-awaitable<bool> connect(link& to) {
+awaitable<bool> connect(const peer_links::state& all, link& to) {
   const result<tcp::endpoint> at = parse_address(to.address);
   if (!at) co_return false;
   error_code ec;
   to.stream.socket().close(ec);
+  open_from(to.stream.socket(), *at, all.options.source_ip);
   to.stream.expires_after(connect_timeout);
   co_await to.stream.async_connect(*at, redirect_error(use_awaitable, ec));
   if (ec) co_return false;
@@ -107,7 +108,7 @@
 
 awaitable<void> run_link(links_state all, std::shared_ptr<link> to) {
   while (!to->closed) {
-    const bool connected = co_await connect(*to);
+    const bool connected = co_await connect(*all, *to);
     if (connected) co_await send_queue(*all, *to);
     if (to->closed) co_return;
     // What waited is stale by the time of the next connection.
@@ -128,7 +129,7 @@
 
 peer_links::peer_links(asio::io_context& context, std::string secret,
                        peer_options options)
-    : state_(std::make_shared<state>(context, std::move(secret), options)) {}
+    : state_(std::make_shared<state>(context, std::move(secret), std::move(options))) {}
 
 peer_links::~peer_links() { close(); }
 
--- a/transport/src/peer_server.cc
+++ b/transport/src/peer_server.cc
@@ -27,7 +27,8 @@
 struct peer_server::state {
   state(asio::io_context& c, std::string s, rpc_dispatcher& d,
         random_source& r, peer_options o)
-      : context(c), secret(std::move(s)), dispatcher(d), random(r), options(o) {}
+      : context(c), secret(std::move(s)), dispatcher(d), random(r),
+        options(std::move(o)) {}
 
   asio::io_context& context;
   std::string secret;
@@ -128,7 +129,7 @@
                          rpc_dispatcher& dispatcher, random_source& random,
                          peer_options options)
     : state_(std::make_shared<state>(context, std::move(secret), dispatcher,
-                                     random, options)) {
+                                     random, std::move(options))) {
   dispatcher.add_notification(detail::hello_method,
                               [](const json&, const rpc_context&) {});
 }
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -1,3 +1,4 @@
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -37,6 +38,20 @@
                &unacknowledged_ms, sizeof unacknowledged_ms);
 }
 
+void open_from(tcp::socket& socket, const tcp::endpoint& to,
+               const std::string& source_ip) {
+  if (source_ip.empty()) return;
+  boost::system::error_code ec;
+  const asio::ip::address ip = asio::ip::make_address(source_ip, ec);
+  if (!ec) socket.open(to.protocol(), ec);
+  if (ec) return;
+  // The port is chosen on connecting, so that many peers share one.
+  const int on = 1;
+  ::setsockopt(socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT,
+               &on, sizeof on);
+  socket.bind(tcp::endpoint(ip, 0), ec);
+}
+
 result<tcp::acceptor> listen_on(asio::io_context& context,
                                 const std::string& address) {
   const result<tcp::endpoint> at = parse_address(address);
