--- /dev/null
+++ b/tests/test/cli-test.cc
@@ -0,0 +1,115 @@
+// The operators' client and the daemon as programs: exit codes and output.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "cluster.h"
+
+namespace trestlepost::test {
+namespace {
+
+struct program_result {
+  int status = 0;
+  std::string output;
+};
+
+program_result run(const cluster& it, std::vector<std::string> command) {
+  const std::string log = it.folder() + "/cli.log";
+  std::filesystem::remove(log);
+  process child(command, it.folder(), log);
+  program_result out;
+  out.status = child.wait();
+  std::ifstream in(log);
+  out.output = {std::istreambuf_iterator<char>(in),
+                std::istreambuf_iterator<char>()};
+  return out;
+}
+
+program_result ctl(const cluster& it, std::vector<std::string> arguments,
+                   const std::string& node = "isola-2") {
+  std::vector<std::string> command{std::string(TRESTLEPOST_BIN) +
+                                       "/trestlepost",
+                                   "--node", it.address(node, 7002)};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  return run(it, std::move(command));
+}
+
+TEST(cli_test, commands_work_against_any_node_with_stated_exit_codes) {
+  cluster it;
+  it.bring_up();
+  ::setenv("TRESTLEPOST_TOKEN", "operator-token", 1);
+  std::ofstream(it.folder() + "/good.jsonc")
+      << R"({"regions": [{"name": "golfo", "labels": {"m": "1"}}]}  // fine)";
+  std::ofstream(it.folder() + "/bad.jsonc")
+      << R"({"regions": [{"nmae": "golfo"}]})";
+  for (const std::string& node : it.nodes()) {
+    EXPECT_EQ(ctl(it, {"status"}, node).status, 0) << node;
+    EXPECT_EQ(ctl(it, {"get", "regions"}, node).status, 0) << node;
+    EXPECT_EQ(ctl(it, {"audit"}, node).status, 0) << node;
+  }
+  const program_result applied =
+      ctl(it, {"apply", "-f", "good.jsonc", "--change-id", "c1", "--wait"},
+          "golfo-2");
+  EXPECT_EQ(applied.status, 0) << applied.output;
+  EXPECT_NE(applied.output.find("accepted"), std::string::npos);
+  EXPECT_EQ(ctl(it, {"apply", "-f", "good.jsonc"}).output.rfind(
+                "nothing to change", 0),
+            0U);
+  const program_result bad = ctl(it, {"apply", "-f", "bad.jsonc"});
+  EXPECT_EQ(bad.status, 2);
+  EXPECT_NE(bad.output.find("did you mean \"name\"?"), std::string::npos);
+  EXPECT_EQ(ctl(it, {"check", "bad.jsonc"}).status, 2);
+  EXPECT_EQ(ctl(it, {"check", "good.jsonc"}).status, 0);
+  EXPECT_EQ(ctl(it, {"apply", "-f", "good.jsonc", "--change-id", "c2",
+                     "--if-revision", "1"})
+                .status,
+            3);
+  EXPECT_EQ(ctl(it, {"delete", "region", "golfo"}).status, 1);
+  EXPECT_EQ(ctl(it, {"get", "region", "none"}).status, 2);
+  const program_result explained =
+      ctl(it, {"explain", "--caller", "terminal", "--service", "guida"});
+  EXPECT_EQ(explained.status, 0) << explained.output;
+  EXPECT_NE(explained.output.find("served in"), std::string::npos);
+  EXPECT_EQ(
+      ctl(it, {"explain", "--caller", "nobody", "--service", "guida"}).status,
+      1);
+  const program_result as_json = ctl(it, {"--output", "json", "status"});
+  EXPECT_TRUE(parse_json(as_json.output)) << as_json.output;
+  EXPECT_EQ(ctl(it, {"drain", "guida-golfo-1"}).status, 0);
+  EXPECT_EQ(ctl(it, {"drain", "guida-golfo-1", "--undo"}).status, 0);
+  ::setenv("TRESTLEPOST_TOKEN", "read-token", 1);
+  EXPECT_EQ(ctl(it, {"status"}).status, 0);
+  EXPECT_EQ(ctl(it, {"drain", "guida-golfo-1"}).status, 5);
+  ::setenv("TRESTLEPOST_TOKEN", "guess", 1);
+  EXPECT_EQ(ctl(it, {"status"}).status, 5);
+  it.kill_node("stretto-2");
+  EXPECT_EQ(ctl(it, {"status"}, "stretto-2").status, 4);
+}
+
+TEST(cli_test, the_daemon_refuses_bad_settings_before_it_starts) {
+  cluster it;
+  it.bring_up();
+  std::ofstream(it.folder() + "/typo.jsonc")
+      << "{\n  \"node\": \"x\",\n  \"regoin\": \"isola\"\n}\n";
+  const std::string daemon = std::string(TRESTLEPOST_BIN) + "/trestlepostd";
+  const program_result typo = run(it, {daemon, "--settings", "typo.jsonc"});
+  EXPECT_EQ(typo.status, 2);
+  EXPECT_NE(typo.output.find("typo.jsonc:3: regoin"), std::string::npos)
+      << typo.output;
+  const program_result taken =
+      run(it, {daemon, "--settings", "isola-2.jsonc"});
+  EXPECT_EQ(taken.status, 3);
+  EXPECT_NE(taken.output.find("cannot listen"), std::string::npos);
+  const program_result folder =
+      run(it, {daemon, "--settings", "isola-1.jsonc"});
+  EXPECT_EQ(folder.status, 3);
+  EXPECT_NE(folder.output.find("another process uses"), std::string::npos);
+  EXPECT_EQ(run(it, {daemon, "--check", "--settings", "isola-2.jsonc"}).status,
+            0);
+}
+
+}  // namespace
+}  // namespace trestlepost::test
--- /dev/null
+++ b/tests/test/cluster.cc
@@ -0,0 +1,494 @@
+#include "cluster.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <thread>
+
+#include "client.h"
+#include "config_file.h"
+#include "trestlepost/base/hash.h"
+#include "trestlepost/base/random.h"
+
+namespace trestlepost::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char operator_token[] = "operator-token";
+constexpr int callers_port = 7000;
+constexpr int forwards_port = 7001;
+constexpr int operators_port = 7002;
+constexpr int peers_port = 7003;
+constexpr char platform_address[] = "127.21.9.1:9000";
+constexpr char relay_control[] = "127.21.9.2:9000";
+
+struct region_place {
+  const char* name;
+  int octet;
+  int nodes;
+};
+
+constexpr region_place regions[] = {
+    {"isola", 21, 3}, {"stretto", 22, 2}, {"golfo", 23, 2}};
+
+int octet_of(const std::string& region) {
+  for (const region_place& it : regions) {
+    if (region == it.name) return it.octet;
+  }
+  return 0;
+}
+
+std::string ip_of(int octet, int kind, int number) {
+  return "127." + std::to_string(octet) + "." + std::to_string(kind) + "." +
+         std::to_string(number);
+}
+
+std::string with_port(const std::string& ip, int port) {
+  return ip + ":" + std::to_string(port);
+}
+
+std::string bin(const char* name) {
+  return std::string(TRESTLEPOST_BIN) + "/" + name;
+}
+
+}  // namespace
+
+bool eventually(const std::function<bool()>& holds,
+                std::chrono::seconds limit) {
+  const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  return holds();
+}
+
+cluster::cluster(cluster_options options) : options_(options) {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "trestlepost-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
+  folder_ = name;
+  std::ofstream(folder_ + "/peer-secret") << "a secret of test peers";
+  std::filesystem::create_symlink(TRESTLEPOST_CHARTS, folder_ + "/charts");
+  for (const region_place& region : regions) {
+    for (int i = 1; i <= region.nodes; ++i) {
+      places_.push_back({std::string(region.name) + "-" + std::to_string(i),
+                         region.name, region.octet, i, i == 1});
+    }
+    for (unsigned i = 1; i <= options_.endpoints; ++i) {
+      endpoints_.push_back({"guida-" + std::string(region.name) + "-" +
+                                std::to_string(i),
+                            region.name,
+                            ip_of(region.octet, 2, static_cast<int>(i)),
+                            false});
+    }
+    endpoints_.push_back({"banco-" + std::string(region.name), region.name,
+                          ip_of(region.octet, 3, 1), true});
+  }
+  std::vector<std::string> relay{bin("trestlepost-bench"),
+                                 "relay",
+                                 "--control",
+                                 relay_control,
+                                 "--delay-ms",
+                                 std::to_string(options_.delay_ms)};
+  for (const node_place& it : places_) {
+    write_settings(it);
+    for (const int port : {forwards_port, peers_port}) {
+      relay.emplace_back("--link");
+      relay.push_back(with_port(ip_of(it.octet, 4, it.number), port) + "=" +
+                      with_port(ip_of(it.octet, 1, it.number), port));
+    }
+  }
+  processes_.emplace("relay", process(relay, folder_, folder_ + "/relay.log"));
+  processes_.emplace("platform",
+                     process({bin("trestlepost-bench"), "platform",
+                              "--address", platform_address, "--lag-ms", "300"},
+                             folder_, folder_ + "/platform.log"));
+  for (const endpoint_place& it : endpoints_) start_endpoint(it.name);
+}
+
+cluster::~cluster() {
+  processes_.clear();
+  if (std::getenv("TRESTLEPOST_KEEP") == nullptr) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+void cluster::write_settings(const node_place& it) const {
+  json out;
+  out["node"] = it.name;
+  out["region"] = it.region;
+  out["availability_zone"] = it.region + "-hall";
+  out["roles"].append("gateway");
+  if (it.control) {
+    out["roles"].append("control");
+    out["data_folder"] = folder_ + "/data-" + it.name;
+  }
+  out["charts_folder"] = "charts";
+  const std::string own = ip_of(it.octet, 1, it.number);
+  const std::string relayed = ip_of(it.octet, 4, it.number);
+  out["addresses"]["callers"] = with_port(own, callers_port);
+  out["addresses"]["forwards"] = with_port(own, forwards_port);
+  out["addresses"]["operators"] = with_port(own, operators_port);
+  out["addresses"]["peers"] = with_port(own, peers_port);
+  out["advertised"]["forwards"] = with_port(relayed, forwards_port);
+  out["advertised"]["peers"] = with_port(relayed, peers_port);
+  out["outgoing_ip"] = own;
+  for (const node_place& other : places_) {
+    const std::string at =
+        with_port(ip_of(other.octet, 4, other.number), peers_port);
+    if (other.control) {
+      json control;
+      control["node"] = other.name;
+      control["address"] = at;
+      out["control_nodes"].append(std::move(control));
+    }
+    if (other.region == it.region && other.name != it.name) {
+      out["seeds"].append(at);
+    }
+  }
+  out["peer_secret_file"] = "peer-secret";
+  for (const char* role : {"read", "change", "found"}) {
+    json one;
+    one["name"] = std::string("operator-") + role;
+    one["role"] = role;
+    one["token_sha256"] = sha256_hex(
+        std::string(role) == "found" ? operator_token
+                                     : std::string(role) + "-token");
+    out["operators"].append(std::move(one));
+  }
+  out["platform"]["address"] = platform_address;
+  out["platform"]["poll_interval"] = "200 ms";
+  out["timing"]["election_timeout"] = "400 ms";
+  out["timing"]["heartbeat_interval"] = "100 ms";
+  out["timing"]["poll_interval"] = "150 ms";
+  out["timing"]["config_lease"] = "1500 ms";
+  out["timing"]["startup_wait"] = "2 s";
+  out["timing"]["endpoint_ramp"] = "1 s";
+  out["limits"]["snapshot_every"] = 100;
+  std::ofstream(folder_ + "/" + it.name + ".jsonc") << to_pretty_text(out);
+}
+
+std::string cluster::configuration() const {
+  json out;
+  for (const region_place& it : regions) {
+    json region;
+    region["name"] = it.name;
+    region["labels"]["side"] = it.octet == 23 ? "north" : "south";
+    out["regions"].append(std::move(region));
+  }
+  json guida;
+  guida["name"] = "guida";
+  guida["kind"] = "model";
+  guida["timeout"] = "20 s";
+  out["services"].append(std::move(guida));
+  json banco;
+  banco["name"] = "banco";
+  banco["repeatable"] = false;
+  banco["timeout"] = "10 s";
+  out["services"].append(std::move(banco));
+  for (const endpoint_place& it : endpoints_) {
+    json one;
+    one["name"] = it.name;
+    one["service"] = it.plain ? "banco" : "guida";
+    one["region"] = it.region;
+    one["availability_zone"] = it.region + "-hall";
+    one["address"] = with_port(it.ip, 9000);
+    one["slots"] = options_.slots;
+    out["endpoints"].append(std::move(one));
+  }
+  const auto rule = [&out](const char* name, const char* team) {
+    json one;
+    one["name"] = name;
+    one["callers"]["team"] = team;
+    out["placement_rules"].append(std::move(one));
+    return &out["placement_rules"][out["placement_rules"].size() - 1];
+  };
+  json* anywhere = rule("anywhere", "planner");
+  (*anywhere)["home"]["region"] = "isola";
+  (*anywhere)["away_penalty"] = "100 ms";
+  json* south = rule("south", "terminal");
+  (*south)["permit"]["side"] = "south";
+  (*south)["home"]["region"] = "stretto";
+  json* north = rule("north", "mainland");
+  (*north)["permit"]["region"] = "golfo";
+  json* hidden = rule("hidden", "hidden");
+  (*hidden)["permit"]["region"] = "isola";
+  (*hidden)["transit"] = "refuse";
+  for (const char* team : {"planner", "terminal", "mainland", "hidden"}) {
+    json one;
+    one["name"] = team;
+    one["labels"]["team"] = team;
+    one["token"] = std::string(team) + "-token";
+    out["callers"].append(std::move(one));
+  }
+  json nobody;
+  nobody["name"] = "nobody";
+  nobody["token"] = "nobody-token";
+  out["callers"].append(std::move(nobody));
+  return to_text(out);
+}
+
+void cluster::start_nodes() {
+  for (const node_place& it : places_) start_node(it.name);
+}
+
+void cluster::bring_up() {
+  start_nodes();
+  const std::string first = places_.front().name;
+  if (!eventually([&] { return rpc(first, "init").has_value(); })) {
+    throw std::runtime_error("the group was not founded: " + log_of(first));
+  }
+  if (!eventually([&] { return apply(first, configuration()).has_value(); })) {
+    throw std::runtime_error("the configuration was not applied");
+  }
+  const bool up = eventually([this] {
+    for (const node_place& it : places_) {
+      const json now = status(it.name);
+      if (text_of(now, "state") != "ready") return false;
+      if (number_of(now, "revision") == 0) return false;
+      if (text_of(member_of(now, "ledger"), "leader").empty()) return false;
+      if (member_of(now, "nodes").size() != places_.size()) return false;
+    }
+    return true;
+  });
+  if (!up) throw std::runtime_error("not all nodes became ready");
+}
+
+const cluster::node_place& cluster::place(const std::string& name) const {
+  for (const node_place& it : places_) {
+    if (it.name == name) return it;
+  }
+  throw std::runtime_error("no node " + name);
+}
+
+std::string cluster::address(const std::string& node, int port) const {
+  const node_place& it = place(node);
+  return with_port(ip_of(it.octet, 1, it.number), port);
+}
+
+void cluster::start_node(const std::string& name) {
+  processes_.erase(name);
+  processes_.emplace(
+      name, process({bin("trestlepostd"), "--settings", name + ".jsonc"},
+                    folder_, folder_ + "/" + name + ".log"));
+}
+
+void cluster::kill_node(const std::string& name) { processes_.erase(name); }
+
+void cluster::freeze_node(const std::string& name) {
+  processes_.at(name).signal(SIGSTOP);
+}
+
+void cluster::thaw_node(const std::string& name) {
+  processes_.at(name).signal(SIGCONT);
+}
+
+void cluster::stop_node(const std::string& name) {
+  processes_.at(name).signal(SIGTERM);
+}
+
+int cluster::wait_node(const std::string& name) {
+  return processes_.at(name).wait();
+}
+
+bool cluster::node_running(const std::string& name) {
+  const auto it = processes_.find(name);
+  return it != processes_.end() && it->second.running();
+}
+
+void cluster::wipe_node(const std::string& name) {
+  std::filesystem::remove_all(folder_ + "/data-" + name);
+}
+
+void cluster::kill_endpoint(const std::string& name) { processes_.erase(name); }
+
+void cluster::start_endpoint(const std::string& name) {
+  for (const endpoint_place& it : endpoints_) {
+    if (it.name != name) continue;
+    std::vector<std::string> command{
+        bin("trestlepost-bench"), "endpoint",
+        "--name",                 it.name,
+        "--region",               it.region,
+        "--address",              with_port(it.ip, 9000),
+        "--run-log",              folder_ + "/runs",
+        "--slots",                std::to_string(options_.slots),
+        "--speed",                std::to_string(options_.speed),
+        "--plain-ms",             std::to_string(options_.plain_ms)};
+    if (it.plain) command.emplace_back("--plain");
+    processes_.erase(name);
+    processes_.emplace(name,
+                       process(command, folder_, folder_ + "/" + name + ".log"));
+  }
+}
+
+void cluster::fault(const std::string& endpoint, const std::string& name) {
+  for (const endpoint_place& it : endpoints_) {
+    if (it.name != endpoint) continue;
+    bench::caller_request request;
+    request.address = with_port(it.ip, 9000);
+    request.target = "/stand-in/fault?" + name;
+    bench::send_now(request);
+  }
+}
+
+void cluster::platform_says(const std::string& endpoint, bool leaving) {
+  for (const endpoint_place& it : endpoints_) {
+    if (it.name != endpoint) continue;
+    bench::caller_request request;
+    request.address = platform_address;
+    request.target =
+        std::string(leaving ? "/stand-in/leaving?" : "/stand-in/live?") + it.ip;
+    bench::send_now(request);
+  }
+}
+
+void cluster::control_relay(const std::string& query) {
+  bench::caller_request request;
+  request.address = relay_control;
+  request.target = "/link?" + query;
+  bench::send_now(request);
+}
+
+void cluster::cut(const std::string& from, const std::string& to) {
+  const std::string a = from == "*" ? from : std::to_string(octet_of(from));
+  const std::string b = to == "*" ? to : std::to_string(octet_of(to));
+  control_relay("from=" + a + "&to=" + b + "&cut=1");
+  control_relay("from=" + b + "&to=" + a + "&cut=1");
+}
+
+void cluster::heal() { control_relay("from=*&to=*&cut=0"); }
+
+result<json> cluster::rpc(const std::string& node, const std::string& method,
+                          const json& params) {
+  ctl::client_options options;
+  options.nodes = {address(node, operators_port)};
+  options.token = operator_token;
+  ctl::client client(options);
+  return client.call(method, params);
+}
+
+result<json> cluster::apply(const std::string& node, const std::string& text,
+                            const std::string& change_id,
+                            std::optional<std::uint64_t> if_revision) {
+  const result<std::vector<config::edit>> edits =
+      ctl::read_config(text, "test", false);
+  if (!edits) return tl::make_unexpected(edits.error());
+  json params;
+  system_random random;
+  params["change_id"] =
+      change_id.empty() ? make_request_id(random) : change_id;
+  for (const config::edit& it : *edits) {
+    params["edits"].append(config::to_json(it));
+  }
+  if (if_revision) params["if_revision"] = json(Json::UInt64(*if_revision));
+  return rpc(node, "apply", params);
+}
+
+json cluster::status(const std::string& node) {
+  const result<json> answer = rpc(node, "status");
+  return answer ? *answer : json(Json::objectValue);
+}
+
+std::uint64_t cluster::revision(const std::string& node) {
+  return number_of(status(node), "revision");
+}
+
+std::string cluster::state(const std::string& node) {
+  return text_of(status(node), "state");
+}
+
+std::string cluster::leader() {
+  for (const std::string& it : control_nodes()) {
+    if (!node_running(it)) continue;
+    const json now = status(it);
+    if (flag_of(member_of(now, "control"), "leads")) return it;
+  }
+  return {};
+}
+
+bench::caller_request cluster::model_request(const std::string& node,
+                                             const std::string& caller,
+                                             bool stream) {
+  system_random random;
+  bench::caller_request out;
+  out.address = address(node, callers_port);
+  out.token = caller + "-token";
+  out.target = "/v1/chat/completions";
+  out.headers = {{"X-Request-Id", make_request_id(random)}};
+  json body;
+  body["model"] = "guida";
+  body["messages"][0]["content"] = "check the consist";
+  body["max_tokens"] = 8;
+  body["stream"] = stream;
+  out.body = to_text(body);
+  return out;
+}
+
+bench::caller_request cluster::booking(const std::string& node,
+                                       const std::string& caller,
+                                       const std::string& key,
+                                       const std::string& body) {
+  bench::caller_request out;
+  out.address = address(node, callers_port);
+  out.token = caller + "-token";
+  out.target = "/v1/services/banco/bookings";
+  out.headers = {{"Idempotency-Key", key}};
+  out.body = body;
+  return out;
+}
+
+std::vector<bench::run_record> cluster::all_runs() const {
+  std::vector<bench::run_record> out = bench::read_runs(folder_ + "/runs");
+  std::erase_if(out, [](const bench::run_record& it) {
+    return it.phase != "start";
+  });
+  return out;
+}
+
+std::vector<bench::run_record> cluster::runs_of(
+    const std::string& request_id) const {
+  std::vector<bench::run_record> out = all_runs();
+  std::erase_if(out, [&request_id](const bench::run_record& it) {
+    return it.request_id != request_id;
+  });
+  return out;
+}
+
+std::vector<bench::run_record> cluster::runs_of_key(
+    const std::string& key) const {
+  std::vector<bench::run_record> out = all_runs();
+  std::erase_if(out, [&key](const bench::run_record& it) {
+    return it.key != key;
+  });
+  return out;
+}
+
+std::vector<std::string> cluster::nodes() const {
+  std::vector<std::string> out;
+  for (const node_place& it : places_) out.push_back(it.name);
+  return out;
+}
+
+std::vector<std::string> cluster::control_nodes() const {
+  std::vector<std::string> out;
+  for (const node_place& it : places_) {
+    if (it.control) out.push_back(it.name);
+  }
+  return out;
+}
+
+std::string cluster::log_of(const std::string& node) const {
+  std::ifstream in(folder_ + "/" + node + ".log");
+  const std::string all{std::istreambuf_iterator<char>(in),
+                        std::istreambuf_iterator<char>()};
+  constexpr std::size_t shown = 2000;
+  return all.size() > shown ? all.substr(all.size() - shown) : all;
+}
+
+}  // namespace trestlepost::test
--- /dev/null
+++ b/tests/test/configuration-faults-test.cc
@@ -0,0 +1,241 @@
+// The configuration under kills, freezes, lost disks, cuts and races.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "cluster.h"
+
+namespace trestlepost::test {
+namespace {
+
+std::string region_with(const std::string& mark) {
+  return R"({"regions": [{"name": "golfo", "labels": {"side": "north",
+            "mark": ")" + mark + R"("}}]})";
+}
+
+std::string mark_on(cluster& it, const std::string& node) {
+  json params;
+  params["kind"] = "region";
+  params["name"] = "golfo";
+  const result<json> answer = it.rpc(node, "get", params);
+  if (!answer) return "";
+  return text_of((*answer)["objects"][0]["spec"]["labels"], "mark");
+}
+
+std::string status_of(const result<json>& outcome) {
+  return outcome ? text_of(*outcome, "status") : outcome.error().message;
+}
+
+bool in_force_everywhere(cluster& it, const std::string& mark) {
+  for (const std::string& node : it.nodes()) {
+    if (!it.node_running(node)) continue;
+    if (mark_on(it, node) != mark) return false;
+  }
+  return true;
+}
+
+std::string other_control_node(cluster& it, const std::string& than) {
+  for (const std::string& name : it.control_nodes()) {
+    if (name != than && it.node_running(name)) return name;
+  }
+  return {};
+}
+
+/// Whether all three control nodes vote under their present incarnation.
+bool fully_repaired(cluster& it) {
+  const std::string leader = it.leader();
+  if (leader.empty()) return false;
+  const json members =
+      member_of(member_of(it.status(leader), "control"), "members");
+  if (members.size() != 3) return false;
+  return std::all_of(members.begin(), members.end(),
+                     [](const json& one) { return flag_of(one, "voter"); });
+}
+
+TEST(configuration_faults_test, a_killed_leader_loses_nothing_accepted) {
+  cluster it;
+  it.bring_up();
+  for (int i = 0; i < 3; ++i) {
+    const std::string leader = it.leader();
+    const std::string mark = "before-kill-" + std::to_string(i);
+    ASSERT_EQ(status_of(it.apply(leader, region_with(mark))), "accepted");
+    it.kill_node(leader);
+    ASSERT_TRUE(eventually([&] { return !it.leader().empty(); }));
+    EXPECT_TRUE(eventually([&] { return in_force_everywhere(it, mark); }));
+    it.start_node(leader);
+    EXPECT_TRUE(eventually([&] { return mark_on(it, leader) == mark; }));
+  }
+}
+
+TEST(configuration_faults_test, a_frozen_leader_wakes_as_a_follower) {
+  cluster it;
+  it.bring_up();
+  const std::string frozen = it.leader();
+  it.freeze_node(frozen);
+  const std::string other = other_control_node(it, frozen);
+  ASSERT_TRUE(eventually([&] {
+    const json now = it.status(other);
+    const std::string seen = text_of(now, "leader");
+    return !seen.empty() && seen != frozen;
+  }));
+  ASSERT_TRUE(eventually([&] {
+    return status_of(it.apply(other, region_with("while-frozen"))) ==
+           "accepted";
+  }));
+  it.thaw_node(frozen);
+  EXPECT_TRUE(eventually([&] { return mark_on(it, frozen) == "while-frozen"; }));
+  EXPECT_NE(it.leader(), frozen);
+  const result<json> late = it.apply(frozen, region_with("after-thaw"));
+  EXPECT_EQ(status_of(late), "accepted");
+  EXPECT_TRUE(
+      eventually([&] { return in_force_everywhere(it, "after-thaw"); }));
+}
+
+TEST(configuration_faults_test, a_second_disk_lost_after_the_repair) {
+  cluster it;
+  it.bring_up();
+  std::string mark;
+  for (const std::string& name : it.control_nodes()) {
+    mark = "before-loss-of-" + name;
+    ASSERT_TRUE(eventually([&] {
+      return status_of(it.apply("golfo-2", region_with(mark))) == "accepted";
+    }));
+    it.kill_node(name);
+    it.wipe_node(name);
+    it.start_node(name);
+    ASSERT_TRUE(eventually([&] { return fully_repaired(it); })) << name;
+  }
+  EXPECT_TRUE(eventually([&] { return in_force_everywhere(it, mark); }));
+  EXPECT_EQ(status_of(it.apply("golfo-2", region_with("last"))), "accepted");
+}
+
+TEST(configuration_faults_test, an_empty_founder_does_not_found_again) {
+  cluster it;
+  it.bring_up();
+  const result<json> again = it.rpc("isola-1", "init");
+  ASSERT_FALSE(again);
+  EXPECT_EQ(again.error().kind, error_kind::conflict);
+  it.kill_node("isola-1");
+  it.wipe_node("isola-1");
+  it.start_node("isola-1");
+  eventually([&] { return !it.status("isola-1").empty(); });
+  const result<json> empty = it.rpc("isola-1", "init");
+  EXPECT_FALSE(empty);
+  EXPECT_TRUE(eventually([&] { return fully_repaired(it); }));
+  EXPECT_EQ(status_of(it.apply("isola-1", region_with("after"))), "accepted");
+}
+
+TEST(configuration_faults_test, a_cut_off_region_is_isolated_and_catches_up) {
+  cluster it;
+  it.bring_up();
+  it.cut("golfo", "isola");
+  it.cut("golfo", "stretto");
+  ASSERT_TRUE(eventually([&] { return it.state("golfo-2") == "isolated"; }));
+  ASSERT_TRUE(eventually([&] {
+    return status_of(it.apply("isola-2", region_with("while-cut"))) ==
+           "accepted";
+  }));
+  EXPECT_NE(mark_on(it, "golfo-1"), "while-cut");
+  const result<json> refused = it.apply("golfo-1", region_with("from-inside"));
+  EXPECT_FALSE(refused);
+  it.heal();
+  EXPECT_TRUE(eventually([&] { return it.state("golfo-2") == "ready"; }));
+  EXPECT_TRUE(eventually([&] { return in_force_everywhere(it, "while-cut"); }));
+}
+
+TEST(configuration_faults_test, many_changes_then_a_restart_of_all) {
+  cluster it;
+  it.bring_up();
+  constexpr int changes = 500;
+  const std::string leader = it.leader();
+  for (int i = 0; i < changes; ++i) {
+    ASSERT_EQ(status_of(it.apply(leader, region_with(std::to_string(i)))),
+              "accepted")
+        << i;
+  }
+  const std::uint64_t revision = it.revision(leader);
+  for (const std::string& node : it.nodes()) it.kill_node(node);
+  for (const std::string& node : it.nodes()) it.start_node(node);
+  EXPECT_TRUE(eventually([&] {
+    for (const std::string& node : it.nodes()) {
+      if (it.state(node) != "ready" || it.revision(node) != revision) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  EXPECT_EQ(mark_on(it, "stretto-2"), std::to_string(changes - 1));
+}
+
+TEST(configuration_faults_test, of_racing_operators_exactly_one_wins) {
+  cluster it;
+  it.bring_up();
+  for (int round = 0; round < 5; ++round) {
+    const std::uint64_t base = it.revision(it.leader());
+    std::vector<std::string> outcomes(4);
+    std::vector<std::thread> operators;
+    const std::vector<std::string> nodes = it.nodes();
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      operators.emplace_back([&, i] {
+        const std::string mark =
+            "race-" + std::to_string(round) + "-" + std::to_string(i);
+        outcomes[i] =
+            status_of(it.apply(nodes[i + 2], region_with(mark), "", base));
+      });
+    }
+    for (std::thread& one : operators) one.join();
+    EXPECT_EQ(std::count(outcomes.begin(), outcomes.end(), "accepted"), 1);
+    EXPECT_EQ(std::count(outcomes.begin(), outcomes.end(), "conflict"), 3);
+  }
+}
+
+TEST(configuration_faults_test, a_resent_change_gets_its_first_result) {
+  cluster it;
+  it.bring_up();
+  const std::string first = it.leader();
+  const result<json> outcome =
+      it.apply(first, region_with("once"), "change-1");
+  ASSERT_EQ(status_of(outcome), "accepted");
+  ASSERT_EQ(status_of(it.apply(first, region_with("later"))), "accepted");
+  it.kill_node(first);
+  const std::string other = other_control_node(it, first);
+  ASSERT_TRUE(eventually([&] { return !it.leader().empty(); }));
+  for (const std::string& node : {other, std::string("stretto-2")}) {
+    const result<json> again =
+        it.apply(node, region_with("once"), "change-1");
+    ASSERT_EQ(status_of(again), "accepted") << node;
+    EXPECT_EQ((*again)["revision"], (*outcome)["revision"]);
+  }
+  const result<json> other_change =
+      it.apply(other, region_with("another"), "change-1");
+  EXPECT_EQ(status_of(other_change), "mismatch");
+  EXPECT_EQ(mark_on(it, other), "later");
+}
+
+TEST(configuration_faults_test, the_audit_trail_tells_who_changed_what) {
+  cluster it;
+  it.bring_up();
+  ASSERT_EQ(status_of(it.apply("isola-2", region_with("audited"), "c-ok")),
+            "accepted");
+  ASSERT_EQ(status_of(it.apply(
+                "isola-2",
+                R"({"regions": [{"name": "isola", "lables": {}}]})", "c-bad")),
+            "test:1: region.lables: the key is unknown; did you mean "
+            "\"labels\"?\n");
+  ASSERT_EQ(status_of(it.apply("isola-2", region_with("late"), "c-late", 1)),
+            "conflict");
+  json filter;
+  filter["name"] = "golfo";
+  const result<json> by_object = it.rpc("golfo-2", "audit", filter);
+  ASSERT_TRUE(by_object) << by_object.error().message;
+  EXPECT_EQ(text_of((*by_object)["records"][0], "change_id"), "c-ok");
+  EXPECT_EQ(text_of((*by_object)["records"][0], "operator"), "operator-found");
+  const result<json> all = it.rpc("golfo-2", "audit");
+  ASSERT_TRUE(all);
+  EXPECT_EQ(text_of((*all)["records"][0], "change_id"), "c-late");
+  EXPECT_EQ(text_of((*all)["records"][0]["outcome"], "status"), "conflict");
+}
+
+}  // namespace
+}  // namespace trestlepost::test
--- /dev/null
+++ b/tests/test/process.cc
@@ -0,0 +1,72 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+extern char** environ;
+
+namespace trestlepost::test {
+
+process::process(const std::vector<std::string>& command,
+                 const std::string& folder, const std::string& log) {
+  std::vector<char*> arguments;
+  for (const std::string& it : command) {
+    arguments.push_back(const_cast<char*>(it.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addchdir_np(&actions, folder.c_str());
+  constexpr int mode = 0644;
+  posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, mode);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  const int failed = ::posix_spawn(&id_, arguments[0], &actions, nullptr,
+                                   arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) throw std::runtime_error("cannot start " + command[0]);
+}
+
+process::process(process&& other) noexcept
+    : id_(std::exchange(other.id_, -1)) {}
+
+process& process::operator=(process&& other) noexcept {
+  std::swap(id_, other.id_);
+  return *this;
+}
+
+process::~process() { kill(); }
+
+void process::signal(int number) const {
+  if (id_ > 0) ::kill(id_, number);
+}
+
+void process::kill() {
+  if (id_ <= 0) return;
+  signal(SIGKILL);
+  wait();
+}
+
+int process::wait() {
+  if (id_ <= 0) return -1;
+  int status = 0;
+  ::waitpid(id_, &status, 0);
+  id_ = -1;
+  constexpr int signal_base = 128;
+  return WIFEXITED(status) ? WEXITSTATUS(status)
+                           : signal_base + WTERMSIG(status);
+}
+
+bool process::running() {
+  if (id_ <= 0) return false;
+  siginfo_t info{};
+  ::waitid(P_PID, static_cast<id_t>(id_), &info, WEXITED | WNOHANG | WNOWAIT);
+  return info.si_pid == 0;
+}
+
+}  // namespace trestlepost::test
