--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -61,6 +61,9 @@
   /// committed change at a time.
   void set_desired_voters(std::vector<std::string> nodes);
 
+  /// Nodes that may follow as learners without ever voting.
+  void set_admitted_learners(std::vector<std::string> nodes);
+
   const replica& core() const { return *replica_; }
   bool holds_lease(monotonic_time now) const;
   bool is_member() const;
@@ -83,6 +86,7 @@
   void adjust_members(monotonic_time now);
   std::optional<member_list> next_members(monotonic_time now) const;
   bool is_desired(const std::string& node) const;
+  bool is_admitted(const std::string& node) const;
   bool ready_to_vote(monotonic_time now, const member& learner) const;
 
   replica_id self_;
@@ -93,6 +97,7 @@
   random_source& random_;
   std::unique_ptr<replica> replica_;
   std::vector<std::string> desired_;
+  std::vector<std::string> admitted_;
   std::vector<waiting_read> reads_;
   std::optional<error> failure_;
   log_index applied_ = 0;
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -99,12 +99,21 @@
   desired_ = std::move(nodes);
 }
 
+void group_host::set_admitted_learners(std::vector<std::string> nodes) {
+  admitted_ = std::move(nodes);
+}
+
+bool group_host::is_admitted(const std::string& node) const {
+  return is_desired(node) || std::find(admitted_.begin(), admitted_.end(),
+                                       node) != admitted_.end();
+}
+
 bool group_host::is_desired(const std::string& node) const {
   return std::find(desired_.begin(), desired_.end(), node) != desired_.end();
 }
 
 void group_host::handle_join(monotonic_time now, const replica_id& joiner) {
-  if (failure_ || !replica_->is_leader() || !is_desired(joiner.node)) return;
+  if (failure_ || !replica_->is_leader() || !is_admitted(joiner.node)) return;
   member_list next = replica_->members();
   for (const member& it : next) {
     if (it.id == joiner) return;
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -14,7 +14,8 @@
 constexpr milliseconds join_interval{1000};
 constexpr milliseconds watcher_lifetime{5000};
 constexpr milliseconds founding_timeout{5000};
-constexpr milliseconds ledger_founding_delay{4000};
+// A new leader waits for so many election timeouts until it knows the nodes.
+constexpr int ledger_founding_delay = 4;
 constexpr std::size_t ledger_voters = 3;
 constexpr std::size_t default_audit_rows = 50;
 constexpr char group_kind[] = "config";
@@ -342,7 +343,10 @@
     return;
   }
   if (!leading_since_) leading_since_ = now;
-  if (now < *leading_since_ + ledger_founding_delay) return;
+  if (now < *leading_since_ + ledger_founding_delay *
+                                  context_.options.timing.election_timeout) {
+    return;
+  }
   for (const auto& [region, unused] : machine_.store().regions()) {
     if (machine_.ledgers().contains(region)) continue;
     if (proposed_ledgers_.contains(region)) continue;
--- a/node/src/ledger_service.cc
+++ b/node/src/ledger_service.cc
@@ -232,6 +232,9 @@
       gateways.push_back(it->last.node);
     }
   }
+  std::vector<std::string> all;
+  for (const membership::node_info& it : gateways) all.push_back(it.name);
+  host_->set_admitted_learners(std::move(all));
   std::vector<std::string> names;
   for (const membership::node_info& it :
        choose_ledger_voters(std::move(gateways))) {
--- a/tests/test/cluster.cc
+++ b/tests/test/cluster.cc
@@ -247,17 +247,18 @@
   if (!eventually([&] { return apply(first, configuration()).has_value(); })) {
     throw std::runtime_error("the configuration was not applied");
   }
-  const bool up = eventually([this] {
+  json last;
+  const bool up = eventually([this, &last] {
     for (const node_place& it : places_) {
-      const json now = status(it.name);
-      if (text_of(now, "state") != "ready") return false;
-      if (number_of(now, "revision") == 0) return false;
-      if (text_of(member_of(now, "ledger"), "leader").empty()) return false;
-      if (member_of(now, "nodes").size() != places_.size()) return false;
+      last = status(it.name);
+      if (text_of(last, "state") != "ready") return false;
+      if (number_of(last, "revision") == 0) return false;
+      if (text_of(member_of(last, "ledger"), "leader").empty()) return false;
+      if (member_of(last, "nodes").size() != places_.size()) return false;
     }
     return true;
   });
-  if (!up) throw std::runtime_error("not all nodes became ready");
+  if (!up) throw std::runtime_error("not ready: " + to_text(last));
 }
 
 const cluster::node_place& cluster::place(const std::string& name) const {
