--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -22,9 +22,9 @@
 }
 
 Json::CharReader& reader_for(json_comments comments) {
-  static const std::unique_ptr<Json::CharReader> strict(
+  thread_local const std::unique_ptr<Json::CharReader> strict(
       make_builder(json_comments::refuse).newCharReader());
-  static const std::unique_ptr<Json::CharReader> commented(
+  thread_local const std::unique_ptr<Json::CharReader> commented(
       make_builder(json_comments::allow).newCharReader());
   return comments == json_comments::allow ? *commented : *strict;
 }
@@ -49,7 +49,7 @@
 }
 
 std::string to_text(const json& value) {
-  static const std::unique_ptr<Json::StreamWriter> writer = [] {
+  thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     builder["emitUTF8"] = true;
--- a/tests/test/cluster.cc
+++ b/tests/test/cluster.cc
@@ -404,6 +404,14 @@
   return text_of(status(node), "state");
 }
 
+std::uint64_t cluster::incarnation(const std::string& node) const {
+  std::ifstream in(folder_ + "/data-" + node + "/identity");
+  std::string text;
+  std::getline(in, text);
+  const result<json> value = parse_json(text);
+  return value ? number_of(*value, "incarnation") : 0;
+}
+
 std::string cluster::leader() {
   for (const std::string& it : control_nodes()) {
     if (!node_running(it)) continue;
--- a/tests/test/cluster.h
+++ b/tests/test/cluster.h
@@ -64,6 +64,8 @@
   std::uint64_t revision(const std::string& node);
   std::string state(const std::string& node);
   std::string leader();
+  /// From the node's data folder; 0 when there is none.
+  std::uint64_t incarnation(const std::string& node) const;
 
   bench::caller_request model_request(const std::string& node,
                                       const std::string& caller,
--- a/tests/test/configuration-faults-test.cc
+++ b/tests/test/configuration-faults-test.cc
@@ -49,8 +49,12 @@
   const json members =
       member_of(member_of(it.status(leader), "control"), "members");
   if (members.size() != 3) return false;
-  return std::all_of(members.begin(), members.end(),
-                     [](const json& one) { return flag_of(one, "voter"); });
+  for (const json& one : members) {
+    const std::uint64_t own = it.incarnation(text_of(one, "node"));
+    if (!flag_of(one, "voter")) return false;
+    if (own == 0 || number_of(one, "incarnation") != own) return false;
+  }
+  return true;
 }
 
 TEST(configuration_faults_test, a_killed_leader_loses_nothing_accepted) {
@@ -110,6 +114,26 @@
   EXPECT_EQ(status_of(it.apply("golfo-2", region_with("last"))), "accepted");
 }
 
+TEST(configuration_faults_test, two_disks_lost_at_once_stop_changes_not_requests) {
+  cluster it;
+  it.bring_up();
+  ASSERT_EQ(status_of(it.apply("isola-1", region_with("kept"))), "accepted");
+  ASSERT_TRUE(eventually([&] { return in_force_everywhere(it, "kept"); }));
+  for (const char* name : {"isola-1", "stretto-1"}) {
+    it.kill_node(name);
+    it.wipe_node(name);
+  }
+  for (const char* name : {"isola-1", "stretto-1"}) it.start_node(name);
+  ASSERT_TRUE(eventually([&] { return it.state("golfo-2") == "isolated"; }));
+  const result<json> refused = it.apply("golfo-2", region_with("lost"));
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().kind, error_kind::unavailable);
+  EXPECT_FALSE(it.rpc("isola-1", "init")) << "a second group was founded";
+  EXPECT_EQ(bench::send_now(it.model_request("golfo-2", "mainland")).status,
+            200U);
+  EXPECT_EQ(mark_on(it, "golfo-1"), "kept");
+}
+
 TEST(configuration_faults_test, an_empty_founder_does_not_found_again) {
   cluster it;
   it.bring_up();
--- a/tests/test/process.cc
+++ b/tests/test/process.cc
@@ -12,6 +12,28 @@
 
 namespace trestlepost::test {
 
+namespace {
+
+/// The processes that still run; they are ended when the test is.
+std::vector<pid_t>& running_children() {
+  static std::vector<pid_t> all;
+  return all;
+}
+
+void end_children(int number) {
+  for (const pid_t it : running_children()) ::kill(it, SIGKILL);
+  ::signal(number, SIG_DFL);
+  ::raise(number);
+}
+
+void watch_for_end() {
+  for (const int it : {SIGTERM, SIGINT, SIGABRT, SIGSEGV}) {
+    ::signal(it, end_children);
+  }
+}
+
+}  // namespace
+
 process::process(const std::vector<std::string>& command,
                  const std::string& folder, const std::string& log) {
   std::vector<char*> arguments;
@@ -30,6 +52,8 @@
                                    arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) throw std::runtime_error("cannot start " + command[0]);
+  running_children().push_back(id_);
+  watch_for_end();
 }
 
 process::process(process&& other) noexcept
@@ -56,6 +80,7 @@
   if (id_ <= 0) return -1;
   int status = 0;
   ::waitpid(id_, &status, 0);
+  std::erase(running_children(), id_);
   id_ = -1;
   constexpr int signal_base = 128;
   return WIFEXITED(status) ? WEXITSTATUS(status)
