--- a/bench/measure/config.cc
+++ b/bench/measure/config.cc
@@ -13,7 +13,8 @@
 
 std::string change_text(int n) {
   return R"({"regions": [{"name": "golfo", "labels": {"side": "north",
-            "mark": ")" + std::to_string(n) + R"("}}]})";
+            "mark": ")" +
+         std::to_string(n) + R"("}}]})";
 }
 
 double ms_since(steady_clock::time_point start) {
@@ -32,10 +33,11 @@
     latencies.push_back(ms_since(begun));
   }
   const double seconds = ms_since(start) / 1000;
-  std::printf("changes one by one: %.1f a second, p50 %.1f ms, p99 %.1f ms "
-              "(the client asks for the result every 50 ms)\n",
-              changes / seconds, bench::quantile(latencies, 0.5),
-              bench::quantile(latencies, 0.99));
+  std::printf(
+      "changes one by one: %.1f a second, p50 %.1f ms, p99 %.1f ms "
+      "(the client asks for the result every 50 ms)\n",
+      changes / seconds, bench::quantile(latencies, 0.5),
+      bench::quantile(latencies, 0.99));
 }
 
 void measure_in_force(unsigned delay_ms) {
@@ -49,7 +51,8 @@
     const std::string leader = it.leader();
     const steady_clock::time_point begun = steady_clock::now();
     const result<json> outcome = it.apply(leader, change_text(i));
-    const std::uint64_t revision = outcome ? number_of(*outcome, "revision") : 0;
+    const std::uint64_t revision =
+        outcome ? number_of(*outcome, "revision") : 0;
     for (const std::string& node : it.nodes()) {
       while (it.revision(node) < revision) {
         std::this_thread::sleep_for(milliseconds(2));
@@ -57,10 +60,10 @@
     }
     times.push_back(ms_since(begun));
   }
-  std::printf("in force on all seven nodes, %u ms one way between regions: "
-              "p50 %.0f ms, worst %.0f ms\n",
-              delay_ms, bench::quantile(times, 0.5),
-              bench::quantile(times, 1));
+  std::printf(
+      "in force on all seven nodes, %u ms one way between regions: "
+      "p50 %.0f ms, worst %.0f ms\n",
+      delay_ms, bench::quantile(times, 0.5), bench::quantile(times, 1));
 }
 
 /// Time from the fault until a change is accepted again.
@@ -105,11 +108,13 @@
   it.bring_up();
   for (const bool freeze : {false, true}) {
     std::vector<double> times;
-    for (int i = 0; i < 4; ++i) times.push_back(time_without_leader(it, freeze));
-    std::printf("accepting again after a %s of the leader (election timeout "
-                "1 s, 20 ms): median %.0f ms, worst %.0f ms\n",
-                freeze ? "freeze" : "kill", bench::quantile(times, 0.5),
-                bench::quantile(times, 1));
+    for (int i = 0; i < 4; ++i)
+      times.push_back(time_without_leader(it, freeze));
+    std::printf(
+        "accepting again after a %s of the leader (election timeout "
+        "1 s, 20 ms): median %.0f ms, worst %.0f ms\n",
+        freeze ? "freeze" : "kill", bench::quantile(times, 0.5),
+        bench::quantile(times, 1));
   }
 }
 
@@ -127,14 +132,17 @@
   while (it.state(node) != "ready" || it.revision(node) < revision) {
     std::this_thread::sleep_for(milliseconds(5));
   }
-  std::printf("restart of a control node after %d changes, snapshot every "
-              "%u: ready at the latest revision in %.0f ms\n",
-              changes, snapshot_every, ms_since(begun));
+  std::printf(
+      "restart of a control node after %d changes, snapshot every "
+      "%u: ready at the latest revision in %.0f ms\n",
+      changes, snapshot_every, ms_since(begun));
 }
 
-void measure_rest() {
+}  // namespace
+
+int measure_rest() {
   test::cluster_options options;
-  options.election_timeout_ms = 1000;
+  options.default_timing = true;
   test::cluster it(options);
   it.bring_up();
   const std::vector<std::string> shown{"isola-1", "isola-2", "golfo-2"};
@@ -156,15 +164,14 @@
           static_cast<double>(it.peer_bytes_of(node) - bytes[node]) / seconds;
       const milliseconds used = it.cpu_of(node) - cpu[node];
       std::printf("%s %s: %.1f KB a second sent to peers, %.2f%% of a core\n",
-                  changing ? "one change a second," : "at rest,",
-                  node.c_str(), sent / 1000,
+                  changing ? "one change a second," : "at rest,", node.c_str(),
+                  sent / 1000,
                   static_cast<double>(used.count()) / (seconds * 10.0));
     }
   }
+  return 0;
 }
 
-}  // namespace
-
 int measure_config() {
   {
     test::cluster_options options;
--- a/bench/measure/overhead.cc
+++ b/bench/measure/overhead.cc
@@ -27,12 +27,13 @@
 }
 
 void print(const std::string& name, const class_result& it) {
-  std::printf("%-22s offered %6llu good %6llu p50 %7.3f ms p99 %7.3f ms "
-              "first p50 %7.3f ms p99 %7.3f ms\n",
-              name.c_str(), static_cast<unsigned long long>(it.offered),
-              static_cast<unsigned long long>(it.good),
-              quantile(it.total_ms, 0.5), quantile(it.total_ms, 0.99),
-              quantile(it.first_ms, 0.5), quantile(it.first_ms, 0.99));
+  std::printf(
+      "%-22s offered %6llu good %6llu p50 %7.3f ms p99 %7.3f ms "
+      "first p50 %7.3f ms p99 %7.3f ms\n",
+      name.c_str(), static_cast<unsigned long long>(it.offered),
+      static_cast<unsigned long long>(it.good), quantile(it.total_ms, 0.5),
+      quantile(it.total_ms, 0.99), quantile(it.first_ms, 0.5),
+      quantile(it.first_ms, 0.99));
 }
 
 void print_all(const load_options& options) {
@@ -105,14 +106,13 @@
                 static_cast<double>(used.count()) / 5000.0);
   }
   add_callers(it);
-  test::eventually([&it] {
-    return it.revision("isola-2") == it.revision("isola-1");
-  });
-  std::printf("memory with %u callers: isola-2 (gateway) %.1f MB, isola-1 "
-              "(control) %.1f MB\n",
-              callers_configured,
-              static_cast<double>(it.memory_of("isola-2")) / 1e6,
-              static_cast<double>(it.memory_of("isola-1")) / 1e6);
+  test::eventually(
+      [&it] { return it.revision("isola-2") == it.revision("isola-1"); });
+  std::printf(
+      "memory with %u callers: isola-2 (gateway) %.1f MB, isola-1 "
+      "(control) %.1f MB\n",
+      callers_configured, static_cast<double>(it.memory_of("isola-2")) / 1e6,
+      static_cast<double>(it.memory_of("isola-1")) / 1e6);
   return 0;
 }
 
--- a/bench/measure/policy.cc
+++ b/bench/measure/policy.cc
@@ -111,21 +111,19 @@
   return all;
 }
 
-void print(const std::string& policy, const std::string& penalty,
-           scenario kind, const class_result& it) {
-  std::printf("%-36s %-11s %-6s offered %5llu good %5.1f%% away %5.1f%% first "
-              "p50 %4.0f p99 %5.0f whole p50 %4.0f p99 %5.0f p99.9 %5.0f ms ",
-              name_of(kind), policy.c_str(), penalty.c_str(),
-              static_cast<unsigned long long>(it.offered),
-              100.0 * static_cast<double>(it.good) /
-                  static_cast<double>(it.offered),
-              100.0 * static_cast<double>(it.away) /
-                  static_cast<double>(std::max<std::uint64_t>(1, it.good)),
-              bench::quantile(it.first_ms, 0.5),
-              bench::quantile(it.first_ms, 0.99),
-              bench::quantile(it.total_ms, 0.5),
-              bench::quantile(it.total_ms, 0.99),
-              bench::quantile(it.total_ms, 0.999));
+void print(const std::string& policy, const std::string& penalty, scenario kind,
+           const class_result& it) {
+  std::printf(
+      "%-36s %-11s %-6s offered %5llu good %5.1f%% away %5.1f%% first "
+      "p50 %4.0f p99 %5.0f whole p50 %4.0f p99 %5.0f p99.9 %5.0f ms ",
+      name_of(kind), policy.c_str(), penalty.c_str(),
+      static_cast<unsigned long long>(it.offered),
+      100.0 * static_cast<double>(it.good) / static_cast<double>(it.offered),
+      100.0 * static_cast<double>(it.away) /
+          static_cast<double>(std::max<std::uint64_t>(1, it.good)),
+      bench::quantile(it.first_ms, 0.5), bench::quantile(it.first_ms, 0.99),
+      bench::quantile(it.total_ms, 0.5), bench::quantile(it.total_ms, 0.99),
+      bench::quantile(it.total_ms, 0.999));
   for (const auto& [outcome, n] : it.outcomes) {
     std::printf("%s=%llu ", outcome.c_str(),
                 static_cast<unsigned long long>(n));
--- a/bench/src/endpoint.cc
+++ b/bench/src/endpoint.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <iostream>
@@ -11,6 +10,7 @@
 #include <memory>
 
 #include "run_log.h"
+#include "serve.h"
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/json.h"
@@ -360,17 +360,7 @@
 int run_endpoint(const endpoint_options& options) {
   transport::asio::io_context io(1);
   endpoint_handler handler(io, options);
-  transport::http_server server(io, handler, {});
-  const result<void> opened = server.listen(options.address);
-  if (!opened) {
-    std::cerr << opened.error().message << "\n";
-    return 1;
-  }
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&io](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
-  return 0;
+  return serve_until_signal(io, handler, options.address);
 }
 
 }  // namespace trestlepost::bench
--- a/bench/src/platform.cc
+++ b/bench/src/platform.cc
@@ -1,9 +1,9 @@
 #include "platform.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <iostream>
 #include <map>
 
+#include "serve.h"
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/transport/http_server.h"
@@ -72,17 +72,7 @@
 int run_platform(const platform_options& options) {
   transport::asio::io_context io(1);
   platform_handler handler(options);
-  transport::http_server server(io, handler, {});
-  const result<void> opened = server.listen(options.address);
-  if (!opened) {
-    std::cerr << opened.error().message << "\n";
-    return 1;
-  }
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&io](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
-  return 0;
+  return serve_until_signal(io, handler, options.address);
 }
 
 }  // namespace trestlepost::bench
--- a/bench/src/relay.cc
+++ b/bench/src/relay.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -14,6 +13,7 @@
 #include <memory>
 #include <set>
 
+#include "serve.h"
 #include "trestlepost/base/clock.h"
 #include "trestlepost/transport/http_server.h"
 
@@ -247,17 +247,7 @@
                           boost::asio::detached);
   }
   control_handler handler(net);
-  transport::http_server control(io, handler, {});
-  const result<void> opened = control.listen(options.control_address);
-  if (!opened) {
-    std::cerr << opened.error().message << "\n";
-    return 1;
-  }
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&io](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
-  return 0;
+  return serve_until_signal(io, handler, options.control_address);
 }
 
 }  // namespace trestlepost::bench
--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -30,9 +30,13 @@
 result<edit> edit_from(const json& value);
 
 /// A specification with the revision that wrote it.
+/// It is kept as text: a parsed one takes several times the memory, and there
+/// are tens of thousands.
 struct stored_spec {
-  json spec;
+  std::string text;
   revision_number revision = 0;
+
+  json spec() const;
 };
 
 /// What an object was before a change, kept for the longest key window, so
@@ -40,8 +44,10 @@
 struct former_spec {
   object_kind kind = object_kind::region;
   std::string name;
-  json spec;  // null: there was none
+  std::string text;  // empty: there was none
   wall_time replaced_at;
+
+  json spec() const;
 };
 
 /// Longest window in which the outcome of a request is kept.
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -196,7 +196,7 @@
   std::vector<edit> previous;
   for (const edit& it : asked.edits) {
     const stored_spec* old = store_.find_spec(it.kind, it.name);
-    const json before = old == nullptr ? json() : old->spec;
+    const json before = old == nullptr ? json() : old->spec();
     const revision_number base = old == nullptr ? 0 : old->revision;
     if (old == nullptr && it.spec.isNull()) {
       problems.add(json(), it.name, "there is no such object to remove",
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -47,6 +47,16 @@
   return out;
 }
 
+json stored_spec::spec() const {
+  const result<json> parsed = parse_json(text);
+  return parsed ? *parsed : json();
+}
+
+json former_spec::spec() const {
+  const result<json> parsed = parse_json(text);
+  return parsed ? *parsed : json();
+}
+
 std::shared_ptr<const service> object_store::find_service(
     std::string_view name) const {
   const auto it = services_.find(name);
@@ -157,7 +167,7 @@
   if (removed) {
     specs_[change.kind].erase(change.name);
   } else {
-    specs_[change.kind][change.name] = {change.spec, revision};
+    specs_[change.kind][change.name] = {to_text(change.spec), revision};
   }
 }
 
@@ -170,7 +180,7 @@
   if (change.kind == object_kind::endpoint) return;
   const stored_spec* old = find_spec(change.kind, change.name);
   former_.push_back(
-      {change.kind, change.name, old == nullptr ? json() : old->spec, at});
+      {change.kind, change.name, old == nullptr ? "" : old->text, at});
 }
 
 void object_store::check(problem_list& problems) const {
@@ -232,14 +242,14 @@
   json objects(Json::arrayValue);
   for (const auto& [kind, all] : specs_) {
     for (const auto& [name, it] : all) {
-      json one = config::to_json(edit{kind, name, it.spec, it.revision});
+      json one = config::to_json(edit{kind, name, it.spec(), it.revision});
       objects.append(std::move(one));
     }
   }
   out["objects"] = std::move(objects);
   json former(Json::arrayValue);
   for (const former_spec& it : former_) {
-    json one = config::to_json(edit{it.kind, it.name, it.spec, std::nullopt});
+    json one = config::to_json(edit{it.kind, it.name, it.spec(), std::nullopt});
     one["replaced_at"] = json(Json::Int64(to_unix_ms(it.replaced_at)));
     former.append(std::move(one));
   }
@@ -258,9 +268,10 @@
   for (const json& it : member_of(value, "former")) {
     const result<edit> one = edit_from(it);
     if (!one) return tl::make_unexpected(one.error());
-    out.former_.push_back({one->kind, one->name, one->spec,
-                           from_unix_ms(static_cast<std::int64_t>(
-                               number_of(it, "replaced_at")))});
+    out.former_.push_back(
+        {one->kind, one->name, one->spec.isNull() ? "" : to_text(one->spec),
+         from_unix_ms(
+             static_cast<std::int64_t>(number_of(it, "replaced_at")))});
   }
   if (!problems.empty()) {
     return fail(error_kind::corrupt,
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -389,7 +389,7 @@
       one["kind"] = std::string(to_string(kind));
       one["name"] = key;
       one["revision"] = as_number(it.revision);
-      one["spec"] = it.spec;
+      one["spec"] = it.spec();
       objects.append(std::move(one));
     }
   }
--- a/routing/src/former_homes.cc
+++ b/routing/src/former_homes.cc
@@ -19,32 +19,33 @@
 
   /// Undoes one replacement; false when it does not concern the request.
   bool undo(const config::former_spec& it) {
-    const bool existed = !it.spec.isNull();
+    const bool existed = !it.text.empty();
+    const json spec = it.spec();
     problem_list problems;
     switch (it.kind) {
       case config::object_kind::region:
         regions_.erase(it.name);
         if (existed) {
           regions_[it.name] = std::make_shared<const config::region>(
-              config::read_region(it.spec, problems));
+              config::read_region(spec, problems));
         }
         return true;
       case config::object_kind::placement_rule:
         rules_.erase(it.name);
         if (existed) {
           rules_[it.name] = std::make_shared<const config::placement_rule>(
-              config::read_placement_rule(it.spec, problems));
+              config::read_placement_rule(spec, problems));
         }
         return true;
       case config::object_kind::service:
         if (it.name != service_.name) return false;
         exists_ = exists_ && existed;
-        if (existed) service_ = config::read_service(it.spec, problems);
+        if (existed) service_ = config::read_service(spec, problems);
         return true;
       case config::object_kind::caller:
         if (it.name != caller_.name) return false;
         exists_ = exists_ && existed;
-        if (existed) caller_ = config::read_caller(it.spec, problems);
+        if (existed) caller_ = config::read_caller(spec, problems);
         return true;
       case config::object_kind::endpoint:
         break;
--- a/tests/test/cluster.cc
+++ b/tests/test/cluster.cc
@@ -1,13 +1,10 @@
 #include "cluster.h"
 
-#include <unistd.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -120,6 +117,17 @@
   }
 }
 
+void cluster::set_fast_timing(json& out) const {
+  out["platform"]["poll_interval"] = "200 ms";
+  out["timing"]["election_timeout"] =
+      std::to_string(options_.election_timeout_ms) + " ms";
+  out["timing"]["heartbeat_interval"] = "100 ms";
+  out["timing"]["poll_interval"] = "150 ms";
+  out["timing"]["config_lease"] = "1500 ms";
+  out["timing"]["startup_wait"] = "2 s";
+  out["timing"]["endpoint_ramp"] = "1 s";
+}
+
 void cluster::write_settings(const node_place& it) const {
   json out;
   out["node"] = it.name;
@@ -164,14 +172,7 @@
     out["operators"].append(std::move(one));
   }
   out["platform"]["address"] = platform_address;
-  out["platform"]["poll_interval"] = "200 ms";
-  out["timing"]["election_timeout"] =
-      std::to_string(options_.election_timeout_ms) + " ms";
-  out["timing"]["heartbeat_interval"] = "100 ms";
-  out["timing"]["poll_interval"] = "150 ms";
-  out["timing"]["config_lease"] = "1500 ms";
-  out["timing"]["startup_wait"] = "2 s";
-  out["timing"]["endpoint_ramp"] = "1 s";
+  if (!options_.default_timing) set_fast_timing(out);
   out["limits"]["snapshot_every"] = options_.snapshot_every;
   out["policy"]["regions"] = options_.policy;
   std::ofstream(folder_ + "/" + it.name + ".jsonc") << to_pretty_text(out);
@@ -506,30 +507,11 @@
 }
 
 std::chrono::milliseconds cluster::cpu_of(const std::string& node) const {
-  std::ifstream in("/proc/" + std::to_string(processes_.at(node).id()) +
-                   "/stat");
-  std::string text;
-  std::getline(in, text);
-  // The name may hold blanks; the fields after it are numbered from 3.
-  std::istringstream rest(text.substr(text.rfind(')') + 2));
-  std::string field;
-  std::int64_t ticks = 0;
-  constexpr int user_field = 14;
-  constexpr int system_field = 15;
-  for (int i = 3; i <= system_field && rest >> field; ++i) {
-    if (i >= user_field) ticks += std::stoll(field);
-  }
-  constexpr std::int64_t ms_per_second = 1000;
-  return milliseconds(ticks * ms_per_second / ::sysconf(_SC_CLK_TCK));
+  return processes_.at(node).cpu_time();
 }
 
 std::uint64_t cluster::memory_of(const std::string& node) const {
-  std::ifstream in("/proc/" + std::to_string(processes_.at(node).id()) +
-                   "/statm");
-  std::uint64_t all = 0;
-  std::uint64_t resident = 0;
-  in >> all >> resident;
-  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+  return processes_.at(node).resident_bytes();
 }
 
 std::uint64_t cluster::peer_bytes_of(const std::string& node) {
--- a/tests/test/cluster.h
+++ b/tests/test/cluster.h
@@ -27,6 +27,7 @@
   std::string away_penalty = "100 ms";
   unsigned election_timeout_ms = 400;
   unsigned snapshot_every = 100;
+  bool default_timing = false;  // as shipped, instead of faster
 };
 
 class cluster {
@@ -114,6 +115,7 @@
   };
 
   void write_settings(const node_place& it) const;
+  void set_fast_timing(json& settings) const;
   std::string configuration() const;
   const node_place& place(const std::string& name) const;
   void control_relay(const std::string& query);
--- a/tests/test/process.cc
+++ b/tests/test/process.cc
@@ -3,8 +3,11 @@
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -96,4 +99,30 @@
   return info.si_pid == 0;
 }
 
+std::chrono::milliseconds process::cpu_time() const {
+  std::ifstream in("/proc/" + std::to_string(id_) + "/stat");
+  std::string text;
+  std::getline(in, text);
+  // The name may hold blanks; the fields after it are numbered from 3.
+  std::istringstream rest(text.substr(text.rfind(')') + 2));
+  std::string field;
+  std::int64_t ticks = 0;
+  constexpr int user_field = 14;
+  constexpr int system_field = 15;
+  for (int i = 3; i <= system_field && rest >> field; ++i) {
+    if (i >= user_field) ticks += std::stoll(field);
+  }
+  constexpr std::int64_t ms_per_second = 1000;
+  return std::chrono::milliseconds(ticks * ms_per_second /
+                                   ::sysconf(_SC_CLK_TCK));
+}
+
+std::uint64_t process::resident_bytes() const {
+  std::ifstream in("/proc/" + std::to_string(id_) + "/statm");
+  std::uint64_t all = 0;
+  std::uint64_t resident = 0;
+  in >> all >> resident;
+  return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace trestlepost::test
--- a/tests/test/process.h
+++ b/tests/test/process.h
@@ -3,6 +3,8 @@
 
 #include <sys/types.h>
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -23,7 +25,10 @@
   /// Waits for its end; the exit status, or 128 plus the signal's number.
   int wait();
   bool running();
-  pid_t id() const { return id_; }
+  /// CPU time that it has used.
+  std::chrono::milliseconds cpu_time() const;
+  /// Resident memory.
+  std::uint64_t resident_bytes() const;
 
  private:
   pid_t id_ = -1;
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -84,7 +84,8 @@
 namespace {
 
 /// One connection; lives as long as its coroutine.
-class connection final : public http_exchange {
+class connection final : public http_exchange,
+                         public std::enable_shared_from_this<connection> {
  public:
   connection(tcp::socket socket, const http_server_options& options)
       : stream_(std::move(socket)), options_(options) {}
@@ -142,13 +143,6 @@
   bool gone_ = false;
   bool draining_ = false;
   bool first_ = true;
-
-  friend awaitable<void> serve(std::shared_ptr<http_server::state> server,
-                               std::shared_ptr<connection> self);
-  std::weak_ptr<connection> weak_;
-
- public:
-  void set_self(std::weak_ptr<connection> self) { weak_ = std::move(self); }
 };
 
 void connection::break_off() {
@@ -177,7 +171,7 @@
   watching_ = true;
   asio::co_spawn(
       stream_.get_executor(),
-      [self = weak_.lock(), n = exchange_]() -> awaitable<void> {
+      [self = shared_from_this(), n = exchange_]() -> awaitable<void> {
         co_await self->watch(n);
       },
       asio::detached);
@@ -363,7 +357,6 @@
 
 awaitable<void> serve(std::shared_ptr<http_server::state> server,
                       std::shared_ptr<connection> self) {
-  self->set_self(self);
   while (true) {
     server->idle.insert(&self->stream());
     const bool more = co_await self->read_head();
