Recover the configuration group from one disk, on an operator's order

Cause: two control disks lost before the first was healed left the group without a majority for good, with no way on but to found anew. Ruled out: doing this by itself, because the disk left may lack accepted changes.

--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -48,6 +48,8 @@
 
   result<void> found(monotonic_time now, std::string group_id,
                      member_list members);
+  /// See `replica::recover_alone`.
+  result<void> recover_alone(monotonic_time now, std::string group_id);
   void tick(monotonic_time now);
   void receive(monotonic_time now, const message& in);
   result<log_index> propose(monotonic_time now, std::string command);
--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -70,6 +70,11 @@
   /// Starts a new group with `members`. Only for an empty replica.
   result<void> found(std::string group_id, member_list members);
 
+  /// Goes on alone after the majority is lost for good, as a new group that
+  /// holds all that this replica's log holds. What only the lost replicas
+  /// held is gone; replicas of the former group are not heard any more.
+  result<void> recover_alone(std::string group_id);
+
   void tick(monotonic_time now);
   void receive(monotonic_time now, const message& in);
 
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -37,6 +37,18 @@
   return {};
 }
 
+result<void> group_host::recover_alone(monotonic_time now,
+                                       std::string group_id) {
+  if (failure_) return tl::make_unexpected(*failure_);
+  replica_->tick(now);
+  result<void> done = replica_->recover_alone(std::move(group_id));
+  if (!done) return done;
+  drain();
+  if (failure_) return tl::make_unexpected(*failure_);
+  tick(now);
+  return {};
+}
+
 void group_host::tick(monotonic_time now) {
   if (failure_) return;
   replica_->tick(now);
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -45,6 +45,25 @@
   return {};
 }
 
+result<void> replica::recover_alone(std::string group_id) {
+  if (hard_.group_id.empty()) {
+    return fail(error_kind::not_found, "this replica belongs to no group",
+                "recover on a node that kept its disk");
+  }
+  if (leader_is_fresh()) {
+    return fail(error_kind::conflict, "the group has a leader",
+                "wait for the lost nodes to be taken in again");
+  }
+  hard_.group_id = std::move(group_id);
+  hard_.term += 1;
+  hard_.voted_for = self_;
+  writes_.hard = hard_;
+  // Alone it is the majority, which commits all that the log holds.
+  append(entry_type::membership, to_text(to_json(member_list{{self_, true}})));
+  election_deadline_ = now_;
+  return {};
+}
+
 void replica::tick(monotonic_time now) {
   now_ = now;
   if (hard_.group_id.empty()) return;
--- a/ctl/src/commands.cc
+++ b/ctl/src/commands.cc
@@ -243,6 +243,19 @@
   return print(*answer, "the node is " + text_of(*answer, "state") + "\n");
 }
 
+int commands::recover(bool accepted) {
+  if (!accepted) {
+    return report({error_kind::bad_input,
+                   "changes that only the lost nodes held would be gone",
+                   "bring one of them back, or repeat with --accept-loss"});
+  }
+  const result<json> answer = rpc_.call("recover", json(Json::objectValue));
+  if (!answer) return report(answer.error());
+  return print(*answer, "recovered as group " + text_of(*answer, "group_id") +
+                            "; empty the data folders of the other control "
+                            "nodes that were not lost\n");
+}
+
 int commands::check(const std::string& file) {
   const result<std::string> text = read_file(file);
   if (!text) return report(text.error());
--- a/ctl/src/commands.h
+++ b/ctl/src/commands.h
@@ -58,6 +58,7 @@
   int explain(const explain_options& options);
   int drain_endpoint(const std::string& name, bool undo);
   int drain_node();
+  int recover(bool accepted);
   int check(const std::string& file);
 
  private:
--- a/ctl/src/main.cc
+++ b/ctl/src/main.cc
@@ -13,7 +13,7 @@
 using trestlepost::ctl::commands;
 
 constexpr char completion_script[] = R"(_trestlepost() {
-  local words="init apply get delete status audit explain drain check completion"
+  local words="init apply get delete status audit explain drain check recover completion"
   if [ "$COMP_CWORD" -eq 1 ]; then
     COMPREPLY=($(compgen -W "$words" -- "${COMP_WORDS[1]}"))
   else
@@ -108,6 +108,12 @@
   drain_command->add_flag("--this-node", this_node,
                           "stop the node that --node names, after its work");
 
+  bool accept_loss = false;
+  CLI::App* recover_command = app.add_subcommand(
+      "recover", "go on from one control node's disk after a lost majority");
+  recover_command->add_flag("--accept-loss", accept_loss,
+                            "changes that only lost nodes held are gone");
+
   std::string file;
   CLI::App* check_command = app.add_subcommand("check", "check a file");
   check_command->add_option("file", file)->required();
@@ -128,6 +134,7 @@
   if (audit_command->parsed()) return run.audit(audit);
   if (explain_command->parsed()) return run.explain(explain);
   if (check_command->parsed()) return run.check(file);
+  if (recover_command->parsed()) return run.recover(accept_loss);
   if (drain_command->parsed()) {
     if (this_node) return run.drain_node();
     if (!endpoint.empty()) return run.drain_endpoint(endpoint, undo);
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -211,6 +211,18 @@
   answer(tl::make_unexpected(proposed.error()));
 }
 
+result<json> control_service::recover() {
+  const std::string group_id = make_request_id(context_.random);
+  const result<void> done =
+      host_->recover_alone(context_.clock.now(), group_id);
+  if (!done) return tl::make_unexpected(done.error());
+  log_event(log_level::warn, "group-recovered", {{"group_id", group_id}});
+  json out;
+  out["group_id"] = group_id;
+  out["commit_index"] = as_number(host_->core().commit_index());
+  return out;
+}
+
 void control_service::read_audit(const json& filter,
                                  const answer_function& answer) {
   const result<void> asked = host_->request_read(
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -27,6 +27,8 @@
   void propose(config::change asked, const answer_function& answer);
   /// Founds the group, once.
   void found(answer_function answer);
+  /// Goes on from this node's disk alone after the majority was lost.
+  result<json> recover();
   /// The audit trail, as far as this node has applied it, after a read that
   /// the majority confirms.
   void read_audit(const json& filter, const answer_function& answer);
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -174,6 +174,11 @@
     out["state"] = context_.state.name();
     return out;
   });
+  add_fast("recover", "found", [this](const json&) -> result<json> {
+    if (control_ != nullptr) return control_->recover();
+    return fail(error_kind::bad_input, "this node has no part in the group",
+                "run it against the control node that kept its disk");
+  });
   add_slow("apply", "change", false,
            [this](const json& params, const rpc_context& caller,
                   answer_function answer) {
--- a/tests/test/configuration-faults-test.cc
+++ b/tests/test/configuration-faults-test.cc
@@ -135,6 +135,14 @@
   EXPECT_EQ(bench::send_now(it.model_request("golfo-2", "mainland")).status,
             200U);
   EXPECT_EQ(mark_on(it, "golfo-1"), "kept");
+
+  ASSERT_TRUE(it.rpc("golfo-1", "recover"));
+  EXPECT_TRUE(eventually([&] { return fully_repaired(it); }));
+  EXPECT_TRUE(eventually([&] { return it.state("isola-3") == "ready"; }));
+  EXPECT_EQ(mark_on(it, "isola-1"), "kept");
+  EXPECT_EQ(status_of(it.apply("isola-2", region_with("after"))), "accepted");
+  EXPECT_TRUE(eventually([&] { return in_force_everywhere(it, "after"); }));
+  EXPECT_FALSE(it.rpc("golfo-1", "recover")) << "the group has a leader";
 }
 
 TEST(configuration_faults_test, an_empty_founder_does_not_found_again) {
