--- a/ctl/src/client.cc
+++ b/ctl/src/client.cc
@@ -1,5 +1,6 @@
 #include "client.h"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -15,7 +16,9 @@
 namespace http = boost::beast::http;
 using transport::tcp;
 
-constexpr std::chrono::milliseconds ticket_interval{50};
+// Between questions for a ticket; doubled each time up to the longest.
+constexpr std::chrono::milliseconds first_ticket_interval{4};
+constexpr std::chrono::milliseconds longest_ticket_interval{100};
 constexpr std::uint64_t largest_answer = 256ULL * 1024 * 1024;
 
 error unreachable(const std::string& address, const std::string& why) {
@@ -76,12 +79,14 @@
   }
   const std::chrono::steady_clock::time_point end =
       std::chrono::steady_clock::now() + options_.timeout;
+  std::chrono::milliseconds interval = first_ticket_interval;
   while (answer && answer->isObject() && answer->isMember("ticket")) {
     if (std::chrono::steady_clock::now() >= end) {
       return fail(error_kind::unavailable, "the call did not end in time",
                   "run it again with the same --change-id");
     }
-    std::this_thread::sleep_for(ticket_interval);
+    std::this_thread::sleep_for(interval);
+    interval = std::min(2 * interval, longest_ticket_interval);
     const json ticket = *answer;
     answer = call_at(address, "ticket", ticket);
   }
--- a/node/test/settings_page-test.cc
+++ b/node/test/settings_page-test.cc
@@ -34,7 +34,9 @@
   const std::string code =
       read_file(std::string(TRESTLEPOST_SOURCE) + "/node/src/settings.cc");
   const std::set<std::string> keys = all_matches(
-      code, std::regex(R"re((?:reader\.[a-z_]+|read|read_address)\(\s*(?:reader, )?"([a-z_]+)")re"));
+      code,
+      std::regex(
+          R"re((?:reader\.[a-z_]+|read|read_address)\(\s*(?:reader, )?"([a-z_]+)")re"));
   EXPECT_GT(keys.size(), 30U);
   for (const std::string& it : keys) {
     EXPECT_NE(page.find(it), std::string::npos) << it;
