--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -179,20 +179,18 @@
     return fail(error_kind::bad_input, "this node has no part in the group",
                 "run it against the control node that kept its disk");
   });
-  add_slow("apply", "change", false,
-           [this](const json& params, const rpc_context& caller,
-                  answer_function answer) {
-             apply(params, caller, std::move(answer));
-           });
   add_slow(
-      "audit", "read", false,
-      [this](const json& params, const rpc_context&, answer_function answer) {
-        control_->read_audit(params, std::move(answer));
-      });
-  add_slow("init", "found", true,
-           [this](const json&, const rpc_context&, answer_function answer) {
-             control_->found(std::move(answer));
+      "apply", "change", false,
+      [this](const json& params, const rpc_context& caller,
+             const answer_function& answer) { apply(params, caller, answer); });
+  add_slow("audit", "read", false,
+           [this](const json& params, const rpc_context&,
+                  const answer_function& answer) {
+             control_->read_audit(params, answer);
            });
+  add_slow("init", "found", true,
+           [this](const json&, const rpc_context&,
+                  const answer_function& answer) { control_->found(answer); });
 }
 
 bool operator_service::runs_here(bool at_founder) const {
@@ -204,14 +202,14 @@
 }
 
 void operator_service::apply(const json& params, const rpc_context& caller,
-                             answer_function answer) {
+                             const answer_function& answer) {
   result<config::change> asked =
       change_from_params(params, caller, control_->machine().store());
   if (!asked) {
     answer(tl::make_unexpected(asked.error()));
     return;
   }
-  control_->propose(std::move(*asked), std::move(answer));
+  control_->propose(std::move(*asked), answer);
 }
 
 void operator_service::relay(const std::string& ticket, relayed_call call) {
--- a/node/src/operator_service.h
+++ b/node/src/operator_service.h
@@ -63,7 +63,7 @@
   result<json> get(const json& params) const;
   result<json> explain(const json& params) const;
   void apply(const json& params, const transport::rpc_context& caller,
-             answer_function answer);
+             const answer_function& answer);
 
   node_context& context_;
   control_service* control_;
--- a/node/src/ticket_table.h
+++ b/node/src/ticket_table.h
@@ -18,7 +18,7 @@
 /// A method that answers later, once.
 using slow_method =
     std::function<void(const json& params, const transport::rpc_context& caller,
-                       answer_function answer)>;
+                       const answer_function& answer)>;
 
 class ticket_table {
  public:
