--- a/gateway/include/trestlepost/gateway/metrics.h
+++ b/gateway/include/trestlepost/gateway/metrics.h
@@ -25,7 +25,6 @@
   void retried(const std::string& service);
   void forwarded(const std::string& region);
   void queue_length(const std::string& service, std::size_t n);
-  void in_flight(const std::string& service, std::size_t n);
 
  private:
   prometheus::Family<prometheus::Counter>& requests_;
@@ -35,7 +34,6 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& forwards_;
   prometheus::Family<prometheus::Gauge>& queue_;
-  prometheus::Family<prometheus::Gauge>& in_flight_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/metrics.cc
+++ b/gateway/src/metrics.cc
@@ -44,9 +44,7 @@
       forwards_(counter(registry, "trestlepost_forwards_total",
                         "Requests sent to another region.")),
       queue_(gauge(registry, "trestlepost_queue_length",
-                   "Requests that wait for an endpoint.")),
-      in_flight_(gauge(registry, "trestlepost_requests_in_flight",
-                       "Requests at endpoints.")) {}
+                   "Requests that wait for an endpoint.")) {}
 
 void gateway_metrics::request_done(const std::string& service,
                                    const std::string& outcome,
@@ -79,8 +77,4 @@
   queue_.Add({{"service", service}}).Set(static_cast<double>(n));
 }
 
-void gateway_metrics::in_flight(const std::string& service, std::size_t n) {
-  in_flight_.Add({{"service", service}}).Set(static_cast<double>(n));
-}
-
 }  // namespace trestlepost::gateway
--- a/ledger/include/trestlepost/ledger/claim_table.h
+++ b/ledger/include/trestlepost/ledger/claim_table.h
@@ -48,9 +48,6 @@
 
   /// Marks the attempts of this process, so that a late grant of one that was
   /// given up is recognised.
-  static bool is_own(const std::string& attempt, const std::string& prefix) {
-    return attempt.starts_with(prefix);
-  }
   void set_own_prefix(std::string prefix) { own_prefix_ = std::move(prefix); }
 
  private:
--- a/ledger/src/claim_table.cc
+++ b/ledger/src/claim_table.cc
@@ -57,7 +57,7 @@
   }
   const bool given_up = decided.verdict == claim_verdict::granted &&
                         !own_prefix_.empty() &&
-                        is_own(decided.attempt, own_prefix_) &&
+                        decided.attempt.starts_with(own_prefix_) &&
                         !granted_.contains(decided.attempt) &&
                         !outcomes_.contains(decided.attempt);
   if (given_up) {
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -216,11 +216,10 @@
   call.opened_at = context_.clock.now();
   call.params["ticket"] = ticket;
   call.params["reply_to"] = context_.self.peer_address;
-  send_relayed(ticket, relayed_[ticket] = std::move(call));
+  send_relayed(relayed_[ticket] = std::move(call));
 }
 
-void operator_service::send_relayed(const std::string& /*ticket*/,
-                                    relayed_call& call) {
+void operator_service::send_relayed(relayed_call& call) {
   call.sent_at = context_.clock.now();
   std::string target = call.target.empty() ? watch_.leader() : call.target;
   if (call.target.empty() && control_ != nullptr && target.empty()) {
@@ -288,7 +287,7 @@
       continue;
     }
     if (now >= it->second.sent_at + relay_interval) {
-      send_relayed(it->first, it->second);
+      send_relayed(it->second);
     }
     ++it;
   }
--- a/node/src/operator_service.h
+++ b/node/src/operator_service.h
@@ -51,7 +51,7 @@
   void handle_ask(const json& params);
   void handle_answer(const json& params);
   void relay(const std::string& ticket, relayed_call call);
-  void send_relayed(const std::string& ticket, relayed_call& call);
+  void send_relayed(relayed_call& call);
   bool runs_here(bool at_founder) const;
   result<transport::rpc_context> authenticate(
       const transport::http_exchange& exchange) const;
