--- a/base/include/trestlepost/base/log.h
+++ b/base/include/trestlepost/base/log.h
@@ -15,7 +15,7 @@
   std::string value;
 };
 
-/// Starts logging to standard error (or to `file` when not empty); `node` and
+/// Starts logging to standard output (or to `file` when not empty); `node` and
 /// `region` go into every line.
 void start_log(const std::string& node, const std::string& region,
                log_level lowest, const std::string& file);
--- a/base/include/trestlepost/base/object_reader.h
+++ b/base/include/trestlepost/base/object_reader.h
@@ -64,6 +64,8 @@
   bool flag_or(const char* key, bool fallback);
   std::uint64_t number_or(const char* key, std::uint64_t fallback,
                           std::uint64_t lowest, std::uint64_t highest);
+  double real_or(const char* key, double fallback, double lowest,
+                 double highest);
   std::chrono::milliseconds duration_or(const char* key,
                                         std::chrono::milliseconds fallback);
   std::vector<std::string> texts_or_empty(const char* key);
--- a/base/src/log.cc
+++ b/base/src/log.cc
@@ -42,7 +42,7 @@
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
     appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
--- a/base/src/object_reader.cc
+++ b/base/src/object_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace trestlepost {
@@ -78,16 +79,20 @@
 }
 
 std::optional<milliseconds> parse_duration(std::string_view text) {
-  std::int64_t n = 0;
+  double n = 0;
   const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), n);
-  if (parsed.ec != std::errc() || n < 0) return std::nullopt;
+      std::from_chars(text.data(), text.data() + text.size(), n,
+                      std::chars_format::fixed);
+  // Written so that what is no number is refused too.
+  if (parsed.ec != std::errc() || !(n >= 0)) return std::nullopt;
   std::string_view unit =
       text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
   while (!unit.empty() && unit.front() == ' ') unit.remove_prefix(1);
-  constexpr std::int64_t largest = 1'000'000'000;
+  constexpr double largest = 1e9;
   for (const duration_unit& it : duration_units) {
-    if (it.name == unit && n <= largest) return milliseconds(n * it.factor);
+    if (it.name != unit || n > largest) continue;
+    return milliseconds(
+        std::llround(n * static_cast<double>(it.factor)));
   }
   return std::nullopt;
 }
@@ -179,6 +184,22 @@
   return value->asUInt64();
 }
 
+double object_reader::real_or(const char* key, double fallback, double lowest,
+                              double highest) {
+  const json* value = find(key, false);
+  if (value == nullptr) return fallback;
+  if (!value->isNumeric()) {
+    wrong_type(*value, key, "a number");
+    return fallback;
+  }
+  const double n = value->asDouble();
+  if (n >= lowest && n <= highest) return n;
+  problems_.add(*value, path_of(key), "the number is out of range",
+                "write a number from " + std::to_string(lowest) + " to " +
+                    std::to_string(highest));
+  return fallback;
+}
+
 milliseconds object_reader::duration_or(const char* key,
                                         milliseconds fallback) {
   const json* value = find(key, false);
--- a/config/include/trestlepost/config/change.h
+++ b/config/include/trestlepost/config/change.h
@@ -18,7 +18,14 @@
   consensus::member_list members;
 };
 
+/// An order to take an availability zone out of service, or back into it.
+struct zone_evacuation {
+  std::string availability_zone;
+  bool evacuated = true;
+};
+
 /// One change, as it stands in the log. It is decided when it is applied.
+/// It holds edits, or one of the optional parts below them.
 struct change {
   std::string id;
   std::string operator_name;
@@ -27,6 +34,9 @@
   /// Refuse unless the whole configuration is at this revision.
   std::optional<revision_number> if_revision;
   std::optional<ledger_founding> founding;
+  /// Replaces the traffic plan, unless a plan of this number or above holds.
+  plan_ptr plan;
+  std::optional<zone_evacuation> evacuation;
 };
 
 enum class change_status { accepted, conflict, invalid, mismatch };
@@ -57,6 +67,8 @@
 
 json to_json(const ledger_founding& value);
 ledger_founding ledger_founding_from(const json& value);
+json to_json(const zone_evacuation& value);
+zone_evacuation zone_evacuation_from(const json& value);
 json to_json(const change& value);
 result<change> change_from(const json& value);
 json to_json(const change_result& value);
--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -31,6 +31,9 @@
   revision_number revision = 0;
   wall_time at;
   std::vector<edit> edits;
+  /// A new traffic plan; null as well when a later change replaced it again.
+  plan_ptr plan;
+  std::optional<zone_evacuation> evacuation;
 };
 
 /// What brings a watcher from one revision to the newest.
@@ -77,6 +80,9 @@
 
   change_result decide(const change& asked, json& touched);
   change_result decide_founding(const change& asked);
+  change_result decide_plan(const change& asked, json& touched);
+  change_result decide_evacuation(const change& asked, json& touched);
+  void add_to_history(applied_change accepted);
   std::optional<change_result> find_conflict(const change& asked) const;
   std::string last_writer_of(const edit& one) const;
   change_result accept(const change& asked, json& touched);
--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -6,12 +6,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/config/objects.h"
+#include "trestlepost/config/traffic_plan.h"
 
 namespace trestlepost::config {
 
@@ -90,7 +93,15 @@
   /// Selectors that match nothing: allowed, but worth telling.
   std::vector<std::string> warnings() const;
 
-  json to_json() const;
+  /// The traffic plan in force, or null before the first one.
+  const plan_ptr& plan() const { return plan_; }
+  void set_plan(plan_ptr plan) { plan_ = std::move(plan); }
+
+  /// Availability zones whose endpoints take no requests.
+  const std::set<std::string>& evacuated_zones() const { return evacuated_; }
+  void set_evacuated(const std::string& zone, bool evacuated);
+
+  json to_json(plan_form form = plan_form::whole) const;
   static result<object_store> from_json(const json& value);
 
  private:
@@ -106,6 +117,8 @@
   object_map<caller> callers_;
   std::unordered_map<std::string, std::string> caller_by_token_;
   std::deque<former_spec> former_;
+  plan_ptr plan_;
+  std::set<std::string> evacuated_;
 };
 
 /// The regions whose labels match, in order of name.
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -55,6 +55,17 @@
           consensus::member_list_from(member_of(value, "members"))};
 }
 
+json to_json(const zone_evacuation& value) {
+  json out;
+  out["availability_zone"] = value.availability_zone;
+  out["evacuated"] = value.evacuated;
+  return out;
+}
+
+zone_evacuation zone_evacuation_from(const json& value) {
+  return {text_of(value, "availability_zone"), flag_of(value, "evacuated")};
+}
+
 json to_json(const change& value) {
   json out;
   out["id"] = value.id;
@@ -67,6 +78,8 @@
     out["if_revision"] = json(Json::UInt64(*value.if_revision));
   }
   if (value.founding) out["founding"] = to_json(*value.founding);
+  if (value.plan) out["plan"] = to_json(*value.plan, plan_form::whole);
+  if (value.evacuation) out["evacuation"] = to_json(*value.evacuation);
   return out;
 }
 
@@ -84,6 +97,14 @@
   if (if_revision.isUInt64()) out.if_revision = if_revision.asUInt64();
   const json& founding = member_of(value, "founding");
   if (founding.isObject()) out.founding = ledger_founding_from(founding);
+  const json& plan = member_of(value, "plan");
+  if (plan.isObject()) {
+    result<traffic_plan> read = traffic_plan_from(plan);
+    if (!read) return tl::make_unexpected(read.error());
+    out.plan = std::make_shared<const traffic_plan>(std::move(*read));
+  }
+  const json& evacuation = member_of(value, "evacuation");
+  if (evacuation.isObject()) out.evacuation = zone_evacuation_from(evacuation);
   if (out.id.empty()) {
     return fail(error_kind::bad_input, "the change has no id",
                 "give --change-id, or let `trestlepost apply` draw one");
@@ -149,6 +170,8 @@
   }
   asked["edits"] = std::move(edits);
   if (value.founding) asked["founding"] = to_json(*value.founding);
+  if (value.plan) asked["plan"] = to_json(*value.plan, plan_form::whole);
+  if (value.evacuation) asked["evacuation"] = to_json(*value.evacuation);
   return sha256_hex(to_text(asked));
 }
 
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -15,6 +15,12 @@
   json edits(Json::arrayValue);
   for (const edit& it : value.edits) edits.append(config::to_json(it));
   out["edits"] = std::move(edits);
+  if (value.plan) {
+    out["plan"] = config::to_json(*value.plan, plan_form::without_document);
+  }
+  if (value.evacuation) {
+    out["evacuation"] = config::to_json(*value.evacuation);
+  }
   return out;
 }
 
@@ -27,6 +33,14 @@
     if (!one) return tl::make_unexpected(one.error());
     out.edits.push_back(std::move(*one));
   }
+  const json& plan = member_of(value, "plan");
+  if (plan.isObject()) {
+    result<traffic_plan> read = traffic_plan_from(plan);
+    if (!read) return tl::make_unexpected(read.error());
+    out.plan = std::make_shared<const traffic_plan>(std::move(*read));
+  }
+  const json& evacuation = member_of(value, "evacuation");
+  if (evacuation.isObject()) out.evacuation = zone_evacuation_from(evacuation);
   return out;
 }
 
@@ -36,6 +50,11 @@
     store.remember_former(one, it.at);
     store.put(one, it.revision, problems);
   }
+  if (it.plan) store.set_plan(it.plan);
+  if (it.evacuation) {
+    store.set_evacuated(it.evacuation->availability_zone,
+                        it.evacuation->evacuated);
+  }
   store.set_revision(it.revision);
 }
 
@@ -121,6 +140,8 @@
 
 change_result config_state_machine::decide(const change& asked, json& touched) {
   if (asked.founding) return decide_founding(asked);
+  if (asked.plan) return decide_plan(asked, touched);
+  if (asked.evacuation) return decide_evacuation(asked, touched);
   std::optional<change_result> conflict = find_conflict(asked);
   if (conflict) return std::move(*conflict);
   if (asked.edits.empty()) {
@@ -145,6 +166,62 @@
                  "use the one that exists");
 }
 
+change_result config_state_machine::decide_plan(const change& asked,
+                                                json& touched) {
+  const result<void> sound = check_plan(*asked.plan);
+  if (!sound) {
+    return refusal(change_status::invalid, store_.revision(),
+                   sound.error().message, sound.error().remedy);
+  }
+  const plan_number held = store_.plan() ? store_.plan()->number : 0;
+  if (asked.plan->number <= held) {
+    return {change_status::accepted,
+            store_.revision(),
+            "plan " + std::to_string(held) + " holds; nothing changed",
+            "",
+            {}};
+  }
+  json one;
+  one["kind"] = "traffic_plan";
+  one["name"] = std::to_string(asked.plan->number);
+  touched.append(std::move(one));
+  // Only the newest plan is of use to those who are behind.
+  for (applied_change& it : history_) it.plan = nullptr;
+  add_to_history({store_.revision() + 1, asked.at, {}, asked.plan, {}});
+  return {change_status::accepted,
+          store_.revision(),
+          "plan " + std::to_string(asked.plan->number) + " is in the log",
+          "",
+          {}};
+}
+
+change_result config_state_machine::decide_evacuation(const change& asked,
+                                                      json& touched) {
+  const std::string& zone = asked.evacuation->availability_zone;
+  const bool evacuated = asked.evacuation->evacuated;
+  const std::string state = evacuated ? "evacuated" : "in service";
+  if (store_.evacuated_zones().contains(zone) == evacuated) {
+    return {change_status::accepted, store_.revision(),
+            "zone " + zone + " is " + state + " already", "", {}};
+  }
+  json one;
+  one["kind"] = "availability_zone";
+  one["name"] = zone;
+  one["after"] = state;
+  touched.append(std::move(one));
+  add_to_history(
+      {store_.revision() + 1, asked.at, {}, nullptr, *asked.evacuation});
+  return {change_status::accepted, store_.revision(),
+          "zone " + zone + " is " + state, "", {}};
+}
+
+void config_state_machine::add_to_history(applied_change accepted) {
+  problem_list problems;
+  apply_to(store_, accepted, problems);
+  history_.push_back(std::move(accepted));
+  trim_history();
+}
+
 std::string config_state_machine::last_writer_of(const edit& one) const {
   for (auto it = audit_.rbegin(); it != audit_.rend(); ++it) {
     if (it->outcome.status != change_status::accepted) continue;
@@ -221,11 +298,9 @@
                    "mend the objects named and apply again under a new "
                    "--change-id");
   }
-  applied_change accepted{next, asked.at, asked.edits};
+  applied_change accepted{next, asked.at, asked.edits, nullptr, {}};
   for (edit& it : accepted.edits) it.base.reset();
-  apply_to(store_, accepted, problems);
-  history_.push_back(std::move(accepted));
-  trim_history();
+  add_to_history(std::move(accepted));
   return {change_status::accepted, next,
           "in the log at revision " + std::to_string(next), "",
           store_.warnings()};
@@ -291,7 +366,7 @@
   const bool covered =
       !history_.empty() && history_.front().revision <= from + 1;
   if (!covered) {
-    out.whole = store_.to_json();
+    out.whole = store_.to_json(plan_form::without_document);
     return out;
   }
   for (const applied_change& it : history_) {
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -236,7 +236,15 @@
   return out;
 }
 
-json object_store::to_json() const {
+void object_store::set_evacuated(const std::string& zone, bool evacuated) {
+  if (evacuated) {
+    evacuated_.insert(zone);
+  } else {
+    evacuated_.erase(zone);
+  }
+}
+
+json object_store::to_json(plan_form form) const {
   json out;
   out["revision"] = json(Json::UInt64(revision_));
   json objects(Json::arrayValue);
@@ -254,6 +262,9 @@
     former.append(std::move(one));
   }
   out["former"] = std::move(former);
+  if (plan_) out["plan"] = config::to_json(*plan_, form);
+  json& evacuated = out["evacuated_zones"] = json(Json::arrayValue);
+  for (const std::string& it : evacuated_) evacuated.append(it);
   return out;
 }
 
@@ -279,6 +290,15 @@
                     problems.to_text("configuration"),
                 "run the version of trestlepostd that wrote it");
   }
+  const json& plan = member_of(value, "plan");
+  if (plan.isObject()) {
+    result<traffic_plan> read = traffic_plan_from(plan);
+    if (!read) return tl::make_unexpected(read.error());
+    out.plan_ = std::make_shared<const traffic_plan>(std::move(*read));
+  }
+  for (const json& it : member_of(value, "evacuated_zones")) {
+    if (it.isString()) out.evacuated_.insert(it.asString());
+  }
   out.revision_ = number_of(value, "revision");
   return out;
 }
--- /dev/null
+++ b/config/test/traffic_plan-test.cc
@@ -0,0 +1,183 @@
+// The traffic plan: what is refused, which number holds, what watchers get.
+#include "trestlepost/config/traffic_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <rapidcheck/gtest.h>
+
+#include "trestlepost/config/state_machine.h"
+
+namespace trestlepost::config {
+namespace {
+
+using std::chrono::milliseconds;
+
+traffic_plan make_plan(plan_number number) {
+  traffic_plan out;
+  out.number = number;
+  out.services.push_back({"model", "/health", 620, milliseconds(3000), 3.5,
+                          engine_profile{128, 656'500, 35136, 1e6, true, true,
+                                         7, 12, milliseconds(4000),
+                                         milliseconds(2000),
+                                         milliseconds(5000)}});
+  out.services.push_back({"plain", "/health", 100, milliseconds(0), 0, {}});
+  route one;
+  one.name = "r";
+  one.host = "a.example";
+  one.path_prefix = "/x/";
+  one.kind = route_kind::stream;
+  one.timeout = milliseconds(12'000);
+  one.latency_objective = milliseconds(1000);
+  one.longest_pause = milliseconds(400);
+  one.priority = 1;
+  one.attempts = 2;
+  one.prefix_affinity = true;
+  one.resumable = true;
+  one.split = {{"model", 90}, {"plain", 10}};
+  one.home_regions = {"north", "south"};
+  out.routes.push_back(one);
+  out.document = "{\"as\":\"sent\"}";
+  return out;
+}
+
+consensus::entry entry_of(const change& asked) {
+  consensus::entry out;
+  out.type = consensus::entry_type::command;
+  out.data = to_text(to_json(asked));
+  return out;
+}
+
+change plan_change(const traffic_plan& plan, const std::string& id) {
+  change out;
+  out.id = id;
+  out.operator_name = "operator";
+  out.plan = std::make_shared<const traffic_plan>(plan);
+  return out;
+}
+
+change evacuation_change(const std::string& zone, bool evacuated,
+                         const std::string& id) {
+  change out;
+  out.id = id;
+  out.evacuation = zone_evacuation{zone, evacuated};
+  return out;
+}
+
+TEST(traffic_plan_test, a_plan_survives_its_json) {
+  const traffic_plan plan = make_plan(7);
+  const result<traffic_plan> read =
+      traffic_plan_from(to_json(plan, plan_form::whole));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->number, 7U);
+  EXPECT_EQ(read->routes, plan.routes);
+  EXPECT_EQ(read->services, plan.services);
+  EXPECT_EQ(read->limits, plan.limits);
+  EXPECT_EQ(read->document, plan.document);
+  EXPECT_TRUE(traffic_plan_from(to_json(plan, plan_form::without_document))
+                  ->document.empty());
+}
+
+struct bad_plan {
+  const char* what;
+  std::function<void(traffic_plan&)> spoil;
+};
+
+TEST(traffic_plan_test, unsound_plans_are_refused_with_a_remedy) {
+  const std::vector<bad_plan> table{
+      {"unknown service",
+       [](traffic_plan& it) { it.routes[0].split = {{"none", 1}}; }},
+      {"two routes at one place",
+       [](traffic_plan& it) { it.routes.push_back(it.routes[0]); }},
+      {"weights sum to 0",
+       [](traffic_plan& it) { it.routes[0].split = {{"model", 0}}; }},
+      {"no service at all", [](traffic_plan& it) { it.routes[0].split.clear(); }},
+      {"timeout of 0",
+       [](traffic_plan& it) { it.routes[0].timeout = milliseconds(0); }},
+      {"prefix without slash",
+       [](traffic_plan& it) { it.routes[0].path_prefix = "/x"; }},
+      {"no host", [](traffic_plan& it) { it.routes[0].host.clear(); }},
+      {"service twice",
+       [](traffic_plan& it) { it.services.push_back(it.services[0]); }},
+  };
+  EXPECT_TRUE(check_plan(make_plan(1)));
+  for (const bad_plan& it : table) {
+    traffic_plan plan = make_plan(1);
+    it.spoil(plan);
+    const result<void> checked = check_plan(plan);
+    ASSERT_FALSE(checked) << it.what;
+    EXPECT_FALSE(checked.error().remedy.empty()) << it.what;
+  }
+}
+
+TEST(traffic_plan_test, an_unsound_plan_is_refused_even_when_it_is_old) {
+  config_state_machine machine;
+  machine.apply(entry_of(plan_change(make_plan(7), "a")));
+  traffic_plan old = make_plan(3);
+  old.routes[0].timeout = milliseconds(0);
+  machine.apply(entry_of(plan_change(old, "b")));
+  EXPECT_EQ(machine.result_of("b")->status, change_status::invalid);
+  EXPECT_EQ(machine.store().plan()->number, 7U);
+}
+
+TEST(traffic_plan_test, a_number_that_is_not_above_changes_nothing) {
+  config_state_machine machine;
+  machine.apply(entry_of(plan_change(make_plan(7), "a")));
+  traffic_plan other = make_plan(7);
+  other.routes[0].host = "b.example";
+  machine.apply(entry_of(plan_change(other, "b")));
+  machine.apply(entry_of(plan_change(make_plan(6), "c")));
+  EXPECT_EQ(machine.result_of("b")->status, change_status::accepted);
+  EXPECT_EQ(machine.result_of("c")->status, change_status::accepted);
+  EXPECT_EQ(machine.store().revision(), 1U);
+  EXPECT_EQ(machine.store().plan()->routes[0].host, "a.example");
+}
+
+TEST(traffic_plan_test, plans_and_evacuations_survive_a_snapshot) {
+  config_state_machine machine;
+  machine.apply(entry_of(plan_change(make_plan(7), "a")));
+  machine.apply(entry_of(evacuation_change("z1", true, "b")));
+  config_state_machine restored;
+  restored.load(machine.save());
+  ASSERT_TRUE(restored.store().plan());
+  EXPECT_EQ(restored.store().plan()->document, make_plan(7).document);
+  EXPECT_TRUE(restored.store().evacuated_zones().contains("z1"));
+  EXPECT_EQ(restored.store().revision(), 2U);
+}
+
+RC_GTEST_PROP(traffic_plan_test, a_watcher_ends_with_the_leaders_plan, ()) {
+  config_state_machine machine;
+  object_store watcher;
+  int n = 0;
+  for (int i = 0; i < 30; ++i) {
+    const int what = *rc::gen::inRange(0, 4);
+    const std::string id = std::to_string(n++);
+    if (what == 0) {
+      const std::string zone = *rc::gen::elementOf(
+          std::vector<std::string>{"z1", "z2"});
+      machine.apply(
+          entry_of(evacuation_change(zone, *rc::gen::arbitrary<bool>(), id)));
+    } else if (what < 3) {
+      const plan_number number = *rc::gen::inRange<plan_number>(1, 40);
+      machine.apply(entry_of(plan_change(make_plan(number), id)));
+    } else {
+      const json sent = to_json(machine.update_since(watcher.revision()));
+      const result<watch_update> update = watch_update_from(sent);
+      RC_ASSERT(update.has_value());
+      const plan_number before = watcher.plan() ? watcher.plan()->number : 0;
+      RC_ASSERT(apply_update(watcher, *update).has_value());
+      if (watcher.plan()) RC_ASSERT(watcher.plan()->number >= before);
+    }
+  }
+  RC_ASSERT(
+      apply_update(watcher, machine.update_since(watcher.revision())).has_value());
+  RC_ASSERT(watcher.revision() == machine.store().revision());
+  RC_ASSERT(watcher.evacuated_zones() == machine.store().evacuated_zones());
+  RC_ASSERT(!watcher.plan() == !machine.store().plan());
+  if (watcher.plan()) {
+    RC_ASSERT(watcher.plan()->number == machine.store().plan()->number);
+  }
+}
+
+}  // namespace
+}  // namespace trestlepost::config
--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -33,10 +33,22 @@
   replica_options replica;
   /// Entries applied between two snapshots.
   std::size_t snapshot_every = 1000;
+  /// Bytes of commands applied between two snapshots: bounds the log's file
+  /// when single commands are large.
+  std::size_t snapshot_bytes = 16UL * 1024 * 1024;
   /// A learner that was silent for so long is not made a voter.
   std::chrono::milliseconds member_silence{3000};
 };
 
+/// Membership that follows the nodes which ask to join, instead of a list.
+struct open_membership {
+  /// Voters that the group keeps although they are silent; only beyond these
+  /// a silent voter is taken for replaced and leaves.
+  std::size_t least_voters = 1;
+  /// A voter that was silent for so long counts as gone.
+  std::chrono::milliseconds gone_after{4000};
+};
+
 class group_host {
  public:
   group_host(replica_id self, group_options options,
@@ -57,12 +69,21 @@
                             std::function<void()> ready);
 
   /// A node that is no member yet asks to become one.
-  void handle_join(monotonic_time now, const replica_id& joiner);
+  /// `address` is where it listens, for groups with open membership.
+  void handle_join(monotonic_time now, const replica_id& joiner,
+                   const std::string& address = "");
 
   /// The nodes that should be voters. The leader brings the group there, one
   /// committed change at a time.
   void set_desired_voters(std::vector<std::string> nodes);
 
+  /// Makes every node that asks a voter, in place of a fixed list.
+  void set_open_membership(open_membership options) { open_ = options; }
+  /// The member with this node's name that was heard last, or none.
+  const member* find_member(const std::string& node) const;
+  /// Whether a member has not become a voter yet.
+  bool has_learners() const;
+
   /// Nodes that may follow as learners without ever voting.
   void set_admitted_learners(std::vector<std::string> nodes);
 
@@ -90,6 +111,10 @@
   bool is_desired(const std::string& node) const;
   bool is_admitted(const std::string& node) const;
   bool is_replaced(const member& it) const;
+  bool is_surplus(monotonic_time now, const member& it) const;
+  bool is_silent(monotonic_time now, const member& it,
+                 std::chrono::milliseconds longest) const;
+  bool take_address(const replica_id& joiner, const std::string& address);
   bool must_leave(monotonic_time now, const member& it) const;
   bool ready_to_vote(monotonic_time now, const member& learner) const;
 
@@ -102,9 +127,11 @@
   std::unique_ptr<replica> replica_;
   std::vector<std::string> desired_;
   std::vector<std::string> admitted_;
+  std::optional<open_membership> open_;
   std::vector<waiting_read> reads_;
   std::optional<error> failure_;
   log_index applied_ = 0;
+  std::size_t bytes_since_snapshot_ = 0;
   bool draining_ = false;
 };
 
--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -118,6 +118,8 @@
   bool caught_up(const replica_id& id) const;
   /// Time of the last reply of `id` (leader only).
   std::optional<monotonic_time> last_heard(const replica_id& id) const;
+  /// When this replica became leader (leader only).
+  monotonic_time elected_at() const { return elected_at_; }
   bool members_change_pending() const;
   /// When a leader last wrote to this replica, or its start.
   monotonic_time leader_heard_at() const { return leader_heard_at_; }
--- a/consensus/include/trestlepost/consensus/types.h
+++ b/consensus/include/trestlepost/consensus/types.h
@@ -27,6 +27,8 @@
 struct member {
   replica_id id;
   bool voter = false;
+  /// The peers' address, where members are not listed in the settings.
+  std::string address{};
 
   bool operator==(const member&) const = default;
 };
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -115,25 +115,62 @@
   admitted_ = std::move(nodes);
 }
 
+const member* group_host::find_member(const std::string& node) const {
+  const member* out = nullptr;
+  for (const member& it : replica_->members()) {
+    if (it.id.node != node) continue;
+    const bool newer = out == nullptr || replica_->last_heard(it.id) >
+                                             replica_->last_heard(out->id);
+    if (newer) out = &it;
+  }
+  return out;
+}
+
+bool group_host::has_learners() const {
+  const member_list& members = replica_->members();
+  return std::any_of(members.begin(), members.end(),
+                     [](const member& it) { return !it.voter; });
+}
+
 bool group_host::is_admitted(const std::string& node) const {
   return is_desired(node) ||
          std::find(admitted_.begin(), admitted_.end(), node) != admitted_.end();
 }
 
 bool group_host::is_desired(const std::string& node) const {
+  if (open_) return true;
   return std::find(desired_.begin(), desired_.end(), node) != desired_.end();
 }
 
-void group_host::handle_join(monotonic_time now, const replica_id& joiner) {
-  if (failure_ || !replica_->is_leader() || !is_admitted(joiner.node)) return;
+bool group_host::take_address(const replica_id& joiner,
+                              const std::string& address) {
   member_list next = replica_->members();
-  for (const member& it : next) {
-    if (it.id == joiner) return;
+  const auto it =
+      std::find_if(next.begin(), next.end(),
+                   [&joiner](const member& one) { return one.id == joiner; });
+  if (it == next.end()) return false;
+  if (address.empty() || it->address == address) return true;
+  it->address = address;
+  const result<log_index> asked = replica_->propose_members(next);
+  if (asked) {
+    log_event(log_level::info, "member-moved",
+              {{"replica", joiner.node}, {"address", address}});
   }
+  return true;
+}
+
+void group_host::handle_join(monotonic_time now, const replica_id& joiner,
+                             const std::string& address) {
+  if (failure_ || !replica_->is_leader() || !is_admitted(joiner.node)) return;
+  if (take_address(joiner, address)) {
+    tick(now);
+    return;
+  }
+  member_list next = replica_->members();
   std::erase_if(next, [&joiner](const member& it) {
     return it.id.node == joiner.node && !it.voter;
   });
-  next.push_back({joiner, false});
+  next.push_back({joiner, false, address});
   const result<log_index> asked = replica_->propose_members(next);
   if (asked) {
     log_event(log_level::info, "learner-added", {{"replica", joiner.node}});
@@ -159,13 +196,33 @@
       });
 }
 
+bool group_host::is_silent(monotonic_time now, const member& it,
+                           std::chrono::milliseconds longest) const {
+  const std::optional<monotonic_time> heard = replica_->last_heard(it.id);
+  const monotonic_time since = heard ? *heard : replica_->elected_at();
+  return since + longest < now;
+}
+
+bool group_host::is_surplus(monotonic_time now, const member& it) const {
+  if (!is_silent(now, it, open_->gone_after)) return false;
+  if (!it.voter) return true;
+  // Its place is free only when enough others are known to live.
+  std::size_t live = 0;
+  for (const member& other : replica_->members()) {
+    if (!other.voter || other.id == it.id) continue;
+    const bool heard = other.id == self_ ||
+                       !is_silent(now, other, options_.member_silence);
+    if (heard) ++live;
+  }
+  return live >= open_->least_voters;
+}
+
 bool group_host::must_leave(monotonic_time now, const member& it) const {
   if (it.id == self_) return false;
   if (is_replaced(it)) return true;
+  if (open_) return is_surplus(now, it);
   if (is_desired(it.id.node)) return false;
-  const std::optional<monotonic_time> heard = replica_->last_heard(it.id);
-  const bool silent = !heard || *heard + options_.member_silence < now;
-  return it.voter || silent;
+  return it.voter || is_silent(now, it, options_.member_silence);
 }
 
 std::optional<member_list> group_host::next_members(monotonic_time now) const {
@@ -189,8 +246,9 @@
 }
 
 void group_host::adjust_members(monotonic_time now) {
-  if (replica_->members_change_pending() || !replica_->leads_settled() ||
-      desired_.empty()) {
+  const bool idle = desired_.empty() && !open_;
+  if (idle || replica_->members_change_pending() ||
+      !replica_->leads_settled()) {
     return;
   }
   const std::optional<member_list> next = next_members(now);
@@ -226,6 +284,7 @@
   for (const entry& it : out.committed) {
     if (it.type == entry_type::command) machine_.apply(it);
     applied_ = it.index;
+    bytes_since_snapshot_ += it.data.size();
   }
   for (const std::uint64_t token : out.reads_ready) {
     const auto it = std::find_if(
@@ -241,9 +300,12 @@
 
 void group_host::compact_if_due() {
   const log_index first = replica_->first_index();
-  if (applied_ < first + options_.snapshot_every) return;
+  const bool many = applied_ >= first + options_.snapshot_every;
+  const bool large = bytes_since_snapshot_ >= options_.snapshot_bytes;
+  if (!many && !large) return;
   // Entries not yet written would be stored twice.
   if (replica_->has_output()) return;
+  bytes_since_snapshot_ = 0;
   const snapshot base = replica_->compact(applied_, machine_.save());
   const hard_state hard{replica_->term(), replica_->voted_for(),
                         replica_->group_id()};
--- a/consensus/src/types.cc
+++ b/consensus/src/types.cc
@@ -85,6 +85,7 @@
   for (const member& it : members) {
     json one = to_json(it.id);
     one["voter"] = it.voter;
+    if (!it.address.empty()) one["address"] = it.address;
     out.append(std::move(one));
   }
   return out;
@@ -94,7 +95,8 @@
   member_list out;
   if (!value.isArray()) return out;
   for (const json& it : value) {
-    out.push_back({replica_id_from(it), flag_of(it, "voter")});
+    out.push_back({replica_id_from(it), flag_of(it, "voter"),
+                   text_of(it, "address")});
   }
   return out;
 }
--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "trestlepost/base/error.h"
+#include "trestlepost/transport/http_server.h"
 
 namespace trestlepost::gateway {
 
@@ -29,14 +31,21 @@
   bool delivered = false;
   run_state ran = run_state::no;
   error cause;  // when not delivered
-  std::chrono::seconds retry_after{0};
+  std::chrono::milliseconds retry_after{0};
   std::string endpoint;  // that was tried, or empty
+  unsigned sends = 0;    // endpoints that the request was written to
+  /// A failure that the endpoint itself answered; the caller gets it when no
+  /// other attempt follows.
+  std::optional<transport::http_answer> endpoint_answer;
 };
 
 /// An attempt that ended without an answer.
 attempt failed_attempt(
     run_state ran, error cause,
-    std::chrono::seconds retry_after = std::chrono::seconds(0));
+    std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
+
+/// Rounded up, for callers that know whole seconds only.
+std::chrono::seconds whole_seconds(std::chrono::milliseconds n);
 
 /// The HTTP status of a refusal.
 unsigned status_of(error_kind kind);
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -0,0 +1,89 @@
+// The endpoints of the own region that the deployment lists, and which of
+// them serves a routed request now.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/error.h"
+#include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/routed_request.h"
+#include "trestlepost/routing/cold_limiter.h"
+#include "trestlepost/routing/engine_book.h"
+#include "trestlepost/surface/endpoint_codec.h"
+#include "trestlepost/surface/endpoint_directory.h"
+
+namespace trestlepost::gateway {
+
+/// One endpoint that was chosen for a request.
+struct chosen_endpoint {
+  std::string id;
+  std::string address;
+  /// Expected time to the answer's beginning.
+  std::chrono::milliseconds predicted{0};
+};
+
+class endpoint_pool {
+ public:
+  explicit endpoint_pool(gateway_context& context) : context_(context) {}
+
+  /// Takes in the whole list of the deployment; `zones` gives each
+  /// availability zone's region.
+  void learn(const std::vector<surface::listed_endpoint>& listed,
+             const std::map<std::string, std::string>& zones);
+  /// The plan or the evacuated zones changed.
+  void refresh();
+
+  /// The endpoint for `request`, or why there is none now.
+  result<chosen_endpoint> choose(const routed_request& request) const;
+
+  /// Time to the first token (or a free slot) that a request of `service`
+  /// meets here now; nothing when no endpoint takes requests.
+  std::optional<std::chrono::milliseconds> expected_wait(
+      const std::string& service) const;
+  membership::service_load load_of(const std::string& service) const;
+
+  void observe(const std::string& endpoint,
+               const surface::endpoint_answer& answer);
+  /// Another endpoint has its address.
+  void vanished(const std::string& endpoint);
+  void note_sent(const std::string& endpoint);
+
+  routing::engine_book& engines() { return engines_; }
+  const std::vector<surface::listed_endpoint>& listed() const {
+    return listed_;
+  }
+  std::vector<std::string> services() const;
+  void tick();
+
+ private:
+  struct candidate {
+    const membership::endpoint_view* view = nullptr;
+    std::chrono::milliseconds predicted{0};
+    double cost = 0;
+  };
+
+  bool takes_requests(const membership::endpoint_view& view,
+                      const config::planned_service* service) const;
+  bool is_cold_sender(const std::string& endpoint) const;
+  const config::planned_service* planned(const std::string& service) const;
+  std::optional<chosen_endpoint> choose_engine(
+      const std::vector<membership::endpoint_view>& open,
+      const routed_request& request) const;
+  std::optional<chosen_endpoint> choose_plain(
+      const std::vector<membership::endpoint_view>& open) const;
+  unsigned gateways() const;
+
+  gateway_context& context_;
+  std::vector<surface::listed_endpoint> listed_;  // of the own region
+  std::map<std::string, std::string> zone_of_;    // by endpoint
+  std::map<std::string, monotonic_time> cold_until_;
+  std::map<std::string, monotonic_time> observed_at_;
+  routing::engine_book engines_;
+  routing::cold_limiter cold_;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -0,0 +1,38 @@
+// One attempt to run a routed request at one endpoint, and the way of its
+// answer back to the caller.
+#pragma once
+
+#include "trestlepost/gateway/attempt.h"
+#include "trestlepost/gateway/endpoint_pool.h"
+#include "trestlepost/surface/surfaces.h"
+
+namespace trestlepost::gateway {
+
+class endpoint_runner {
+ public:
+  endpoint_runner(gateway_context& context, const surface::surfaces& surfaces,
+                  endpoint_pool& pool)
+      : context_(context), surfaces_(surfaces), pool_(pool) {}
+
+  transport::awaitable<attempt> run(const routed_request& request,
+                                    const chosen_endpoint& endpoint,
+                                    transport::http_exchange& exchange);
+
+ private:
+  struct running;
+
+  transport::awaitable<tl::expected<void, transport::call_failure>> send(
+      running& now);
+  attempt send_failed(const running& now,
+                      const transport::call_failure& failure);
+  std::optional<attempt> read_head(running& now);
+  transport::awaitable<attempt> deliver(running& now);
+  transport::awaitable<attempt> deliver_whole(running& now);
+  transport::awaitable<attempt> deliver_stream(running& now);
+
+  gateway_context& context_;
+  const surface::surfaces& surfaces_;
+  endpoint_pool& pool_;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/route_forward_handler.h
@@ -0,0 +1,36 @@
+// Takes routed requests that gateways of other regions forward, and hands
+// every other forwarded request to the handler behind it.
+#pragma once
+
+#include "trestlepost/gateway/forward_handler.h"
+#include "trestlepost/gateway/route_message.h"
+#include "trestlepost/gateway/route_service.h"
+#include "trestlepost/routing/route_table.h"
+
+namespace trestlepost::gateway {
+
+class route_forward_handler final : public transport::http_handler {
+ public:
+  route_forward_handler(gateway_context& context, route_service& service,
+                        const routing::route_table& routes,
+                        transport::http_handler& others)
+      : context_(context),
+        service_(service),
+        routes_(routes),
+        others_(others) {}
+
+  transport::awaitable<void> handle(
+      transport::http_exchange& exchange) override;
+
+ private:
+  result<route_message> read_message(const transport::http_exchange& exchange,
+                                     std::string& body) const;
+  result<routed_request> accept(route_message message, std::string body) const;
+
+  gateway_context& context_;
+  route_service& service_;
+  const routing::route_table& routes_;
+  transport::http_handler& others_;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -0,0 +1,35 @@
+// Sends a routed request to a gateway of another permitted region.
+#pragma once
+
+#include <string>
+
+#include "trestlepost/gateway/attempt.h"
+#include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/routed_request.h"
+#include "trestlepost/surface/surfaces.h"
+
+namespace trestlepost::gateway {
+
+class route_forwarder {
+ public:
+  route_forwarder(gateway_context& context, const surface::surfaces& surfaces)
+      : context_(context), surfaces_(surfaces) {}
+
+  /// Makes one attempt in `region`.
+  transport::awaitable<attempt> serve(const routed_request& request,
+                                      const std::string& region,
+                                      transport::http_exchange& exchange);
+
+ private:
+  const membership::node_record* choose_gateway(const std::string& region,
+                                                const std::string& service);
+  transport::http_request make_request(const routed_request& request) const;
+  transport::awaitable<attempt> pass_back(const routed_request& request,
+                                          transport::http_call& call,
+                                          transport::http_exchange& exchange);
+
+  gateway_context& context_;
+  const surface::surfaces& surfaces_;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -0,0 +1,51 @@
+// Answers callers whose requests the traffic plan routes.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "trestlepost/gateway/route_forwarder.h"
+#include "trestlepost/gateway/route_service.h"
+#include "trestlepost/routing/route_table.h"
+
+namespace trestlepost::gateway {
+
+class route_handler final : public transport::http_handler {
+ public:
+  route_handler(gateway_context& context, const surface::surfaces& surfaces,
+                route_service& own, const routing::route_table& routes)
+      : context_(context),
+        surfaces_(surfaces),
+        own_(own),
+        remote_(context, surfaces),
+        routes_(routes) {}
+
+  transport::awaitable<void> handle(
+      transport::http_exchange& exchange) override;
+
+  /// From now on new requests are refused; those in progress end.
+  void stop_taking() { taking_ = false; }
+
+ private:
+  result<routed_request> route(surface::call_head head, std::string body) const;
+  transport::awaitable<attempt> run(routed_request& request,
+                                    transport::http_exchange& exchange);
+  std::vector<std::string> rank_regions(
+      const routed_request& request,
+      const std::set<std::string>& exhausted) const;
+  transport::awaitable<void> answer(surface::call_head head, std::string body,
+                                    transport::http_exchange& exchange);
+  transport::awaitable<void> refuse(const attempt& outcome,
+                                    const std::string& request_id,
+                                    transport::http_exchange& exchange);
+  void record(const routed_request& request, const attempt& outcome);
+
+  gateway_context& context_;
+  const surface::surfaces& surfaces_;
+  route_service& own_;
+  route_forwarder remote_;
+  const routing::route_table& routes_;
+  bool taking_ = true;
+};
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -0,0 +1,38 @@
+// A request that a route of the traffic plan sends to a service.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/config/traffic_plan.h"
+#include "trestlepost/routing/engine_book.h"
+#include "trestlepost/surface/call_head.h"
+
+namespace trestlepost::gateway {
+
+struct routed_request {
+  surface::call_head head;
+  std::string body;
+  config::plan_ptr plan;  // keeps `route` alive
+  const config::route* route = nullptr;
+  std::string service;
+  routing::engine_work work;
+  monotonic_time arrived;
+  /// When nobody waits any more: the caller's patience or the route's
+  /// timeout, whichever ends first.
+  monotonic_time deadline;
+  /// Endpoints that this request has been sent to or that refused it.
+  std::set<std::string> avoid;
+  /// Endpoints that it has been written to so far.
+  unsigned sends = 0;
+};
+
+/// What `head` costs an engine.
+routing::engine_work work_of(const surface::call_head& head,
+                             const config::route& route);
+
+/// Whether the route lets `region` serve, cache and store its requests.
+bool permits_region(const config::route& route, const std::string& region);
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -46,7 +46,7 @@
 }  // namespace
 
 attempt failed_attempt(run_state ran, error cause,
-                       std::chrono::seconds retry_after) {
+                       std::chrono::milliseconds retry_after) {
   attempt out;
   out.ran = ran;
   out.cause = std::move(cause);
@@ -54,6 +54,10 @@
   return out;
 }
 
+std::chrono::seconds whole_seconds(std::chrono::milliseconds n) {
+  return std::chrono::ceil<std::chrono::seconds>(n);
+}
+
 unsigned status_of(error_kind kind) {
   switch (kind) {
     case error_kind::bad_input:
@@ -149,7 +153,8 @@
   if (exchange.answered() || exchange.gone()) co_return;
   http_answer answer =
       transport::problem_answer(status_of(outcome.cause.kind), outcome.cause,
-                                to_string(outcome.ran), outcome.retry_after);
+                                to_string(outcome.ran),
+                                whole_seconds(outcome.retry_after));
   answer.headers.emplace_back("X-Request-Id", request_id);
   co_await exchange.respond(std::move(answer));
 }
--- /dev/null
+++ b/gateway/src/endpoint_pool.cc
@@ -0,0 +1,280 @@
+#include "trestlepost/gateway/endpoint_pool.h"
+
+#include <algorithm>
+#include <set>
+
+#include "trestlepost/base/hash.h"
+#include "trestlepost/base/log.h"
+#include "trestlepost/routing/endpoint_choice.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using membership::endpoint_view;
+using std::chrono::milliseconds;
+
+// Loads that answers report are taken in this often for one endpoint: the
+// limits were made for reports of about this rate.
+constexpr milliseconds report_interval{250};
+// Endpoints queue a little; above this many times its limit one is not sent
+// more, and the request is refused.
+constexpr double most_over_limit = 3;
+// A section that this gateway has not sent itself was probably sent by
+// another one to the endpoint that all of them prefer for it.
+constexpr double preferred_has_section = 0.5;
+// What is kept of past cold requests.
+constexpr std::chrono::seconds cold_memory{30};
+
+/// The section by which requests are kept together: the last one that others
+/// share too.
+const routing::prompt_section* shared_section(
+    const routing::engine_work& work) {
+  if (work.sections.empty()) return nullptr;
+  const std::size_t n = work.sections.size();
+  return &work.sections[n > 1 ? n - 2 : 0];
+}
+
+std::string preferred_endpoint(const std::vector<endpoint_view>& open,
+                               const routing::prompt_section& section) {
+  const std::string key = std::to_string(section.id);
+  std::string best;
+  std::uint64_t best_score = 0;
+  for (const endpoint_view& it : open) {
+    const std::uint64_t score = rendezvous_score(key, it.name);
+    if (!best.empty() && score <= best_score) continue;
+    best = it.name;
+    best_score = score;
+  }
+  return best;
+}
+
+}  // namespace
+
+void endpoint_pool::learn(const std::vector<surface::listed_endpoint>& listed,
+                          const std::map<std::string, std::string>& zones) {
+  std::vector<surface::listed_endpoint> own;
+  for (const surface::listed_endpoint& it : listed) {
+    const auto zone = zones.find(it.availability_zone);
+    const bool here =
+        zone != zones.end() && zone->second == context_.self.region;
+    if (here) own.push_back(it);
+  }
+  listed_ = std::move(own);
+  const monotonic_time now = context_.clock.now();
+  for (const surface::listed_endpoint& it : listed_) {
+    if (it.cold_left > milliseconds(0)) cold_until_[it.id] = now + it.cold_left;
+  }
+  refresh();
+}
+
+void endpoint_pool::refresh() {
+  const monotonic_time now = context_.clock.now();
+  std::vector<membership::endpoint_tracker::declared_endpoint> declared;
+  std::vector<routing::engine_book::endpoint> engines;
+  zone_of_.clear();
+  for (const surface::listed_endpoint& it : listed_) {
+    declared.push_back({it.id, it.service, it.address, it.slots, it.leaving});
+    zone_of_[it.id] = it.availability_zone;
+    const config::planned_service* service = planned(it.service);
+    if (service != nullptr && service->engine) {
+      engines.push_back({it.id, service->engine->kv_capacity});
+    }
+  }
+  context_.endpoints.declare(declared, now);
+  engines_.declare(engines);
+  std::erase_if(cold_until_, [this, now](const auto& it) {
+    return it.second < now || !zone_of_.contains(it.first);
+  });
+  std::erase_if(observed_at_, [this](const auto& it) {
+    return !zone_of_.contains(it.first);
+  });
+}
+
+const config::planned_service* endpoint_pool::planned(
+    const std::string& service) const {
+  const config::plan_ptr& plan = context_.store.plan();
+  return plan ? plan->find_service(service) : nullptr;
+}
+
+unsigned endpoint_pool::gateways() const {
+  unsigned n = 0;
+  const monotonic_time now = context_.clock.now();
+  for (const membership::node_record* it : context_.nodes.all()) {
+    const bool gateway = it->last.node.region == context_.self.region &&
+                         !it->last.node.forward_address.empty();
+    const bool gone =
+        context_.nodes.state_of(*it, now) == membership::peer_state::dead;
+    if (gateway && !gone) ++n;
+  }
+  return std::max(1U, n);
+}
+
+bool endpoint_pool::is_cold_sender(const std::string& endpoint) const {
+  const std::uint64_t own = rendezvous_score(endpoint, context_.self.name);
+  std::size_t better = 0;
+  const monotonic_time now = context_.clock.now();
+  for (const membership::node_record* it :
+       context_.nodes.live_in(context_.self.region, now)) {
+    const membership::node_info& node = it->last.node;
+    if (node.forward_address.empty() || node.name == context_.self.name) {
+      continue;
+    }
+    if (rendezvous_score(endpoint, node.name) > own) ++better;
+  }
+  return better < routing::cold_limiter::senders_per_endpoint;
+}
+
+bool endpoint_pool::takes_requests(
+    const endpoint_view& view, const config::planned_service* service) const {
+  if (!view.usable) return false;
+  const auto zone = zone_of_.find(view.name);
+  if (zone == zone_of_.end() ||
+      context_.store.evacuated_zones().contains(zone->second)) {
+    return false;
+  }
+  const monotonic_time now = context_.clock.now();
+  const auto cold = cold_until_.find(view.name);
+  if (cold == cold_until_.end() || cold->second < now) return true;
+  const double bears =
+      service == nullptr ? 0 : service->cold_requests_per_second;
+  if (bears <= 0) return true;
+  return is_cold_sender(view.name) && cold_.may_send(view.name, bears, now);
+}
+
+std::optional<chosen_endpoint> endpoint_pool::choose_engine(
+    const std::vector<endpoint_view>& open,
+    const routed_request& request) const {
+  const routing::prompt_section* shared = shared_section(request.work);
+  const std::string preferred =
+      shared == nullptr ? "" : preferred_endpoint(open, *shared);
+  std::optional<chosen_endpoint> best;
+  double best_cost = 0;
+  for (const endpoint_view& it : open) {
+    if (it.load >= it.limit * most_over_limit) continue;
+    const milliseconds predicted = engines_.predict(it.name, request.work);
+    const double speed = engines_.tokens_per_ms(it.name);
+    const std::uint32_t uncached =
+        engines_.uncached_tokens(it.name, request.work);
+    // What it reads holds up all that come after it: it counts twice.
+    double cost = static_cast<double>(predicted.count()) + uncached / speed;
+    const bool unknown_here =
+        shared != nullptr && uncached == request.work.prompt_tokens;
+    if (unknown_here && it.name == preferred) {
+      cost -= preferred_has_section * shared->tokens / speed;
+    }
+    if (best && cost >= best_cost) continue;
+    best = chosen_endpoint{it.name, it.address, predicted};
+    best_cost = cost;
+  }
+  return best;
+}
+
+std::optional<chosen_endpoint> endpoint_pool::choose_plain(
+    const std::vector<endpoint_view>& open) const {
+  const std::optional<endpoint_view> free =
+      routing::choose_endpoint(open, {0, {}, gateways()}, context_.random);
+  if (free) return chosen_endpoint{free->name, free->address, milliseconds(0)};
+  const auto least = std::min_element(
+      open.begin(), open.end(),
+      [](const endpoint_view& a, const endpoint_view& b) {
+        return a.load / a.limit < b.load / b.limit;
+      });
+  if (least == open.end() || least->load >= least->limit * most_over_limit) {
+    return std::nullopt;
+  }
+  return chosen_endpoint{least->name, least->address, milliseconds(0)};
+}
+
+result<chosen_endpoint> endpoint_pool::choose(
+    const routed_request& request) const {
+  const config::planned_service* service = planned(request.service);
+  std::vector<endpoint_view> open;
+  for (endpoint_view& it :
+       context_.endpoints.views(request.service, context_.clock.now())) {
+    const bool free = takes_requests(it, service) &&
+                      !request.avoid.contains(it.name);
+    if (free) open.push_back(std::move(it));
+  }
+  if (open.empty()) {
+    return fail(error_kind::unavailable,
+                "no endpoint of " + request.service + " in " +
+                    context_.self.region + " takes requests",
+                "send it again after Retry-After");
+  }
+  const bool engine = service != nullptr && service->engine.has_value();
+  const std::optional<chosen_endpoint> chosen =
+      engine ? choose_engine(open, request) : choose_plain(open);
+  if (chosen) return *chosen;
+  return fail(error_kind::overloaded,
+              "every endpoint of " + request.service + " in " +
+                  context_.self.region + " is full",
+              "send it again after Retry-After");
+}
+
+std::optional<milliseconds> endpoint_pool::expected_wait(
+    const std::string& service) const {
+  const config::planned_service* known = planned(service);
+  const bool engine = known != nullptr && known->engine.has_value();
+  std::optional<milliseconds> best;
+  for (const endpoint_view& it :
+       context_.endpoints.views(service, context_.clock.now())) {
+    if (!takes_requests(it, known)) continue;
+    if (it.load >= it.limit * most_over_limit) continue;
+    const milliseconds wait =
+        engine ? engines_.predict(it.name, {}) : milliseconds(0);
+    if (!best || wait < *best) best = wait;
+  }
+  return best;
+}
+
+membership::service_load endpoint_pool::load_of(
+    const std::string& service) const {
+  membership::service_load out;
+  for (const endpoint_view& it :
+       context_.endpoints.views(service, context_.clock.now())) {
+    out.in_flight += it.own_in_flight;
+    out.endpoints += takes_requests(it, planned(service)) ? 1 : 0;
+  }
+  const std::optional<milliseconds> wait = expected_wait(service);
+  if (!wait) out.endpoints = 0;
+  out.wait = wait.value_or(milliseconds(0));
+  return out;
+}
+
+std::vector<std::string> endpoint_pool::services() const {
+  std::set<std::string> out;
+  for (const surface::listed_endpoint& it : listed_) out.insert(it.service);
+  return {out.begin(), out.end()};
+}
+
+void endpoint_pool::observe(const std::string& endpoint,
+                            const surface::endpoint_answer& answer) {
+  const monotonic_time now = context_.clock.now();
+  if (answer.cold_left && *answer.cold_left > milliseconds(0)) {
+    cold_until_[endpoint] = now + *answer.cold_left;
+  }
+  monotonic_time& last = observed_at_[endpoint];
+  if (!answer.load || now < last + report_interval) return;
+  last = now;
+  context_.endpoints.report(
+      endpoint, {answer.load->running, answer.load->waiting, now, 0});
+}
+
+void endpoint_pool::vanished(const std::string& endpoint) {
+  log_event(log_level::info, "endpoint-vanished", {{"endpoint", endpoint}});
+  std::erase_if(listed_, [&endpoint](const surface::listed_endpoint& it) {
+    return it.id == endpoint;
+  });
+  refresh();
+}
+
+void endpoint_pool::note_sent(const std::string& endpoint) {
+  if (!cold_until_.contains(endpoint)) return;
+  cold_.sent(endpoint, context_.clock.now());
+}
+
+void endpoint_pool::tick() {
+  cold_.forget(context_.clock.now() - cold_memory);
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/endpoint_runner.cc
@@ -0,0 +1,250 @@
+#include "trestlepost/gateway/endpoint_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::awaitable;
+using transport::http_answer;
+
+// Answers to earlier requests that are skipped on a connection before it is
+// given up.
+constexpr int most_surplus_answers = 2;
+// A plain answer is read whole before any of it is sent, so that one that is
+// cut short can still be replaced.
+constexpr std::size_t largest_plain_answer = 16UL * 1024 * 1024;
+// A request that was refused unrun may come back this soon.
+constexpr milliseconds refused_retry_after{200};
+constexpr unsigned ok_status = 200;
+constexpr unsigned first_server_error = 500;
+
+using send_result = tl::expected<void, transport::call_failure>;
+
+}  // namespace
+
+/// What belongs to one attempt.
+struct endpoint_runner::running {
+  const routed_request& request;
+  const chosen_endpoint& endpoint;
+  transport::http_exchange& exchange;
+  std::shared_ptr<transport::http_call> call;
+  routing::engine_book::ticket ticket = 0;
+  monotonic_time started;
+  surface::endpoint_answer answer;
+};
+
+awaitable<attempt> endpoint_runner::run(const routed_request& request,
+                                        const chosen_endpoint& endpoint,
+                                        transport::http_exchange& exchange) {
+  running now{request,
+              endpoint,
+              exchange,
+              context_.client.call(endpoint.address),
+              0,
+              context_.clock.now(),
+              {}};
+  context_.endpoints.request_started(endpoint.id);
+  pool_.note_sent(endpoint.id);
+  now.ticket = pool_.engines().begin(endpoint.id, request.work, now.started);
+  std::function<void()> on_gone = [call = now.call] { call->cancel(); };
+  exchange.on_gone(std::move(on_gone));
+  attempt out;
+  const send_result sent = co_await send(now);
+  if (sent) {
+    std::optional<attempt> refused = read_head(now);
+    if (refused) {
+      now.call->cancel();
+      out = std::move(*refused);
+    } else {
+      out = co_await deliver(now);
+    }
+  } else {
+    out = send_failed(now, sent.error());
+  }
+  exchange.on_gone(nullptr);
+  pool_.engines().end(now.ticket);
+  context_.endpoints.request_ended(endpoint.id);
+  out.endpoint = endpoint.id;
+  co_return out;
+}
+
+awaitable<send_result> endpoint_runner::send(running& now) {
+  const milliseconds remaining = std::chrono::duration_cast<milliseconds>(
+      now.request.deadline - now.started);
+  const surface::endpoint_attempt in{now.request.head,
+                                     now.request.body,
+                                     now.endpoint.id,
+                                     std::max(remaining, milliseconds(1)),
+                                     now.request.route->priority,
+                                     now.request.head.resume_after};
+  transport::http_request out = surfaces_.endpoints->encode(in);
+  send_result sent =
+      co_await now.call->send(std::move(out), now.request.deadline);
+  for (int n = 0; sent; ++n) {
+    now.answer = surfaces_.endpoints->read_head(*now.call);
+    const std::string& id = now.answer.request_id;
+    const bool own = id.empty() || id == now.request.head.request_id;
+    if (own) break;
+    log_event(log_level::warn, "surplus-answer",
+              {{"request_id", now.request.head.request_id},
+               {"endpoint", now.endpoint.id},
+               {"answered_id", id}});
+    if (n == most_surplus_answers) {
+      now.call->cancel();
+      transport::call_failure crossed;
+      crossed.cause = {error_kind::endpoint_failed,
+                       "the endpoint answered other requests only",
+                       "check the endpoint " + now.endpoint.id};
+      crossed.bytes_written = true;
+      co_return tl::make_unexpected(std::move(crossed));
+    }
+    sent = co_await now.call->next_answer();
+  }
+  co_return sent;
+}
+
+attempt endpoint_runner::send_failed(const running& now,
+                                     const transport::call_failure& failure) {
+  const monotonic_time at = context_.clock.now();
+  const bool late = failure.cause.kind == error_kind::deadline;
+  if (failure.refused) {
+    context_.endpoints.connection_refused(now.endpoint.id, at);
+  } else if (!now.exchange.gone() && !(late && failure.bytes_written)) {
+    context_.endpoints.request_failed(now.endpoint.id, at);
+  }
+  attempt out =
+      failed_attempt(failure.bytes_written ? run_state::unknown : run_state::no,
+                     failure.cause, refused_retry_after);
+  out.sends = failure.bytes_written ? 1 : 0;
+  if (!now.exchange.gone()) {
+    log_event(log_level::warn, "endpoint-failed",
+              {{"request_id", now.request.head.request_id},
+               {"endpoint", now.endpoint.id},
+               {"sent", failure.bytes_written ? "yes" : "no"},
+               {"detail", failure.cause.message}});
+  }
+  return out;
+}
+
+std::optional<attempt> endpoint_runner::read_head(running& now) {
+  pool_.observe(now.endpoint.id, now.answer);
+  if (!now.answer.not_run && !now.answer.other_endpoint) return std::nullopt;
+  if (now.answer.other_endpoint) pool_.vanished(now.endpoint.id);
+  attempt out = failed_attempt(
+      run_state::no,
+      {now.answer.other_endpoint ? error_kind::unavailable
+                                 : error_kind::overloaded,
+       "the endpoint did not take the request",
+       "send it again after Retry-After"},
+      refused_retry_after);
+  out.sends = 1;
+  log_event(log_level::info, "endpoint-refused",
+            {{"request_id", now.request.head.request_id},
+             {"endpoint", now.endpoint.id},
+             {"status", std::to_string(now.call->status())}});
+  return out;
+}
+
+awaitable<attempt> endpoint_runner::deliver(running& now) {
+  const bool streamed = now.request.route->kind == config::route_kind::stream &&
+                        now.call->status() == ok_status;
+  attempt out;
+  if (streamed) {
+    out = co_await deliver_stream(now);
+  } else {
+    out = co_await deliver_whole(now);
+  }
+  out.sends = 1;
+  co_return out;
+}
+
+namespace {
+
+http_answer head_of(const transport::http_call& call,
+                    const surface::endpoint_codec& codec) {
+  http_answer out;
+  out.status = call.status();
+  out.content_type.clear();
+  out.headers = codec.passed_back(call);
+  return out;
+}
+
+}  // namespace
+
+awaitable<attempt> endpoint_runner::deliver_whole(running& now) {
+  result<std::string> body = co_await now.call->read_rest(largest_plain_answer);
+  if (!body) {
+    if (!now.exchange.gone()) {
+      context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+    }
+    co_return failed_attempt(run_state::unknown, body.error(),
+                             refused_retry_after);
+  }
+  context_.endpoints.request_succeeded(now.endpoint.id);
+  http_answer answer = head_of(*now.call, *surfaces_.endpoints);
+  answer.body = std::move(*body);
+  attempt out;
+  if (answer.status >= first_server_error &&
+      now.request.route->may_repeat()) {
+    out = failed_attempt(
+        run_state::unknown,
+        {error_kind::endpoint_failed,
+         "the endpoint answered " + std::to_string(answer.status),
+         "send it again"},
+        refused_retry_after);
+    out.endpoint_answer = std::move(answer);
+    co_return out;
+  }
+  pool_.engines().first_token(now.ticket, context_.clock.now());
+  context_.metrics.first_piece(now.request.service,
+                               context_.clock.now() - now.request.arrived);
+  out.delivered = true;
+  out.ran = run_state::yes;
+  co_await now.exchange.respond(std::move(answer));
+  co_return out;
+}
+
+awaitable<attempt> endpoint_runner::deliver_stream(running& now) {
+  result<std::string> piece = co_await now.call->read_piece();
+  if (!piece) {
+    if (!now.exchange.gone()) {
+      context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+    }
+    co_return failed_attempt(run_state::unknown, piece.error(),
+                             refused_retry_after);
+  }
+  const monotonic_time at = context_.clock.now();
+  pool_.engines().first_token(now.ticket, at);
+  context_.metrics.first_piece(now.request.service, at - now.request.arrived);
+  attempt out;
+  out.delivered = true;
+  out.ran = run_state::yes;
+  http_answer head = head_of(*now.call, *surfaces_.endpoints);
+  bool open = co_await now.exchange.start_stream(std::move(head));
+  while (open && piece && !piece->empty()) {
+    std::string text = std::move(*piece);
+    open = co_await now.exchange.write_piece(std::move(text));
+    if (open) piece = co_await now.call->read_piece();
+  }
+  if (!open) {
+    now.call->cancel();
+    out.cause = {error_kind::bad_input, "the caller left", ""};
+    co_return out;
+  }
+  if (!piece) {
+    now.exchange.abort();
+    context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+    out.cause = piece.error();
+    co_return out;
+  }
+  context_.endpoints.request_succeeded(now.endpoint.id);
+  co_await now.exchange.finish_stream();
+  co_return out;
+}
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -18,7 +18,8 @@
   if (exchange.answered() || exchange.gone()) co_return;
   transport::http_answer answer =
       transport::problem_answer(status_of(outcome.cause.kind), outcome.cause,
-                                to_string(outcome.ran), outcome.retry_after);
+                                to_string(outcome.ran),
+                                whole_seconds(outcome.retry_after));
   answer.headers.emplace_back(refused_header, "true");
   result<json> body = parse_json(answer.body);
   if (body && !outcome.endpoint.empty()) {
--- /dev/null
+++ b/gateway/src/route_forward_handler.cc
@@ -0,0 +1,110 @@
+#include "trestlepost/gateway/route_forward_handler.h"
+
+#include <charconv>
+#include <utility>
+
+#include "refusal_message.h"
+#include "trestlepost/base/hash.h"
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::awaitable;
+using transport::http_exchange;
+
+constexpr milliseconds retry_after{300};
+
+result<routed_request> behind(const std::string& what) {
+  return fail(error_kind::configuration_behind, what,
+              "send it again after Retry-After");
+}
+
+}  // namespace
+
+result<route_message> route_forward_handler::read_message(
+    const http_exchange& exchange, std::string& body) const {
+  const std::string_view told = exchange.header(message_size_header);
+  std::size_t size = 0;
+  std::from_chars(told.data(), told.data() + told.size(), size);
+  if (size == 0 || size > body.size()) {
+    return fail(error_kind::bad_input, "a forwarded request has no message",
+                "run one version of trestlepostd on all nodes");
+  }
+  const std::string text = body.substr(0, size);
+  body.erase(0, size);
+  const std::string expected = forward_digest(context_.peer_secret, text, body);
+  const std::string given(exchange.header(forward_digest_header));
+  // Compared as digests of digests, so that timing tells nothing.
+  if (sha256_hex(given) != sha256_hex(expected)) {
+    return fail(error_kind::unauthorized, "this address is for peers",
+                "send requests to the callers' address of an entry");
+  }
+  return route_message_from(text);
+}
+
+result<routed_request> route_forward_handler::accept(route_message message,
+                                                     std::string body) const {
+  if (!context_.state.may_cross(context_.clock.now())) {
+    return fail(error_kind::isolated, "this node takes no requests of others",
+                "use another node");
+  }
+  const config::plan_ptr& plan = routes_.plan();
+  if (!plan || plan->number < message.plan) {
+    return behind("this node holds an older plan than the sender");
+  }
+  const config::route* route =
+      routes_.find(message.head.host, message.head.path());
+  if (route == nullptr) return behind("the sender's route is gone");
+  if (!permits_region(*route, context_.self.region)) {
+    return fail(error_kind::not_permitted,
+                "route " + route->name + " does not permit region " +
+                    context_.self.region,
+                "send it again after Retry-After");
+  }
+  routed_request out;
+  out.work = work_of(message.head, *route);
+  out.head = std::move(message.head);
+  out.body = std::move(body);
+  out.plan = plan;
+  out.route = route;
+  out.service = std::move(message.service);
+  out.arrived = context_.clock.now();
+  out.deadline = out.arrived + message.remaining;
+  out.avoid = std::move(message.avoid);
+  return out;
+}
+
+awaitable<void> route_forward_handler::handle(http_exchange& exchange) {
+  if (exchange.target() != route_target) {
+    co_await others_.handle(exchange);
+    co_return;
+  }
+  result<std::string> body = co_await exchange.read_body();
+  attempt outcome;
+  if (!body) {
+    outcome = failed_attempt(run_state::no, body.error());
+  } else {
+    result<route_message> message = read_message(exchange, *body);
+    result<routed_request> request =
+        message ? accept(std::move(*message), std::move(*body))
+                : result<routed_request>(
+                      tl::make_unexpected(message.error()));
+    if (request) {
+      outcome = co_await service_.serve(*request, exchange);
+    } else {
+      outcome = failed_attempt(run_state::no, request.error(), retry_after);
+    }
+  }
+  if (outcome.delivered || exchange.answered() || exchange.gone()) co_return;
+  if (outcome.endpoint_answer) {
+    transport::http_answer answer = std::move(*outcome.endpoint_answer);
+    co_await exchange.respond(std::move(answer));
+    co_return;
+  }
+  transport::http_answer refusal = make_refusal(outcome);
+  co_await exchange.respond(std::move(refusal));
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/route_forwarder.cc
@@ -0,0 +1,160 @@
+#include "trestlepost/gateway/route_forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "refusal_message.h"
+#include "trestlepost/gateway/forward_message.h"
+#include "trestlepost/gateway/route_message.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using membership::node_record;
+using std::chrono::milliseconds;
+using transport::awaitable;
+
+constexpr std::size_t largest_refusal = 64UL * 1024;
+constexpr std::size_t largest_plain_answer = 16UL * 1024 * 1024;
+constexpr milliseconds retry_after{300};
+
+std::uint32_t busyness(const node_record& it, const std::string& service) {
+  const auto found = it.last.services.find(service);
+  return found == it.last.services.end() ? 0 : found->second.in_flight;
+}
+
+bool is_own_header(const std::string& name) {
+  return name.starts_with("Trestlepost-");
+}
+
+transport::http_answer head_of(const transport::http_call& call,
+                               const surface::endpoint_codec& codec) {
+  transport::http_answer out;
+  out.status = call.status();
+  out.content_type.clear();
+  out.headers = codec.passed_back(call);
+  std::erase_if(out.headers,
+                [](const auto& it) { return is_own_header(it.first); });
+  return out;
+}
+
+}  // namespace
+
+const node_record* route_forwarder::choose_gateway(const std::string& region,
+                                                   const std::string& service) {
+  std::vector<const node_record*> open;
+  for (const node_record* it :
+       context_.nodes.live_in(region, context_.clock.now())) {
+    const bool takes = it->last.state == membership::node_states::ready &&
+                       !it->last.node.forward_address.empty();
+    if (takes) open.push_back(it);
+  }
+  if (open.empty()) return nullptr;
+  const node_record* a = open[context_.random.below(open.size())];
+  const node_record* b = open[context_.random.below(open.size())];
+  return busyness(*b, service) < busyness(*a, service) ? b : a;
+}
+
+transport::http_request route_forwarder::make_request(
+    const routed_request& request) const {
+  route_message message;
+  message.head = request.head;
+  message.service = request.service;
+  message.entry_region = context_.self.region;
+  message.remaining = std::chrono::duration_cast<milliseconds>(
+      request.deadline - context_.clock.now());
+  message.remaining = std::max(message.remaining, milliseconds(1));
+  message.avoid = request.avoid;
+  message.plan = request.plan->number;
+  const std::string text = to_text(to_json(message));
+  transport::http_request out;
+  out.target = route_target;
+  out.headers = {{message_size_header, std::to_string(text.size())},
+                 {forward_digest_header,
+                  forward_digest(context_.peer_secret, text, request.body)}};
+  out.body = text + request.body;
+  return out;
+}
+
+awaitable<attempt> route_forwarder::serve(const routed_request& request,
+                                          const std::string& region,
+                                          transport::http_exchange& exchange) {
+  const node_record* gateway = choose_gateway(region, request.service);
+  if (gateway == nullptr) {
+    co_return failed_attempt(
+        run_state::no,
+        {error_kind::unavailable, "no gateway of " + region + " is reachable",
+         "send it again after Retry-After"},
+        retry_after);
+  }
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(gateway->last.node.forward_address);
+  std::function<void()> on_gone = [call] { call->cancel(); };
+  exchange.on_gone(std::move(on_gone));
+  context_.metrics.forwarded(region);
+  transport::http_request out = make_request(request);
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(std::move(out), request.deadline);
+  attempt outcome;
+  if (!sent) {
+    const bool written = sent.error().bytes_written;
+    outcome = failed_attempt(written ? run_state::unknown : run_state::no,
+                             sent.error().cause, retry_after);
+    outcome.sends = written ? 1 : 0;
+  } else if (!call->header(refused_header).empty()) {
+    const result<std::string> body = co_await call->read_rest(largest_refusal);
+    outcome = read_refusal(body ? *body : "{}");
+  } else {
+    outcome = co_await pass_back(request, *call, exchange);
+  }
+  exchange.on_gone(nullptr);
+  co_return outcome;
+}
+
+awaitable<attempt> route_forwarder::pass_back(
+    const routed_request& request, transport::http_call& call,
+    transport::http_exchange& exchange) {
+  attempt out;
+  out.sends = 1;
+  out.ran = run_state::unknown;
+  transport::http_answer head = head_of(call, *surfaces_.endpoints);
+  const bool streamed = request.route->kind == config::route_kind::stream;
+  if (!streamed) {
+    result<std::string> body = co_await call.read_rest(largest_plain_answer);
+    if (!body) {
+      out.cause = body.error();
+      co_return out;
+    }
+    out.delivered = true;
+    out.ran = run_state::yes;
+    head.body = std::move(*body);
+    co_await exchange.respond(std::move(head));
+    co_return out;
+  }
+  result<std::string> piece = co_await call.read_piece();
+  if (!piece) {
+    out.cause = piece.error();
+    co_return out;
+  }
+  out.delivered = true;
+  out.ran = run_state::yes;
+  bool open = co_await exchange.start_stream(std::move(head));
+  while (open && piece && !piece->empty()) {
+    std::string text = std::move(*piece);
+    open = co_await exchange.write_piece(std::move(text));
+    if (open) piece = co_await call.read_piece();
+  }
+  if (!open) {
+    call.cancel();
+    co_return out;
+  }
+  if (piece) {
+    co_await exchange.finish_stream();
+  } else {
+    out.cause = piece.error();
+    exchange.abort();
+  }
+  co_return out;
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/route_handler.cc
@@ -0,0 +1,231 @@
+#include "trestlepost/gateway/route_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::awaitable;
+using transport::http_exchange;
+
+constexpr milliseconds retry_after{300};
+// Until a region's distance is measured.
+constexpr milliseconds unknown_round_trip{110};
+// A request goes away from home only when home would miss this share of its
+// latency objective.
+constexpr double objective_share_at_home = 0.8;
+// ... and when away is better by this much: a prompt read away is read again
+// at home the next time.
+constexpr milliseconds away_margin{100};
+// Attempts in other regions, each on another gateway, of one request.
+constexpr std::size_t most_regions = 3;
+
+error unavailable(const std::string& what) {
+  return {error_kind::unavailable, what, "send it again after Retry-After"};
+}
+
+struct region_cost {
+  std::string region;
+  milliseconds cost{0};
+};
+
+}  // namespace
+
+awaitable<void> route_handler::handle(http_exchange& exchange) {
+  result<surface::call_head> head = surfaces_.callers->read_head(exchange);
+  // Read in any case: a connection that closes with unread bytes is reset,
+  // which may cost the caller the answer.
+  result<std::string> body = co_await exchange.read_body();
+  if (!head || !body) {
+    const std::string id = head ? head->request_id : "";
+    const error& cause = head ? body.error() : head.error();
+    const attempt refused = failed_attempt(run_state::no, cause);
+    co_await refuse(refused, id, exchange);
+    co_return;
+  }
+  co_await answer(std::move(*head), std::move(*body), exchange);
+}
+
+result<routed_request> route_handler::route(surface::call_head head,
+                                            std::string body) const {
+  const config::plan_ptr& plan = routes_.plan();
+  if (!plan) {
+    return tl::make_unexpected(unavailable("this node has no plan yet"));
+  }
+  if (!taking_) {
+    return fail(error_kind::draining, "this node is stopping",
+                "use another node");
+  }
+  const config::route* found = routes_.find(head.host, head.path());
+  if (found == nullptr) {
+    return fail(error_kind::not_found,
+                "no route of plan " + std::to_string(plan->number) +
+                    " leads to " + head.host + std::string(head.path()),
+                "check the host and the path");
+  }
+  routed_request out;
+  out.work = work_of(head, *found);
+  out.plan = plan;
+  out.route = found;
+  out.service = routing::choose_service(*found, context_.random);
+  out.arrived = context_.clock.now();
+  const milliseconds patience =
+      std::min(head.patience.value_or(found->timeout), found->timeout);
+  out.deadline = out.arrived + patience;
+  out.head = std::move(head);
+  out.body = std::move(body);
+  return out;
+}
+
+awaitable<void> route_handler::answer(surface::call_head head, std::string body,
+                                      http_exchange& exchange) {
+  const std::string id = head.request_id;
+  result<routed_request> request = route(std::move(head), std::move(body));
+  if (!request) {
+    const attempt refused =
+        failed_attempt(run_state::no, request.error(), retry_after);
+    context_.metrics.request_done(
+        "none", std::string(to_string(refused.cause.kind)), milliseconds(0));
+    log_event(log_level::info, "request-refused",
+              {{"request_id", id}, {"cause", refused.cause.message}});
+    co_await refuse(refused, id, exchange);
+    co_return;
+  }
+  attempt outcome = co_await run(*request, exchange);
+  record(*request, outcome);
+  if (outcome.delivered || exchange.answered() || exchange.gone()) co_return;
+  if (outcome.endpoint_answer) {
+    transport::http_answer kept = std::move(*outcome.endpoint_answer);
+    co_await exchange.respond(std::move(kept));
+    co_return;
+  }
+  co_await refuse(outcome, id, exchange);
+}
+
+std::vector<std::string> route_handler::rank_regions(
+    const routed_request& request,
+    const std::set<std::string>& exhausted) const {
+  std::vector<region_cost> ranked;
+  const std::string& own = context_.self.region;
+  const monotonic_time now = context_.clock.now();
+  if (permits_region(*request.route, own) && !exhausted.contains(own)) {
+    const std::optional<milliseconds> wait =
+        own_.pool().expected_wait(request.service);
+    const milliseconds acceptable =
+        std::chrono::duration_cast<milliseconds>(
+            request.route->latency_objective * objective_share_at_home);
+    if (wait) {
+      const bool good = *wait <= acceptable;
+      ranked.push_back({own, good ? milliseconds(0) : *wait});
+    }
+  }
+  if (context_.state.may_cross(now)) {
+    for (const std::string& region : context_.nodes.regions()) {
+      const bool candidate = region != own && !exhausted.contains(region) &&
+                             permits_region(*request.route, region);
+      if (!candidate) continue;
+      std::optional<milliseconds> wait;
+      for (const membership::node_record* it :
+           context_.nodes.live_in(region, now)) {
+        const auto load = it->last.services.find(request.service);
+        const bool open = it->last.state == membership::node_states::ready &&
+                          load != it->last.services.end() &&
+                          load->second.endpoints > 0;
+        if (open && (!wait || load->second.wait < *wait)) {
+          wait = load->second.wait;
+        }
+      }
+      if (!wait) continue;
+      const auto measured = context_.round_trips.find(region);
+      const milliseconds distance = measured == context_.round_trips.end()
+                                        ? unknown_round_trip
+                                        : measured->second;
+      const milliseconds reading(static_cast<std::int64_t>(
+          request.work.prompt_tokens /
+          routing::engine_book::first_tokens_per_ms));
+      ranked.push_back({region, *wait + distance + reading + away_margin});
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const region_cost& a, const region_cost& b) {
+                     return a.cost < b.cost;
+                   });
+  std::vector<std::string> out;
+  for (const region_cost& it : ranked) out.push_back(it.region);
+  return out;
+}
+
+awaitable<attempt> route_handler::run(routed_request& request,
+                                      http_exchange& exchange) {
+  std::set<std::string> exhausted;
+  attempt last = failed_attempt(
+      run_state::no,
+      unavailable("no permitted region can serve " + request.service + " now"),
+      retry_after);
+  bool may_have_run = false;
+  while (exhausted.size() < most_regions) {
+    const std::vector<std::string> ranked = rank_regions(request, exhausted);
+    if (ranked.empty()) break;
+    const std::string region = ranked.front();
+    if (region == context_.self.region) {
+      last = co_await own_.serve(request, exchange);
+    } else {
+      last = co_await remote_.serve(request, region, exchange);
+      request.sends += last.sends;
+      if (!last.endpoint.empty()) request.avoid.insert(last.endpoint);
+    }
+    if (last.delivered || exchange.answered() || exchange.gone()) {
+      last.delivered = true;
+      co_return last;
+    }
+    may_have_run = may_have_run || last.ran != run_state::no;
+    const bool more = last.ran == run_state::no &&
+                      request.sends < request.route->attempts &&
+                      context_.clock.now() < request.deadline;
+    if (!more) break;
+    exhausted.insert(region);
+  }
+  if (may_have_run) last.ran = run_state::unknown;
+  co_return last;
+}
+
+awaitable<void> route_handler::refuse(const attempt& outcome,
+                                      const std::string& request_id,
+                                      http_exchange& exchange) {
+  if (exchange.answered() || exchange.gone()) co_return;
+  const surface::refusal why{outcome.cause, outcome.ran != run_state::no,
+                             outcome.retry_after, request_id};
+  transport::http_answer answer = surfaces_.callers->refuse(why);
+  co_await exchange.respond(std::move(answer));
+}
+
+void route_handler::record(const routed_request& request,
+                           const attempt& outcome) {
+  const std::chrono::nanoseconds passed =
+      context_.clock.now() - request.arrived;
+  const std::string name =
+      outcome.delivered ? "answered"
+                        : std::string(to_string(outcome.cause.kind));
+  context_.metrics.request_done(request.service, name, passed);
+  const std::int64_t ms =
+      std::chrono::duration_cast<milliseconds>(passed).count();
+  log_event(outcome.delivered && outcome.cause.message.empty()
+                ? log_level::debug
+                : log_level::info,
+            "request-done",
+            {{"request_id", request.head.request_id},
+             {"route", request.route->name},
+             {"service", request.service},
+             {"plan", std::to_string(request.plan->number)},
+             {"outcome", name},
+             {"endpoint", outcome.endpoint},
+             {"ran", std::string(to_string(outcome.ran))},
+             {"ms", std::to_string(ms)},
+             {"cause", outcome.cause.message}});
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/route_service.cc
@@ -0,0 +1,103 @@
+#include "trestlepost/gateway/route_service.h"
+
+#include <algorithm>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::awaitable;
+
+// Endpoints that are tried when none of them took a byte of the request.
+constexpr unsigned most_unsent_tries = 4;
+constexpr milliseconds unavailable_retry_after{300};
+constexpr milliseconds least_retry_after{100};
+
+// Callers give a stream up when nothing comes for this long, whichever is
+// longest; what is predicted to come later is not worth an engine's time.
+constexpr milliseconds least_stream_patience{2000};
+constexpr int stream_patience_objectives = 4;
+constexpr int stream_patience_pauses = 8;
+
+milliseconds first_event_patience(const config::route& route) {
+  return std::max({least_stream_patience,
+                   stream_patience_objectives * route.latency_objective,
+                   stream_patience_pauses * route.longest_pause});
+}
+
+/// Whether a request that would begin to be answered after `predicted` comes
+/// too late to be of use.
+bool too_late(const routed_request& request, milliseconds predicted,
+              monotonic_time now) {
+  if (now + predicted >= request.deadline) return true;
+  const bool stream = request.route->kind == config::route_kind::stream;
+  return stream &&
+         now + predicted >=
+             request.arrived + first_event_patience(*request.route);
+}
+
+}  // namespace
+
+bool route_service::may_retry(const routed_request& request,
+                              const attempt& last, unsigned unsent) {
+  if (context_.clock.now() >= request.deadline) return false;
+  if (last.sends == 0) return unsent < most_unsent_tries;
+  if (request.sends >= request.route->attempts) return false;
+  const bool safe =
+      last.ran == run_state::no || request.route->may_repeat();
+  if (!safe) return false;
+  return retries_.try_emplace(request.service, retry_options_)
+      .first->second.take();
+}
+
+awaitable<attempt> route_service::serve(routed_request& request,
+                                        transport::http_exchange& exchange) {
+  retries_.try_emplace(request.service, retry_options_)
+      .first->second.request_seen();
+  std::optional<attempt> last;
+  bool may_have_run = false;
+  unsigned unsent = 0;
+  while (true) {
+    const result<chosen_endpoint> chosen = pool_.choose(request);
+    if (!chosen) {
+      if (!last) {
+        last = failed_attempt(run_state::no, chosen.error(),
+                              unavailable_retry_after);
+      }
+      break;
+    }
+    if (too_late(request, chosen->predicted, context_.clock.now())) {
+      if (!last) {
+        last = failed_attempt(
+            run_state::no,
+            {error_kind::overloaded,
+             "the first token would come after " +
+                 std::to_string(chosen->predicted.count()) + " ms",
+             "send it again after Retry-After"},
+            std::max(least_retry_after, chosen->predicted / 2));
+      }
+      break;
+    }
+    last = co_await runner_.run(request, *chosen, exchange);
+    request.sends += last->sends;
+    if (last->delivered || exchange.answered() || exchange.gone()) {
+      last->delivered = true;
+      co_return std::move(*last);
+    }
+    may_have_run = may_have_run || last->ran != run_state::no;
+    request.avoid.insert(chosen->id);
+    if (last->sends == 0) ++unsent;
+    if (!may_retry(request, *last, unsent)) break;
+    context_.metrics.retried(request.service);
+    log_event(log_level::info, "request-retried",
+              {{"request_id", request.head.request_id},
+               {"endpoint", chosen->id},
+               {"cause", last->cause.message}});
+  }
+  if (may_have_run) last->ran = run_state::unknown;
+  co_return std::move(*last);
+}
+
+}  // namespace trestlepost::gateway
--- /dev/null
+++ b/gateway/src/routed_request.cc
@@ -0,0 +1,24 @@
+#include "trestlepost/gateway/routed_request.h"
+
+#include <algorithm>
+
+namespace trestlepost::gateway {
+
+routing::engine_work work_of(const surface::call_head& head,
+                             const config::route& route) {
+  routing::engine_work out;
+  for (const surface::prompt_part& it : head.prompt.parts) {
+    out.sections.push_back({it.id, it.tokens});
+  }
+  out.prompt_tokens = head.prompt.prompt_tokens;
+  out.priority = route.priority;
+  return out;
+}
+
+bool permits_region(const config::route& route, const std::string& region) {
+  const std::vector<std::string>& homes = route.home_regions;
+  return homes.empty() ||
+         std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
+}  // namespace trestlepost::gateway
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -46,6 +46,11 @@
   /// Whether requests may cross to or from other regions.
   bool crosses_regions() const { return is(node_states::ready); }
   bool confirmed_at(monotonic_time now) const;
+  /// As `crosses_regions`, but a node that stops still ends what it has taken.
+  bool may_cross(monotonic_time now) const {
+    return crosses_regions() ||
+           (is(node_states::draining) && confirmed_at(now));
+  }
 
  private:
   void handle(const std::string& event, bool has_configuration);
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -22,6 +22,7 @@
   std::string caller_address;
   std::string forward_address;
   std::string peer_address;
+  std::string orders_address;  // where operators' orders are taken, or empty
   bool control = false;
   bool durable = false;  // has a data folder
 
@@ -53,6 +54,8 @@
   std::map<std::string, std::uint32_t> endpoint_in_flight;
   std::map<std::string, service_load> services;
   std::map<std::string, reported_load> reports;
+  /// Prompt tokens that wait to be read at each endpoint, by priority.
+  std::map<std::string, std::vector<std::uint32_t>> pending_tokens;
 };
 
 /// What a relay tells other regions of its own region.
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -27,6 +27,9 @@
   out["caller_address"] = value.caller_address;
   out["forward_address"] = value.forward_address;
   out["peer_address"] = value.peer_address;
+  if (!value.orders_address.empty()) {
+    out["orders_address"] = value.orders_address;
+  }
   out["control"] = value.control;
   out["durable"] = value.durable;
   return out;
@@ -41,6 +44,7 @@
   out.caller_address = text_of(value, "caller_address");
   out.forward_address = text_of(value, "forward_address");
   out.peer_address = text_of(value, "peer_address");
+  out.orders_address = text_of(value, "orders_address");
   out.control = flag_of(value, "control");
   out.durable = flag_of(value, "durable");
   return out;
@@ -69,6 +73,11 @@
     reports[name]["running"] = it.running;
     reports[name]["waiting"] = it.waiting;
   }
+  json& pending = out["pending_tokens"] = json(Json::objectValue);
+  for (const auto& [name, tokens] : value.pending_tokens) {
+    json& list = pending[name] = json(Json::arrayValue);
+    for (const std::uint32_t it : tokens) list.append(it);
+  }
   return out;
 }
 
@@ -101,6 +110,14 @@
                          small_number_of(reports[it], "waiting")};
     }
   }
+  const json& pending = member_of(value, "pending_tokens");
+  if (pending.isObject()) {
+    for (const std::string& it : pending.getMemberNames()) {
+      for (const json& n : pending[it]) {
+        out.pending_tokens[it].push_back(n.isUInt() ? n.asUInt() : 0);
+      }
+    }
+  }
   return out;
 }
 
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -11,7 +11,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds join_interval{1000};
+constexpr milliseconds join_interval{400};
+// A change whose outcome did not come for so long is not waited for.
+constexpr milliseconds waiting_lifetime{30'000};
+// A founder waits so long for more control nodes than the settings' losses
+// need, and for those needed; then it goes on with those there are.
+constexpr milliseconds quiet_founding{1000};
+constexpr milliseconds longest_founding{6000};
 constexpr milliseconds watcher_lifetime{5000};
 constexpr milliseconds founding_timeout{5000};
 // A new leader waits for so many election timeouts until it knows the nodes.
@@ -63,9 +69,80 @@
   for (const control_node& it : context_.options.control_nodes) {
     voters.push_back(it.name);
   }
-  host_->set_desired_voters(std::move(voters));
+  if (voters.empty()) {
+    consensus::open_membership open;
+    open.least_voters = 2 * context_.options.tolerated_losses + 1;
+    host_->set_open_membership(open);
+  } else {
+    host_->set_desired_voters(std::move(voters));
+  }
   register_peer_methods();
-  return host_->start(context_.clock.now());
+  result<void> started = host_->start(context_.clock.now());
+  if (started) found_from_seeds();
+  return started;
+}
+
+void control_service::found_from_seeds() {
+  const settings& options = context_.options;
+  const bool founder = options.found_at_first_start && !options.seeds.empty() &&
+                       options.seeds.front() == context_.self.peer_address;
+  if (!founder || !host_->core().group_id().empty()) return;
+  const std::string group_id = make_request_id(context_.random);
+  const consensus::member self{host_->core().self(), true,
+                               context_.self.peer_address};
+  const result<void> done =
+      host_->found(context_.clock.now(), group_id, {self});
+  if (done) {
+    log_event(log_level::info, "group-founded", {{"group_id", group_id}});
+  } else {
+    log_event(log_level::error, "founding-failed",
+              {{"detail", done.error().message}});
+  }
+}
+
+bool control_service::may_acknowledge() const {
+  if (!leads()) return false;
+  if (machine_.store().plan() || !leading_since_) return true;
+  // Before the first plan: grow first, so that what is acknowledged outlives
+  // the losses that must be borne.
+  const monotonic_time now = context_.clock.now();
+  if (now >= *leading_since_ + longest_founding) return true;
+  std::size_t voters = 0;
+  for (const consensus::member& it : host_->core().members()) {
+    if (it.voter) ++voters;
+  }
+  const bool enough = voters >= 2 * context_.options.tolerated_losses + 1;
+  const bool quiet = now >= last_join_heard_ + quiet_founding &&
+                     now >= *leading_since_ + quiet_founding;
+  return enough && quiet && !host_->has_learners();
+}
+
+result<void> control_service::confirm_read(std::function<void()> ready) {
+  return host_->request_read(context_.clock.now(), next_read_++,
+                             std::move(ready));
+}
+
+void control_service::handle_join(const json& params) {
+  const consensus::replica_id joiner = consensus::replica_id_from(params);
+  const std::string address = text_of(params, "address");
+  if (host_->core().is_leader()) {
+    last_join_heard_ = context_.clock.now();
+    host_->handle_join(context_.clock.now(), joiner, address);
+    return;
+  }
+  const std::string leader = leader_node();
+  if (leader.empty() || flag_of(params, "passed_on")) return;
+  json onward = params;
+  onward["passed_on"] = true;
+  context_.links.send(address_of(leader), "config.join", onward);
+}
+
+std::string control_service::address_of(const std::string& node) const {
+  const auto heard = context_.heard_from.find(node);
+  if (heard != context_.heard_from.end()) return heard->second;
+  const consensus::member* member = host_->find_member(node);
+  if (member != nullptr && !member->address.empty()) return member->address;
+  return context_.peer_address(node);
 }
 
 void control_service::register_peer_methods() {
@@ -74,12 +151,14 @@
       "config.consensus",
       [this](const json& params, const transport::rpc_context&) {
         const result<consensus::message> in = consensus::message_from(params);
-        if (in) host_->receive(context_.clock.now(), *in);
+        if (!in) return;
+        const std::string address = text_of(params, "from_address");
+        if (!address.empty()) context_.heard_from[in->from.node] = address;
+        host_->receive(context_.clock.now(), *in);
       });
   peers.add_notification(
       "config.join", [this](const json& params, const transport::rpc_context&) {
-        host_->handle_join(context_.clock.now(),
-                           consensus::replica_id_from(params));
+        handle_join(params);
       });
   peers.add_notification(
       "config.poll", [this](const json& params, const transport::rpc_context&) {
@@ -97,8 +176,9 @@
 }
 
 void control_service::send(const consensus::message& out) {
-  context_.links.send(context_.peer_address(out.to.node), "config.consensus",
-                      consensus::to_json(out));
+  json params = consensus::to_json(out);
+  params["from_address"] = context_.self.peer_address;
+  context_.links.send(address_of(out.to.node), "config.consensus", params);
 }
 
 bool control_service::leads() const {
@@ -125,6 +205,7 @@
   json answer;
   answer["token"] = as_number(number_of(params, "token"));
   answer["leader"] = leader_node();
+  answer["leader_address"] = address_of(leader_node());
   if (leads()) {
     context_.nodes.observe(beat, now);
     record_in_book(beat.node);
@@ -171,6 +252,7 @@
     json answer;
     answer["token"] = as_number(0);
     answer["leader"] = leader_node();
+    answer["leader_address"] = context_.self.peer_address;
     answer["update"] = config::to_json(machine_.update_since(known));
     context_.links.send(it.address, "config.update", answer);
   }
@@ -184,7 +266,7 @@
              {"revision", std::to_string(record.outcome.revision)}});
   const auto it = waiting_.find(record.change_id);
   if (it != waiting_.end()) {
-    const std::vector<answer_function> answers = std::move(it->second);
+    const std::vector<answer_function> answers = std::move(it->second.answers);
     waiting_.erase(it);
     for (const answer_function& answer : answers) {
       answer(config::to_json(record.outcome));
@@ -203,7 +285,9 @@
   }
   const std::string id = asked.id;
   asked.at = context_.clock.wall_now();
-  waiting_[id].push_back(answer);
+  waiting_change& waiting = waiting_[id];
+  waiting.since = context_.clock.now();
+  waiting.answers.push_back(answer);
   const result<consensus::log_index> proposed =
       host_->propose(context_.clock.now(), to_text(config::to_json(asked)));
   if (proposed) return;
@@ -225,8 +309,7 @@
 
 void control_service::read_audit(const json& filter,
                                  const answer_function& answer) {
-  const result<void> asked = host_->request_read(
-      context_.clock.now(), next_read_++,
+  const result<void> asked = confirm_read(
       [this, filter, answer] { answer(audit_matching(filter)); });
   if (!asked) answer(tl::make_unexpected(asked.error()));
 }
@@ -263,6 +346,11 @@
 
 void control_service::found(answer_function answer) {
   const std::vector<control_node>& all = context_.options.control_nodes;
+  if (all.empty()) {
+    answer(fail(error_kind::conflict, "this deployment founds by its seeds",
+                "set found_at_first_start and start all control nodes"));
+    return;
+  }
   if (all.front().name != context_.self.name) {
     answer(fail(error_kind::bad_input,
                 "only " + all.front().name + ", the first control node, founds",
@@ -342,10 +430,11 @@
   const monotonic_time now = context_.clock.now();
   if (now < next_join_ || !host_->needs_join(now)) return;
   next_join_ = now + join_interval;
-  const json id = consensus::to_json(host_->core().self());
-  for (const control_node& it : context_.options.control_nodes) {
-    if (it.name == context_.self.name) continue;
-    context_.links.send(it.address, "config.join", id);
+  json params = consensus::to_json(host_->core().self());
+  params["address"] = context_.self.peer_address;
+  for (const std::string& it : context_.control_addresses()) {
+    if (it == context_.self.peer_address) continue;
+    context_.links.send(it, "config.join", params);
   }
 }
 
@@ -391,6 +480,9 @@
   host_->tick(now);
   ask_to_join();
   found_ledgers();
+  std::erase_if(waiting_, [now](const auto& it) {
+    return it.second.since + waiting_lifetime < now;
+  });
   if (founding_ && now >= founding_->started_at + founding_timeout) {
     const answer_function answer = std::move(founding_->answer);
     founding_.reset();
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -38,6 +38,12 @@
   const consensus::group_host& host() const { return *host_; }
   const config::config_state_machine& machine() const { return machine_; }
   bool leads() const;
+  /// Whether changes may be acknowledged: enough control nodes vote to bear
+  /// the losses that the settings name.
+  bool may_acknowledge() const;
+  /// Runs `ready` once a read here is sure to see all that was acknowledged;
+  /// an error when this node does not lead.
+  result<void> confirm_read(std::function<void()> ready);
   std::string leader_node() const;
 
  private:
@@ -45,6 +51,10 @@
     std::string address;
     monotonic_time seen_at;
   };
+  struct waiting_change {
+    std::vector<answer_function> answers;
+    monotonic_time since;
+  };
   struct book_entry {
     membership::node_info info;
     std::uint64_t version = 0;
@@ -67,6 +77,9 @@
   void finish_founding_if_ready();
   void found_ledgers();
   void ask_to_join();
+  void found_from_seeds();
+  void handle_join(const json& params);
+  std::string address_of(const std::string& node) const;
   json audit_matching(const json& filter) const;
 
   node_context& context_;
@@ -75,10 +88,11 @@
   std::map<std::string, watcher> watchers_;
   std::map<std::string, book_entry> book_;
   std::uint64_t book_version_ = 0;
-  std::map<std::string, std::vector<answer_function>> waiting_;
+  std::map<std::string, waiting_change> waiting_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
   std::optional<monotonic_time> leading_since_;
+  monotonic_time last_join_heard_;
   std::uint64_t next_read_ = 1;
   std::set<std::string> proposed_ledgers_;
 };
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -63,6 +63,7 @@
     }
   }
   context_.endpoints.others_in_flight(std::move(others));
+  if (on_region_heard) on_region_heard();
 }
 
 void heartbeat_service::handle_summary(const json& params) {
@@ -116,8 +117,12 @@
   const membership::heartbeat beat = make_heartbeat_();
   context_.nodes.observe(beat, context_.clock.now());
   const json params = membership::to_json(beat);
-  std::set<std::string> addresses(context_.options.seeds.begin(),
-                                  context_.options.seeds.end());
+  std::set<std::string> addresses;
+  // Seeds that stand for control nodes are in other regions as well.
+  if (!context_.options.control_nodes.empty()) {
+    addresses.insert(context_.options.seeds.begin(),
+                     context_.options.seeds.end());
+  }
   for (const auto& [name, address] : region_mates()) addresses.insert(address);
   addresses.erase(context_.self.peer_address);
   for (const std::string& it : addresses) {
@@ -166,6 +171,7 @@
     membership::heartbeat brief = it->last;
     brief.endpoint_in_flight.clear();
     brief.reports.clear();
+    brief.pending_tokens.clear();
     summary.nodes.push_back(std::move(brief));
   }
   json params;
--- a/node/src/heartbeat_service.h
+++ b/node/src/heartbeat_service.h
@@ -19,6 +19,8 @@
   void tick();
   /// Sends a heartbeat to all at once, for news that can't wait.
   void announce();
+  /// Called after a node of the own region was heard.
+  std::function<void()> on_region_heard;
 
  private:
   void handle_heartbeat(const json& params);
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -13,14 +13,20 @@
 #include <utility>
 
 #include "control_service.h"
+#include "entry_handlers.h"
 #include "heartbeat_service.h"
 #include "ledger_service.h"
+#include "listing_service.h"
 #include "node_context.h"
 #include "operator_service.h"
+#include "order_handler.h"
 #include "probe_service.h"
 #include "trestlepost/consensus/file_storage.h"
 #include "trestlepost/gateway/entry_handler.h"
 #include "trestlepost/gateway/forward_handler.h"
+#include "trestlepost/gateway/route_forward_handler.h"
+#include "trestlepost/gateway/route_handler.h"
+#include "trestlepost/platform/surfaces.h"
 #include "watch_client.h"
 
 namespace trestlepost::node {
@@ -30,6 +36,10 @@
 using transport::awaitable;
 
 constexpr milliseconds tick_interval{25};
+// Endpoints of the platform keep idle connections until they say otherwise.
+constexpr milliseconds kept_connection_lifetime{60'000};
+// The longest way is between regions, some 110 ms there and back.
+constexpr milliseconds endpoint_connect_timeout{400};
 // A stop is announced for so long before the node may exit.
 constexpr milliseconds announce_time{1500};
 
@@ -85,6 +95,7 @@
     out.forward_address = options.advertised_forwards;
   }
   out.peer_address = options.advertised_peers;
+  out.orders_address = options.orders_address;
   out.control = options.control;
   out.durable = !options.data_folder.empty();
   return out;
@@ -99,6 +110,22 @@
 transport::http_client_options client_options_of(const settings& options) {
   transport::http_client_options out;
   out.source_ip = options.outgoing_ip;
+  if (options.surface == surface_kind::platform) {
+    out.accept_unframed = true;
+    out.keep_idle = kept_connection_lifetime;
+    out.connect_timeout = endpoint_connect_timeout;
+  }
+  return out;
+}
+
+routing::retry_budget_options retry_options_of(const settings& options) {
+  // Half of what all gateways together may use: each sees its own only.
+  constexpr double used_share = 0.5;
+  constexpr double gateways = 10;
+  routing::retry_budget_options out;
+  out.share = options.retries.ratio * used_share;
+  out.most_saved = options.retries.slack * used_share / gateways;
+  out.saved_at_start = out.most_saved;
   return out;
 }
 
@@ -117,6 +144,10 @@
   result<void> start();
   membership::heartbeat make_heartbeat();
   void declare_endpoints();
+  void plan_changed();
+  void share_pending();
+  result<void> listen_all();
+  bool routed() const { return options.surface == surface_kind::platform; }
   void begin_stop();
   awaitable<void> run_ticks();
   awaitable<void> wait_for_signal();
@@ -149,9 +180,22 @@
   heartbeat_service heartbeats;
   probe_service probes;
   operator_service operators;
+  surface::surfaces surfaces;
+  routing::route_table routes;
+  gateway::endpoint_pool pool;
+  gateway::route_service routed_service;
+  gateway::route_handler route_entry;
+  gateway::route_forward_handler route_forwards;
+  listing_service listing;
+  order_handler orders;
+  directory_handler directory;
+  readiness_handler readiness;
   transport::http_server entry_server;
   transport::http_server forward_server;
   transport::http_server operator_server;
+  transport::http_server order_server;
+  transport::http_server directory_server;
+  transport::http_server readiness_server;
   prometheus::Family<prometheus::Gauge>& node_gauges;
   std::uint64_t sequence = 0;
   bool stopping = false;
@@ -179,6 +223,7 @@
               peer_dispatcher,
               client,
               {},
+              {},
               {}},
       registry(std::make_shared<prometheus::Registry>()),
       metrics(*registry),
@@ -207,9 +252,24 @@
       heartbeats(context, [this] { return make_heartbeat(); }),
       probes(context),
       operators(context, control.get(), watch, ledger, local, *registry),
-      entry_server(io, entries, {}),
-      forward_server(io, forwards, {}),
+      surfaces(platform::make_surfaces()),
+      pool(gateway),
+      routed_service(gateway, surfaces, pool, retry_options_of(options)),
+      route_entry(gateway, surfaces, routed_service, routes),
+      route_forwards(gateway, routed_service, routes, forwards),
+      listing(context, surfaces.directory.get()),
+      orders(context, control.get(), surfaces.operators.get()),
+      directory(context, surfaces.entries.get()),
+      readiness(context, surfaces.entries.get()),
+      entry_server(io,
+                   routed() ? static_cast<transport::http_handler&>(route_entry)
+                            : entries,
+                   {}),
+      forward_server(io, route_forwards, {}),
       operator_server(io, operators, {}),
+      order_server(io, orders, {}),
+      directory_server(io, directory, {}),
+      readiness_server(io, readiness, {}),
       node_gauges(prometheus::BuildGauge()
                       .Name("trestlepost_node")
                       .Help("State of this node, by what is measured.")
@@ -229,10 +289,49 @@
   for (const auto& [name, it] : store.services()) {
     out.services[name] = local.queue().load_of(name);
   }
+  if (!routed()) return out;
+  for (const std::string& it : pool.services()) {
+    out.services[it] = pool.load_of(it);
+  }
+  out.pending_tokens = pool.engines().own_pending();
   return out;
 }
 
+void node::implementation::plan_changed() {
+  if (!routed()) return;
+  if (store.plan() && store.plan() != routes.plan()) {
+    routes = routing::route_table(store.plan());
+    const config::request_limits& limits = store.plan()->limits;
+    transport::http_server_options next = entry_server.options();
+    next.header_limit = limits.header_bytes;
+    next.body_limit = limits.body_bytes;
+    next.header_timeout = limits.header_timeout;
+    next.body_timeout = std::max(limits.header_timeout, limits.idle_timeout);
+    next.idle_timeout = limits.idle_timeout;
+    entry_server.set_options(next);
+    log_event(log_level::info, "plan-in-force",
+              {{"number", std::to_string(store.plan()->number)},
+               {"routes", std::to_string(store.plan()->routes.size())}});
+  }
+  pool.refresh();
+}
+
+void node::implementation::share_pending() {
+  std::map<std::string, routing::pending_tokens> others;
+  for (const membership::node_record* it :
+       nodes.live_in(options.region, base.clock.now())) {
+    if (it->last.node.name == options.node) continue;
+    for (const auto& [endpoint, tokens] : it->last.pending_tokens) {
+      routing::pending_tokens& sum = others[endpoint];
+      if (sum.size() < tokens.size()) sum.resize(tokens.size());
+      for (std::size_t i = 0; i < tokens.size(); ++i) sum[i] += tokens[i];
+    }
+  }
+  pool.engines().set_others(std::move(others));
+}
+
 void node::implementation::declare_endpoints() {
+  if (routed()) return;  // they come from the platform's list
   std::vector<membership::endpoint_tracker::declared_endpoint> own;
   for (const auto& [name, it] : store.endpoints()) {
     if (it->region != options.region) continue;
@@ -246,21 +345,24 @@
     result<void> started = control->start();
     if (!started) return started;
   }
-  watch.on_changed = [this] { declare_endpoints(); };
+  watch.on_changed = [this] {
+    declare_endpoints();
+    plan_changed();
+  };
+  heartbeats.on_region_heard = [this] { share_pending(); };
+  listing.on_listed =
+      [this](const std::vector<surface::listed_endpoint>& all) {
+        pool.learn(all, options.zone_regions);
+      };
   operators.on_drain = [this] { begin_stop(); };
   watch.start();
   ledger.start();
   heartbeats.start();
   operators.start();
+  listing.start();
   declare_endpoints();
-  result<void> opened = peer_server.listen(options.peers_address);
-  if (opened) opened = operator_server.listen(options.operators_address);
-  if (opened && options.gateway) {
-    opened = entry_server.listen(options.callers_address);
-  }
-  if (opened && options.gateway) {
-    opened = forward_server.listen(options.forwards_address);
-  }
+  plan_changed();
+  result<void> opened = listen_all();
   if (!opened) return opened;
   signals.add(SIGTERM);
   signals.add(SIGINT);
@@ -271,6 +373,25 @@
   return {};
 }
 
+result<void> node::implementation::listen_all() {
+  result<void> opened = peer_server.listen(options.peers_address);
+  const auto open = [&opened](transport::http_server& server,
+                              const std::string& address) {
+    if (opened && !address.empty()) opened = server.listen(address);
+  };
+  open(operator_server, options.operators_address);
+  if (options.gateway) {
+    open(entry_server, options.callers_address);
+    open(forward_server, options.forwards_address);
+  }
+  if (routed()) {
+    open(readiness_server, options.readiness_address);
+    open(directory_server, options.directory_address);
+    if (control) open(order_server, options.orders_address);
+  }
+  return opened;
+}
+
 awaitable<void> node::implementation::run_ticks() {
   boost::asio::steady_timer timer(io);
   while (!stopped) {
@@ -284,7 +405,9 @@
     }
     ledger.tick();
     heartbeats.tick();
-    probes.tick();
+    if (!routed()) probes.tick();
+    if (routed() && options.gateway) listing.tick();
+    pool.tick();
     endpoints.tick(now);
     local.queue().pump_all();
     operators.tick();
@@ -331,13 +454,16 @@
 
 awaitable<void> node::implementation::finish_stop() {
   const monotonic_time started = base.clock.now();
+  entry_server.close_after_answers();
   boost::asio::steady_timer timer(io);
   while (true) {
     const monotonic_time now = base.clock.now();
+    const bool taking = now < started + options.timing.drain_grace;
+    if (!taking) route_entry.stop_taking();
     const bool idle = entry_server.in_progress() == 0 &&
                       forward_server.in_progress() == 0 &&
                       ledger.pending() == 0;
-    const bool announced = now >= started + announce_time;
+    const bool announced = now >= started + announce_time && !taking;
     const bool late = now >= started + options.timing.drain_timeout;
     if ((idle && announced) || late) break;
     timer.expires_after(tick_interval);
--- a/node/src/node_context.h
+++ b/node/src/node_context.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "settings.h"
 #include "trestlepost/base/clock.h"
@@ -34,8 +36,13 @@
   std::map<std::string, membership::node_info> book;
   std::map<std::string, std::chrono::milliseconds> round_trips;
 
+  /// The peers' addresses from which control nodes wrote last.
+  std::map<std::string, std::string> heard_from;
+
   /// The peers' address of a node, or empty.
   std::string peer_address(const std::string& node) const {
+    const auto heard = heard_from.find(node);
+    if (heard != heard_from.end()) return heard->second;
     for (const control_node& it : options.control_nodes) {
       if (it.name == node) return it.address;
     }
@@ -44,6 +51,33 @@
     const membership::node_record* record = nodes.find(node);
     return record == nullptr ? "" : record->last.node.peer_address;
   }
+
+  /// Where operators' orders to a node go, or empty.
+  std::string orders_address(const std::string& node) const {
+    const auto it = book.find(node);
+    if (it != book.end() && !it->second.orders_address.empty()) {
+      return it->second.orders_address;
+    }
+    const membership::node_record* record = nodes.find(node);
+    return record == nullptr ? "" : record->last.node.orders_address;
+  }
+
+  /// The peers' addresses of all control nodes that this node knows of, its
+  /// own among them.
+  std::vector<std::string> control_addresses() const {
+    std::set<std::string> out;
+    for (const control_node& it : options.control_nodes) {
+      out.insert(it.address);
+    }
+    if (out.empty()) out.insert(options.seeds.begin(), options.seeds.end());
+    for (const auto& [name, it] : book) {
+      if (it.control) out.insert(it.peer_address);
+    }
+    for (const membership::node_record* it : nodes.all()) {
+      if (it->last.node.control) out.insert(it->last.node.peer_address);
+    }
+    return {out.begin(), out.end()};
+  }
 };
 
 }  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/order_handler.cc
@@ -0,0 +1,168 @@
+#include "order_handler.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+using surface::operator_order;
+using surface::order_kind;
+using transport::awaitable;
+using transport::http_answer;
+
+// An operator asks another node after a second; an answer that would come
+// later helps nobody.
+constexpr milliseconds answer_timeout{900};
+
+constexpr char ask_again[] = "send the same again";
+
+/// A value that a callback delivers later.
+template <typename T>
+struct delivery {
+  explicit delivery(transport::asio::io_context& io) : timer(io) {}
+
+  boost::asio::steady_timer timer;
+  std::optional<T> value;
+
+  void deliver(T given) {
+    value = std::move(given);
+    timer.cancel();
+  }
+};
+
+/// Waits for the value; nothing when it does not come in time.
+template <typename T>
+awaitable<void> wait_for(std::shared_ptr<delivery<T>> pending) {
+  if (pending->value) co_return;
+  pending->timer.expires_after(answer_timeout);
+  boost::system::error_code ec;
+  co_await pending->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+}
+
+error unclear() {
+  return {error_kind::unavailable, "the outcome is not known yet", ask_again};
+}
+
+std::string_view name_of(order_kind kind) {
+  switch (kind) {
+    case order_kind::replace_plan:
+      return "replace-plan";
+    case order_kind::read_plan:
+      return "read-plan";
+    case order_kind::evacuate:
+      return "evacuate";
+    case order_kind::end_evacuation:
+      break;
+  }
+  return "end-evacuation";
+}
+
+config::change make_change(const operator_order& order, random_source& random) {
+  config::change out;
+  out.id = "order-" + make_request_id(random);
+  out.operator_name = "operator";
+  out.plan = order.plan;
+  if (!order.plan) {
+    out.evacuation = config::zone_evacuation{
+        order.availability_zone, order.kind == order_kind::evacuate};
+  }
+  return out;
+}
+
+}  // namespace
+
+awaitable<void> order_handler::handle(transport::http_exchange& exchange) {
+  const std::string method(exchange.method());
+  const std::string target(exchange.target());
+  const result<std::string> body = co_await exchange.read_body();
+  http_answer out;
+  if (body) {
+    out = co_await answer(method, target, *body);
+  } else {
+    out = surface_->refuse(body.error());
+  }
+  co_await exchange.respond(std::move(out));
+}
+
+awaitable<http_answer> order_handler::answer(const std::string& method,
+                                             const std::string& target,
+                                             const std::string& body) {
+  const result<operator_order> order =
+      surface_->read_order(method, target, body);
+  if (!order) {
+    log_event(log_level::info, "order-refused",
+              {{"target", target}, {"detail", order.error().message}});
+    co_return surface_->refuse(order.error());
+  }
+  if (!control_->leads()) {
+    const std::string leader = control_->leader_node();
+    const std::string address =
+        leader == context_.self.name ? "" : context_.orders_address(leader);
+    if (!address.empty()) co_return surface_->redirect(address, target);
+    const error none{error_kind::unavailable, "no control node leads now",
+                     ask_again};
+    co_return surface_->refuse(none);
+  }
+  http_answer out;
+  if (order->kind == order_kind::read_plan) {
+    out = co_await read_plan();
+  } else {
+    out = co_await change(*order);
+  }
+  log_event(log_level::info, "order-answered",
+            {{"order", std::string(name_of(order->kind))},
+             {"zone", order->availability_zone},
+             {"number", order->plan ? std::to_string(order->plan->number) : ""},
+             {"status", std::to_string(out.status)}});
+  co_return out;
+}
+
+awaitable<http_answer> order_handler::change(const operator_order& order) {
+  if (order.plan) {
+    const result<void> sound = config::check_plan(*order.plan);
+    if (!sound) co_return surface_->refuse(sound.error());
+  }
+  if (!control_->may_acknowledge()) {
+    const error growing{error_kind::unavailable,
+                        "control nodes are still joining", ask_again};
+    co_return surface_->refuse(growing);
+  }
+  using outcome = result<json>;
+  const std::shared_ptr<delivery<outcome>> pending =
+      std::make_shared<delivery<outcome>>(context_.io);
+  control_->propose(make_change(order, context_.random),
+                    [pending](const outcome& it) { pending->deliver(it); });
+  co_await wait_for<outcome>(pending);
+  if (!pending->value) co_return surface_->refuse(unclear());
+  if (!*pending->value) co_return surface_->refuse(pending->value->error());
+  const config::change_result decided =
+      config::change_result_from(**pending->value);
+  if (decided.status == config::change_status::accepted) {
+    co_return surface_->acknowledge(order);
+  }
+  const error invalid{error_kind::bad_input, decided.message, decided.remedy};
+  co_return surface_->refuse(invalid);
+}
+
+awaitable<http_answer> order_handler::read_plan() {
+  const std::shared_ptr<delivery<bool>> pending =
+      std::make_shared<delivery<bool>>(context_.io);
+  const result<void> asked =
+      control_->confirm_read([pending] { pending->deliver(true); });
+  if (!asked) co_return surface_->refuse(asked.error());
+  co_await wait_for<bool>(pending);
+  const config::plan_ptr plan = control_->machine().store().plan();
+  if (!pending->value) co_return surface_->refuse(unclear());
+  if (plan) co_return surface_->show_plan(*plan);
+  const error none{error_kind::unavailable, "there is no plan yet", ask_again};
+  co_return surface_->refuse(none);
+}
+
+}  // namespace trestlepost::node
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::size_t shortest_secret = 16;
+constexpr std::uint64_t largest_port = 65535;
+constexpr std::uint64_t most_tolerated = 10;
+constexpr double most_slack = 1e6;
 constexpr char settings_remedy[] = "mend the settings and start again";
 
 std::string read_file(const std::string& path) {
@@ -34,11 +37,16 @@
     read_roles(reader);
     out_.data_folder = reader.text_or("data_folder", "");
     out_.charts_folder = reader.text("charts_folder");
+    first_port_ = reader.number_or("first_port", 0, 0, largest_port);
+    read_surface(reader);
     read_addresses(reader);
     read_advertised(reader);
     out_.outgoing_ip = reader.text_or("outgoing_ip", "");
     read_control_nodes(reader);
     read_seeds(reader);
+    read_founding(reader);
+    out_.zone_regions = reader.text_map_or_empty("zone_regions");
+    read_retries(reader);
     out_.peer_secret = reader.text("peer_secret_file");
     read_operators(reader);
     read_platform(reader);
@@ -77,8 +85,39 @@
     }
   }
 
+  void read_surface(object_reader& reader) {
+    const std::string kind =
+        reader.choice_or_first("surface", {"own", "platform"});
+    if (kind == "platform") out_.surface = surface_kind::platform;
+  }
+
+  void read_founding(object_reader& reader) {
+    out_.found_at_first_start =
+        reader.flag_or("found_at_first_start", false);
+    out_.tolerated_losses =
+        reader.number_or("tolerated_losses", 0, 0, most_tolerated);
+  }
+
+  void read_retries(object_reader& outer) {
+    const json& value = outer.raw("retries");
+    if (value.isNull()) return;
+    object_reader reader(value, "retries", problems_);
+    out_.retries.ratio = reader.real_or("ratio", out_.retries.ratio, 0, 1);
+    out_.retries.slack =
+        reader.real_or("slack", out_.retries.slack, 0, most_slack);
+    reader.finish();
+  }
+
+  /// Turns "IP:+N" into the Nth port after `first_port`.
+  std::string resolve_port(const std::string& value) const {
+    const std::size_t plus = value.find(":+");
+    if (plus == std::string::npos) return value;
+    const std::uint64_t n = std::strtoull(value.c_str() + plus + 2, nullptr, 10);
+    return value.substr(0, plus + 1) + std::to_string(first_port_ + n);
+  }
+
   std::string read_address(object_reader& reader, const char* key) {
-    std::string value = reader.text(key);
+    std::string value = resolve_port(reader.text(key));
     if (value.empty() || config::is_address(value)) return value;
     problems_.add(reader.raw(key), reader.path_of(key),
                   "\"" + value + "\" is not an address",
@@ -89,14 +128,28 @@
   void read_addresses(object_reader& outer) {
     const json& value = outer.raw("addresses");
     object_reader reader(value, "addresses", problems_);
-    out_.callers_address = read_address(reader, "callers");
-    out_.forwards_address = read_address(reader, "forwards");
+    const auto read_any = [this, &reader](const char* key) {
+      const bool given = !reader.raw(key).isNull();
+      return given ? read_address(reader, key) : std::string();
+    };
+    if (out_.gateway) {
+      out_.callers_address = read_address(reader, "callers");
+      out_.forwards_address = read_address(reader, "forwards");
+    } else {
+      out_.callers_address = read_any("callers");
+      out_.forwards_address = read_any("forwards");
+    }
     out_.operators_address = read_address(reader, "operators");
     out_.peers_address = read_address(reader, "peers");
+    out_.readiness_address = read_any("readiness");
+    out_.directory_address = read_any("directory");
+    out_.orders_address = read_any("orders");
     reader.finish();
     std::set<std::string> seen;
-    for (const std::string& it : {out_.callers_address, out_.forwards_address,
-                                  out_.operators_address, out_.peers_address}) {
+    for (const std::string& it :
+         {out_.callers_address, out_.forwards_address, out_.operators_address,
+          out_.peers_address, out_.readiness_address, out_.directory_address,
+          out_.orders_address}) {
       if (it.empty() || seen.insert(it).second) continue;
       problems_.add(value, "addresses", it + " is used twice",
                     "give each interface an address of its own");
@@ -128,16 +181,23 @@
       reader.finish();
       out_.control_nodes.push_back(one);
     }
-    if (out_.control_nodes.empty()) {
+    const bool by_seeds = !outer.raw("seeds").isNull() &&
+                          !outer.texts_or_empty("seeds").empty();
+    if (out_.control_nodes.empty() && !by_seeds) {
       problems_.add(outer.raw("control_nodes"), "control_nodes",
                     "no control node is named",
-                    "list the node and the peers' address of each; the first "
-                    "one founds");
+                    "list the node and the peers' address of each (the first "
+                    "one founds), or give seeds");
     }
   }
 
   void read_seeds(object_reader& reader) {
     out_.seeds = reader.texts_or_empty("seeds");
+    // The seeds may be told by another interface of theirs.
+    const std::string port = reader.text_or("seeds_port", "");
+    for (std::string& it : out_.seeds) {
+      if (!port.empty()) it = resolve_port(it.substr(0, it.rfind(':') + 1) + port);
+    }
     for (const std::string& it : out_.seeds) {
       if (config::is_address(it)) continue;
       problems_.add(reader.raw("seeds"), "seeds",
@@ -206,6 +266,8 @@
     read("poll_interval", timing.poll_interval);
     read("load_poll_interval", timing.load_poll_interval);
     read("drain_timeout", timing.drain_timeout);
+    read("drain_grace", timing.drain_grace);
+    read("directory_lifetime", timing.directory_lifetime);
     read("config_lease", out_.state.config_lease);
     read("startup_wait", out_.state.startup_wait);
     read("endpoint_ramp", out_.endpoints.ramp);
@@ -236,6 +298,7 @@
 
   problem_list problems_;
   settings out_;
+  std::uint64_t first_port_ = 0;
 };
 
 }  // namespace
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,20 @@
   std::chrono::milliseconds load_poll_interval{250};
   std::chrono::milliseconds platform_poll_interval{1000};
   std::chrono::milliseconds drain_timeout{60'000};
+  /// How long a planned stop goes on taking requests: callers learn of it
+  /// only when they ask the directory again.
+  std::chrono::milliseconds drain_grace{0};
+  /// How long callers may use an answer of the entry directory.
+  std::chrono::milliseconds directory_lifetime{5000};
+};
+
+/// How callers, operators and endpoints speak.
+enum class surface_kind { own, platform };
+
+/// Retries of all gateways together.
+struct retry_settings {
+  double ratio = 0.2;  // of the requests
+  double slack = 70;   // besides
 };
 
 struct settings {
@@ -51,6 +66,19 @@
   std::string advertised_forwards;
   std::string advertised_peers;
   std::string outgoing_ip;  // empty: any
+  surface_kind surface = surface_kind::own;
+  // Interfaces of the platform's surface; empty: not served.
+  std::string readiness_address;
+  std::string directory_address;
+  std::string orders_address;
+  /// Found the configuration group at the first start, if this node is the
+  /// first seed.
+  bool found_at_first_start = false;
+  /// Control nodes whose loss at once must lose nothing.
+  std::size_t tolerated_losses = 0;
+  /// The region of each availability zone that endpoints may stand in.
+  std::map<std::string, std::string> zone_regions;
+  retry_settings retries;
   std::vector<control_node> control_nodes;
   std::vector<std::string> seeds;
   std::string peer_secret;
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -44,8 +44,8 @@
 
 std::string watch_client::poll_address() {
   if (!leader_.empty()) return context_.peer_address(leader_);
-  const std::vector<control_node>& all = context_.options.control_nodes;
-  return all[next_control_++ % all.size()].address;
+  const std::vector<std::string> all = context_.control_addresses();
+  return all.empty() ? "" : all[next_control_++ % all.size()];
 }
 
 void watch_client::poll() {
@@ -64,6 +64,8 @@
   const monotonic_time now = context_.clock.now();
   const std::string leader = text_of(params, "leader");
   if (!leader.empty()) leader_ = leader;
+  const std::string leader_address = text_of(params, "leader_address");
+  if (!leader_address.empty()) context_.heard_from[leader] = leader_address;
   const std::uint64_t token = number_of(params, "token");
   const auto asked =
       std::find_if(questions_.begin(), questions_.end(),
--- a/routing/include/trestlepost/routing/retry_budget.h
+++ b/routing/include/trestlepost/routing/retry_budget.h
@@ -5,14 +5,22 @@
 
 namespace trestlepost::routing {
 
+struct retry_budget_options {
+  /// Retries allowed for each request.
+  double share = 0.1;
+  /// Retries that may be saved up, and those that a new process starts with.
+  double most_saved = 10;
+  double saved_at_start = 0;
+};
+
 class retry_budget {
  public:
-  /// Retries allowed for each request.
-  static constexpr double share = 0.1;
-  /// Retries that may be saved up.
-  static constexpr double most_saved = 10;
+  explicit retry_budget(retry_budget_options options = {})
+      : options_(options), saved_(options.saved_at_start) {}
 
-  void request_seen() { saved_ = std::min(most_saved, saved_ + share); }
+  void request_seen() {
+    saved_ = std::min(options_.most_saved, saved_ + options_.share);
+  }
 
   /// Takes one retry out of the budget; false when none is left.
   bool take() {
@@ -22,6 +30,7 @@
   }
 
  private:
+  retry_budget_options options_;
   double saved_ = 0;
 };
 
--- a/support/packages.cmake
+++ b/support/packages.cmake
@@ -16,6 +16,9 @@
 # Declares a test program. `support/test` fixes RapidCheck's seed by RC_PARAMS,
 # so that every run of CI gives the same verdict.
 function(trestlepost_test name)
+  if(NOT TRESTLEPOST_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(arg "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name}-test ${arg_SOURCES})
   target_link_libraries(${name}-test PRIVATE ${arg_LINK} rapidcheck
--- /dev/null
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -0,0 +1,45 @@
+// The deployment's list of endpoints, page by page.
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trestlepost/transport/http_client.h"
+
+namespace trestlepost::surface {
+
+/// One endpoint as the list names it. Each start of an endpoint has an id of
+/// its own; addresses are used again.
+struct listed_endpoint {
+  std::string id;
+  std::string service;
+  std::string address;  // "IP:PORT"
+  std::string availability_zone;
+  unsigned slots = 1;
+  bool leaving = false;
+  /// Time until a leaving endpoint ends whatever it runs, where it is told.
+  std::optional<std::chrono::milliseconds> ends_in;
+  std::chrono::milliseconds cold_left{0};
+
+  bool operator==(const listed_endpoint&) const = default;
+};
+
+struct endpoint_page {
+  std::vector<listed_endpoint> endpoints;
+  std::string next;  // token of the next page; empty on the last one
+};
+
+class endpoint_directory {
+ public:
+  virtual ~endpoint_directory() = default;
+
+  /// The request for the page with this token; empty: the first one.
+  virtual transport::http_request page_request(
+      const std::string& token) const = 0;
+
+  virtual result<endpoint_page> read_page(const std::string& body) const = 0;
+};
+
+}  // namespace trestlepost::surface
--- /dev/null
+++ b/surface/src/call_head.cc
@@ -0,0 +1,79 @@
+#include "trestlepost/surface/call_head.h"
+
+#include <utility>
+
+namespace trestlepost::surface {
+namespace {
+
+json to_json(const prompt_outline& value) {
+  json out;
+  json& parts = out["parts"] = json(Json::arrayValue);
+  for (const prompt_part& it : value.parts) {
+    json one(Json::arrayValue);
+    one.append(json(Json::UInt64(it.id)));
+    one.append(it.tokens);
+    parts.append(std::move(one));
+  }
+  out["prompt_tokens"] = value.prompt_tokens;
+  out["most_output_tokens"] = value.most_output_tokens;
+  if (value.expected_output_tokens) {
+    out["expected_output_tokens"] = *value.expected_output_tokens;
+  }
+  return out;
+}
+
+prompt_outline prompt_from(const json& value) {
+  prompt_outline out;
+  for (const json& it : member_of(value, "parts")) {
+    const bool sound = it.isArray() && it.size() == 2 && it[0].isUInt64() &&
+                       it[1].isUInt();
+    if (sound) out.parts.push_back({it[0].asUInt64(), it[1].asUInt()});
+  }
+  out.prompt_tokens =
+      static_cast<std::uint32_t>(number_of(value, "prompt_tokens"));
+  out.most_output_tokens =
+      static_cast<std::uint32_t>(number_of(value, "most_output_tokens"));
+  const json& expected = member_of(value, "expected_output_tokens");
+  if (expected.isUInt()) out.expected_output_tokens = expected.asUInt();
+  return out;
+}
+
+}  // namespace
+
+json to_json(const call_head& value) {
+  json out;
+  out["request_id"] = value.request_id;
+  out["host"] = value.host;
+  out["method"] = value.method;
+  out["target"] = value.target;
+  if (value.prompt.known()) out["prompt"] = to_json(value.prompt);
+  if (!value.resume_after.empty()) out["resume_after"] = value.resume_after;
+  json& headers = out["headers"] = json(Json::arrayValue);
+  for (const auto& [name, text] : value.passed_on) {
+    headers.append(name);
+    headers.append(text);
+  }
+  return out;
+}
+
+result<call_head> call_head_from(const json& value) {
+  call_head out;
+  out.request_id = text_of(value, "request_id");
+  out.host = text_of(value, "host");
+  out.method = text_of(value, "method");
+  out.target = text_of(value, "target");
+  out.prompt = prompt_from(member_of(value, "prompt"));
+  out.resume_after = text_of(value, "resume_after");
+  const json& headers = member_of(value, "headers");
+  for (Json::ArrayIndex i = 0; i + 1 < headers.size(); i += 2) {
+    out.passed_on.emplace_back(headers[i].asString(),
+                               headers[i + 1].asString());
+  }
+  const bool whole = !out.request_id.empty() && !out.method.empty() &&
+                     out.target.starts_with('/');
+  if (whole) return out;
+  return fail(error_kind::bad_input, "a forwarded head is incomplete",
+              "run one version of trestlepostd on all nodes");
+}
+
+}  // namespace trestlepost::surface
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -18,6 +18,9 @@
   std::chrono::milliseconds keep_idle{5000};
   std::size_t most_kept = 64;  // for each address
   std::string source_ip;       // of outgoing connections; empty: any
+  /// Takes an answer without length, which ends with its connection. A reset
+  /// is still an error.
+  bool accept_unframed = false;
 };
 
 struct http_request {
@@ -49,6 +52,12 @@
 
   virtual unsigned status() const = 0;
   virtual std::string_view header(std::string_view name) const = 0;
+  /// All headers in the order in which they came.
+  virtual header_list headers() const = 0;
+
+  /// Drops this answer, which belongs to another request, and reads the head
+  /// of the next one on the same connection.
+  virtual awaitable<tl::expected<void, call_failure>> next_answer() = 0;
 
   /// The next piece of the body; empty at its end. An answer that is cut
   /// short is an error.
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -43,6 +43,8 @@
   virtual std::string_view target() const = 0;
   /// The header's value, or empty.
   virtual std::string_view header(std::string_view name) const = 0;
+  /// All headers in the order in which they came.
+  virtual header_list headers() const = 0;
 
   /// Reads the whole body.
   virtual awaitable<result<std::string>> read_body() = 0;
@@ -79,6 +81,11 @@
   ~http_server();
 
   result<void> listen(const std::string& address);
+  /// Limits for requests that come from now on.
+  void set_options(const http_server_options& options);
+  const http_server_options& options() const;
+  /// Ends each connection after its answer, but goes on taking new ones.
+  void close_after_answers();
   /// Takes no new connections, and ends each one after its answer.
   void drain();
   /// Requests in progress.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -1,15 +1,20 @@
 #include "trestlepost/transport/http_client.h"
 
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
 
+#include "header_lists.h"
+
 namespace trestlepost::transport {
 namespace {
 
@@ -27,10 +32,54 @@
   explicit client_connection(asio::io_context& context) : stream(context) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  monotonic_time idle_since;
+  /// What is being written; a request is written while its answer is read,
+  /// since an endpoint may answer before it has read a long body.
+  std::string outgoing;
+  std::size_t written = 0;
+  monotonic_time keep_until;
+
+  bool write_done() const { return written == outgoing.size(); }
 };
 
-using connection_ptr = std::unique_ptr<client_connection>;
+using connection_ptr = std::shared_ptr<client_connection>;
+
+/// Writes what the socket takes at once; true unless the connection is broken.
+bool write_some(client_connection& it) {
+  error_code ec;
+  it.stream.socket().non_blocking(true, ec);
+  while (!ec && !it.write_done()) {
+    it.written += it.stream.socket().write_some(
+        asio::buffer(it.outgoing.data() + it.written,
+                     it.outgoing.size() - it.written),
+        ec);
+  }
+  return !ec || ec == asio::error::would_block;
+}
+
+/// Writes the rest. An error is left to the reading side, which sees it too
+/// and may still find an answer that came before.
+awaitable<void> write_rest(connection_ptr it) {
+  error_code ec;
+  while (!ec && !it->write_done()) {
+    it->written += co_await it->stream.async_write_some(
+        asio::buffer(it->outgoing.data() + it->written,
+                     it->outgoing.size() - it->written),
+        redirect_error(use_awaitable, ec));
+  }
+}
+
+/// The seconds of "Keep-Alive: timeout=N", if any.
+std::optional<std::chrono::seconds> keep_alive_seconds(std::string_view text) {
+  constexpr std::string_view key = "timeout=";
+  const std::size_t at = text.find(key);
+  if (at == std::string_view::npos) return std::nullopt;
+  unsigned n = 0;
+  const char* begin = text.data() + at + key.size();
+  const std::from_chars_result read =
+      std::from_chars(begin, text.data() + text.size(), n);
+  if (read.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(n);
+}
 
 /// A kept connection that the other side has closed, or on which it spoke
 /// unasked, must not carry another request.
@@ -54,16 +103,17 @@
     while (!kept.empty()) {
       connection_ptr it = std::move(kept.back());
       kept.pop_back();
-      if (it->idle_since + options.keep_idle < now) continue;
+      if (it->keep_until < now) continue;
       if (is_silent(*it)) return it;
     }
     return nullptr;
   }
 
-  void keep(const std::string& address, connection_ptr it) {
+  void keep(const std::string& address, connection_ptr it,
+            std::chrono::milliseconds lifetime) {
     std::deque<connection_ptr>& kept = idle[address];
     if (closed || kept.size() >= options.most_kept) return;
-    it->idle_since = std::chrono::steady_clock::now();
+    it->keep_until = std::chrono::steady_clock::now() + lifetime;
     it->stream.expires_never();
     kept.push_back(std::move(it));
   }
@@ -87,12 +137,17 @@
     if (it == parser_->get().end()) return {};
     return {it->value().data(), it->value().size()};
   }
+  header_list headers() const override { return list_headers(parser_->get()); }
+  awaitable<tl::expected<void, call_failure>> next_answer() override;
   awaitable<result<std::string>> read_piece() override;
   awaitable<result<std::string>> read_rest(std::size_t limit) override;
   void cancel() override;
 
  private:
   awaitable<error_code> connect(monotonic_time deadline);
+  std::string head_of(const http_request& request) const;
+  void start_write(const http_request& request);
+  awaitable<tl::expected<void, call_failure>> read_head();
   call_failure failure(const std::string& what, error_code ec, bool written);
   void finish();
 
@@ -101,6 +156,7 @@
   connection_ptr connection_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   bool cancelled_ = false;
+  bool head_only_ = false;  // the request's method is HEAD
 };
 
 void pooled_call::cancel() {
@@ -129,7 +185,7 @@
   if (connection_) co_return error_code();
   const result<tcp::endpoint> at = parse_address(address_);
   if (!at) co_return asio::error::invalid_argument;
-  connection_ = std::make_unique<client_connection>(client_->context);
+  connection_ = std::make_shared<client_connection>(client_->context);
   const monotonic_time latest =
       std::chrono::steady_clock::now() + client_->options.connect_timeout;
   connection_->stream.expires_at(std::min(latest, deadline));
@@ -141,6 +197,30 @@
   co_return ec;
 }
 
+std::string pooled_call::head_of(const http_request& request) const {
+  std::string out = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+  const auto add = [&out](std::string_view name, std::string_view value) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  };
+  bool has_host = false;
+  for (const auto& [name, value] : request.headers) {
+    has_host = has_host || beast::iequals(name, "Host");
+    add(name, value);
+  }
+  if (!has_host) add("Host", address_);
+  const bool bodiless = request.body.empty() && request.method == "GET";
+  if (!bodiless) add("Content-Length", std::to_string(request.body.size()));
+  return out + "\r\n";
+}
+
+void pooled_call::start_write(const http_request& request) {
+  connection_->outgoing = head_of(request) + request.body;
+  connection_->written = 0;
+  if (write_some(*connection_) && !connection_->write_done()) {
+    asio::co_spawn(client_->context, write_rest(connection_), asio::detached);
+  }
+}
+
 awaitable<tl::expected<void, call_failure>> pooled_call::send(
     http_request request, monotonic_time deadline) {
   error_code ec = co_await connect(deadline);
@@ -148,29 +228,24 @@
   if (ec) {
     co_return tl::make_unexpected(failure("cannot connect to", ec, false));
   }
-  http::request<http::string_body> out;
-  out.version(11);
-  out.method_string(request.method);
-  out.target(request.target);
-  out.set(http::field::host, address_);
-  for (const auto& [name, value] : request.headers) out.set(name, value);
-  out.body() = std::move(request.body);
-  out.prepare_payload();
+  head_only_ = request.method == "HEAD";
   connection_->stream.expires_at(deadline);
-  co_await http::async_write(connection_->stream, out,
-                             redirect_error(use_awaitable, ec));
-  if (cancelled_ && !ec) ec = asio::error::operation_aborted;
-  if (ec) co_return tl::make_unexpected(failure("cannot write to", ec, true));
+  start_write(request);
+  co_return co_await read_head();
+}
+
+awaitable<tl::expected<void, call_failure>> pooled_call::read_head() {
   parser_.emplace();
   parser_->body_limit(boost::none);
-  if (request.method == "HEAD") parser_->skip(true);
+  if (head_only_) parser_->skip(true);
+  error_code ec;
   co_await http::async_read_header(connection_->stream, connection_->buffer,
                                    *parser_, redirect_error(use_awaitable, ec));
   if (cancelled_ && !ec) ec = asio::error::operation_aborted;
   if (ec) co_return tl::make_unexpected(failure("no answer from", ec, true));
   const bool delimited = parser_->chunked() || parser_->is_done() ||
                          parser_->content_length().has_value();
-  if (!delimited) {
+  if (!delimited && !client_->options.accept_unframed) {
     // Its end could not be told from a broken connection.
     co_return tl::make_unexpected(failure("an answer without length from",
                                           asio::error::no_protocol_option,
@@ -179,6 +254,25 @@
   co_return tl::expected<void, call_failure>();
 }
 
+awaitable<tl::expected<void, call_failure>> pooled_call::next_answer() {
+  // `finish` would put the connection back before the right answer came.
+  while (connection_ && !cancelled_ && !parser_->is_done()) {
+    std::array<char, piece_size> dropped{};
+    parser_->get().body().data = dropped.data();
+    parser_->get().body().size = dropped.size();
+    error_code ec;
+    co_await http::async_read_some(connection_->stream, connection_->buffer,
+                                   *parser_, redirect_error(use_awaitable, ec));
+    if (ec == http::error::need_buffer) ec = {};
+    if (ec) co_return tl::make_unexpected(failure("no answer from", ec, true));
+  }
+  if (!connection_ || cancelled_ || !parser_->get().keep_alive()) {
+    co_return tl::make_unexpected(
+        failure("no answer of its own from", asio::error::eof, true));
+  }
+  co_return co_await read_head();
+}
+
 awaitable<result<std::string>> pooled_call::read_piece() {
   if (!connection_ || cancelled_) {
     if (parser_ && parser_->is_done() && !cancelled_) co_return std::string();
@@ -210,8 +304,14 @@
 
 void pooled_call::finish() {
   if (!connection_ || cancelled_) return;
-  if (parser_->get().keep_alive()) {
-    client_->keep(address_, std::move(connection_));
+  // A connection that still carries the request can't carry another one.
+  if (parser_->get().keep_alive() && connection_->write_done()) {
+    std::chrono::milliseconds lifetime = client_->options.keep_idle;
+    const std::optional<std::chrono::seconds> told =
+        keep_alive_seconds(header("Keep-Alive"));
+    // Half of it, so that a request does not cross the other side's close.
+    if (told) lifetime = std::min(lifetime, std::chrono::milliseconds(*told) / 2);
+    client_->keep(address_, std::move(connection_), lifetime);
   }
   connection_.reset();
 }
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 
+#include "header_lists.h"
 #include "trestlepost/base/json.h"
 
 namespace trestlepost::transport {
@@ -113,6 +114,9 @@
     if (it == parser_->get().end()) return {};
     return {it->value().data(), it->value().size()};
   }
+  header_list headers() const override {
+    return list_headers(parser_->get());
+  }
   awaitable<result<std::string>> read_body() override;
   awaitable<bool> respond(http_answer answer) override;
   awaitable<bool> start_stream(http_answer head) override;
@@ -410,6 +414,18 @@
   return {};
 }
 
+void http_server::set_options(const http_server_options& options) {
+  state_->options = options;
+}
+
+const http_server_options& http_server::options() const {
+  return state_->options;
+}
+
+void http_server::close_after_answers() {
+  state_->draining = true;
+}
+
 void http_server::drain() {
   state_->draining = true;
   error_code ec;
