Ask the leader that was just named, and keep directory answers near

Change: leader_finder with a clock of its own for each leader; entries_near tells nothing of an unknown region.

--- a/membership/include/trestlepost/membership/directory.h
+++ b/membership/include/trestlepost/membership/directory.h
@@ -22,8 +22,19 @@
   std::string near_zone;
   /// Regions whose entries may take the caller's requests; empty: all.
   std::vector<std::string> allowed_regions;
+  /// The host that the caller will ask for, or empty.
+  std::string host{};
 };
 
+/// The entries for a caller who may use any of its region: live ones, else
+/// those that were heard not long ago. Entries of other regions stand in only
+/// when all of the caller's region are known to be gone, those of
+/// `preferred_regions` first; a region of which nothing is known may be well,
+/// so nothing is told then.
+std::vector<entry_view> entries_near(
+    const node_table& table, const entry_query& query,
+    const std::vector<std::string>& preferred_regions, monotonic_time now);
+
 /// Ready nodes first, near ones before far ones, less loaded ones before
 /// busier ones; isolated nodes last; draining, starting and silent ones not
 /// at all.
--- a/membership/src/directory.cc
+++ b/membership/src/directory.cc
@@ -66,4 +66,56 @@
   return out;
 }
 
+namespace {
+
+bool takes_callers(const heartbeat& in) {
+  const bool serving =
+      in.state == node_states::ready || in.state == node_states::isolated;
+  return serving && !in.node.caller_address.empty();
+}
+
+entry_view view_of(const heartbeat& in) {
+  return {in.node.name, in.node.caller_address, in.node.region,
+          in.node.availability_zone, in.state};
+}
+
+/// Entries of the caller's region in one state of suspicion.
+std::vector<entry_view> near_in_state(const node_table& table,
+                                      const entry_query& query,
+                                      peer_state wanted, monotonic_time now) {
+  std::vector<entry_view> out;
+  for (const node_record* it : table.all()) {
+    const bool near = it->last.node.region == query.near_region;
+    if (!near || !takes_callers(it->last)) continue;
+    if (table.state_of(*it, now) == wanted) out.push_back(view_of(it->last));
+  }
+  return out;
+}
+
+bool knows_region(const node_table& table, const std::string& region) {
+  const std::vector<const node_record*> all = table.all();
+  return std::any_of(all.begin(), all.end(), [&region](const node_record* it) {
+    return it->last.node.region == region &&
+           !it->last.node.caller_address.empty();
+  });
+}
+
+}  // namespace
+
+std::vector<entry_view> entries_near(
+    const node_table& table, const entry_query& query,
+    const std::vector<std::string>& preferred_regions, monotonic_time now) {
+  for (const peer_state it : {peer_state::live, peer_state::suspect}) {
+    std::vector<entry_view> near = near_in_state(table, query, it, now);
+    if (!near.empty()) return near;
+  }
+  if (!knows_region(table, query.near_region)) return {};
+  entry_query elsewhere = query;
+  elsewhere.allowed_regions = preferred_regions;
+  std::vector<entry_view> out = rank_entries(table, elsewhere, now);
+  if (!out.empty()) return out;
+  elsewhere.allowed_regions.clear();
+  return rank_entries(table, elsewhere, now);
+}
+
 }  // namespace trestlepost::membership
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -259,7 +259,8 @@
 }
 
 void control_service::on_decided(const config::audit_record& record) {
-  log_event(log_level::info, "change-decided",
+  // Replicas decide the same, and decide again what they replay.
+  log_event(leads() ? log_level::info : log_level::debug, "change-decided",
             {{"change_id", record.change_id},
              {"operator", record.operator_name},
              {"status", std::string(to_string(record.outcome.status))},
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -1,6 +1,6 @@
 #include "entry_handlers.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace trestlepost::node {
@@ -13,14 +13,16 @@
   return surface.refuse({error_kind::not_found, "there is no such call", ""});
 }
 
-/// The entries of the asker's region; all of them when it has none.
-std::vector<membership::entry_view> near_entries(
-    std::vector<membership::entry_view> all, const std::string& region) {
-  std::vector<membership::entry_view> near;
-  for (const membership::entry_view& it : all) {
-    if (it.region == region) near.push_back(it);
+/// The regions that routes of `host` are bound to; empty: none.
+std::vector<std::string> home_regions(const config::plan_ptr& plan,
+                                      const std::string& host) {
+  std::set<std::string> out;
+  if (!plan) return {};
+  for (const config::route& it : plan->routes) {
+    if (it.host != host) continue;
+    out.insert(it.home_regions.begin(), it.home_regions.end());
   }
-  return near.empty() ? all : near;
+  return {out.begin(), out.end()};
 }
 
 }  // namespace
@@ -33,9 +35,11 @@
   if (!query || !body) {
     out = unknown_call(*surface_);
   } else {
-    const std::vector<membership::entry_view> entries = near_entries(
-        membership::rank_entries(context_.nodes, *query, context_.clock.now()),
-        query->near_region);
+    const std::vector<membership::entry_view> entries =
+        membership::entries_near(
+            context_.nodes, *query,
+            home_regions(context_.store.plan(), query->host),
+            context_.clock.now());
     if (entries.empty()) {
       out = surface_->refuse(
           {error_kind::unavailable, "no entry is known to be ready", ""});
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -17,13 +17,14 @@
 
 watch_client::watch_client(node_context& context,
                            std::function<membership::heartbeat()> beat)
-    : context_(context), make_heartbeat_(std::move(beat)) {}
+    : context_(context),
+      make_heartbeat_(std::move(beat)),
+      finder_(polls_without_answer * context.options.timing.poll_interval) {}
 
 void watch_client::start() {
   if (!context_.options.data_folder.empty()) {
     context_.store = config::load_copy(context_.options.data_folder);
   }
-  answered_at_ = context_.clock.now();
   context_.peers.add_notification(
       "config.update",
       [this](const json& params, const transport::rpc_context&) {
@@ -35,17 +36,13 @@
   const monotonic_time now = context_.clock.now();
   if (now < next_poll_) return;
   next_poll_ = now + context_.options.timing.poll_interval;
-  const bool silent =
-      now > answered_at_ +
-                polls_without_answer * context_.options.timing.poll_interval;
-  if (silent) leader_.clear();
   poll();
 }
 
 std::string watch_client::poll_address() {
-  if (!leader_.empty()) return context_.peer_address(leader_);
-  const std::vector<std::string> all = context_.control_addresses();
-  return all.empty() ? "" : all[next_control_++ % all.size()];
+  const std::string& leader = finder_.leader(context_.clock.now());
+  const std::string known = leader.empty() ? "" : context_.peer_address(leader);
+  return known.empty() ? finder_.next_of(context_.control_addresses()) : known;
 }
 
 void watch_client::poll() {
@@ -63,9 +60,10 @@
 void watch_client::handle_update(const json& params) {
   const monotonic_time now = context_.clock.now();
   const std::string leader = text_of(params, "leader");
-  if (!leader.empty()) leader_ = leader;
+  if (!leader.empty()) named_leader_ = leader;
   const std::string leader_address = text_of(params, "leader_address");
   if (!leader_address.empty()) context_.heard_from[leader] = leader_address;
+  if (finder_.learn(leader, now)) next_poll_ = now;
   const std::uint64_t token = number_of(params, "token");
   const auto asked =
       std::find_if(questions_.begin(), questions_.end(),
@@ -74,7 +72,7 @@
   if (update.isObject()) apply(update);
   if (asked == questions_.end()) return;
   if (flag_of(params, "confirmed")) {
-    answered_at_ = now;
+    finder_.confirmed(now);
     take_book(update);
     const bool current = context_.store.revision() >= number_of(update, "to");
     if (current) context_.state.confirm(asked->asked_at, now);
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "leader_finder.h"
 #include "node_context.h"
 #include "trestlepost/config/state_machine.h"
 
@@ -21,7 +22,7 @@
   void tick();
 
   /// The node that leads the configuration group, as far as is known.
-  const std::string& leader() const { return leader_; }
+  std::string leader() const { return named_leader_; }
   const std::map<std::string, config::ledger_founding>& ledgers() const {
     return ledgers_;
   }
@@ -42,14 +43,13 @@
 
   node_context& context_;
   std::function<membership::heartbeat()> make_heartbeat_;
-  std::string leader_;
+  leader_finder finder_;
+  std::string named_leader_;
   std::map<std::string, config::ledger_founding> ledgers_;
   std::deque<question> questions_;
   std::uint64_t next_token_ = 1;
   std::uint64_t book_version_ = 0;
-  std::size_t next_control_ = 0;
   monotonic_time next_poll_;
-  monotonic_time answered_at_;
 };
 
 }  // namespace trestlepost::node
