Compare regions and endpoints by what a request can be expected to earn

Cause: a region's wait was taken for the most urgent priority only, so long prompts never went away at a peak; the reading speed took fixed costs for slow reading; followers told a restarted gateway nothing, so it refused everything until a leader stood. Change: latency_model (a line through recent observations), outlook and expected_value, waits told for all priorities, unconfirmed copies from followers, relays pair up so that summaries cross once, a stop ends before it is killed.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -22,8 +22,7 @@
 struct chosen_endpoint {
   std::string id;
   std::string address;
-  /// Expected time to the answer's beginning.
-  std::chrono::milliseconds predicted{0};
+  routing::outlook expected;
 };
 
 class endpoint_pool {
@@ -40,10 +39,7 @@
   /// The endpoint for `request`, or why there is none now.
   result<chosen_endpoint> choose(const routed_request& request) const;
 
-  /// Time to the first token (or a free slot) that a request of `service`
-  /// meets here now; nothing when no endpoint takes requests.
-  std::optional<std::chrono::milliseconds> expected_wait(
-      const std::string& service) const;
+  /// What gateways of other regions are told of `service` here.
   membership::service_load load_of(const std::string& service) const;
 
   void observe(const std::string& endpoint,
@@ -60,12 +56,6 @@
   void tick();
 
  private:
-  struct candidate {
-    const membership::endpoint_view* view = nullptr;
-    std::chrono::milliseconds predicted{0};
-    double cost = 0;
-  };
-
   bool takes_requests(const membership::endpoint_view& view,
                       const config::planned_service* service) const;
   bool is_cold_sender(const std::string& endpoint) const;
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -1,6 +1,7 @@
 // Sends a routed request to a gateway of another permitted region.
 #pragma once
 
+#include <map>
 #include <string>
 
 #include "trestlepost/gateway/attempt.h"
@@ -20,6 +21,9 @@
                                       const std::string& region,
                                       transport::http_exchange& exchange);
 
+  /// Prompt tokens sent to `region` whose answer has not begun yet.
+  std::uint32_t unanswered_tokens(const std::string& region) const;
+
  private:
   const membership::node_record* choose_gateway(const std::string& region,
                                                 const std::string& service);
@@ -30,6 +34,7 @@
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
+  std::map<std::string, std::uint32_t> unanswered_;  // by region
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -30,9 +30,6 @@
   result<routed_request> route(surface::call_head head, std::string body) const;
   transport::awaitable<attempt> run(routed_request& request,
                                     transport::http_exchange& exchange);
-  std::vector<std::string> rank_regions(
-      const routed_request& request,
-      const std::set<std::string>& exhausted) const;
   transport::awaitable<void> answer(surface::call_head head, std::string body,
                                     transport::http_exchange& exchange);
   transport::awaitable<void> refuse(const attempt& outcome,
--- /dev/null
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -0,0 +1,22 @@
+// Which permitted region serves a routed request now.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "trestlepost/gateway/endpoint_pool.h"
+#include "trestlepost/gateway/route_forwarder.h"
+
+namespace trestlepost::gateway {
+
+/// The permitted region in which `request` can be expected to earn most, the
+/// own one unless another is clearly better; nothing when none can serve it.
+/// `exhausted` regions are left out.
+std::optional<std::string> choose_region(const gateway_context& context,
+                                         const endpoint_pool& own,
+                                         const route_forwarder& remote,
+                                         const routed_request& request,
+                                         const std::set<std::string>& exhausted);
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -22,6 +22,8 @@
 // A section that this gateway has not sent itself was probably sent by
 // another one to the endpoint that all of them prefer for it.
 constexpr double preferred_has_section = 0.5;
+// The priority for which waits are told: all that waits counts.
+constexpr int least_urgent = 9;
 // What is kept of past cold requests.
 constexpr std::chrono::seconds cold_memory{30};
 
@@ -77,7 +79,8 @@
     zone_of_[it.id] = it.availability_zone;
     const config::planned_service* service = planned(it.service);
     if (service != nullptr && service->engine) {
-      engines.push_back({it.id, service->engine->kv_capacity});
+      engines.push_back({it.id, it.service, service->engine->kv_capacity,
+                         service->engine->tokens_per_event});
     }
   }
   context_.endpoints.declare(declared, now);
@@ -151,19 +154,21 @@
   double best_cost = 0;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    const milliseconds predicted = engines_.predict(it.name, request.work);
-    const double speed = engines_.tokens_per_ms(it.name);
+    const routing::outlook expected =
+        engines_.predict(it.name, request.work);
     const std::uint32_t uncached =
         engines_.uncached_tokens(it.name, request.work);
     // What it reads holds up all that come after it: it counts twice.
-    double cost = static_cast<double>(predicted.count()) + uncached / speed;
+    double cost = static_cast<double>(expected.first_token.count()) +
+                  engines_.reading_time(it.name, uncached).count();
     const bool unknown_here =
         shared != nullptr && uncached == request.work.prompt_tokens;
     if (unknown_here && it.name == preferred) {
-      cost -= preferred_has_section * shared->tokens / speed;
+      cost -= preferred_has_section *
+              engines_.reading_time(it.name, shared->tokens).count();
     }
     if (best && cost >= best_cost) continue;
-    best = chosen_endpoint{it.name, it.address, predicted};
+    best = chosen_endpoint{it.name, it.address, expected};
     best_cost = cost;
   }
   return best;
@@ -173,7 +178,7 @@
     const std::vector<endpoint_view>& open) const {
   const std::optional<endpoint_view> free =
       routing::choose_endpoint(open, {0, {}, gateways()}, context_.random);
-  if (free) return chosen_endpoint{free->name, free->address, milliseconds(0)};
+  if (free) return chosen_endpoint{free->name, free->address, {}};
   const auto least = std::min_element(
       open.begin(), open.end(),
       [](const endpoint_view& a, const endpoint_view& b) {
@@ -182,7 +187,7 @@
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
-  return chosen_endpoint{least->name, least->address, milliseconds(0)};
+  return chosen_endpoint{least->name, least->address, {}};
 }
 
 result<chosen_endpoint> endpoint_pool::choose(
@@ -211,33 +216,31 @@
               "send it again after Retry-After");
 }
 
-std::optional<milliseconds> endpoint_pool::expected_wait(
-    const std::string& service) const {
-  const config::planned_service* known = planned(service);
-  const bool engine = known != nullptr && known->engine.has_value();
-  std::optional<milliseconds> best;
-  for (const endpoint_view& it :
-       context_.endpoints.views(service, context_.clock.now())) {
-    if (!takes_requests(it, known)) continue;
-    if (it.load >= it.limit * most_over_limit) continue;
-    const milliseconds wait =
-        engine ? engines_.predict(it.name, {}) : milliseconds(0);
-    if (!best || wait < *best) best = wait;
-  }
-  return best;
-}
-
 membership::service_load endpoint_pool::load_of(
     const std::string& service) const {
   membership::service_load out;
+  const config::planned_service* known = planned(service);
+  const bool engine = known != nullptr && known->engine.has_value();
+  routing::engine_work probe;
+  probe.priority = least_urgent;
+  milliseconds wait{0};
+  milliseconds interval{0};
   for (const endpoint_view& it :
        context_.endpoints.views(service, context_.clock.now())) {
     out.in_flight += it.own_in_flight;
-    out.endpoints += takes_requests(it, planned(service)) ? 1 : 0;
+    const bool open = takes_requests(it, known) &&
+                      it.load < it.limit * most_over_limit;
+    if (!open) continue;
+    ++out.endpoints;
+    if (!engine) continue;
+    wait += engines_.predict(it.name, probe).wait;
+    interval += engines_.event_interval(it.name);
+  }
+  // The mean, not the least: many gateways act on it before the next one.
+  if (out.endpoints > 0) {
+    out.wait = wait / out.endpoints;
+    out.event_interval = interval / out.endpoints;
   }
-  const std::optional<milliseconds> wait = expected_wait(service);
-  if (!wait) out.endpoints = 0;
-  out.wait = wait.value_or(milliseconds(0));
   return out;
 }
 
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -200,7 +200,7 @@
     out.endpoint_answer = std::move(answer);
     co_return out;
   }
-  pool_.engines().first_token(now.ticket, context_.clock.now());
+  pool_.engines().event(now.ticket, context_.clock.now());
   context_.metrics.first_piece(now.request.service,
                                context_.clock.now() - now.request.arrived);
   out.delivered = true;
@@ -219,7 +219,7 @@
                              refused_retry_after);
   }
   const monotonic_time at = context_.clock.now();
-  pool_.engines().first_token(now.ticket, at);
+  pool_.engines().event(now.ticket, at);
   context_.metrics.first_piece(now.request.service, at - now.request.arrived);
   attempt out;
   out.delivered = true;
@@ -229,7 +229,11 @@
   while (open && piece && !piece->empty()) {
     std::string text = std::move(*piece);
     open = co_await now.exchange.write_piece(std::move(text));
-    if (open) piece = co_await now.call->read_piece();
+    if (!open) break;
+    piece = co_await now.call->read_piece();
+    if (piece && !piece->empty()) {
+      pool_.engines().event(now.ticket, context_.clock.now());
+    }
   }
   if (!open) {
     now.call->cancel();
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -55,6 +55,12 @@
   return busyness(*b, service) < busyness(*a, service) ? b : a;
 }
 
+std::uint32_t route_forwarder::unanswered_tokens(
+    const std::string& region) const {
+  const auto it = unanswered_.find(region);
+  return it == unanswered_.end() ? 0 : it->second;
+}
+
 transport::http_request route_forwarder::make_request(
     const routed_request& request) const {
   route_message message;
@@ -93,8 +99,10 @@
   exchange.on_gone(std::move(on_gone));
   context_.metrics.forwarded(region);
   transport::http_request out = make_request(request);
+  unanswered_[region] += request.work.prompt_tokens;
   const tl::expected<void, transport::call_failure> sent =
       co_await call->send(std::move(out), request.deadline);
+  unanswered_[region] -= request.work.prompt_tokens;
   attempt outcome;
   if (!sent) {
     const bool written = sent.error().bytes_written;
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/route_regions.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -13,14 +14,6 @@
 using transport::http_exchange;
 
 constexpr milliseconds retry_after{300};
-// Until a region's distance is measured.
-constexpr milliseconds unknown_round_trip{110};
-// A request goes away from home only when home would miss this share of its
-// latency objective.
-constexpr double objective_share_at_home = 0.8;
-// ... and when away is better by this much: a prompt read away is read again
-// at home the next time.
-constexpr milliseconds away_margin{100};
 // Attempts in other regions, each on another gateway, of one request.
 constexpr std::size_t most_regions = 3;
 
@@ -28,11 +21,6 @@
   return {error_kind::unavailable, what, "send it again after Retry-After"};
 }
 
-struct region_cost {
-  std::string region;
-  milliseconds cost{0};
-};
-
 }  // namespace
 
 awaitable<void> route_handler::handle(http_exchange& exchange) {
@@ -106,59 +94,6 @@
   co_await refuse(outcome, id, exchange);
 }
 
-std::vector<std::string> route_handler::rank_regions(
-    const routed_request& request,
-    const std::set<std::string>& exhausted) const {
-  std::vector<region_cost> ranked;
-  const std::string& own = context_.self.region;
-  const monotonic_time now = context_.clock.now();
-  if (permits_region(*request.route, own) && !exhausted.contains(own)) {
-    const std::optional<milliseconds> wait =
-        own_.pool().expected_wait(request.service);
-    const milliseconds acceptable =
-        std::chrono::duration_cast<milliseconds>(
-            request.route->latency_objective * objective_share_at_home);
-    if (wait) {
-      const bool good = *wait <= acceptable;
-      ranked.push_back({own, good ? milliseconds(0) : *wait});
-    }
-  }
-  if (context_.state.may_cross(now)) {
-    for (const std::string& region : context_.nodes.regions()) {
-      const bool candidate = region != own && !exhausted.contains(region) &&
-                             permits_region(*request.route, region);
-      if (!candidate) continue;
-      std::optional<milliseconds> wait;
-      for (const membership::node_record* it :
-           context_.nodes.live_in(region, now)) {
-        const auto load = it->last.services.find(request.service);
-        const bool open = it->last.state == membership::node_states::ready &&
-                          load != it->last.services.end() &&
-                          load->second.endpoints > 0;
-        if (open && (!wait || load->second.wait < *wait)) {
-          wait = load->second.wait;
-        }
-      }
-      if (!wait) continue;
-      const auto measured = context_.round_trips.find(region);
-      const milliseconds distance = measured == context_.round_trips.end()
-                                        ? unknown_round_trip
-                                        : measured->second;
-      const milliseconds reading(static_cast<std::int64_t>(
-          request.work.prompt_tokens /
-          routing::engine_book::first_tokens_per_ms));
-      ranked.push_back({region, *wait + distance + reading + away_margin});
-    }
-  }
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const region_cost& a, const region_cost& b) {
-                     return a.cost < b.cost;
-                   });
-  std::vector<std::string> out;
-  for (const region_cost& it : ranked) out.push_back(it.region);
-  return out;
-}
-
 awaitable<attempt> route_handler::run(routed_request& request,
                                       http_exchange& exchange) {
   std::set<std::string> exhausted;
@@ -168,9 +103,10 @@
       retry_after);
   bool may_have_run = false;
   while (exhausted.size() < most_regions) {
-    const std::vector<std::string> ranked = rank_regions(request, exhausted);
-    if (ranked.empty()) break;
-    const std::string region = ranked.front();
+    const std::optional<std::string> chosen =
+        choose_region(context_, own_.pool(), remote_, request, exhausted);
+    if (!chosen) break;
+    const std::string& region = *chosen;
     if (region == context_.self.region) {
       last = co_await own_.serve(request, exchange);
     } else {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -27,14 +27,15 @@
                    stream_patience_pauses * route.longest_pause});
 }
 
-/// Whether a request that would begin to be answered after `predicted` comes
-/// too late to be of use.
-bool too_late(const routed_request& request, milliseconds predicted,
+/// Whether a request that meets `expected` is not worth an endpoint's time.
+/// What it meets before its own prompt counts, so that long prompts are
+/// refused no sooner than short ones.
+bool too_late(const routed_request& request, const routing::outlook& expected,
               monotonic_time now) {
-  if (now + predicted >= request.deadline) return true;
+  if (now + expected.wait >= request.deadline) return true;
   const bool stream = request.route->kind == config::route_kind::stream;
   return stream &&
-         now + predicted >=
+         now + expected.wait >=
              request.arrived + first_event_patience(*request.route);
 }
 
@@ -68,15 +69,15 @@
       }
       break;
     }
-    if (too_late(request, chosen->predicted, context_.clock.now())) {
+    if (too_late(request, chosen->expected, context_.clock.now())) {
       if (!last) {
         last = failed_attempt(
             run_state::no,
             {error_kind::overloaded,
-             "the first token would come after " +
-                 std::to_string(chosen->predicted.count()) + " ms",
+             "prompts that wait take " +
+                 std::to_string(chosen->expected.wait.count()) + " ms",
              "send it again after Retry-After"},
-            std::max(least_retry_after, chosen->predicted / 2));
+            std::max(least_retry_after, chosen->expected.wait / 2));
       }
       break;
     }
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -11,6 +11,8 @@
     out.sections.push_back({it.id, it.tokens});
   }
   out.prompt_tokens = head.prompt.prompt_tokens;
+  out.output_tokens = head.prompt.expected_output_tokens.value_or(
+      head.prompt.most_output_tokens / 2);
   out.priority = route.priority;
   return out;
 }
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -37,6 +37,8 @@
   std::uint32_t endpoints = 0;  // usable ones
   /// Expected time in the queue of a request that comes now.
   std::chrono::milliseconds wait{0};
+  /// Time between two events of a stream.
+  std::chrono::milliseconds event_interval{0};
 };
 
 /// What an endpoint reported to the node that polls it.
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -66,6 +66,10 @@
     one["free_slots"] = it.free_slots;
     one["endpoints"] = it.endpoints;
     one["wait_ms"] = as_number(static_cast<std::uint64_t>(it.wait.count()));
+    if (it.event_interval.count() > 0) {
+      one["event_ms"] =
+          as_number(static_cast<std::uint64_t>(it.event_interval.count()));
+    }
     services[name] = std::move(one);
   }
   json& reports = out["reports"] = json(Json::objectValue);
@@ -100,7 +104,8 @@
       out.services[it] = {
           small_number_of(one, "in_flight"), small_number_of(one, "queued"),
           small_number_of(one, "free_slots"), small_number_of(one, "endpoints"),
-          std::chrono::milliseconds(number_of(one, "wait_ms"))};
+          std::chrono::milliseconds(number_of(one, "wait_ms")),
+          std::chrono::milliseconds(number_of(one, "event_ms"))};
     }
   }
   const json& reports = member_of(value, "reports");
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -214,6 +214,13 @@
     answer["update"] =
         make_update(number_of(params, "revision"),
                     number_of(params, "book_version"), beat.node.region);
+  } else if (context_.store.revision() > number_of(params, "revision")) {
+    // Not confirmed, but committed: a node that restarts while there is no
+    // leader can serve its own region by it.
+    config::watch_update update;
+    update.to = context_.store.revision();
+    update.whole = context_.store.to_json(config::plan_form::without_document);
+    answer["update"] = config::to_json(update);
   }
   context_.links.send(address, "config.update", answer);
 }
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -1,6 +1,7 @@
 #include "heartbeat_service.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -10,7 +11,7 @@
 using membership::node_record;
 using std::chrono::milliseconds;
 
-constexpr milliseconds summary_interval{500};
+constexpr milliseconds summary_interval{300};
 constexpr milliseconds ping_interval{1000};
 constexpr double newest_weight = 0.3;
 
@@ -156,12 +157,14 @@
 
 void heartbeat_service::send_summaries() {
   const monotonic_time now = context_.clock.now();
-  bool is_relay = false;
-  for (const node_record* it :
-       context_.nodes.relays_of(context_.self.region, now)) {
-    is_relay = is_relay || it->last.node.name == context_.self.name;
-  }
-  if (!is_relay) return;
+  // Each relay of this region has one of each other region to tell.
+  std::optional<std::size_t> place;
+  const std::vector<const node_record*> relays =
+      context_.nodes.relays_of(context_.self.region, now);
+  for (std::size_t i = 0; i < relays.size(); ++i) {
+    if (relays[i]->last.node.name == context_.self.name) place = i;
+  }
+  if (!place) return;
   membership::region_summary summary;
   summary.region = context_.self.region;
   summary.relay = context_.self.name;
@@ -178,9 +181,10 @@
   params["summary"] = membership::to_json(summary);
   params["passed_on"] = false;
   for (const std::string& region : other_regions()) {
-    for (const std::string& it : relay_addresses(region)) {
-      context_.links.send(it, "region.summary", params);
-    }
+    const std::vector<std::string> addresses = relay_addresses(region);
+    if (addresses.empty()) continue;
+    context_.links.send(addresses[*place % addresses.size()],
+                        "region.summary", params);
   }
 }
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -40,6 +40,9 @@
 constexpr milliseconds kept_connection_lifetime{60'000};
 // The longest way is between regions, some 110 ms there and back.
 constexpr milliseconds endpoint_connect_timeout{400};
+// A stop ends this much before its longest time, after which the process may
+// be killed.
+constexpr milliseconds exit_margin{400};
 // A stop is announced for so long before the node may exit.
 constexpr milliseconds announce_time{1500};
 
@@ -464,7 +467,8 @@
                       forward_server.in_progress() == 0 &&
                       ledger.pending() == 0;
     const bool announced = now >= started + announce_time && !taking;
-    const bool late = now >= started + options.timing.drain_timeout;
+    const bool late =
+        now + exit_margin >= started + options.timing.drain_timeout;
     if ((idle && announced) || late) break;
     timer.expires_after(tick_interval);
     boost::system::error_code ec;
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -1,6 +1,6 @@
 // What this gateway knows of the work at each model endpoint: prompts that
 // wait to be read, prompt parts that are probably cached, and how fast
-// prompts are read. It predicts the time to a request's first token.
+// prompts are read and answers written. It predicts a request's course.
 #pragma once
 
 #include <chrono>
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "trestlepost/base/clock.h"
+#include "trestlepost/routing/latency_model.h"
+#include "trestlepost/routing/outlook.h"
 
 namespace trestlepost::routing {
 
@@ -25,6 +27,8 @@
 struct engine_work {
   std::vector<prompt_section> sections;
   std::uint32_t prompt_tokens = 0;
+  /// Expected output; half of the most when the caller gives no guess.
+  std::uint32_t output_tokens = 0;
   int priority = 0;  // 0 is the most urgent
 };
 
@@ -33,14 +37,11 @@
 
 class engine_book {
  public:
-  /// What an engine reads, in prompt tokens a millisecond, until own requests
-  /// have shown it. A guess on the fast side: too slow a guess would send the
-  /// first requests away from their caches.
-  static constexpr double first_tokens_per_ms = 100;
-
   struct endpoint {
     std::string id;
+    std::string service;
     std::uint64_t kv_capacity = 0;  // tokens
+    unsigned tokens_per_event = 1;
   };
 
   /// Identifies one request that was begun.
@@ -54,16 +55,19 @@
   std::uint32_t uncached_tokens(const std::string& id,
                                 const engine_work& work) const;
 
-  /// Time until the first token of a request sent now.
-  std::chrono::milliseconds predict(const std::string& id,
-                                    const engine_work& work) const;
+  /// The course of a request that is sent to `id` now.
+  outlook predict(const std::string& id, const engine_work& work) const;
+
+  /// The time that `tokens` of a prompt take to read at `id`.
+  std::chrono::duration<double, std::milli> reading_time(
+      const std::string& id, std::uint32_t tokens) const;
 
   /// A request was sent to `id`.
   ticket begin(const std::string& id, const engine_work& work,
                monotonic_time now);
-  /// Its first token came; the speed of the endpoint is learned from it.
-  void first_token(ticket request, monotonic_time now);
-  /// It ended, with or without a first token.
+  /// An event of its answer came; speeds are learned from it.
+  void event(ticket request, monotonic_time now);
+  /// It ended, whole or not.
   void end(ticket request);
 
   /// What the other gateways of the region wait for.
@@ -71,7 +75,8 @@
   /// What this gateway waits for, to tell the others.
   std::map<std::string, pending_tokens> own_pending() const;
 
-  double tokens_per_ms(const std::string& id) const;
+  /// Mean time between two events of answers at `id`.
+  std::chrono::milliseconds event_interval(const std::string& id) const;
 
  private:
   struct cached_section {
@@ -79,10 +84,12 @@
     std::list<std::uint64_t>::iterator position;
   };
   struct record {
-    std::uint64_t kv_capacity = 0;
-    double tokens_per_ms = first_tokens_per_ms;
+    endpoint declared;
     pending_tokens own;
     pending_tokens others;
+    /// How much slower than its service's mean it is.
+    double slowness = 1;
+    double event_ms = 0;  // 0: not observed
     std::unordered_map<std::uint64_t, cached_section> cached;
     std::list<std::uint64_t> recent;  // the last used first
     std::uint64_t cached_tokens = 0;
@@ -94,13 +101,18 @@
     int priority = 0;
     monotonic_time at;
     bool waiting = true;
+    monotonic_time last_event;
   };
 
+  const record* find(const std::string& id) const;
+  const latency_model& model_of(const record& it) const;
+  void first_event(begun& it, record* at, monotonic_time now);
   void note_cached(record& it, const engine_work& work);
   void evict(record& it);
   void forget_pending(const begun& it);
 
   std::map<std::string, record> endpoints_;
+  std::map<std::string, latency_model> models_;  // by service
   std::map<ticket, begun> requests_;
   ticket next_ticket_ = 1;
 };
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -12,12 +12,13 @@
 constexpr int most_priorities = 10;
 // Share of an engine's memory that caches may use; the rest holds what runs.
 constexpr double cache_share = 0.6;
-// Weight of one observation in the learned speed.
-constexpr double newest_weight = 0.1;
-// Shorter prompts say little of the speed: fixed costs outweigh them.
-constexpr std::uint32_t least_observed_tokens = 1000;
-constexpr double slowest_tokens_per_ms = 1;
-constexpr double fastest_tokens_per_ms = 10'000;
+// Weight of one observation in an endpoint's slowness and event interval.
+constexpr double newest_weight = 0.05;
+// An endpoint's slowness stays between these.
+constexpr double fastest = 0.3;
+constexpr double slowest = 6;
+// Until answers were observed.
+constexpr double first_event_ms = 80;
 
 std::size_t slot_of(int priority) {
   return static_cast<std::size_t>(std::clamp(priority, 0, most_priorities - 1));
@@ -31,48 +32,91 @@
   return out;
 }
 
+void mix_in(double& mean, double newest) {
+  mean = mean * (1 - newest_weight) + newest * newest_weight;
+}
+
+double ms_between(monotonic_time from, monotonic_time to) {
+  return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+milliseconds whole_ms(double ms) {
+  return milliseconds(static_cast<std::int64_t>(ms));
+}
+
 }  // namespace
 
 void engine_book::declare(const std::vector<endpoint>& endpoints) {
   std::map<std::string, record> next;
   for (const endpoint& it : endpoints) {
     const auto known = endpoints_.find(it.id);
-    record one = known == endpoints_.end() ? record() : std::move(known->second);
-    one.kv_capacity = it.kv_capacity;
+    record one =
+        known == endpoints_.end() ? record() : std::move(known->second);
+    one.declared = it;
     next.emplace(it.id, std::move(one));
+    models_.try_emplace(it.service);
   }
   endpoints_ = std::move(next);
 }
 
+const engine_book::record* engine_book::find(const std::string& id) const {
+  const auto it = endpoints_.find(id);
+  return it == endpoints_.end() ? nullptr : &it->second;
+}
+
+const latency_model& engine_book::model_of(const record& it) const {
+  return models_.at(it.declared.service);
+}
+
 std::uint32_t engine_book::uncached_tokens(const std::string& id,
                                            const engine_work& work) const {
-  const auto found = endpoints_.find(id);
-  if (found == endpoints_.end()) return work.prompt_tokens;
+  const record* it = find(id);
+  if (it == nullptr) return work.prompt_tokens;
   std::uint32_t cached = 0;
-  for (const prompt_section& it : work.sections) {
+  for (const prompt_section& section : work.sections) {
     // A section counts only when all before it are cached too.
-    if (!found->second.cached.contains(it.id)) break;
-    cached += it.tokens;
+    if (!it->cached.contains(section.id)) break;
+    cached += section.tokens;
   }
   return work.prompt_tokens - std::min(cached, work.prompt_tokens);
 }
 
-milliseconds engine_book::predict(const std::string& id,
-                                  const engine_work& work) const {
-  const auto found = endpoints_.find(id);
-  if (found == endpoints_.end()) return milliseconds(0);
-  const record& it = found->second;
-  const double tokens = tokens_before(it.own, work.priority) +
-                        tokens_before(it.others, work.priority) +
-                        uncached_tokens(id, work);
-  return milliseconds(static_cast<std::int64_t>(tokens / it.tokens_per_ms));
+outlook engine_book::predict(const std::string& id,
+                             const engine_work& work) const {
+  const record* it = find(id);
+  if (it == nullptr) return {};
+  const latency_model& model = model_of(*it);
+  const double ahead = tokens_before(it->own, work.priority) +
+                       tokens_before(it->others, work.priority);
+  const double own = uncached_tokens(id, work);
+  const unsigned per_event = std::max(1U, it->declared.tokens_per_event);
+  const double events = static_cast<double>(work.output_tokens) / per_event;
+  const double event_ms = it->event_ms > 0 ? it->event_ms : first_event_ms;
+  const double first = model.predict_ms(ahead + own) * it->slowness;
+  outlook out;
+  out.wait = whole_ms(model.ms_per_unit() * ahead * it->slowness);
+  out.first_token = whole_ms(first);
+  out.finish = whole_ms(first + events * event_ms);
+  return out;
+}
+
+std::chrono::duration<double, std::milli> engine_book::reading_time(
+    const std::string& id, std::uint32_t tokens) const {
+  const record* it = find(id);
+  const double ms = it == nullptr ? 0 : model_of(*it).ms_per_unit() * tokens;
+  return std::chrono::duration<double, std::milli>(
+      it == nullptr ? ms : ms * it->slowness);
 }
 
 engine_book::ticket engine_book::begin(const std::string& id,
                                        const engine_work& work,
                                        monotonic_time now) {
   const ticket out = next_ticket_++;
-  begun one{id, uncached_tokens(id, work), 0, work.priority, now};
+  begun one;
+  one.endpoint = id;
+  one.tokens = uncached_tokens(id, work);
+  one.priority = work.priority;
+  one.at = now;
   const auto found = endpoints_.find(id);
   if (found != endpoints_.end()) {
     record& it = found->second;
@@ -87,20 +131,32 @@
   return out;
 }
 
-void engine_book::first_token(ticket request, monotonic_time now) {
+void engine_book::event(ticket request, monotonic_time now) {
   const auto found = requests_.find(request);
-  if (found == requests_.end() || !found->second.waiting) return;
+  if (found == requests_.end()) return;
   begun& it = found->second;
+  const auto at = endpoints_.find(it.endpoint);
+  record* place = at == endpoints_.end() ? nullptr : &at->second;
+  if (it.waiting) {
+    first_event(it, place, now);
+  } else if (place != nullptr) {
+    const double passed = ms_between(it.last_event, now);
+    if (place->event_ms <= 0) place->event_ms = passed;
+    mix_in(place->event_ms, passed);
+  }
+  it.last_event = now;
+}
+
+void engine_book::first_event(begun& it, record* at, monotonic_time now) {
   forget_pending(it);
   it.waiting = false;
-  const auto at = endpoints_.find(it.endpoint);
-  if (at == endpoints_.end() || it.tokens < least_observed_tokens) return;
-  const double passed =
-      std::chrono::duration<double, std::milli>(now - it.at).count();
-  const double seen = (it.tokens + it.ahead) / std::max(passed, 1.0);
-  double& speed = at->second.tokens_per_ms;
-  speed = std::clamp(speed * (1 - newest_weight) + seen * newest_weight,
-                     slowest_tokens_per_ms, fastest_tokens_per_ms);
+  if (at == nullptr || it.tokens == 0) return;
+  latency_model& model = models_.at(at->declared.service);
+  const double units = it.tokens + it.ahead;
+  const double passed = ms_between(it.at, now);
+  const double expected = std::max(1.0, model.predict_ms(units));
+  mix_in(at->slowness, std::clamp(passed / expected, fastest, slowest));
+  model.observe(units, passed / at->slowness);
 }
 
 void engine_book::end(ticket request) {
@@ -133,7 +189,8 @@
 }
 
 void engine_book::evict(record& it) {
-  const double most = static_cast<double>(it.kv_capacity) * cache_share;
+  const double most =
+      static_cast<double>(it.declared.kv_capacity) * cache_share;
   while (static_cast<double>(it.cached_tokens) > most && !it.recent.empty()) {
     const auto oldest = it.cached.find(it.recent.back());
     it.cached_tokens -= oldest->second.tokens;
@@ -161,10 +218,10 @@
   return out;
 }
 
-double engine_book::tokens_per_ms(const std::string& id) const {
-  const auto it = endpoints_.find(id);
-  return it == endpoints_.end() ? first_tokens_per_ms
-                                : it->second.tokens_per_ms;
+milliseconds engine_book::event_interval(const std::string& id) const {
+  const record* it = find(id);
+  const bool observed = it != nullptr && it->event_ms > 0;
+  return whole_ms(observed ? it->event_ms : first_event_ms);
 }
 
 }  // namespace trestlepost::routing
--- /dev/null
+++ b/routing/src/outlook.cc
@@ -0,0 +1,35 @@
+#include "trestlepost/routing/outlook.h"
+
+#include <algorithm>
+
+namespace trestlepost::routing {
+namespace {
+
+// Predictions err; these bands say how sure a share of the limit still is.
+constexpr double surely_on_time = 0.7;
+constexpr double surely_late = 1.2;
+constexpr double surely_whole = 0.7;
+constexpr double surely_cut = 1.3;
+// What a late answer is worth, as a share of one on time.
+constexpr double late_value = 0.3;
+
+/// 1 up to `good` shares of `limit`, 0 from `bad` shares on.
+double chance(std::chrono::milliseconds at, std::chrono::milliseconds limit,
+              double good, double bad) {
+  if (limit.count() <= 0) return 1;
+  const double share =
+      static_cast<double>(at.count()) / static_cast<double>(limit.count());
+  return std::clamp((bad - share) / (bad - good), 0.0, 1.0);
+}
+
+}  // namespace
+
+double expected_value(const outlook& at, const expectation& wanted) {
+  const double on_time = chance(at.first_token, wanted.latency_objective,
+                                surely_on_time, surely_late);
+  const double whole =
+      chance(at.finish, wanted.remaining, surely_whole, surely_cut);
+  return (late_value + (1 - late_value) * on_time) * whole;
+}
+
+}  // namespace trestlepost::routing
--- /dev/null
+++ b/routing/test/engine_book-test.cc
@@ -0,0 +1,129 @@
+#include "trestlepost/routing/engine_book.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "trestlepost/base/random.h"
+
+namespace trestlepost::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+const monotonic_time start{std::chrono::hours(1)};
+
+engine_work work(std::vector<prompt_section> sections, std::uint32_t tokens,
+                 int priority = 0) {
+  engine_work out;
+  out.sections = std::move(sections);
+  out.prompt_tokens = tokens;
+  out.priority = priority;
+  return out;
+}
+
+engine_book make_book(std::uint64_t capacity = 100'000) {
+  engine_book out;
+  out.declare({{"a", "s", capacity, 1}, {"b", "s", capacity, 1}});
+  return out;
+}
+
+TEST(engine_book_test, sections_sent_before_need_no_reading) {
+  engine_book book = make_book();
+  const engine_work first = work({{1, 500}, {2, 4000}, {3, 1000}}, 5500);
+  book.begin("a", first, start);
+  const engine_work same_start = work({{1, 500}, {2, 4000}, {9, 700}}, 5200);
+  EXPECT_EQ(book.uncached_tokens("a", same_start), 700U);
+  EXPECT_EQ(book.uncached_tokens("b", same_start), 5200U);
+}
+
+TEST(engine_book_test, a_section_counts_only_after_those_before_it) {
+  engine_book book = make_book();
+  book.begin("a", work({{2, 4000}}, 4000), start);
+  EXPECT_EQ(book.uncached_tokens("a", work({{1, 500}, {2, 4000}}, 4500)),
+            4500U);
+}
+
+TEST(engine_book_test, the_least_recently_used_sections_are_forgotten) {
+  engine_book book = make_book(10'000);  // 6000 of them for caches
+  book.begin("a", work({{1, 3000}}, 3000), start);
+  book.begin("a", work({{2, 3000}}, 3000), start);
+  book.begin("a", work({{1, 3000}}, 3000), start);
+  book.begin("a", work({{3, 3000}}, 3000), start);
+  EXPECT_EQ(book.uncached_tokens("a", work({{1, 3000}}, 3000)), 0U);
+  EXPECT_EQ(book.uncached_tokens("a", work({{2, 3000}}, 3000)), 3000U);
+}
+
+TEST(engine_book_test, waiting_prompts_count_for_those_not_more_urgent) {
+  engine_book book = make_book();
+  book.begin("a", work({}, 50'000, 1), start);
+  const milliseconds urgent = book.predict("a", work({}, 100, 0)).wait;
+  const milliseconds same = book.predict("a", work({}, 100, 1)).wait;
+  EXPECT_EQ(urgent.count(), 0);
+  EXPECT_GT(same.count(), 100);
+}
+
+TEST(engine_book_test, work_of_others_counts_and_first_events_end_it) {
+  engine_book book = make_book();
+  book.set_others({{"a", {0, 40'000}}});
+  EXPECT_GT(book.predict("a", work({}, 1, 1)).wait.count(), 100);
+  book.set_others({});
+  const engine_book::ticket one = book.begin("a", work({}, 40'000, 1), start);
+  EXPECT_EQ(book.own_pending().at("a").at(1), 40'000U);
+  book.event(one, start + milliseconds(500));
+  EXPECT_TRUE(book.own_pending().empty());
+  book.end(one);
+}
+
+TEST(engine_book_test, a_request_that_ends_without_an_event_waits_no_more) {
+  engine_book book = make_book();
+  const engine_book::ticket one = book.begin("a", work({}, 40'000), start);
+  book.end(one);
+  book.end(one);
+  EXPECT_TRUE(book.own_pending().empty());
+}
+
+TEST(engine_book_test, an_endpoint_that_is_taken_off_is_forgotten) {
+  engine_book book = make_book();
+  const engine_book::ticket one = book.begin("a", work({{1, 9}}, 9), start);
+  book.declare({{"b", "s", 1000, 1}});
+  book.event(one, start + milliseconds(1));
+  book.end(one);
+  book.declare({{"a", "s", 1000, 1}});
+  EXPECT_EQ(book.uncached_tokens("a", work({{1, 9}}, 9)), 9U);
+}
+
+TEST(engine_book_test, predictions_come_near_what_an_endpoint_does) {
+  engine_book book = make_book();
+  const double base = 55;
+  const double slope = 0.011;
+  seeded_random random(7);
+  monotonic_time now = start;
+  double error = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::uint32_t tokens =
+        500 + static_cast<std::uint32_t>(random.below(20'000));
+    const engine_work one = work({}, tokens, 1);
+    const double truth = base + slope * tokens;
+    const double said =
+        static_cast<double>(book.predict("a", one).first_token.count());
+    if (i >= 300) error = std::max(error, std::abs(said - truth) / truth);
+    const engine_book::ticket it = book.begin("a", one, now);
+    now += std::chrono::microseconds(static_cast<std::int64_t>(truth * 1000));
+    book.event(it, now);
+    book.end(it);
+  }
+  EXPECT_LT(error, 0.2);
+}
+
+TEST(engine_book_test, slower_events_put_off_the_finish) {
+  engine_book book = make_book();
+  engine_work one = work({}, 100);
+  one.output_tokens = 10;
+  const engine_book::ticket it = book.begin("a", one, start);
+  for (int i = 0; i < 50; ++i) book.event(it, start + milliseconds(400) * i);
+  EXPECT_GT(book.predict("a", one).finish, book.predict("b", one).finish);
+}
+
+}  // namespace
+}  // namespace trestlepost::routing
