Bounded log lines that never wait; settings re-read while running

Cause: log4cxx's console appender waits for its reader, lines had no bound, and a hang-up signal ended the process; a settings file written without a signal was never seen. Change: log_writer (a bounded buffer, whole lines, never waits), a bound a second for each kind of event with a count of what was left out, answered and failed requests as kinds of their own, settings_watch and reload.

--- a/base/include/trestlepost/base/log.h
+++ b/base/include/trestlepost/base/log.h
@@ -20,7 +20,11 @@
 void start_log(const std::string& node, const std::string& region,
                log_level lowest, const std::string& file);
 
-/// Writes one event. `event` is a stable name in kebab case.
+void set_log_level(log_level lowest);
+
+/// Writes one event. `event` is a stable name in kebab case. Lines of one kind
+/// are bounded a second; the next one says how many were left out. Never waits
+/// for the reader of the output.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
--- a/base/src/log.cc
+++ b/base/src/log.cc
@@ -1,17 +1,61 @@
 #include "trestlepost/base/log.h"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/mdc.h>
 
+#include <unistd.h>
+
 #include <memory>
 
+#include "trestlepost/base/log_writer.h"
+
 namespace trestlepost {
+namespace detail {
+
+// The library's macros name these without their namespace.
+namespace helpers = log4cxx::helpers;
+using log4cxx::AppenderSkeleton;
+using log4cxx::LogString;
+
+/// Formats by its layout and hands the line to a `log_writer` on standard
+/// output.
+class line_appender final : public log4cxx::AppenderSkeleton {
+ public:
+  DECLARE_LOG4CXX_OBJECT(line_appender)
+  BEGIN_LOG4CXX_CAST_MAP()
+  LOG4CXX_CAST_ENTRY(line_appender)
+  LOG4CXX_CAST_ENTRY_CHAIN(AppenderSkeleton)
+  END_LOG4CXX_CAST_MAP()
+
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString line;
+    getLayout()->format(line, event, pool);
+    writer_.push(line);
+  }
+  void close() override { writer_.flush(); }
+  bool requiresLayout() const override { return true; }
+
+ private:
+  log_writer writer_{STDOUT_FILENO};
+};
+
+IMPLEMENT_LOG4CXX_OBJECT(line_appender)
+
+}  // namespace detail
+
 namespace {
 
+// Lines a second of one kind of event. A gateway of today's size answers some
+// 30 requests a second; failures are kinds of their own, so a flood of answers
+// never crowds them out.
+constexpr log_rate_limiter::options rate_limits{100, 300};
+// A longer value says no more to a reader, and fills the output.
+constexpr std::size_t longest_value = 512;
+
 log4cxx::LevelPtr level_of(log_level level) {
   switch (level) {
     case log_level::debug:
@@ -41,8 +85,8 @@
   layout->setLocationInfo(false);
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
-    appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemOut());
+    appender = std::make_shared<detail::line_appender>();
+    appender->setLayout(layout);
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
@@ -58,9 +102,26 @@
                std::initializer_list<log_field> fields) {
   const log4cxx::LevelPtr target = level_of(level);
   if (!logger()->isEnabledFor(target)) return;
-  for (const log_field& it : fields) log4cxx::MDC::put(it.name, it.value);
+  static log_rate_limiter limiter(rate_limits);
+  const log_rate_limiter::verdict verdict =
+      limiter.ask(event, std::chrono::steady_clock::now());
+  if (!verdict.write) return;
+  if (verdict.left_out_before > 0) {
+    log4cxx::MDC::put("lines_left_out_before",
+                      std::to_string(verdict.left_out_before));
+  }
+  for (const log_field& it : fields) {
+    log4cxx::MDC::put(it.name, it.value.substr(0, longest_value));
+  }
   logger()->forcedLog(target, std::string(event));
   for (const log_field& it : fields) log4cxx::MDC::remove(it.name);
+  if (verdict.left_out_before > 0) {
+    log4cxx::MDC::remove("lines_left_out_before");
+  }
+}
+
+void set_log_level(log_level lowest) {
+  logger()->setLevel(level_of(lowest));
 }
 
 }  // namespace trestlepost
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -149,10 +149,10 @@
   context_.metrics.request_done(request.service, name, passed);
   const std::int64_t ms =
       std::chrono::duration_cast<milliseconds>(passed).count();
-  log_event(outcome.delivered && outcome.cause.message.empty()
-                ? log_level::debug
-                : log_level::info,
-            "request-done",
+  // Kinds of their own, so that answers never crowd out failures.
+  const bool whole = outcome.delivered && outcome.cause.message.empty();
+  log_event(whole ? log_level::info : log_level::warn,
+            whole ? "request-answered" : "request-failed",
             {{"request_id", request.head.request_id},
              {"route", request.route->name},
              {"service", request.service},
--- a/node/src/main.cc
+++ b/node/src/main.cc
@@ -38,7 +38,7 @@
   }
   trestlepost::start_log(options->node, options->region, options->log_lowest,
                          options->log_file);
-  trestlepost::node::node node(*options);
+  trestlepost::node::node node(*options, file);
   const trestlepost::result<void> started = node.start();
   if (!started) return report(started.error(), exit_failed_start);
   node.run();
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -21,6 +21,7 @@
 #include "operator_service.h"
 #include "order_handler.h"
 #include "probe_service.h"
+#include "settings_watch.h"
 #include "trestlepost/consensus/file_storage.h"
 #include "trestlepost/gateway/entry_handler.h"
 #include "trestlepost/gateway/forward_handler.h"
@@ -142,7 +143,7 @@
 }  // namespace
 
 struct node::implementation {
-  implementation(settings o, foundation& base);
+  implementation(settings o, foundation& base, std::string file);
 
   result<void> start();
   membership::heartbeat make_heartbeat();
@@ -152,13 +153,16 @@
   result<void> listen_all();
   bool routed() const { return options.surface == surface_kind::platform; }
   void begin_stop();
+  void reload_if_changed(bool at_once);
+  void take_settings(const settings& next);
   awaitable<void> run_ticks();
-  awaitable<void> wait_for_signal();
+  awaitable<void> wait_for_signals();
   awaitable<void> finish_stop();
   void collect_metrics();
 
   settings options;
   foundation& base;
+  settings_watch file_watch;
   transport::asio::io_context io{1};
   boost::asio::signal_set signals{io};
   config::object_store store;
@@ -205,9 +209,11 @@
   bool stopped = false;
 };
 
-node::implementation::implementation(settings o, foundation& b)
+node::implementation::implementation(settings o, foundation& b,
+                                     std::string file)
     : options(std::move(o)),
       base(b),
+      file_watch(std::move(file)),
       state(*base.node_chart, options.state, base.clock.now()),
       endpoints(*base.endpoint_chart, options.endpoints),
       links(io, options.peer_secret, peer_options_of(options)),
@@ -369,8 +375,10 @@
   if (!opened) return opened;
   signals.add(SIGTERM);
   signals.add(SIGINT);
+  signals.add(SIGHUP);
+  file_watch.start();
   boost::asio::co_spawn(io, run_ticks(), boost::asio::detached);
-  boost::asio::co_spawn(io, wait_for_signal(), boost::asio::detached);
+  boost::asio::co_spawn(io, wait_for_signals(), boost::asio::detached);
   log_event(log_level::info, "node-started",
             {{"revision", std::to_string(store.revision())}});
   return {};
@@ -399,6 +407,7 @@
   boost::asio::steady_timer timer(io);
   while (!stopped) {
     const monotonic_time now = base.clock.now();
+    reload_if_changed(false);
     state.tick(now, store.revision() > 0);
     if (control) control->tick();
     watch.tick();
@@ -448,11 +457,43 @@
   boost::asio::co_spawn(io, finish_stop(), boost::asio::detached);
 }
 
-awaitable<void> node::implementation::wait_for_signal() {
-  boost::system::error_code ec;
-  co_await signals.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-  begin_stop();
+awaitable<void> node::implementation::wait_for_signals() {
+  while (!stopped) {
+    boost::system::error_code ec;
+    const int signal = co_await signals.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    if (ec) co_return;
+    if (signal == SIGHUP) {
+      reload_if_changed(true);
+    } else {
+      begin_stop();
+    }
+  }
+}
+
+void node::implementation::reload_if_changed(bool at_once) {
+  if (!file_watch.changed(base.clock.now(), at_once)) return;
+  const result<settings> next = load_settings(file_watch.file());
+  if (!next) {
+    log_event(log_level::error, "settings-refused",
+              {{"detail", next.error().message},
+               {"remedy", next.error().remedy}});
+    return;
+  }
+  take_settings(*next);
+  log_event(log_level::info, "settings-reloaded");
+}
+
+void node::implementation::take_settings(const settings& next) {
+  // Who this node is, its addresses and its disk hold until a restart.
+  options.seeds = next.seeds;
+  options.operators = next.operators;
+  options.platform_address = next.platform_address;
+  options.zone_regions = next.zone_regions;
+  options.timing = next.timing;
+  options.tolerated_losses = next.tolerated_losses;
+  options.log_lowest = next.log_lowest;
+  set_log_level(next.log_lowest);
 }
 
 awaitable<void> node::implementation::finish_stop() {
@@ -485,7 +526,8 @@
   io.stop();
 }
 
-node::node(settings options) : options_(std::move(options)) {}
+node::node(settings options, std::string file)
+    : options_(std::move(options)), file_(std::move(file)) {}
 
 node::~node() = default;
 
@@ -493,7 +535,7 @@
   base_ = std::make_unique<foundation>();
   result<void> prepared = base_->prepare(options_);
   if (!prepared) return prepared;
-  implementation_ = std::make_unique<implementation>(options_, *base_);
+  implementation_ = std::make_unique<implementation>(options_, *base_, file_);
   return implementation_->start();
 }
 
--- a/node/src/node.h
+++ b/node/src/node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "settings.h"
 
@@ -9,7 +10,8 @@
 
 class node {
  public:
-  explicit node(settings options);
+  /// `file` is watched for changes; empty: it is not.
+  explicit node(settings options, std::string file = "");
   ~node();
 
   /// Opens all interfaces; an error names what is wrong and the remedy.
@@ -23,6 +25,7 @@
   struct implementation;
 
   settings options_;
+  std::string file_;
   std::unique_ptr<foundation> base_;
   std::unique_ptr<implementation> implementation_;
 };
--- /dev/null
+++ b/node/src/settings_watch.cc
@@ -0,0 +1,33 @@
+#include "settings_watch.h"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace trestlepost::node {
+namespace {
+
+constexpr std::chrono::milliseconds look_interval{1000};
+
+}  // namespace
+
+std::string settings_watch::read() const {
+  std::ifstream in(file_, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+void settings_watch::start() {
+  if (!file_.empty()) seen_ = read();
+}
+
+bool settings_watch::changed(monotonic_time now, bool at_once) {
+  if (file_.empty() || (!at_once && now < next_look_)) return false;
+  next_look_ = now + look_interval;
+  std::string text = read();
+  // A file that is being replaced is read again at the next look.
+  if (text.empty() || text == seen_) return false;
+  seen_ = std::move(text);
+  return true;
+}
+
+}  // namespace trestlepost::node
