Go on after a disk was full; take no hole in an unsynced save for damage

Cause (found by reading, for disk_full): after one failed write a control node never took part again until its process ended, so a second full disk and a third would have stopped all changes. A save of several records that lost its start but not its end with the power looked like damage, and the node refused to start. Change: group_host::restart reads the disk again every 500 ms; one save is one checksummed record. Tests that failed first: a_group_goes_on_after_its_disk_was_full, a_hole_in_the_last_save_is_no_damage.

--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -58,6 +58,10 @@
   /// Loads what is stored; call once before anything else.
   result<void> start(monotonic_time now);
 
+  /// Begins anew from `store` after a failure of the storage, as a restart of
+  /// the process would. What was not durable was never acknowledged.
+  result<void> restart(monotonic_time now, std::unique_ptr<storage> store);
+
   result<void> found(monotonic_time now, std::string group_id,
                      member_list members);
   /// See `replica::recover_alone`.
--- a/consensus/src/file_storage.cc
+++ b/consensus/src/file_storage.cc
@@ -4,6 +4,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fstream>
@@ -95,6 +96,12 @@
 
 /// False when the record does not follow what was read before it.
 bool replay(const json& record, durable_state& state) {
+  if (record.isMember("batch")) {
+    const json& all = record["batch"];
+    return std::all_of(all.begin(), all.end(), [&state](const json& it) {
+      return replay(it, state);
+    });
+  }
   if (record.isMember("hard")) {
     state.hard = hard_state_from(record["hard"]);
     return true;
@@ -260,14 +267,18 @@
   }
   if (batch.hard) hard_ = *batch.hard;
   if (batch.base) return compact(*batch.base, hard_, batch.entries);
-  std::string data;
-  if (batch.hard) data += make_record(hard_record(*batch.hard));
+  json records(Json::arrayValue);
+  if (batch.hard) records.append(hard_record(*batch.hard));
   if (batch.truncate_from) {
-    data += make_record(truncate_record(*batch.truncate_from));
+    records.append(truncate_record(*batch.truncate_from));
   }
-  for (const entry& it : batch.entries) data += make_record(entry_record(it));
-  if (data.empty()) return {};
-  result<void> done = write_all(log_.get(), data);
+  for (const entry& it : batch.entries) records.append(entry_record(it));
+  if (records.empty()) return {};
+  // One record for all: whatever a loss of power leaves of an unsynced write,
+  // no whole record follows a torn one, which would look like damage.
+  json whole;
+  whole["batch"] = std::move(records);
+  result<void> done = write_all(log_.get(), make_record(whole));
   if (!done) return done;
   return sync(log_.get());
 }
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -27,6 +27,21 @@
   return {};
 }
 
+result<void> group_host::restart(monotonic_time now,
+                                 std::unique_ptr<storage> store) {
+  storage_ = std::move(store);
+  reads_.clear();
+  bytes_since_snapshot_ = 0;
+  machine_.load({});
+  result<void> started = start(now);
+  if (started) {
+    failure_.reset();
+  } else {
+    failure_ = started.error();
+  }
+  return started;
+}
+
 result<void> group_host::found(monotonic_time now, std::string group_id,
                                member_list members) {
   result<void> done = replica_->found(std::move(group_id), std::move(members));
--- a/consensus/test/file_storage-test.cc
+++ b/consensus/test/file_storage-test.cc
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "trestlepost/consensus/group_host.h"
+
 namespace trestlepost::consensus {
 namespace {
 
@@ -169,6 +171,76 @@
   }
 }
 
+TEST_F(file_storage_test, a_hole_in_the_last_save_is_no_damage) {
+  write_entries(1, 3);
+  const std::uintmax_t whole = std::filesystem::file_size(log());
+  {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.load());
+    write_batch batch;
+    for (log_index i = 4; i <= 8; ++i) {
+      batch.entries.push_back(
+          {i, 3, entry_type::command, "entry " + std::to_string(i)});
+    }
+    ASSERT_TRUE(storage.save(batch));
+  }
+  // Power was lost before the sync: the end is there, the start is not.
+  std::fstream file(log(), std::ios::binary | std::ios::in | std::ios::out);
+  file.seekp(static_cast<std::streamoff>(whole));
+  file << std::string(40, '\0');
+  file.close();
+  file_storage storage(folder_);
+  const result<durable_state> state = storage.load();
+  ASSERT_TRUE(state) << state.error().message;
+  EXPECT_EQ(state->entries.size(), 3U);
+}
+
+/// A state machine that counts what it applied.
+class counting_machine final : public state_machine {
+ public:
+  void apply(const entry& committed) override {
+    seen.push_back(committed.data);
+  }
+  std::string save() const override { return {}; }
+  void load(std::string_view) override { seen.clear(); }
+
+  std::vector<std::string> seen;
+};
+
+class null_sink final : public message_sink {
+ public:
+  void send(const message&) override {}
+};
+
+TEST_F(file_storage_test, a_group_goes_on_after_its_disk_was_full) {
+  const std::shared_ptr<failing_operations> operations =
+      std::make_shared<failing_operations>(disk_fault::full);
+  counting_machine machine;
+  null_sink sink;
+  seeded_random random(1);
+  const monotonic_time now{std::chrono::hours(1)};
+  const replica_id self{"a", 1};
+  group_host host(self, {}, std::make_unique<file_storage>(folder_, operations),
+                  machine, sink, random);
+  ASSERT_TRUE(host.start(now));
+  ASSERT_TRUE(host.found(now, "group", {{self, true}}));
+  ASSERT_TRUE(host.propose(now, "before"));
+  operations->armed = true;
+  EXPECT_FALSE(host.propose(now, "lost"));
+  ASSERT_TRUE(host.failure());
+  EXPECT_EQ(machine.seen, std::vector<std::string>{"before"});
+  EXPECT_FALSE(
+      host.restart(now, std::make_unique<file_storage>(folder_, operations)) &&
+      host.propose(now, "still full"));
+  operations->armed = false;
+  ASSERT_TRUE(host.restart(now, std::make_unique<file_storage>(folder_)));
+  const monotonic_time later = now + std::chrono::seconds(5);
+  host.tick(later);
+  ASSERT_TRUE(host.propose(later, "after"));
+  const std::vector<std::string> expected{"before", "after"};
+  EXPECT_EQ(machine.seen, expected);
+}
+
 TEST_F(file_storage_test, a_folder_has_one_user_and_one_identity) {
   seeded_random random(1);
   const result<unique_fd> first = lock_folder(folder_);
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -12,6 +12,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds join_interval{400};
+// After a failed write the log is read again from the disk this often, until
+// the disk takes writes again.
+constexpr milliseconds restart_interval{500};
 // A change whose outcome did not come for so long is not waited for.
 constexpr milliseconds waiting_lifetime{30'000};
 // A founder waits so long for more control nodes than the settings' losses
@@ -62,8 +65,7 @@
   host_ = std::make_unique<consensus::group_host>(
       consensus::replica_id{context_.self.name, context_.self.incarnation},
       make_group_options(context_.options),
-      std::make_unique<consensus::file_storage>(context_.options.data_folder +
-                                                "/config"),
+      open_storage(),
       machine_, *this, context_.random);
   std::vector<std::string> voters;
   for (const control_node& it : context_.options.control_nodes) {
@@ -82,6 +84,24 @@
   return started;
 }
 
+std::unique_ptr<consensus::storage> control_service::open_storage() const {
+  return std::make_unique<consensus::file_storage>(
+      context_.options.data_folder + "/config");
+}
+
+void control_service::restart_after_failure() {
+  const monotonic_time now = context_.clock.now();
+  if (!host_->failure() || now < next_restart_) return;
+  next_restart_ = now + restart_interval;
+  const result<void> done = host_->restart(now, open_storage());
+  if (done) {
+    log_event(log_level::info, "storage-regained");
+  } else {
+    log_event(log_level::error, "storage-still-failing",
+              {{"detail", done.error().message}});
+  }
+}
+
 void control_service::found_from_seeds() {
   const settings& options = context_.options;
   const bool founder = options.found_at_first_start && !options.seeds.empty() &&
@@ -485,6 +505,7 @@
 
 void control_service::tick() {
   const monotonic_time now = context_.clock.now();
+  restart_after_failure();
   host_->tick(now);
   ask_to_join();
   found_ledgers();
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -78,6 +78,8 @@
   void found_ledgers();
   void ask_to_join();
   void found_from_seeds();
+  std::unique_ptr<consensus::storage> open_storage() const;
+  void restart_after_failure();
   void handle_join(const json& params);
   std::string address_of(const std::string& node) const;
   json audit_matching(const json& filter) const;
@@ -91,6 +93,7 @@
   std::map<std::string, waiting_change> waiting_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
+  monotonic_time next_restart_;
   std::optional<monotonic_time> leading_since_;
   monotonic_time last_join_heard_;
   std::uint64_t next_read_ = 1;
