--- a/base/src/log_writer.cc
+++ b/base/src/log_writer.cc
@@ -49,8 +49,8 @@
   }
   bucket& one = it->second;
   const std::chrono::duration<double> passed = now - one.at;
-  one.tokens = std::min(limits_.burst, one.tokens + passed.count() *
-                                                        limits_.lines_per_second);
+  one.tokens = std::min(limits_.burst,
+                        one.tokens + passed.count() * limits_.lines_per_second);
   one.at = now;
   if (one.tokens < 1) {
     ++one.left_out;
--- a/base/src/object_reader.cc
+++ b/base/src/object_reader.cc
@@ -80,9 +80,8 @@
 
 std::optional<milliseconds> parse_duration(std::string_view text) {
   double n = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), n,
-                      std::chars_format::fixed);
+  const std::from_chars_result parsed = std::from_chars(
+      text.data(), text.data() + text.size(), n, std::chars_format::fixed);
   // Written so that what is no number is refused too.
   if (parsed.ec != std::errc() || !(n >= 0)) return std::nullopt;
   std::string_view unit =
@@ -91,8 +90,7 @@
   constexpr double largest = 1e9;
   for (const duration_unit& it : duration_units) {
     if (it.name != unit || n > largest) continue;
-    return milliseconds(
-        std::llround(n * static_cast<double>(it.factor)));
+    return milliseconds(std::llround(n * static_cast<double>(it.factor)));
   }
   return std::nullopt;
 }
--- a/config/include/trestlepost/config/traffic_plan.h
+++ b/config/include/trestlepost/config/traffic_plan.h
@@ -68,12 +68,12 @@
 
 /// What the operators say of the model engine behind a service.
 struct engine_profile {
-  unsigned batch_slots = 1;         // requests that run at once
-  std::uint64_t kv_capacity = 0;    // tokens, running and cached together
-  double kv_token_bytes = 0;        // memory of one token
-  double link_mbps = 0;             // for copies between endpoints
-  bool moves = false;               // runs can be moved
-  bool backups = false;             // runs can be backed up as they grow
+  unsigned batch_slots = 1;       // requests that run at once
+  std::uint64_t kv_capacity = 0;  // tokens, running and cached together
+  double kv_token_bytes = 0;      // memory of one token
+  double link_mbps = 0;           // for copies between endpoints
+  bool moves = false;             // runs can be moved
+  bool backups = false;           // runs can be backed up as they grow
   unsigned tokens_per_event = 1;
   unsigned most_event_watchers = 0;  // callers that may wait for cache events
   std::chrono::milliseconds longest_pin{0};
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -201,8 +201,11 @@
   const bool evacuated = asked.evacuation->evacuated;
   const std::string state = evacuated ? "evacuated" : "in service";
   if (store_.evacuated_zones().contains(zone) == evacuated) {
-    return {change_status::accepted, store_.revision(),
-            "zone " + zone + " is " + state + " already", "", {}};
+    return {change_status::accepted,
+            store_.revision(),
+            "zone " + zone + " is " + state + " already",
+            "",
+            {}};
   }
   json one;
   one["kind"] = "availability_zone";
@@ -211,8 +214,11 @@
   touched.append(std::move(one));
   add_to_history(
       {store_.revision() + 1, asked.at, {}, nullptr, *asked.evacuation});
-  return {change_status::accepted, store_.revision(),
-          "zone " + zone + " is " + state, "", {}};
+  return {change_status::accepted,
+          store_.revision(),
+          "zone " + zone + " is " + state,
+          "",
+          {}};
 }
 
 void config_state_machine::add_to_history(applied_change accepted) {
--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -173,8 +173,8 @@
 
 result<void> check_route(const traffic_plan& plan, const route& it) {
   if (it.host.empty()) return invalid("route " + it.name + " has no host");
-  const bool framed = it.path_prefix.starts_with('/') &&
-                      it.path_prefix.ends_with('/');
+  const bool framed =
+      it.path_prefix.starts_with('/') && it.path_prefix.ends_with('/');
   if (!framed) {
     return invalid("the path prefix of route " + it.name +
                    " does not begin and end with a slash");
@@ -200,11 +200,9 @@
 }
 
 const planned_service* traffic_plan::find_service(std::string_view name) const {
-  const auto it =
-      std::find_if(services.begin(), services.end(),
-                   [name](const planned_service& one) {
-                     return one.name == name;
-                   });
+  const auto it = std::find_if(
+      services.begin(), services.end(),
+      [name](const planned_service& one) { return one.name == name; });
   return it == services.end() ? nullptr : &*it;
 }
 
--- a/config/test/traffic_plan-test.cc
+++ b/config/test/traffic_plan-test.cc
@@ -3,8 +3,8 @@
 
 #include <gtest/gtest.h>
 
-#include <functional>
 #include <rapidcheck/gtest.h>
+#include <functional>
 
 #include "trestlepost/config/state_machine.h"
 
@@ -16,11 +16,11 @@
 traffic_plan make_plan(plan_number number) {
   traffic_plan out;
   out.number = number;
-  out.services.push_back({"model", "/health", 620, milliseconds(3000), 3.5,
-                          engine_profile{128, 656'500, 35136, 1e6, true, true,
-                                         7, 12, milliseconds(4000),
-                                         milliseconds(2000),
-                                         milliseconds(5000)}});
+  out.services.push_back(
+      {"model", "/health", 620, milliseconds(3000), 3.5,
+       engine_profile{128, 656'500, 35136, 1e6, true, true, 7, 12,
+                      milliseconds(4000), milliseconds(2000),
+                      milliseconds(5000)}});
   out.services.push_back({"plain", "/health", 100, milliseconds(0), 0, {}});
   route one;
   one.name = "r";
@@ -86,12 +86,17 @@
 TEST(traffic_plan_test, unsound_plans_are_refused_with_a_remedy) {
   const std::vector<bad_plan> table{
       {"unknown service",
-       [](traffic_plan& it) { it.routes[0].split = {{"none", 1}}; }},
+       [](traffic_plan& it) {
+         it.routes[0].split = {{"none", 1}};
+       }},
       {"two routes at one place",
        [](traffic_plan& it) { it.routes.push_back(it.routes[0]); }},
       {"weights sum to 0",
-       [](traffic_plan& it) { it.routes[0].split = {{"model", 0}}; }},
-      {"no service at all", [](traffic_plan& it) { it.routes[0].split.clear(); }},
+       [](traffic_plan& it) {
+         it.routes[0].split = {{"model", 0}};
+       }},
+      {"no service at all",
+       [](traffic_plan& it) { it.routes[0].split.clear(); }},
       {"timeout of 0",
        [](traffic_plan& it) { it.routes[0].timeout = milliseconds(0); }},
       {"prefix without slash",
@@ -153,8 +158,8 @@
     const int what = *rc::gen::inRange(0, 4);
     const std::string id = std::to_string(n++);
     if (what == 0) {
-      const std::string zone = *rc::gen::elementOf(
-          std::vector<std::string>{"z1", "z2"});
+      const std::string zone =
+          *rc::gen::elementOf(std::vector<std::string>{"z1", "z2"});
       machine.apply(
           entry_of(evacuation_change(zone, *rc::gen::arbitrary<bool>(), id)));
     } else if (what < 3) {
@@ -169,8 +174,8 @@
       if (watcher.plan()) RC_ASSERT(watcher.plan()->number >= before);
     }
   }
-  RC_ASSERT(
-      apply_update(watcher, machine.update_since(watcher.revision())).has_value());
+  RC_ASSERT(apply_update(watcher, machine.update_since(watcher.revision()))
+                .has_value());
   RC_ASSERT(watcher.revision() == machine.store().revision());
   RC_ASSERT(watcher.evacuated_zones() == machine.store().evacuated_zones());
   RC_ASSERT(!watcher.plan() == !machine.store().plan());
--- a/consensus/src/file_storage.cc
+++ b/consensus/src/file_storage.cc
@@ -98,9 +98,8 @@
 bool replay(const json& record, durable_state& state) {
   if (record.isMember("batch")) {
     const json& all = record["batch"];
-    return std::all_of(all.begin(), all.end(), [&state](const json& it) {
-      return replay(it, state);
-    });
+    return std::all_of(all.begin(), all.end(),
+                       [&state](const json& it) { return replay(it, state); });
   }
   if (record.isMember("hard")) {
     state.hard = hard_state_from(record["hard"]);
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -225,8 +225,8 @@
   std::size_t live = 0;
   for (const member& other : replica_->members()) {
     if (!other.voter || other.id == it.id) continue;
-    const bool heard = other.id == self_ ||
-                       !is_silent(now, other, options_.member_silence);
+    const bool heard =
+        other.id == self_ || !is_silent(now, other, options_.member_silence);
     if (heard) ++live;
   }
   return live >= open_->least_voters;
--- a/consensus/src/types.cc
+++ b/consensus/src/types.cc
@@ -95,8 +95,8 @@
   member_list out;
   if (!value.isArray()) return out;
   for (const json& it : value) {
-    out.push_back({replica_id_from(it), flag_of(it, "voter"),
-                   text_of(it, "address")});
+    out.push_back(
+        {replica_id_from(it), flag_of(it, "voter"), text_of(it, "address")});
   }
   return out;
 }
--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -13,10 +13,9 @@
 /// The permitted region in which `request` can be expected to earn most, the
 /// own one unless another is clearly better; nothing when none can serve it.
 /// `exhausted` regions are left out.
-std::optional<std::string> choose_region(const gateway_context& context,
-                                         const endpoint_pool& own,
-                                         const route_forwarder& remote,
-                                         const routed_request& request,
-                                         const std::set<std::string>& exhausted);
+std::optional<std::string> choose_region(
+    const gateway_context& context, const endpoint_pool& own,
+    const route_forwarder& remote, const routed_request& request,
+    const std::set<std::string>& exhausted);
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -151,10 +151,9 @@
 awaitable<void> refuse(http_exchange& exchange, const attempt& outcome,
                        const std::string& request_id) {
   if (exchange.answered() || exchange.gone()) co_return;
-  http_answer answer =
-      transport::problem_answer(status_of(outcome.cause.kind), outcome.cause,
-                                to_string(outcome.ran),
-                                whole_seconds(outcome.retry_after));
+  http_answer answer = transport::problem_answer(
+      status_of(outcome.cause.kind), outcome.cause, to_string(outcome.ran),
+      whole_seconds(outcome.retry_after));
   answer.headers.emplace_back("X-Request-Id", request_id);
   co_await exchange.respond(std::move(answer));
 }
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -154,8 +154,7 @@
   double best_cost = 0;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    const routing::outlook expected =
-        engines_.predict(it.name, request.work);
+    const routing::outlook expected = engines_.predict(it.name, request.work);
     const std::uint32_t uncached =
         engines_.uncached_tokens(it.name, request.work);
     // What it reads holds up all that come after it: it counts twice.
@@ -179,11 +178,11 @@
   const std::optional<endpoint_view> free =
       routing::choose_endpoint(open, {0, {}, gateways()}, context_.random);
   if (free) return chosen_endpoint{free->name, free->address, {}};
-  const auto least = std::min_element(
-      open.begin(), open.end(),
-      [](const endpoint_view& a, const endpoint_view& b) {
-        return a.load / a.limit < b.load / b.limit;
-      });
+  const auto least =
+      std::min_element(open.begin(), open.end(),
+                       [](const endpoint_view& a, const endpoint_view& b) {
+                         return a.load / a.limit < b.load / b.limit;
+                       });
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
@@ -196,8 +195,8 @@
   std::vector<endpoint_view> open;
   for (endpoint_view& it :
        context_.endpoints.views(request.service, context_.clock.now())) {
-    const bool free = takes_requests(it, service) &&
-                      !request.avoid.contains(it.name);
+    const bool free =
+        takes_requests(it, service) && !request.avoid.contains(it.name);
     if (free) open.push_back(std::move(it));
   }
   if (open.empty()) {
@@ -228,8 +227,8 @@
   for (const endpoint_view& it :
        context_.endpoints.views(service, context_.clock.now())) {
     out.in_flight += it.own_in_flight;
-    const bool open = takes_requests(it, known) &&
-                      it.load < it.limit * most_over_limit;
+    const bool open =
+        takes_requests(it, known) && it.load < it.limit * most_over_limit;
     if (!open) continue;
     ++out.endpoints;
     if (!engine) continue;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -41,12 +41,9 @@
 awaitable<attempt> endpoint_runner::run(const routed_request& request,
                                         const chosen_endpoint& endpoint,
                                         transport::http_exchange& exchange) {
-  running now{request,
-              endpoint,
-              exchange,
-              context_.client.call(endpoint.address),
-              0,
-              context_.clock.now(),
+  running now{request,  endpoint,
+              exchange, context_.client.call(endpoint.address),
+              0,        context_.clock.now(),
               {}};
   context_.endpoints.request_started(endpoint.id);
   pool_.note_sent(endpoint.id);
@@ -135,13 +132,13 @@
   pool_.observe(now.endpoint.id, now.answer);
   if (!now.answer.not_run && !now.answer.other_endpoint) return std::nullopt;
   if (now.answer.other_endpoint) pool_.vanished(now.endpoint.id);
-  attempt out = failed_attempt(
-      run_state::no,
-      {now.answer.other_endpoint ? error_kind::unavailable
-                                 : error_kind::overloaded,
-       "the endpoint did not take the request",
-       "send it again after Retry-After"},
-      refused_retry_after);
+  attempt out =
+      failed_attempt(run_state::no,
+                     {now.answer.other_endpoint ? error_kind::unavailable
+                                                : error_kind::overloaded,
+                      "the endpoint did not take the request",
+                      "send it again after Retry-After"},
+                     refused_retry_after);
   out.sends = 1;
   log_event(log_level::info, "endpoint-refused",
             {{"request_id", now.request.head.request_id},
@@ -189,8 +186,7 @@
   http_answer answer = head_of(*now.call, *surfaces_.endpoints);
   answer.body = std::move(*body);
   attempt out;
-  if (answer.status >= first_server_error &&
-      now.request.route->may_repeat()) {
+  if (answer.status >= first_server_error && now.request.route->may_repeat()) {
     out = failed_attempt(
         run_state::unknown,
         {error_kind::endpoint_failed,
--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -16,10 +16,9 @@
 awaitable<void> refuse_forward(http_exchange& exchange,
                                const attempt& outcome) {
   if (exchange.answered() || exchange.gone()) co_return;
-  transport::http_answer answer =
-      transport::problem_answer(status_of(outcome.cause.kind), outcome.cause,
-                                to_string(outcome.ran),
-                                whole_seconds(outcome.retry_after));
+  transport::http_answer answer = transport::problem_answer(
+      status_of(outcome.cause.kind), outcome.cause, to_string(outcome.ran),
+      whole_seconds(outcome.retry_after));
   answer.headers.emplace_back(refused_header, "true");
   result<json> body = parse_json(answer.body);
   if (body && !outcome.endpoint.empty()) {
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -89,8 +89,7 @@
     result<route_message> message = read_message(exchange, *body);
     result<routed_request> request =
         message ? accept(std::move(*message), std::move(*body))
-                : result<routed_request>(
-                      tl::make_unexpected(message.error()));
+                : result<routed_request>(tl::make_unexpected(message.error()));
     if (request) {
       outcome = co_await service_.serve(*request, exchange);
     } else {
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -143,9 +143,9 @@
                            const attempt& outcome) {
   const std::chrono::nanoseconds passed =
       context_.clock.now() - request.arrived;
-  const std::string name =
-      outcome.delivered ? "answered"
-                        : std::string(to_string(outcome.cause.kind));
+  const std::string name = outcome.delivered
+                               ? "answered"
+                               : std::string(to_string(outcome.cause.kind));
   context_.metrics.request_done(request.service, name, passed);
   const std::int64_t ms =
       std::chrono::duration_cast<milliseconds>(passed).count();
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -27,8 +27,7 @@
   out.head = std::move(*head);
   out.service = text_of(*parsed, "service");
   out.entry_region = text_of(*parsed, "entry_region");
-  out.remaining =
-      std::chrono::milliseconds(number_of(*parsed, "remaining_ms"));
+  out.remaining = std::chrono::milliseconds(number_of(*parsed, "remaining_ms"));
   for (const json& it : member_of(*parsed, "avoid")) {
     if (it.isString()) out.avoid.insert(it.asString());
   }
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -55,14 +55,12 @@
   const double events =
       static_cast<double>(work.output_tokens) / std::max(1U, tokens_per_event);
   routing::outlook out;
-  out.wait = load.wait + distance +
-             milliseconds(static_cast<std::int64_t>(unseen));
-  out.first_token =
-      out.wait + milliseconds(static_cast<std::int64_t>(reading));
-  out.finish =
-      out.first_token +
-      milliseconds(static_cast<std::int64_t>(
-          events * static_cast<double>(load.event_interval.count())));
+  out.wait =
+      load.wait + distance + milliseconds(static_cast<std::int64_t>(unseen));
+  out.first_token = out.wait + milliseconds(static_cast<std::int64_t>(reading));
+  out.finish = out.first_token +
+               milliseconds(static_cast<std::int64_t>(
+                   events * static_cast<double>(load.event_interval.count())));
   return out;
 }
 
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -34,9 +34,8 @@
               monotonic_time now) {
   if (now + expected.wait >= request.deadline) return true;
   const bool stream = request.route->kind == config::route_kind::stream;
-  return stream &&
-         now + expected.wait >=
-             request.arrived + first_event_patience(*request.route);
+  return stream && now + expected.wait >=
+                       request.arrived + first_event_patience(*request.route);
 }
 
 }  // namespace
@@ -46,8 +45,7 @@
   if (context_.clock.now() >= request.deadline) return false;
   if (last.sends == 0) return unsent < most_unsent_tries;
   if (request.sends >= request.route->attempts) return false;
-  const bool safe =
-      last.ran == run_state::no || request.route->may_repeat();
+  const bool safe = last.ran == run_state::no || request.route->may_repeat();
   if (!safe) return false;
   return retries_.try_emplace(request.service, retry_options_)
       .first->second.take();
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -102,8 +102,10 @@
     for (const std::string& it : services.getMemberNames()) {
       const json& one = services[it];
       out.services[it] = {
-          small_number_of(one, "in_flight"), small_number_of(one, "queued"),
-          small_number_of(one, "free_slots"), small_number_of(one, "endpoints"),
+          small_number_of(one, "in_flight"),
+          small_number_of(one, "queued"),
+          small_number_of(one, "free_slots"),
+          small_number_of(one, "endpoints"),
           std::chrono::milliseconds(number_of(one, "wait_ms")),
           std::chrono::milliseconds(number_of(one, "event_ms"))};
     }
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -64,9 +64,8 @@
   };
   host_ = std::make_unique<consensus::group_host>(
       consensus::replica_id{context_.self.name, context_.self.incarnation},
-      make_group_options(context_.options),
-      open_storage(),
-      machine_, *this, context_.random);
+      make_group_options(context_.options), open_storage(), machine_, *this,
+      context_.random);
   std::vector<std::string> voters;
   for (const control_node& it : context_.options.control_nodes) {
     voters.push_back(it.name);
@@ -337,8 +336,8 @@
 
 void control_service::read_audit(const json& filter,
                                  const answer_function& answer) {
-  const result<void> asked = confirm_read(
-      [this, filter, answer] { answer(audit_matching(filter)); });
+  const result<void> asked =
+      confirm_read([this, filter, answer] { answer(audit_matching(filter)); });
   if (!asked) answer(tl::make_unexpected(asked.error()));
 }
 
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -44,8 +44,8 @@
       out = surface_->refuse(
           {error_kind::unavailable, "no entry is known to be ready", ""});
     } else {
-      out = surface_->show_entries(
-          entries, context_.options.timing.directory_lifetime);
+      out = surface_->show_entries(entries,
+                                   context_.options.timing.directory_lifetime);
     }
   }
   co_await exchange.respond(std::move(out));
--- a/node/src/entry_handlers.h
+++ b/node/src/entry_handlers.h
@@ -10,7 +10,8 @@
 /// Tells callers which entries of their region to use.
 class directory_handler final : public transport::http_handler {
  public:
-  directory_handler(node_context& context, const surface::entry_surface* surface)
+  directory_handler(node_context& context,
+                    const surface::entry_surface* surface)
       : context_(context), surface_(surface) {}
 
   transport::awaitable<void> handle(
@@ -24,7 +25,8 @@
 /// Tells the deployment whether this node takes requests.
 class readiness_handler final : public transport::http_handler {
  public:
-  readiness_handler(node_context& context, const surface::entry_surface* surface)
+  readiness_handler(node_context& context,
+                    const surface::entry_surface* surface)
       : context_(context), surface_(surface) {}
 
   transport::awaitable<void> handle(
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -183,8 +183,8 @@
   for (const std::string& region : other_regions()) {
     const std::vector<std::string> addresses = relay_addresses(region);
     if (addresses.empty()) continue;
-    context_.links.send(addresses[*place % addresses.size()],
-                        "region.summary", params);
+    context_.links.send(addresses[*place % addresses.size()], "region.summary",
+                        params);
   }
 }
 
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -30,7 +30,8 @@
   out["zone"] = value.availability_zone;
   out["slots"] = value.slots;
   if (value.leaving) out["leaving"] = true;
-  if (value.ends_in) out["ends_in_ms"] = json(Json::Int64(value.ends_in->count()));
+  if (value.ends_in)
+    out["ends_in_ms"] = json(Json::Int64(value.ends_in->count()));
   if (value.cold_left.count() > 0) {
     out["cold_ms"] = json(Json::Int64(value.cold_left.count()));
   }
@@ -97,9 +98,8 @@
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(context_.options.platform_address);
   transport::http_request request = directory_->page_request(token);
-  const tl::expected<void, transport::call_failure> sent =
-      co_await call->send(std::move(request),
-                          context_.clock.now() + read_timeout);
+  const tl::expected<void, transport::call_failure> sent = co_await call->send(
+      std::move(request), context_.clock.now() + read_timeout);
   if (!sent) co_return tl::make_unexpected(sent.error().cause);
   const result<std::string> body = co_await call->read_rest(largest_page);
   if (!body) co_return tl::make_unexpected(body.error());
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -359,10 +359,9 @@
     plan_changed();
   };
   heartbeats.on_region_heard = [this] { share_pending(); };
-  listing.on_listed =
-      [this](const std::vector<surface::listed_endpoint>& all) {
-        pool.learn(all, options.zone_regions);
-      };
+  listing.on_listed = [this](const std::vector<surface::listed_endpoint>& all) {
+    pool.learn(all, options.zone_regions);
+  };
   operators.on_drain = [this] { begin_stop(); };
   watch.start();
   ledger.start();
@@ -475,9 +474,9 @@
   if (!file_watch.changed(base.clock.now(), at_once)) return;
   const result<settings> next = load_settings(file_watch.file());
   if (!next) {
-    log_event(log_level::error, "settings-refused",
-              {{"detail", next.error().message},
-               {"remedy", next.error().remedy}});
+    log_event(
+        log_level::error, "settings-refused",
+        {{"detail", next.error().message}, {"remedy", next.error().remedy}});
     return;
   }
   take_settings(*next);
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -24,9 +24,9 @@
       transport::http_exchange& exchange) override;
 
  private:
-  transport::awaitable<transport::http_answer> answer(
-      const std::string& method, const std::string& target,
-      const std::string& body);
+  transport::awaitable<transport::http_answer> answer(const std::string& method,
+                                                      const std::string& target,
+                                                      const std::string& body);
   transport::awaitable<transport::http_answer> change(
       const surface::operator_order& order);
   transport::awaitable<transport::http_answer> read_plan();
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -92,8 +92,7 @@
   }
 
   void read_founding(object_reader& reader) {
-    out_.found_at_first_start =
-        reader.flag_or("found_at_first_start", false);
+    out_.found_at_first_start = reader.flag_or("found_at_first_start", false);
     out_.tolerated_losses =
         reader.number_or("tolerated_losses", 0, 0, most_tolerated);
   }
@@ -112,7 +111,8 @@
   std::string resolve_port(const std::string& value) const {
     const std::size_t plus = value.find(":+");
     if (plus == std::string::npos) return value;
-    const std::uint64_t n = std::strtoull(value.c_str() + plus + 2, nullptr, 10);
+    const std::uint64_t n =
+        std::strtoull(value.c_str() + plus + 2, nullptr, 10);
     return value.substr(0, plus + 1) + std::to_string(first_port_ + n);
   }
 
@@ -181,8 +181,8 @@
       reader.finish();
       out_.control_nodes.push_back(one);
     }
-    const bool by_seeds = !outer.raw("seeds").isNull() &&
-                          !outer.texts_or_empty("seeds").empty();
+    const bool by_seeds =
+        !outer.raw("seeds").isNull() && !outer.texts_or_empty("seeds").empty();
     if (out_.control_nodes.empty() && !by_seeds) {
       problems_.add(outer.raw("control_nodes"), "control_nodes",
                     "no control node is named",
@@ -196,7 +196,8 @@
     // The seeds may be told by another interface of theirs.
     const std::string port = reader.text_or("seeds_port", "");
     for (std::string& it : out_.seeds) {
-      if (!port.empty()) it = resolve_port(it.substr(0, it.rfind(':') + 1) + port);
+      if (!port.empty())
+        it = resolve_port(it.substr(0, it.rfind(':') + 1) + port);
     }
     for (const std::string& it : out_.seeds) {
       if (config::is_address(it)) continue;
--- a/routing/include/trestlepost/routing/latency_model.h
+++ b/routing/include/trestlepost/routing/latency_model.h
@@ -6,10 +6,10 @@
 
 /// What is assumed before anything was observed.
 struct latency_prior {
-  double base_ms = 40;       // at no work
-  double ms_per_unit = 0.01; // for each unit of work
+  double base_ms = 40;           // at no work
+  double ms_per_unit = 0.01;     // for each unit of work
   double spread_units = 10'000;  // work at which the slope is assumed to hold
-  double weight = 5;         // in observations
+  double weight = 5;             // in observations
 };
 
 class latency_model {
--- a/routing/include/trestlepost/routing/route_table.h
+++ b/routing/include/trestlepost/routing/route_table.h
@@ -26,8 +26,7 @@
   const config::plan_ptr& plan() const { return plan_; }
 
  private:
-  using prefix_map =
-      std::map<std::string, const config::route*, std::less<>>;
+  using prefix_map = std::map<std::string, const config::route*, std::less<>>;
 
   config::plan_ptr plan_;
   std::map<std::string, prefix_map, std::less<>> hosts_;
--- a/routing/test/route_table-test.cc
+++ b/routing/test/route_table-test.cc
@@ -34,12 +34,18 @@
     const char* route;  // empty: none
   };
   const std::vector<example> all{
-      {"a.example", "/x/1", "short"},       {"a.example", "/x/", "short"},
-      {"a.example", "/x/y/1", "long"},      {"a.example", "/x/y", "short"},
-      {"a.example", "/x/yy/1", "short"},    {"b.example", "/x/y/1", "other"},
-      {"A.Example:8080", "/x/1", "short"},  {"a.example", "/", ""},
-      {"a.example", "/z/1", ""},            {"c.example", "/x/1", ""},
-      {"a.example", "", ""},                {"", "/x/1", ""},
+      {"a.example", "/x/1", "short"},
+      {"a.example", "/x/", "short"},
+      {"a.example", "/x/y/1", "long"},
+      {"a.example", "/x/y", "short"},
+      {"a.example", "/x/yy/1", "short"},
+      {"b.example", "/x/y/1", "other"},
+      {"A.Example:8080", "/x/1", "short"},
+      {"a.example", "/", ""},
+      {"a.example", "/z/1", ""},
+      {"c.example", "/x/1", ""},
+      {"a.example", "", ""},
+      {"", "/x/1", ""},
   };
   for (const example& it : all) {
     const config::route* found = table.find(it.host, it.path);
--- a/surface/src/call_head.cc
+++ b/surface/src/call_head.cc
@@ -25,8 +25,8 @@
 prompt_outline prompt_from(const json& value) {
   prompt_outline out;
   for (const json& it : member_of(value, "parts")) {
-    const bool sound = it.isArray() && it.size() == 2 && it[0].isUInt64() &&
-                       it[1].isUInt();
+    const bool sound =
+        it.isArray() && it.size() == 2 && it[0].isUInt64() && it[1].isUInt();
     if (sound) out.parts.push_back({it[0].asUInt64(), it[1].asUInt()});
   }
   out.prompt_tokens =
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -114,9 +114,7 @@
     if (it == parser_->get().end()) return {};
     return {it->value().data(), it->value().size()};
   }
-  header_list headers() const override {
-    return list_headers(parser_->get());
-  }
+  header_list headers() const override { return list_headers(parser_->get()); }
   awaitable<result<std::string>> read_body() override;
   awaitable<bool> respond(http_answer answer) override;
   awaitable<bool> start_stream(http_answer head) override;
