Let prompts wait for the endpoint that has them while they stay on time

Cause: endpoints were compared by time alone, so a shared part of a prompt was read again to save some 40 ms that nobody was short of. Change: engine_choice weighs the value a request can expect against parts read again; four tests.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -60,6 +60,9 @@
                       const config::planned_service* service) const;
   bool is_cold_sender(const std::string& endpoint) const;
   const config::planned_service* planned(const std::string& service) const;
+  double read_again_share(const std::string& endpoint,
+                          const routing::engine_work& work,
+                          bool preferred) const;
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
       const routed_request& request) const;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -6,6 +6,7 @@
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/routing/endpoint_choice.h"
+#include "trestlepost/routing/engine_choice.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -20,8 +21,9 @@
 // more, and the request is refused.
 constexpr double most_over_limit = 3;
 // A section that this gateway has not sent itself was probably sent by
-// another one to the endpoint that all of them prefer for it.
-constexpr double preferred_has_section = 0.5;
+// another one to the endpoint that all of them prefer for it: so unlikely is
+// it that the section is not there.
+constexpr double preferred_lacks_section = 0.4;
 // The priority for which waits are told: all that waits counts.
 constexpr int least_urgent = 9;
 // What is kept of past cold requests.
@@ -144,33 +146,42 @@
   return is_cold_sender(view.name) && cold_.may_send(view.name, bears, now);
 }
 
+double endpoint_pool::read_again_share(const std::string& endpoint,
+                                       const routing::engine_work& work,
+                                       bool preferred) const {
+  if (work.sections.size() < 2 || work.prompt_tokens == 0) return 0;
+  // The last section is the request's own: nobody has read it yet.
+  const std::uint32_t own = work.sections.back().tokens;
+  const std::uint32_t uncached = engines_.uncached_tokens(endpoint, work);
+  const double shared = uncached > own ? uncached - own : 0;
+  const double doubt = preferred ? preferred_lacks_section : 1;
+  return doubt * shared / work.prompt_tokens;
+}
+
 std::optional<chosen_endpoint> endpoint_pool::choose_engine(
     const std::vector<endpoint_view>& open,
     const routed_request& request) const {
   const routing::prompt_section* shared = shared_section(request.work);
   const std::string preferred =
       shared == nullptr ? "" : preferred_endpoint(open, *shared);
-  std::optional<chosen_endpoint> best;
-  double best_cost = 0;
+  std::vector<const endpoint_view*> views;
+  std::vector<routing::engine_candidate> candidates;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    const routing::outlook expected = engines_.predict(it.name, request.work);
-    const std::uint32_t uncached =
-        engines_.uncached_tokens(it.name, request.work);
-    // What it reads holds up all that come after it: it counts twice.
-    double cost = static_cast<double>(expected.first_token.count()) +
-                  engines_.reading_time(it.name, uncached).count();
-    const bool unknown_here =
-        shared != nullptr && uncached == request.work.prompt_tokens;
-    if (unknown_here && it.name == preferred) {
-      cost -= preferred_has_section *
-              engines_.reading_time(it.name, shared->tokens).count();
-    }
-    if (best && cost >= best_cost) continue;
-    best = chosen_endpoint{it.name, it.address, expected};
-    best_cost = cost;
+    views.push_back(&it);
+    candidates.push_back(
+        {engines_.predict(it.name, request.work),
+         read_again_share(it.name, request.work, it.name == preferred)});
   }
-  return best;
+  const routing::expectation wanted{
+      request.route->latency_objective,
+      std::chrono::duration_cast<milliseconds>(request.deadline -
+                                               context_.clock.now())};
+  const std::optional<std::size_t> best =
+      routing::choose_engine(candidates, wanted);
+  if (!best) return std::nullopt;
+  return chosen_endpoint{views[*best]->name, views[*best]->address,
+                         candidates[*best].expected};
 }
 
 std::optional<chosen_endpoint> endpoint_pool::choose_plain(
--- /dev/null
+++ b/routing/include/trestlepost/routing/engine_choice.h
@@ -0,0 +1,24 @@
+// Which model endpoint of a region serves a request: weighs what the request
+// can be expected to earn against prompt parts that would be read again.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "trestlepost/routing/outlook.h"
+
+namespace trestlepost::routing {
+
+struct engine_candidate {
+  outlook expected;
+  /// Tokens of shared prompt parts that it would read, though another
+  /// endpoint has read them, as a share of the whole prompt.
+  double read_again = 0;
+};
+
+/// The best of `all`, or nothing when there are none.
+std::optional<std::size_t> choose_engine(
+    const std::vector<engine_candidate>& all, const expectation& wanted);
+
+}  // namespace trestlepost::routing
--- /dev/null
+++ b/routing/src/engine_choice.cc
@@ -0,0 +1,38 @@
+#include "trestlepost/routing/engine_choice.h"
+
+namespace trestlepost::routing {
+namespace {
+
+// Reading a whole prompt again costs so much of a request's value: the users
+// price it, and it takes the engine's time from those that wait.
+constexpr double read_again_cost = 0.25;
+// Among equals the sooner one: a wait as long as the objective costs this.
+constexpr double wait_cost = 0.15;
+
+double score_of(const engine_candidate& it, const expectation& wanted) {
+  const double objective =
+      wanted.latency_objective.count() > 0
+          ? static_cast<double>(wanted.latency_objective.count())
+          : static_cast<double>(wanted.remaining.count() + 1);
+  const double wait =
+      static_cast<double>(it.expected.first_token.count()) / objective;
+  return expected_value(it.expected, wanted) -
+         read_again_cost * it.read_again - wait_cost * wait;
+}
+
+}  // namespace
+
+std::optional<std::size_t> choose_engine(
+    const std::vector<engine_candidate>& all, const expectation& wanted) {
+  std::optional<std::size_t> best;
+  double best_score = 0;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const double score = score_of(all[i], wanted);
+    if (best && score <= best_score) continue;
+    best = i;
+    best_score = score;
+  }
+  return best;
+}
+
+}  // namespace trestlepost::routing
--- /dev/null
+++ b/routing/test/engine_choice-test.cc
@@ -0,0 +1,44 @@
+#include "trestlepost/routing/engine_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace trestlepost::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr expectation wanted{milliseconds(1000), milliseconds(12'000)};
+
+engine_candidate make_candidate(int first_token_ms, double read_again) {
+  const milliseconds first(first_token_ms);
+  return {{first, first, first + milliseconds(3000)}, read_again};
+}
+
+TEST(engine_choice_test, a_cached_prompt_waits_while_it_stays_on_time) {
+  EXPECT_EQ(choose_engine({make_candidate(100, 0.4), make_candidate(500, 0)},
+                          wanted),
+            1U);
+}
+
+TEST(engine_choice_test, a_prompt_is_read_again_when_it_would_be_late) {
+  EXPECT_EQ(choose_engine({make_candidate(100, 0.4), make_candidate(1100, 0)},
+                          wanted),
+            0U);
+}
+
+TEST(engine_choice_test, among_equals_the_sooner_one_is_taken) {
+  EXPECT_EQ(choose_engine({make_candidate(200, 0), make_candidate(100, 0)},
+                          wanted),
+            1U);
+}
+
+TEST(engine_choice_test, without_an_objective_the_sooner_one_is_taken) {
+  const expectation any{milliseconds(0), milliseconds(1000)};
+  EXPECT_EQ(
+      choose_engine({make_candidate(200, 0), make_candidate(100, 0)}, any),
+      1U);
+  EXPECT_FALSE(choose_engine({}, any));
+}
+
+}  // namespace
+}  // namespace trestlepost::routing
