--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t most_questions = 32;
+// Until a node has any configuration it can serve nobody, so it asks often.
+constexpr std::chrono::milliseconds first_poll_interval{150};
 // Without an answer for so many polls the leader is asked for anew.
 constexpr int polls_without_answer = 3;
 
@@ -35,7 +37,9 @@
 void watch_client::tick() {
   const monotonic_time now = context_.clock.now();
   if (now < next_poll_) return;
-  next_poll_ = now + context_.options.timing.poll_interval;
+  const bool knows_nothing = context_.store.revision() == 0;
+  next_poll_ = now + (knows_nothing ? first_poll_interval
+                                    : context_.options.timing.poll_interval);
   poll();
 }
 
--- a/routing/src/engine_choice.cc
+++ b/routing/src/engine_choice.cc
@@ -16,8 +16,8 @@
           : static_cast<double>(wanted.remaining.count() + 1);
   const double wait =
       static_cast<double>(it.expected.first_token.count()) / objective;
-  return expected_value(it.expected, wanted) -
-         read_again_cost * it.read_again - wait_cost * wait;
+  return expected_value(it.expected, wanted) - read_again_cost * it.read_again -
+         wait_cost * wait;
 }
 
 }  // namespace
--- a/routing/test/engine_choice-test.cc
+++ b/routing/test/engine_choice-test.cc
@@ -15,9 +15,9 @@
 }
 
 TEST(engine_choice_test, a_cached_prompt_waits_while_it_stays_on_time) {
-  EXPECT_EQ(choose_engine({make_candidate(100, 0.4), make_candidate(500, 0)},
-                          wanted),
-            1U);
+  EXPECT_EQ(
+      choose_engine({make_candidate(100, 0.4), make_candidate(500, 0)}, wanted),
+      1U);
 }
 
 TEST(engine_choice_test, a_prompt_is_read_again_when_it_would_be_late) {
@@ -27,16 +27,15 @@
 }
 
 TEST(engine_choice_test, among_equals_the_sooner_one_is_taken) {
-  EXPECT_EQ(choose_engine({make_candidate(200, 0), make_candidate(100, 0)},
-                          wanted),
-            1U);
+  EXPECT_EQ(
+      choose_engine({make_candidate(200, 0), make_candidate(100, 0)}, wanted),
+      1U);
 }
 
 TEST(engine_choice_test, without_an_objective_the_sooner_one_is_taken) {
   const expectation any{milliseconds(0), milliseconds(1000)};
   EXPECT_EQ(
-      choose_engine({make_candidate(200, 0), make_candidate(100, 0)}, any),
-      1U);
+      choose_engine({make_candidate(200, 0), make_candidate(100, 0)}, any), 1U);
   EXPECT_FALSE(choose_engine({}, any));
 }
 
--- /dev/null
+++ b/transport/src/peer_compression.cc
@@ -0,0 +1,67 @@
+#include "peer_compression.h"
+
+#include <zlib.h>
+
+#include <utility>
+
+namespace trestlepost::transport::detail {
+namespace {
+
+// Stands before a compressed text. A text that is not compressed is JSON and
+// begins with a brace.
+constexpr char compressed_mark = '\1';
+constexpr std::size_t size_bytes = 4;
+constexpr std::size_t head_size = 1 + size_bytes;
+// Shorter texts gain too little for the work.
+constexpr std::size_t least_compressed = 256;
+constexpr int fast_level = 1;
+
+void append_size(std::string& out, std::size_t n) {
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    out += static_cast<char>((n >> shift) & 0xff);
+  }
+}
+
+std::size_t read_size(const std::string& payload) {
+  std::size_t n = 0;
+  for (std::size_t i = 1; i < head_size; ++i) {
+    n = (n << 8) | static_cast<unsigned char>(payload[i]);
+  }
+  return n;
+}
+
+}  // namespace
+
+std::string pack(std::string_view text) {
+  if (text.size() < least_compressed) return std::string(text);
+  std::string out(1, compressed_mark);
+  append_size(out, text.size());
+  uLongf length = compressBound(static_cast<uLong>(text.size()));
+  out.resize(head_size + length);
+  const int status = compress2(
+      reinterpret_cast<Bytef*>(out.data() + head_size), &length,
+      reinterpret_cast<const Bytef*>(text.data()),
+      static_cast<uLong>(text.size()), fast_level);
+  if (status != Z_OK || head_size + length >= text.size()) {
+    return std::string(text);
+  }
+  out.resize(head_size + length);
+  return out;
+}
+
+std::optional<std::string> unpack(std::string payload, std::size_t limit) {
+  if (payload.empty() || payload.front() != compressed_mark) return payload;
+  if (payload.size() < head_size) return std::nullopt;
+  const std::size_t size = read_size(payload);
+  if (size > limit) return std::nullopt;
+  std::string out(size, '\0');
+  uLongf length = static_cast<uLongf>(size);
+  const int status = uncompress(
+      reinterpret_cast<Bytef*>(out.data()), &length,
+      reinterpret_cast<const Bytef*>(payload.data() + head_size),
+      static_cast<uLong>(payload.size() - head_size));
+  if (status != Z_OK || length != size) return std::nullopt;
+  return out;
+}
+
+}  // namespace trestlepost::transport::detail
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 
+#include "peer_compression.h"
 #include "peer_frame.h"
 
 namespace trestlepost::transport {
@@ -144,7 +145,7 @@
     to = std::make_shared<link>(state_->context, address);
     asio::co_spawn(state_->context, run_link(state_, to), asio::detached);
   }
-  std::string text = make_rpc_notification(method, params);
+  std::string text = detail::pack(make_rpc_notification(method, params));
   if (to->queued_bytes + text.size() > state_->options.queue_limit) {
     ++state_->traffic.messages_dropped;
     return;
