--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -14,8 +14,11 @@
                   endpoint_pool& pool)
       : context_(context), surfaces_(surfaces), pool_(pool) {}
 
+  /// With `may_give_up` an endpoint that stays silent for much longer than
+  /// expected is left, so that another one can be tried.
   transport::awaitable<attempt> run(const routed_request& request,
                                     const chosen_endpoint& endpoint,
+                                    bool may_give_up,
                                     transport::http_exchange& exchange);
 
  private:
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -25,6 +25,16 @@
 
 using send_result = tl::expected<void, transport::call_failure>;
 
+// An endpoint that is silent for this many times the expected time, and for
+// the route's whole objective, is taken for hung.
+constexpr int silent_times = 3;
+
+milliseconds longest_silence(const routed_request& request,
+                             const routing::outlook& expected) {
+  return std::max(request.route->latency_objective,
+                  silent_times * expected.first_token);
+}
+
 }  // namespace
 
 /// What belongs to one attempt.
@@ -34,17 +44,24 @@
   transport::http_exchange& exchange;
   std::shared_ptr<transport::http_call> call;
   routing::engine_book::ticket ticket = 0;
-  monotonic_time started;
-  surface::endpoint_answer answer;
+  monotonic_time started{};
+  /// When the head of the answer must be there.
+  monotonic_time answer_by{};
+  surface::endpoint_answer answer{};
 };
 
 awaitable<attempt> endpoint_runner::run(const routed_request& request,
                                         const chosen_endpoint& endpoint,
+                                        bool may_give_up,
                                         transport::http_exchange& exchange) {
-  running now{request,  endpoint,
-              exchange, context_.client.call(endpoint.address),
-              0,        context_.clock.now(),
-              {}};
+  running now{request, endpoint, exchange,
+              context_.client.call(endpoint.address)};
+  now.started = context_.clock.now();
+  now.answer_by = request.deadline;
+  if (may_give_up) {
+    const milliseconds silence = longest_silence(request, endpoint.expected);
+    now.answer_by = std::min(request.deadline, now.started + silence);
+  }
   context_.endpoints.request_started(endpoint.id);
   pool_.note_sent(endpoint.id);
   now.ticket = pool_.engines().begin(endpoint.id, request.work, now.started);
@@ -80,8 +97,8 @@
                                      now.request.route->priority,
                                      now.request.head.resume_after};
   transport::http_request out = surfaces_.endpoints->encode(in);
-  send_result sent =
-      co_await now.call->send(std::move(out), now.request.deadline);
+  send_result sent = co_await now.call->send(std::move(out), now.answer_by);
+  if (sent) now.call->set_deadline(now.request.deadline);
   for (int n = 0; sent; ++n) {
     now.answer = surfaces_.endpoints->read_head(*now.call);
     const std::string& id = now.answer.request_id;
@@ -108,7 +125,9 @@
 attempt endpoint_runner::send_failed(const running& now,
                                      const transport::call_failure& failure) {
   const monotonic_time at = context_.clock.now();
-  const bool late = failure.cause.kind == error_kind::deadline;
+  // At the request's own deadline the endpoint may merely be slow.
+  const bool late = failure.cause.kind == error_kind::deadline &&
+                    now.answer_by == now.request.deadline;
   if (failure.refused) {
     context_.endpoints.connection_refused(now.endpoint.id, at);
   } else if (!now.exchange.gone() && !(late && failure.bytes_written)) {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -79,7 +79,9 @@
       }
       break;
     }
-    last = co_await runner_.run(request, *chosen, exchange);
+    const bool may_give_up = request.route->may_repeat() &&
+                             request.sends + 1 < request.route->attempts;
+    last = co_await runner_.run(request, *chosen, may_give_up, exchange);
     request.sends += last->sends;
     if (last->delivered || exchange.answered() || exchange.gone()) {
       last->delivered = true;
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -50,6 +50,9 @@
   virtual awaitable<tl::expected<void, call_failure>> send(
       http_request request, monotonic_time deadline) = 0;
 
+  /// Gives the rest of the answer another deadline than its head had.
+  virtual void set_deadline(monotonic_time deadline) = 0;
+
   virtual unsigned status() const = 0;
   virtual std::string_view header(std::string_view name) const = 0;
   /// All headers in the order in which they came.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -131,6 +131,9 @@
 
   awaitable<tl::expected<void, call_failure>> send(
       http_request request, monotonic_time deadline) override;
+  void set_deadline(monotonic_time deadline) override {
+    if (connection_) connection_->stream.expires_at(deadline);
+  }
   unsigned status() const override { return parser_->get().result_int(); }
   std::string_view header(std::string_view name) const override {
     const auto it = parser_->get().find({name.data(), name.size()});
--- a/transport/src/peer_compression.cc
+++ b/transport/src/peer_compression.cc
@@ -38,10 +38,10 @@
   append_size(out, text.size());
   uLongf length = compressBound(static_cast<uLong>(text.size()));
   out.resize(head_size + length);
-  const int status = compress2(
-      reinterpret_cast<Bytef*>(out.data() + head_size), &length,
-      reinterpret_cast<const Bytef*>(text.data()),
-      static_cast<uLong>(text.size()), fast_level);
+  const int status =
+      compress2(reinterpret_cast<Bytef*>(out.data() + head_size), &length,
+                reinterpret_cast<const Bytef*>(text.data()),
+                static_cast<uLong>(text.size()), fast_level);
   if (status != Z_OK || head_size + length >= text.size()) {
     return std::string(text);
   }
@@ -56,10 +56,10 @@
   if (size > limit) return std::nullopt;
   std::string out(size, '\0');
   uLongf length = static_cast<uLongf>(size);
-  const int status = uncompress(
-      reinterpret_cast<Bytef*>(out.data()), &length,
-      reinterpret_cast<const Bytef*>(payload.data() + head_size),
-      static_cast<uLong>(payload.size() - head_size));
+  const int status =
+      uncompress(reinterpret_cast<Bytef*>(out.data()), &length,
+                 reinterpret_cast<const Bytef*>(payload.data() + head_size),
+                 static_cast<uLong>(payload.size() - head_size));
   if (status != Z_OK || length != size) return std::nullopt;
   return out;
 }
