Retry what may be repeated in another region when the own one has no other endpoint

Change: such a retry goes to another permitted region, within the route's attempts, which now travel with forwarded requests.

--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -30,6 +30,8 @@
   result<routed_request> route(surface::call_head head, std::string body) const;
   transport::awaitable<attempt> run(routed_request& request,
                                     transport::http_exchange& exchange);
+  /// Whether another region may be tried after `last`.
+  bool may_go_elsewhere(const routed_request& request, const attempt& last);
   transport::awaitable<void> answer(surface::call_head head, std::string body,
                                     transport::http_exchange& exchange);
   transport::awaitable<void> refuse(const attempt& outcome,
--- a/gateway/include/trestlepost/gateway/route_message.h
+++ b/gateway/include/trestlepost/gateway/route_message.h
@@ -24,6 +24,7 @@
   std::string entry_region;
   std::chrono::milliseconds remaining{0};  // until the deadline
   std::set<std::string> avoid;             // endpoints
+  unsigned sends = 0;                      // endpoints that were tried
   config::plan_number plan = 0;            // by which the sender routed
 };
 
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -20,6 +20,9 @@
   transport::awaitable<attempt> serve(routed_request& request,
                                       transport::http_exchange& exchange);
 
+  /// Takes a retry of `service` out of the budget; false when none is left.
+  bool take_retry(const std::string& service);
+
   endpoint_pool& pool() { return pool_; }
 
  private:
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -80,6 +80,9 @@
   } else {
     out = send_failed(now, sent.error());
   }
+  if (out.delivered) {
+    context_.metrics.served_in(request.service, context_.self.region);
+  }
   exchange.on_gone(nullptr);
   pool_.engines().end(now.ticket);
   context_.endpoints.request_ended(endpoint.id);
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -73,6 +73,7 @@
   out.arrived = context_.clock.now();
   out.deadline = out.arrived + message.remaining;
   out.avoid = std::move(message.avoid);
+  out.sends = message.sends;
   return out;
 }
 
@@ -91,7 +92,9 @@
         message ? accept(std::move(*message), std::move(*body))
                 : result<routed_request>(tl::make_unexpected(message.error()));
     if (request) {
+      const unsigned before = request->sends;
       outcome = co_await service_.serve(*request, exchange);
+      outcome.sends = request->sends - before;
     } else {
       outcome = failed_attempt(run_state::no, request.error(), retry_after);
     }
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -94,6 +94,14 @@
   co_await refuse(outcome, id, exchange);
 }
 
+bool route_handler::may_go_elsewhere(const routed_request& request,
+                                     const attempt& last) {
+  if (request.sends >= request.route->attempts) return false;
+  if (context_.clock.now() >= request.deadline) return false;
+  if (last.ran == run_state::no) return true;
+  return request.route->may_repeat() && own_.take_retry(request.service);
+}
+
 awaitable<attempt> route_handler::run(routed_request& request,
                                       http_exchange& exchange) {
   std::set<std::string> exhausted;
@@ -102,6 +110,7 @@
       unavailable("no permitted region can serve " + request.service + " now"),
       retry_after);
   bool may_have_run = false;
+  std::optional<transport::http_answer> kept;
   while (exhausted.size() < most_regions) {
     const std::optional<std::string> chosen =
         choose_region(context_, own_.pool(), remote_, request, exhausted);
@@ -119,12 +128,12 @@
       co_return last;
     }
     may_have_run = may_have_run || last.ran != run_state::no;
-    const bool more = last.ran == run_state::no &&
-                      request.sends < request.route->attempts &&
-                      context_.clock.now() < request.deadline;
-    if (!more) break;
+    if (last.endpoint_answer) kept = last.endpoint_answer;
+    if (!may_go_elsewhere(request, last)) break;
     exhausted.insert(region);
   }
+  // What an endpoint answered itself is better than a refusal of ours.
+  if (kept && !last.endpoint_answer) last.endpoint_answer = std::move(kept);
   if (may_have_run) last.ran = run_state::unknown;
   co_return last;
 }
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -13,6 +13,7 @@
       json(Json::UInt64(static_cast<std::uint64_t>(value.remaining.count())));
   json& avoid = out["avoid"] = json(Json::arrayValue);
   for (const std::string& it : value.avoid) avoid.append(it);
+  out["sends"] = value.sends;
   out["plan"] = json(Json::UInt64(value.plan));
   return out;
 }
@@ -31,6 +32,7 @@
   for (const json& it : member_of(*parsed, "avoid")) {
     if (it.isString()) out.avoid.insert(it.asString());
   }
+  out.sends = static_cast<unsigned>(number_of(*parsed, "sends"));
   out.plan = number_of(*parsed, "plan");
   if (!out.service.empty()) return out;
   return fail(error_kind::bad_input, "a forwarded request names no service",
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -46,9 +46,13 @@
   if (last.sends == 0) return unsent < most_unsent_tries;
   if (request.sends >= request.route->attempts) return false;
   const bool safe = last.ran == run_state::no || request.route->may_repeat();
-  if (!safe) return false;
-  return retries_.try_emplace(request.service, retry_options_)
-      .first->second.take();
+  // Without another endpoint here the retry is left to other regions.
+  if (!safe || !pool_.choose(request)) return false;
+  return take_retry(request.service);
+}
+
+bool route_service::take_retry(const std::string& service) {
+  return retries_.try_emplace(service, retry_options_).first->second.take();
 }
 
 awaitable<attempt> route_service::serve(routed_request& request,
