Share the retry limits among the gateways there are

Cause: each gateway took a tenth of half the slack, whatever their number; at 61 gateways all together could have used three times the limits. Change: share_of by the gateways known, those that are silent included.

--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -10,11 +10,12 @@
 class route_service {
  public:
   route_service(gateway_context& context, const surface::surfaces& surfaces,
-                endpoint_pool& pool, routing::retry_budget_options retries)
+                endpoint_pool& pool,
+                const routing::shared_retry_limits& retries)
       : context_(context),
         pool_(pool),
         runner_(context, surfaces, pool),
-        retry_options_(retries) {}
+        retry_limits_(retries) {}
 
   /// Runs `request` at one endpoint after the other, as its route allows.
   transport::awaitable<attempt> serve(routed_request& request,
@@ -24,15 +25,19 @@
   bool take_retry(const std::string& service);
 
   endpoint_pool& pool() { return pool_; }
+  /// Fits this gateway's share of the retries to the gateways there are.
+  void tick();
 
  private:
+  routing::retry_budget& retries_of(const std::string& service);
+  std::size_t gateways() const;
   bool may_retry(const routed_request& request, const attempt& last,
                  unsigned sent);
 
   gateway_context& context_;
   endpoint_pool& pool_;
   endpoint_runner runner_;
-  routing::retry_budget_options retry_options_;
+  const routing::shared_retry_limits& retry_limits_;
   std::map<std::string, routing::retry_budget> retries_;  // by service
 };
 
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -40,6 +40,30 @@
 
 }  // namespace
 
+std::size_t route_service::gateways() const {
+  // Those that are not heard count too: they may be on the other side of a
+  // cut and retry there.
+  const std::vector<const membership::node_record*> all = context_.nodes.all();
+  return static_cast<std::size_t>(std::count_if(
+      all.begin(), all.end(), [](const membership::node_record* it) {
+        return !it->last.node.forward_address.empty();
+      }));
+}
+
+routing::retry_budget& route_service::retries_of(const std::string& service) {
+  const auto known = retries_.find(service);
+  if (known != retries_.end()) return known->second;
+  const routing::retry_budget fresh(
+      routing::share_of(retry_limits_, gateways()));
+  return retries_.emplace(service, fresh).first->second;
+}
+
+void route_service::tick() {
+  const routing::retry_budget_options share =
+      routing::share_of(retry_limits_, gateways());
+  for (auto& [service, it] : retries_) it.set_options(share);
+}
+
 bool route_service::may_retry(const routed_request& request,
                               const attempt& last, unsigned unsent) {
   if (context_.clock.now() >= request.deadline) return false;
@@ -52,13 +76,12 @@
 }
 
 bool route_service::take_retry(const std::string& service) {
-  return retries_.try_emplace(service, retry_options_).first->second.take();
+  return retries_of(service).take();
 }
 
 awaitable<attempt> route_service::serve(routed_request& request,
                                         transport::http_exchange& exchange) {
-  retries_.try_emplace(request.service, retry_options_)
-      .first->second.request_seen();
+  retries_of(request.service).request_seen();
   std::optional<attempt> last;
   bool may_have_run = false;
   unsigned unsent = 0;
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -122,17 +122,6 @@
   return out;
 }
 
-routing::retry_budget_options retry_options_of(const settings& options) {
-  // Half of what all gateways together may use: each sees its own only.
-  constexpr double used_share = 0.5;
-  constexpr double gateways = 10;
-  routing::retry_budget_options out;
-  out.share = options.retries.ratio * used_share;
-  out.most_saved = options.retries.slack * used_share / gateways;
-  out.saved_at_start = out.most_saved;
-  return out;
-}
-
 gateway::gateway_options gateway_options_of(const settings& options) {
   gateway::gateway_options out;
   out.queue_capacity = options.queue_capacity;
@@ -263,7 +252,7 @@
       operators(context, control.get(), watch, ledger, local, *registry),
       surfaces(platform::make_surfaces()),
       pool(gateway),
-      routed_service(gateway, surfaces, pool, retry_options_of(options)),
+      routed_service(gateway, surfaces, pool, options.retries),
       route_entry(gateway, surfaces, routed_service, routes),
       route_forwards(gateway, routed_service, routes, forwards),
       listing(context, surfaces.directory.get()),
@@ -419,6 +408,7 @@
     if (!routed()) probes.tick();
     if (routed() && options.gateway) listing.tick();
     pool.tick();
+    routed_service.tick();
     endpoints.tick(now);
     local.queue().pump_all();
     operators.tick();
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -12,6 +12,7 @@
 #include "trestlepost/membership/endpoint_tracker.h"
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/routing/region_choice.h"
+#include "trestlepost/routing/retry_budget.h"
 
 namespace trestlepost::node {
 
@@ -43,12 +44,6 @@
 /// How callers, operators and endpoints speak.
 enum class surface_kind { own, platform };
 
-/// Retries of all gateways together.
-struct retry_settings {
-  double ratio = 0.2;  // of the requests
-  double slack = 70;   // besides
-};
-
 struct settings {
   std::string node;
   std::string region;
@@ -78,7 +73,7 @@
   std::size_t tolerated_losses = 0;
   /// The region of each availability zone that endpoints may stand in.
   std::map<std::string, std::string> zone_regions;
-  retry_settings retries;
+  routing::shared_retry_limits retries;
   std::vector<control_node> control_nodes;
   std::vector<std::string> seeds;
   std::string peer_secret;
