Revert "Refuse at once what cannot be on time, before it makes others late"

Tried: refusing when the wait alone takes 0.8 of the objective. Conclusion: a late answer is worth more here than a second refusal; the limit of four objectives stays.

--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -79,7 +79,7 @@
   const std::string& here = context.self.region;
   if (permits_region(*request.route, here) && !exhausted.contains(here)) {
     const result<chosen_endpoint> chosen = own.choose(request);
-    if (chosen && routing::leaves_a_chance(chosen->expected, wanted)) {
+    if (chosen) {
       best = here;
       best_value = routing::expected_value(chosen->expected, wanted);
     }
@@ -99,7 +99,6 @@
     const routing::outlook expected =
         outlook_away(context, *load, region, remote.unanswered_tokens(region),
                      request.work, per_event);
-    if (!routing::leaves_a_chance(expected, wanted)) continue;
     const double value = routing::expected_value(expected, wanted) - away_cost;
     if (best && value <= best_value) continue;
     best = region;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -15,10 +15,27 @@
 constexpr milliseconds unavailable_retry_after{300};
 constexpr milliseconds least_retry_after{100};
 
-routing::expectation expectation_of(const routed_request& request,
-                                    monotonic_time now) {
-  return {request.route->latency_objective,
-          std::chrono::duration_cast<milliseconds>(request.deadline - now)};
+// Callers give a stream up when nothing comes for this long, whichever is
+// longest; what is predicted to come later is not worth an engine's time.
+constexpr milliseconds least_stream_patience{2000};
+constexpr int stream_patience_objectives = 4;
+constexpr int stream_patience_pauses = 8;
+
+milliseconds first_event_patience(const config::route& route) {
+  return std::max({least_stream_patience,
+                   stream_patience_objectives * route.latency_objective,
+                   stream_patience_pauses * route.longest_pause});
+}
+
+/// Whether a request that meets `expected` is not worth an endpoint's time.
+/// What it meets before its own prompt counts, so that long prompts are
+/// refused no sooner than short ones.
+bool too_late(const routed_request& request, const routing::outlook& expected,
+              monotonic_time now) {
+  if (now + expected.wait >= request.deadline) return true;
+  const bool stream = request.route->kind == config::route_kind::stream;
+  return stream && now + expected.wait >=
+                       request.arrived + first_event_patience(*request.route);
 }
 
 }  // namespace
@@ -77,8 +94,7 @@
       }
       break;
     }
-    if (!routing::leaves_a_chance(
-            chosen->expected, expectation_of(request, context_.clock.now()))) {
+    if (too_late(request, chosen->expected, context_.clock.now())) {
       if (!last) {
         last = failed_attempt(
             run_state::no,
--- a/routing/include/trestlepost/routing/outlook.h
+++ b/routing/include/trestlepost/routing/outlook.h
@@ -27,10 +27,4 @@
 /// 0 to 1: the chance to be on time, and the chance to be whole in time.
 double expected_value(const outlook& at, const expectation& wanted);
 
-/// Whether the work that is there already leaves a request a chance to be on
-/// time. Taking it in all the same would make those behind it late too. Its
-/// own size counts for nothing here, so that long requests are refused no
-/// sooner than short ones.
-bool leaves_a_chance(const outlook& at, const expectation& wanted);
-
 }  // namespace trestlepost::routing
--- a/routing/src/outlook.cc
+++ b/routing/src/outlook.cc
@@ -10,8 +10,6 @@
 constexpr double surely_late = 1.2;
 constexpr double surely_whole = 0.7;
 constexpr double surely_cut = 1.3;
-// A wait of this share of the objective leaves no time for the prompt itself.
-constexpr double longest_wait = 0.8;
 // What a late answer is worth, as a share of one on time.
 constexpr double late_value = 0.3;
 
@@ -26,12 +24,6 @@
 
 }  // namespace
 
-bool leaves_a_chance(const outlook& at, const expectation& wanted) {
-  if (at.wait >= wanted.remaining) return false;
-  const std::chrono::milliseconds objective = wanted.latency_objective;
-  return objective.count() <= 0 || at.wait < objective * longest_wait;
-}
-
 double expected_value(const outlook& at, const expectation& wanted) {
   const double on_time = chance(at.first_token, wanted.latency_objective,
                                 surely_on_time, surely_late);
