Let clang-tidy pass over the traffic plan

Cause: check_plan returned a const result, which is then copied instead of moved; clang-tidy takes performance-no-automatic-move for an error. Change: the result is not const.

--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -247,7 +247,7 @@
   }
   std::set<std::pair<std::string, std::string>> places;
   for (const route& it : value.routes) {
-    const result<void> sound = check_route(value, it);
+    result<void> sound = check_route(value, it);
     if (!sound) return sound;
     if (!places.insert({it.host, it.path_prefix}).second) {
       return invalid("two routes stand at " + it.host + it.path_prefix);
