--- a/base/include/trestlepost/base/json.h
+++ b/base/include/trestlepost/base/json.h
@@ -3,6 +3,8 @@
 
 #include <json/value.h>
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -28,6 +30,10 @@
 /// The value indented for people.
 std::string to_pretty_text(const json& value);
 
+/// A number as a value; a span of time in whole milliseconds.
+json as_number(std::uint64_t n);
+json as_number(std::chrono::milliseconds n);
+
 /// Lenient accessors for messages from peers: a missing or mistyped member
 /// reads as the empty value.
 std::string text_of(const json& object, const char* key);
--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -67,6 +67,14 @@
   return Json::writeString(builder, value);
 }
 
+json as_number(std::uint64_t n) {
+  return json(Json::UInt64(n));
+}
+
+json as_number(std::chrono::milliseconds n) {
+  return json(Json::Int64(n.count()));
+}
+
 const json& member_of(const json& object, const char* key) {
   if (!object.isObject()) return json::nullSingleton();
   return object[key];
--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -11,14 +11,6 @@
 
 constexpr char plan_remedy[] = "mend the plan and send it again";
 
-json number(std::uint64_t n) {
-  return json(Json::UInt64(n));
-}
-
-json number(milliseconds n) {
-  return json(Json::Int64(n.count()));
-}
-
 milliseconds duration_of(const json& value, const char* key) {
   return milliseconds(static_cast<std::int64_t>(number_of(value, key)));
 }
@@ -33,9 +25,9 @@
   out["host"] = value.host;
   out["path_prefix"] = value.path_prefix;
   out["kind"] = std::string(to_string(value.kind));
-  out["timeout_ms"] = number(value.timeout);
-  out["latency_objective_ms"] = number(value.latency_objective);
-  out["longest_pause_ms"] = number(value.longest_pause);
+  out["timeout_ms"] = as_number(value.timeout);
+  out["latency_objective_ms"] = as_number(value.latency_objective);
+  out["longest_pause_ms"] = as_number(value.longest_pause);
   out["priority"] = value.priority;
   out["attempts"] = value.attempts;
   out["prefix_affinity"] = value.prefix_affinity;
@@ -84,16 +76,16 @@
 json to_json(const engine_profile& value) {
   json out;
   out["batch_slots"] = value.batch_slots;
-  out["kv_capacity"] = number(value.kv_capacity);
+  out["kv_capacity"] = as_number(value.kv_capacity);
   out["kv_token_bytes"] = value.kv_token_bytes;
   out["link_mbps"] = value.link_mbps;
   out["moves"] = value.moves;
   out["backups"] = value.backups;
   out["tokens_per_event"] = value.tokens_per_event;
   out["most_event_watchers"] = value.most_event_watchers;
-  out["longest_pin_ms"] = number(value.longest_pin);
-  out["longest_hold_ms"] = number(value.longest_hold);
-  out["handle_lifetime_ms"] = number(value.handle_lifetime);
+  out["longest_pin_ms"] = as_number(value.longest_pin);
+  out["longest_hold_ms"] = as_number(value.longest_hold);
+  out["handle_lifetime_ms"] = as_number(value.handle_lifetime);
   return out;
 }
 
@@ -118,7 +110,7 @@
   out["name"] = value.name;
   out["health_path"] = value.health_path;
   out["most_connections"] = value.most_connections;
-  out["warmup_ms"] = number(value.warmup);
+  out["warmup_ms"] = as_number(value.warmup);
   out["cold_requests_per_second"] = value.cold_requests_per_second;
   if (value.engine) out["engine"] = to_json(*value.engine);
   return out;
@@ -138,10 +130,10 @@
 
 json to_json(const request_limits& value) {
   json out;
-  out["header_bytes"] = number(value.header_bytes);
-  out["body_bytes"] = number(value.body_bytes);
-  out["header_timeout_ms"] = number(value.header_timeout);
-  out["idle_timeout_ms"] = number(value.idle_timeout);
+  out["header_bytes"] = as_number(value.header_bytes);
+  out["body_bytes"] = as_number(value.body_bytes);
+  out["header_timeout_ms"] = as_number(value.header_timeout);
+  out["idle_timeout_ms"] = as_number(value.idle_timeout);
   return out;
 }
 
@@ -208,7 +200,7 @@
 
 json to_json(const traffic_plan& value, plan_form form) {
   json out;
-  out["number"] = number(value.number);
+  out["number"] = as_number(value.number);
   json& routes = out["routes"] = json(Json::arrayValue);
   for (const route& it : value.routes) routes.append(to_json(it));
   json& services = out["services"] = json(Json::arrayValue);
--- a/consensus/src/types.cc
+++ b/consensus/src/types.cc
@@ -5,10 +5,6 @@
 namespace trestlepost::consensus {
 namespace {
 
-json as_number(std::uint64_t n) {
-  return json(Json::UInt64(n));
-}
-
 struct body_encoder {
   json& out;
 
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -113,7 +113,7 @@
   answer.status = ok ? 200 : 503;
   json body;
   body["state"] = context_.state.name();
-  body["revision"] = json(Json::UInt64(context_.store.revision()));
+  body["revision"] = as_number(context_.store.revision());
   answer.body = to_text(body);
   co_await exchange.respond(std::move(answer));
 }
@@ -157,8 +157,7 @@
     one["state"] = it.state;
     entries.append(std::move(one));
   }
-  body["valid_for_ms"] =
-      json(Json::Int64(context_.options.directory_lifetime.count()));
+  body["valid_for_ms"] = as_number(context_.options.directory_lifetime);
   http_answer answer;
   answer.body = to_text(body);
   co_await exchange.respond(std::move(answer));
--- a/gateway/src/forward_message.cc
+++ b/gateway/src/forward_message.cc
@@ -18,13 +18,13 @@
   out["idempotency_key"] = value.idempotency_key;
   out["priority"] = static_cast<unsigned>(value.priority);
   out["remaining_ms"] =
-      json(Json::UInt64(static_cast<std::uint64_t>(value.remaining.count())));
-  out["affinity"] = json(Json::UInt64(value.affinity));
+      as_number(static_cast<std::uint64_t>(value.remaining.count()));
+  out["affinity"] = as_number(value.affinity);
   json& avoid = out["avoid"] = json(Json::arrayValue);
   for (const std::string& it : value.avoid) avoid.append(it);
-  out["revision"] = json(Json::UInt64(value.revision));
+  out["revision"] = as_number(value.revision);
   out["sent_at"] =
-      json(Json::UInt64(static_cast<std::uint64_t>(to_unix_ms(value.sent_at))));
+      as_number(static_cast<std::uint64_t>(to_unix_ms(value.sent_at)));
   return out;
 }
 
--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -22,8 +22,8 @@
   body["ran"] = std::string(to_string(outcome.ran));
   body["detail"] = outcome.cause.message;
   body["remedy"] = outcome.cause.remedy;
-  body["retry_after_ms"] = json(
-      Json::UInt64(static_cast<std::uint64_t>(outcome.retry_after.count())));
+  body["retry_after_ms"] =
+      as_number(static_cast<std::uint64_t>(outcome.retry_after.count()));
   body["endpoint"] = outcome.endpoint;
   body["sends"] = outcome.sends;
   transport::http_answer out;
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -10,11 +10,11 @@
   out["service"] = value.service;
   out["entry_region"] = value.entry_region;
   out["remaining_ms"] =
-      json(Json::UInt64(static_cast<std::uint64_t>(value.remaining.count())));
+      as_number(static_cast<std::uint64_t>(value.remaining.count()));
   json& avoid = out["avoid"] = json(Json::arrayValue);
   for (const std::string& it : value.avoid) avoid.append(it);
   out["sends"] = value.sends;
-  out["plan"] = json(Json::UInt64(value.plan));
+  out["plan"] = as_number(value.plan);
   return out;
 }
 
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -8,10 +8,6 @@
 namespace trestlepost::membership {
 namespace {
 
-json as_number(std::uint64_t n) {
-  return json(Json::UInt64(n));
-}
-
 std::uint32_t small_number_of(const json& value, const char* key) {
   return static_cast<std::uint32_t>(number_of(value, key));
 }
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -36,10 +36,6 @@
   return out;
 }
 
-json as_number(std::uint64_t n) {
-  return json(Json::UInt64(n));
-}
-
 }  // namespace
 
 std::vector<membership::node_info> choose_ledger_voters(
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -191,9 +191,9 @@
 void heartbeat_service::send_pings() {
   json params;
   params["reply_to"] = context_.self.peer_address;
-  params["at"] = json(Json::UInt64(static_cast<std::uint64_t>(
+  params["at"] = as_number(static_cast<std::uint64_t>(
       std::chrono::nanoseconds(context_.clock.now().time_since_epoch())
-          .count())));
+          .count()));
   for (const std::string& region : other_regions()) {
     const std::vector<std::string> relays = relay_addresses(region);
     if (!relays.empty()) {
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -30,10 +30,9 @@
   out["zone"] = value.availability_zone;
   out["slots"] = value.slots;
   if (value.leaving) out["leaving"] = true;
-  if (value.ends_in)
-    out["ends_in_ms"] = json(Json::Int64(value.ends_in->count()));
+  if (value.ends_in) out["ends_in_ms"] = as_number(*value.ends_in);
   if (value.cold_left.count() > 0) {
-    out["cold_ms"] = json(Json::Int64(value.cold_left.count()));
+    out["cold_ms"] = as_number(value.cold_left);
   }
   return out;
 }
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -20,10 +20,6 @@
 constexpr milliseconds relay_interval{400};
 constexpr milliseconds relay_timeout{20'000};
 
-json as_number(std::uint64_t n) {
-  return json(Json::UInt64(n));
-}
-
 /// Roles in rising order; each may do what the ones before it may.
 constexpr std::array<std::string_view, 3> roles{"read", "change", "found"};
 
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -52,10 +52,10 @@
 void watch_client::poll() {
   json params;
   const std::uint64_t token = next_token_++;
-  params["token"] = json(Json::UInt64(token));
+  params["token"] = as_number(token);
   params["heartbeat"] = membership::to_json(make_heartbeat_());
-  params["revision"] = json(Json::UInt64(context_.store.revision()));
-  params["book_version"] = json(Json::UInt64(book_version_));
+  params["revision"] = as_number(context_.store.revision());
+  params["book_version"] = as_number(book_version_);
   questions_.push_back({token, context_.clock.now()});
   if (questions_.size() > most_questions) questions_.pop_front();
   context_.links.send(poll_address(), "config.poll", params);
--- a/surface/src/call_head.cc
+++ b/surface/src/call_head.cc
@@ -10,7 +10,7 @@
   json& parts = out["parts"] = json(Json::arrayValue);
   for (const prompt_part& it : value.parts) {
     json one(Json::arrayValue);
-    one.append(json(Json::UInt64(it.id)));
+    one.append(as_number(it.id));
     one.append(it.tokens);
     parts.append(std::move(one));
   }
