Pass streams on in one place

Cause: the loop that passes a stream's pieces on stood in endpoint_runner, route_forwarder and delivery, the head of an answer and the limit of a plain one twice. Change: pass_stream, answer_head and largest_plain_answer in answer_passing. Who cancels, aborts and finishes, and in which order, stays as it was.

--- /dev/null
+++ b/gateway/src/answer_passing.cc
@@ -0,0 +1,46 @@
+#include "answer_passing.h"
+
+#include <utility>
+
+namespace trestlepost::gateway {
+
+using transport::awaitable;
+using transport::http_answer;
+using transport::http_call;
+using transport::http_exchange;
+
+http_answer answer_head(const http_call& call,
+                        const surface::endpoint_codec& codec) {
+  http_answer out;
+  out.status = call.status();
+  out.content_type.clear();
+  out.headers = codec.passed_back(call);
+  return out;
+}
+
+awaitable<passed_stream> pass_stream(http_call& call, http_exchange& exchange,
+                                     http_answer head, std::string first,
+                                     const std::function<void()>& on_next) {
+  passed_stream out;
+  result<std::string> piece(std::move(first));
+  bool open = co_await exchange.start_stream(std::move(head));
+  while (open && !piece->empty()) {
+    std::string text = std::move(*piece);
+    open = co_await exchange.write_piece(std::move(text));
+    if (!open) break;
+    piece = co_await call.read_piece();
+    if (!piece) {
+      exchange.abort();
+      out.broken = piece.error();
+      co_return out;
+    }
+    if (!piece->empty()) on_next();
+  }
+  if (!open) {
+    call.cancel();
+    out.caller_left = true;
+  }
+  co_return out;
+}
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "answer_passing.h"
+
 namespace trestlepost::gateway {
 namespace {
 
@@ -23,26 +25,6 @@
   return out;
 }
 
-/// Passes pieces on as they come; an error on either side breaks the answer.
-awaitable<bool> pass_on(http_call& call, http_exchange& exchange) {
-  while (true) {
-    result<std::string> piece = co_await call.read_piece();
-    if (!piece) {
-      exchange.abort();
-      co_return false;
-    }
-    if (piece->empty()) break;
-    std::string text = std::move(*piece);
-    const bool sent = co_await exchange.write_piece(std::move(text));
-    if (!sent) {
-      call.cancel();
-      co_return false;
-    }
-  }
-  const bool finished = co_await exchange.finish_stream();
-  co_return finished;
-}
-
 }  // namespace
 
 attempt failed_attempt(run_state ran, error cause,
@@ -126,14 +108,11 @@
     if (streamed || buffered.size() > buffered_answer) {
       out.outcome.delivered = true;
       out.outcome.ran = run_state::yes;
-      const bool started = co_await exchange.start_stream(std::move(answer));
-      bool sent = false;
-      if (started) sent = co_await exchange.write_piece(std::move(buffered));
-      if (!sent) {
-        call.cancel();
-        co_return out;
-      }
-      co_await pass_on(call, exchange);
+      const std::function<void()> on_next = [] {};
+      const passed_stream passed = co_await pass_stream(
+          call, exchange, std::move(answer), std::move(buffered), on_next);
+      const bool whole = !passed.caller_left && !passed.broken;
+      if (whole) co_await exchange.finish_stream();
       co_return out;
     }
   }
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "answer_passing.h"
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::gateway {
@@ -15,9 +16,6 @@
 // Answers to earlier requests that are skipped on a connection before it is
 // given up.
 constexpr int most_surplus_answers = 2;
-// A plain answer is read whole before any of it is sent, so that one that is
-// cut short can still be replaced.
-constexpr std::size_t largest_plain_answer = 16UL * 1024 * 1024;
 // A request that was refused unrun may come back this soon.
 constexpr milliseconds refused_retry_after{200};
 constexpr unsigned ok_status = 200;
@@ -182,19 +180,6 @@
   co_return out;
 }
 
-namespace {
-
-http_answer head_of(const transport::http_call& call,
-                    const surface::endpoint_codec& codec) {
-  http_answer out;
-  out.status = call.status();
-  out.content_type.clear();
-  out.headers = codec.passed_back(call);
-  return out;
-}
-
-}  // namespace
-
 awaitable<attempt> endpoint_runner::deliver_whole(running& now) {
   result<std::string> body = co_await now.call->read_rest(largest_plain_answer);
   if (!body) {
@@ -205,7 +190,7 @@
                              refused_retry_after);
   }
   context_.endpoints.request_succeeded(now.endpoint.id);
-  http_answer answer = head_of(*now.call, *surfaces_.endpoints);
+  http_answer answer = answer_head(*now.call, *surfaces_.endpoints);
   answer.body = std::move(*body);
   attempt out;
   if (answer.status >= first_server_error && now.request.route->may_repeat()) {
@@ -242,26 +227,20 @@
   attempt out;
   out.delivered = true;
   out.ran = run_state::yes;
-  http_answer head = head_of(*now.call, *surfaces_.endpoints);
-  bool open = co_await now.exchange.start_stream(std::move(head));
-  while (open && piece && !piece->empty()) {
-    std::string text = std::move(*piece);
-    open = co_await now.exchange.write_piece(std::move(text));
-    if (!open) break;
-    piece = co_await now.call->read_piece();
-    if (piece && !piece->empty()) {
-      pool_.engines().event(now.ticket, context_.clock.now());
-    }
-  }
-  if (!open) {
-    now.call->cancel();
+  http_answer head = answer_head(*now.call, *surfaces_.endpoints);
+  const std::function<void()> on_next = [this, &now] {
+    pool_.engines().event(now.ticket, context_.clock.now());
+  };
+  std::string first = std::move(*piece);
+  const passed_stream passed = co_await pass_stream(
+      *now.call, now.exchange, std::move(head), std::move(first), on_next);
+  if (passed.caller_left) {
     out.cause = {error_kind::bad_input, "the caller left", ""};
     co_return out;
   }
-  if (!piece) {
-    now.exchange.abort();
+  if (passed.broken) {
     context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
-    out.cause = piece.error();
+    out.cause = *passed.broken;
     co_return out;
   }
   context_.endpoints.request_succeeded(now.endpoint.id);
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "answer_passing.h"
 #include "refusal_message.h"
 #include "trestlepost/gateway/forward_message.h"
 #include "trestlepost/gateway/route_message.h"
@@ -15,7 +16,6 @@
 using transport::awaitable;
 
 constexpr std::size_t largest_refusal = 64UL * 1024;
-constexpr std::size_t largest_plain_answer = 16UL * 1024 * 1024;
 constexpr milliseconds retry_after{300};
 
 std::uint32_t busyness(const node_record& it, const std::string& service) {
@@ -27,12 +27,10 @@
   return name.starts_with("Trestlepost-");
 }
 
-transport::http_answer head_of(const transport::http_call& call,
-                               const surface::endpoint_codec& codec) {
-  transport::http_answer out;
-  out.status = call.status();
-  out.content_type.clear();
-  out.headers = codec.passed_back(call);
+/// The head without what the other gateway told this one.
+transport::http_answer caller_head(const transport::http_call& call,
+                                   const surface::endpoint_codec& codec) {
+  transport::http_answer out = answer_head(call, codec);
   std::erase_if(out.headers,
                 [](const auto& it) { return is_own_header(it.first); });
   return out;
@@ -126,7 +124,7 @@
   attempt out;
   out.sends = 1;
   out.ran = run_state::unknown;
-  transport::http_answer head = head_of(call, *surfaces_.endpoints);
+  transport::http_answer head = caller_head(call, *surfaces_.endpoints);
   const bool streamed = request.route->kind == config::route_kind::stream;
   if (!streamed) {
     result<std::string> body = co_await call.read_rest(largest_plain_answer);
@@ -147,22 +145,16 @@
   }
   out.delivered = true;
   out.ran = run_state::yes;
-  bool open = co_await exchange.start_stream(std::move(head));
-  while (open && piece && !piece->empty()) {
-    std::string text = std::move(*piece);
-    open = co_await exchange.write_piece(std::move(text));
-    if (open) piece = co_await call.read_piece();
-  }
-  if (!open) {
-    call.cancel();
+  const std::function<void()> on_next = [] {};
+  std::string first = std::move(*piece);
+  const passed_stream passed = co_await pass_stream(
+      call, exchange, std::move(head), std::move(first), on_next);
+  if (passed.caller_left) co_return out;
+  if (passed.broken) {
+    out.cause = *passed.broken;
     co_return out;
   }
-  if (piece) {
-    co_await exchange.finish_stream();
-  } else {
-    out.cause = piece.error();
-    exchange.abort();
-  }
+  co_await exchange.finish_stream();
   co_return out;
 }
 
