Find a query's values in one place

Cause: the entry handler and the platform's codecs each searched the query. The two ways to undo percent encoding stay apart, since they differ for text that is not well encoded.

--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -1,12 +1,12 @@
 #include "trestlepost/gateway/entry_handler.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/region_views.h"
 #include "trestlepost/membership/directory.h"
+#include "trestlepost/transport/query.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -15,6 +15,7 @@
 using transport::awaitable;
 using transport::http_answer;
 using transport::http_exchange;
+using transport::query_value;
 
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::string_view entries_path = "/v1/entries";
@@ -23,22 +24,6 @@
   return target.substr(0, target.find('?'));
 }
 
-std::string_view query_value(std::string_view target, std::string_view name) {
-  const std::size_t mark = target.find('?');
-  if (mark == std::string_view::npos) return {};
-  std::string_view rest = target.substr(mark + 1);
-  while (!rest.empty()) {
-    const std::size_t end = rest.find('&');
-    const std::string_view one = rest.substr(0, end);
-    rest = end == std::string_view::npos ? "" : rest.substr(end + 1);
-    const std::size_t equals = one.find('=');
-    if (equals != std::string_view::npos && one.substr(0, equals) == name) {
-      return one.substr(equals + 1);
-    }
-  }
-  return {};
-}
-
 /// Undoes percent encoding, as far as labels need it.
 std::string decode_query(std::string_view text) {
   std::string out;
