Name the two counts of gateways apart; list the others in one place

Cause: endpoint_pool and route_service both had gateways(), with different rules; three loops picked the region's other live gateways. Change: region_gateways counts those of the own region that are not dead, known_gateways those of all regions, also silent ones; both rules stay. node_table::other_gateways, with a test, replaces the three loops.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -68,7 +68,8 @@
       const routed_request& request) const;
   std::optional<chosen_endpoint> choose_plain(
       const std::vector<membership::endpoint_view>& open) const;
-  unsigned gateways() const;
+  /// Those of the own region that aren't dead; at least one.
+  unsigned region_gateways() const;
 
   gateway_context& context_;
   std::vector<surface::listed_endpoint> listed_;  // of the own region
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -30,9 +30,10 @@
 
  private:
   routing::retry_budget& retries_of(const std::string& service);
-  std::size_t gateways() const;
+  /// Those of all regions, also those that are not heard.
+  std::size_t known_gateways() const;
   bool may_retry(const routed_request& request, const attempt& last,
-                 unsigned sent);
+                 unsigned unsent);
 
   gateway_context& context_;
   endpoint_pool& pool_;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -101,7 +101,7 @@
   return plan ? plan->find_service(service) : nullptr;
 }
 
-unsigned endpoint_pool::gateways() const {
+unsigned endpoint_pool::region_gateways() const {
   unsigned n = 0;
   const monotonic_time now = context_.clock.now();
   for (const membership::node_record* it : context_.nodes.all()) {
@@ -117,14 +117,9 @@
 bool endpoint_pool::is_cold_sender(const std::string& endpoint) const {
   const std::uint64_t own = rendezvous_score(endpoint, context_.self.name);
   std::size_t better = 0;
-  const monotonic_time now = context_.clock.now();
   for (const membership::node_record* it :
-       context_.nodes.live_in(context_.self.region, now)) {
-    const membership::node_info& node = it->last.node;
-    if (node.forward_address.empty() || node.name == context_.self.name) {
-      continue;
-    }
-    if (rendezvous_score(endpoint, node.name) > own) ++better;
+       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+    if (rendezvous_score(endpoint, it->last.node.name) > own) ++better;
   }
   return better < routing::cold_limiter::senders_per_endpoint;
 }
@@ -186,8 +181,8 @@
 
 std::optional<chosen_endpoint> endpoint_pool::choose_plain(
     const std::vector<endpoint_view>& open) const {
-  const std::optional<endpoint_view> free =
-      routing::choose_endpoint(open, {0, {}, gateways()}, context_.random);
+  const std::optional<endpoint_view> free = routing::choose_endpoint(
+      open, {0, {}, region_gateways()}, context_.random);
   if (free) return chosen_endpoint{free->name, free->address, {}};
   const auto least =
       std::min_element(open.begin(), open.end(),
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-std::size_t route_service::gateways() const {
+std::size_t route_service::known_gateways() const {
   // Those that are not heard count too: they may be on the other side of a
   // cut and retry there.
   const std::vector<const membership::node_record*> all = context_.nodes.all();
@@ -54,13 +54,13 @@
   const auto known = retries_.find(service);
   if (known != retries_.end()) return known->second;
   const routing::retry_budget fresh(
-      routing::share_of(retry_limits_, gateways()));
+      routing::share_of(retry_limits_, known_gateways()));
   return retries_.emplace(service, fresh).first->second;
 }
 
 void route_service::tick() {
   const routing::retry_budget_options share =
-      routing::share_of(retry_limits_, gateways());
+      routing::share_of(retry_limits_, known_gateways());
   for (auto& [service, it] : retries_) it.set_options(share);
 }
 
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -104,6 +104,9 @@
   std::vector<const node_record*> all() const;
   std::vector<const node_record*> live_in(const std::string& region,
                                           monotonic_time now) const;
+  /// The live gateways of the region of `self`, itself left out.
+  std::vector<const node_record*> other_gateways(const node_info& self,
+                                                 monotonic_time now) const;
   std::vector<std::string> regions() const;
 
   /// The relays of a region: the highest by rendezvous hash among its live
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -207,6 +207,16 @@
   return out;
 }
 
+std::vector<const node_record*> node_table::other_gateways(
+    const node_info& self, monotonic_time now) const {
+  std::vector<const node_record*> out = live_in(self.region, now);
+  std::erase_if(out, [&self](const node_record* it) {
+    const node_info& node = it->last.node;
+    return node.forward_address.empty() || node.name == self.name;
+  });
+  return out;
+}
+
 std::vector<std::string> node_table::regions() const {
   std::vector<std::string> out;
   for (const auto& [name, it] : nodes_) out.push_back(it.last.node.region);
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -72,6 +72,27 @@
   }
 }
 
+TEST(node_table_test, other_gateways_are_live_ones_of_the_own_region) {
+  node_table table;
+  const monotonic_time start;
+  const monotonic_time now = start + milliseconds(2000);
+  const auto gateway = [](const std::string& name, const std::string& region) {
+    heartbeat out = beat(name, region, 1);
+    out.node.forward_address = "127.0.0.1:2";
+    return out;
+  };
+  const heartbeat self = gateway("self", "isola");
+  table.observe(self, now);
+  table.observe(gateway("other", "isola"), now);
+  table.observe(gateway("far", "golfo"), now);
+  table.observe(gateway("silent", "isola"), start);
+  table.observe(beat("control", "isola", 1), now);
+  const std::vector<const node_record*> others =
+      table.other_gateways(self.node, now);
+  ASSERT_EQ(others.size(), 1U);
+  EXPECT_EQ(others[0]->last.node.name, "other");
+}
+
 TEST(directory_test, ranks_by_state_distance_and_load) {
   node_table table;
   const monotonic_time now;
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -71,12 +71,8 @@
   const std::string& region = context_.self.region;
   const std::uint64_t own = rendezvous_score(region, context_.self.name);
   for (const membership::node_record* it :
-       context_.nodes.live_in(region, context_.clock.now())) {
-    const membership::node_info& node = it->last.node;
-    if (node.forward_address.empty() || node.name == context_.self.name) {
-      continue;
-    }
-    if (rendezvous_score(region, node.name) > own) return false;
+       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+    if (rendezvous_score(region, it->last.node.name) > own) return false;
   }
   return true;
 }
@@ -145,12 +141,8 @@
     if (here) endpoints.append(to_json(it));
   }
   for (const membership::node_record* it :
-       context_.nodes.live_in(context_.self.region, context_.clock.now())) {
-    const membership::node_info& node = it->last.node;
-    if (node.forward_address.empty() || node.name == context_.self.name) {
-      continue;
-    }
-    context_.links.send(node.peer_address, "endpoints.listed", params);
+       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+    context_.links.send(it->last.node.peer_address, "endpoints.listed", params);
   }
 }
 
