Give the planned stop and the platform's parts files of their own

Change: planned_stop and routed_gateway; the parts are built, started and run in the same order as before.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -2,7 +2,6 @@
 
 #include <prometheus/registry.h>
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,21 +12,17 @@
 #include <utility>
 
 #include "control_service.h"
-#include "entry_handlers.h"
 #include "heartbeat_service.h"
 #include "ledger_service.h"
-#include "listing_service.h"
 #include "node_context.h"
 #include "operator_service.h"
-#include "order_handler.h"
+#include "planned_stop.h"
 #include "probe_service.h"
+#include "routed_gateway.h"
 #include "settings_watch.h"
 #include "trestlepost/consensus/file_storage.h"
 #include "trestlepost/gateway/entry_handler.h"
 #include "trestlepost/gateway/forward_handler.h"
-#include "trestlepost/gateway/route_forward_handler.h"
-#include "trestlepost/gateway/route_handler.h"
-#include "trestlepost/platform/surfaces.h"
 #include "watch_client.h"
 
 namespace trestlepost::node {
@@ -41,11 +36,6 @@
 constexpr milliseconds kept_connection_lifetime{60'000};
 // The longest way is between regions, some 110 ms there and back.
 constexpr milliseconds endpoint_connect_timeout{400};
-// A stop ends this much before its longest time, after which the process may
-// be killed.
-constexpr milliseconds exit_margin{400};
-// A stop is announced for so long before the node may exit.
-constexpr milliseconds announce_time{1500};
 
 }  // namespace
 
@@ -137,16 +127,12 @@
   result<void> start();
   membership::heartbeat make_heartbeat();
   void declare_endpoints();
-  void plan_changed();
-  void share_pending();
   result<void> listen_all();
   bool routed() const { return options.surface == surface_kind::platform; }
-  void begin_stop();
   void reload_if_changed(bool at_once);
   void take_settings(const settings& next);
   awaitable<void> run_ticks();
   awaitable<void> wait_for_signals();
-  awaitable<void> finish_stop();
   void collect_metrics();
 
   settings options;
@@ -176,26 +162,16 @@
   heartbeat_service heartbeats;
   probe_service probes;
   operator_service operators;
-  surface::surfaces surfaces;
-  routing::route_table routes;
-  gateway::endpoint_pool pool;
-  gateway::route_service routed_service;
-  gateway::route_handler route_entry;
-  gateway::route_forward_handler route_forwards;
-  listing_service listing;
-  order_handler orders;
-  directory_handler directory;
-  readiness_handler readiness;
+  routed_gateway routed_parts;
   transport::http_server entry_server;
   transport::http_server forward_server;
   transport::http_server operator_server;
   transport::http_server order_server;
   transport::http_server directory_server;
   transport::http_server readiness_server;
+  planned_stop stop;
   prometheus::Family<prometheus::Gauge>& node_gauges;
   std::uint64_t sequence = 0;
-  bool stopping = false;
-  bool stopped = false;
 };
 
 node::implementation::implementation(settings o, foundation& b,
@@ -250,24 +226,19 @@
       heartbeats(context, [this] { return make_heartbeat(); }),
       probes(context),
       operators(context, control.get(), watch, ledger, local, *registry),
-      surfaces(platform::make_surfaces()),
-      pool(gateway),
-      routed_service(gateway, surfaces, pool, options.retries),
-      route_entry(gateway, surfaces, routed_service, routes),
-      route_forwards(gateway, routed_service, routes, forwards),
-      listing(context, surfaces.directory.get()),
-      orders(context, control.get(), surfaces.operators.get()),
-      directory(context, surfaces.entries.get()),
-      readiness(context, surfaces.entries.get()),
-      entry_server(io,
-                   routed() ? static_cast<transport::http_handler&>(route_entry)
-                            : entries,
-                   {}),
-      forward_server(io, route_forwards, {}),
+      routed_parts(context, gateway, control.get(), forwards),
+      entry_server(
+          io,
+          routed() ? static_cast<transport::http_handler&>(routed_parts.entry())
+                   : entries,
+          {}),
+      forward_server(io, routed_parts.forwards(), {}),
       operator_server(io, operators, {}),
-      order_server(io, orders, {}),
-      directory_server(io, directory, {}),
-      readiness_server(io, readiness, {}),
+      order_server(io, routed_parts.orders(), {}),
+      directory_server(io, routed_parts.directory(), {}),
+      readiness_server(io, routed_parts.readiness(), {}),
+      stop(context, {heartbeats, ledger, routed_parts.entry(), entry_server,
+                     forward_server, operator_server}),
       node_gauges(prometheus::BuildGauge()
                       .Name("trestlepost_node")
                       .Help("State of this node, by what is measured.")
@@ -287,47 +258,10 @@
   for (const auto& [name, it] : store.services()) {
     out.services[name] = local.queue().load_of(name);
   }
-  if (!routed()) return out;
-  for (const std::string& it : pool.services()) {
-    out.services[it] = pool.load_of(it);
-  }
-  out.pending_tokens = pool.engines().own_pending();
+  if (routed()) routed_parts.add_loads(out);
   return out;
 }
 
-void node::implementation::plan_changed() {
-  if (!routed()) return;
-  if (store.plan() && store.plan() != routes.plan()) {
-    routes = routing::route_table(store.plan());
-    const config::request_limits& limits = store.plan()->limits;
-    transport::http_server_options next = entry_server.options();
-    next.header_limit = limits.header_bytes;
-    next.body_limit = limits.body_bytes;
-    next.header_timeout = limits.header_timeout;
-    next.body_timeout = std::max(limits.header_timeout, limits.idle_timeout);
-    next.idle_timeout = limits.idle_timeout;
-    entry_server.set_options(next);
-    log_event(log_level::info, "plan-in-force",
-              {{"number", std::to_string(store.plan()->number)},
-               {"routes", std::to_string(store.plan()->routes.size())}});
-  }
-  pool.refresh();
-}
-
-void node::implementation::share_pending() {
-  std::map<std::string, routing::pending_tokens> others;
-  for (const membership::node_record* it :
-       nodes.live_in(options.region, base.clock.now())) {
-    if (it->last.node.name == options.node) continue;
-    for (const auto& [endpoint, tokens] : it->last.pending_tokens) {
-      routing::pending_tokens& sum = others[endpoint];
-      if (sum.size() < tokens.size()) sum.resize(tokens.size());
-      for (std::size_t i = 0; i < tokens.size(); ++i) sum[i] += tokens[i];
-    }
-  }
-  pool.engines().set_others(std::move(others));
-}
-
 void node::implementation::declare_endpoints() {
   if (routed()) return;  // they come from the platform's list
   std::vector<membership::endpoint_tracker::declared_endpoint> own;
@@ -345,20 +279,17 @@
   }
   watch.on_changed = [this] {
     declare_endpoints();
-    plan_changed();
+    if (routed()) routed_parts.take_plan(entry_server);
   };
-  heartbeats.on_region_heard = [this] { share_pending(); };
-  listing.on_listed = [this](const std::vector<surface::listed_endpoint>& all) {
-    pool.learn(all, options.zone_regions);
-  };
-  operators.on_drain = [this] { begin_stop(); };
+  heartbeats.on_region_heard = [this] { routed_parts.share_pending(); };
+  operators.on_drain = [this] { stop.begin(); };
   watch.start();
   ledger.start();
   heartbeats.start();
   operators.start();
-  listing.start();
+  routed_parts.start();
   declare_endpoints();
-  plan_changed();
+  if (routed()) routed_parts.take_plan(entry_server);
   result<void> opened = listen_all();
   if (!opened) return opened;
   signals.add(SIGTERM);
@@ -393,7 +324,7 @@
 
 awaitable<void> node::implementation::run_ticks() {
   boost::asio::steady_timer timer(io);
-  while (!stopped) {
+  while (!stop.ended()) {
     const monotonic_time now = base.clock.now();
     reload_if_changed(false);
     state.tick(now, store.revision() > 0);
@@ -406,9 +337,7 @@
     ledger.tick();
     heartbeats.tick();
     if (!routed()) probes.tick();
-    if (routed() && options.gateway) listing.tick();
-    pool.tick();
-    routed_service.tick();
+    routed_parts.tick();
     endpoints.tick(now);
     local.queue().pump_all();
     operators.tick();
@@ -438,16 +367,8 @@
       static_cast<double>(peer_server.traffic().strangers_refused));
 }
 
-void node::implementation::begin_stop() {
-  if (stopping) return;
-  stopping = true;
-  state.order_stop();
-  heartbeats.announce();
-  boost::asio::co_spawn(io, finish_stop(), boost::asio::detached);
-}
-
 awaitable<void> node::implementation::wait_for_signals() {
-  while (!stopped) {
+  while (!stop.ended()) {
     boost::system::error_code ec;
     const int signal = co_await signals.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ec));
@@ -455,7 +376,7 @@
     if (signal == SIGHUP) {
       reload_if_changed(true);
     } else {
-      begin_stop();
+      stop.begin();
     }
   }
 }
@@ -485,36 +406,6 @@
   set_log_level(next.log_lowest);
 }
 
-awaitable<void> node::implementation::finish_stop() {
-  const monotonic_time started = base.clock.now();
-  entry_server.close_after_answers();
-  boost::asio::steady_timer timer(io);
-  while (true) {
-    const monotonic_time now = base.clock.now();
-    const bool taking = now < started + options.timing.drain_grace;
-    if (!taking) route_entry.stop_taking();
-    const bool idle = entry_server.in_progress() == 0 &&
-                      forward_server.in_progress() == 0 &&
-                      ledger.pending() == 0;
-    const bool announced = now >= started + announce_time && !taking;
-    const bool late =
-        now + exit_margin >= started + options.timing.drain_timeout;
-    if ((idle && announced) || late) break;
-    timer.expires_after(tick_interval);
-    boost::system::error_code ec;
-    co_await timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-  }
-  log_event(log_level::info, "node-stopped",
-            {{"in_progress", std::to_string(entry_server.in_progress() +
-                                            forward_server.in_progress())}});
-  stopped = true;
-  entry_server.drain();
-  forward_server.drain();
-  operator_server.drain();
-  io.stop();
-}
-
 node::node(settings options, std::string file)
     : options_(std::move(options)), file_(std::move(file)) {}
 
--- /dev/null
+++ b/node/src/routed_gateway.cc
@@ -0,0 +1,82 @@
+#include "routed_gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "trestlepost/base/log.h"
+#include "trestlepost/platform/surfaces.h"
+
+namespace trestlepost::node {
+
+routed_gateway::routed_gateway(node_context& context,
+                               gateway::gateway_context& gateway,
+                               control_service* control,
+                               transport::http_handler& others)
+    : context_(context),
+      surfaces_(platform::make_surfaces()),
+      pool_(gateway),
+      service_(gateway, surfaces_, pool_, context.options.retries),
+      entry_(gateway, surfaces_, service_, routes_),
+      forwards_(gateway, service_, routes_, others),
+      listing_(context, surfaces_.directory.get()),
+      orders_(context, control, surfaces_.operators.get()),
+      directory_(context, surfaces_.entries.get()),
+      readiness_(context, surfaces_.entries.get()) {}
+
+void routed_gateway::start() {
+  listing_.on_listed =
+      [this](const std::vector<surface::listed_endpoint>& all) {
+        pool_.learn(all, context_.options.zone_regions);
+      };
+  listing_.start();
+}
+
+void routed_gateway::tick() {
+  const settings& options = context_.options;
+  const bool routed = options.surface == surface_kind::platform;
+  if (routed && options.gateway) listing_.tick();
+  pool_.tick();
+  service_.tick();
+}
+
+void routed_gateway::take_plan(transport::http_server& entry_server) {
+  const config::plan_ptr& plan = context_.store.plan();
+  if (plan && plan != routes_.plan()) {
+    routes_ = routing::route_table(plan);
+    const config::request_limits& limits = plan->limits;
+    transport::http_server_options next = entry_server.options();
+    next.header_limit = limits.header_bytes;
+    next.body_limit = limits.body_bytes;
+    next.header_timeout = limits.header_timeout;
+    next.body_timeout = std::max(limits.header_timeout, limits.idle_timeout);
+    next.idle_timeout = limits.idle_timeout;
+    entry_server.set_options(next);
+    log_event(log_level::info, "plan-in-force",
+              {{"number", std::to_string(plan->number)},
+               {"routes", std::to_string(plan->routes.size())}});
+  }
+  pool_.refresh();
+}
+
+void routed_gateway::share_pending() {
+  std::map<std::string, routing::pending_tokens> others;
+  for (const membership::node_record* it :
+       context_.nodes.live_in(context_.options.region, context_.clock.now())) {
+    if (it->last.node.name == context_.options.node) continue;
+    for (const auto& [endpoint, tokens] : it->last.pending_tokens) {
+      routing::pending_tokens& sum = others[endpoint];
+      if (sum.size() < tokens.size()) sum.resize(tokens.size());
+      for (std::size_t i = 0; i < tokens.size(); ++i) sum[i] += tokens[i];
+    }
+  }
+  pool_.engines().set_others(std::move(others));
+}
+
+void routed_gateway::add_loads(membership::heartbeat& beat) {
+  for (const std::string& it : pool_.services()) {
+    beat.services[it] = pool_.load_of(it);
+  }
+  beat.pending_tokens = pool_.engines().own_pending();
+}
+
+}  // namespace trestlepost::node
