Shorten the choice of a region and the service of a routed request

Change: the refusals of route_service and the tokens an event of a request stands for are functions; one test tells which regions are candidates.

--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -64,6 +64,13 @@
   return out;
 }
 
+unsigned tokens_per_event(const routed_request& request) {
+  const config::planned_service* service =
+      request.plan->find_service(request.service);
+  const bool engine = service != nullptr && service->engine.has_value();
+  return engine ? service->engine->tokens_per_event : 1;
+}
+
 }  // namespace
 
 std::optional<std::string> choose_region(
@@ -74,10 +81,14 @@
   const routing::expectation wanted{
       request.route->latency_objective,
       std::chrono::duration_cast<milliseconds>(request.deadline - now)};
+  const auto is_candidate = [&request, &exhausted](const std::string& region) {
+    return permits_region(*request.route, region) &&
+           !exhausted.contains(region);
+  };
   std::optional<std::string> best;
   double best_value = 0;
   const std::string& here = context.self.region;
-  if (permits_region(*request.route, here) && !exhausted.contains(here)) {
+  if (is_candidate(here)) {
     const result<chosen_endpoint> chosen = own.choose(request);
     if (chosen) {
       best = here;
@@ -85,14 +96,9 @@
     }
   }
   if (!context.state.may_cross(now)) return best;
-  const config::planned_service* service =
-      request.plan->find_service(request.service);
-  const bool engine = service != nullptr && service->engine.has_value();
-  const unsigned per_event = engine ? service->engine->tokens_per_event : 1;
+  const unsigned per_event = tokens_per_event(request);
   for (const std::string& region : context.nodes.regions()) {
-    const bool candidate = region != here && !exhausted.contains(region) &&
-                           permits_region(*request.route, region);
-    if (!candidate) continue;
+    if (region == here || !is_candidate(region)) continue;
     const std::optional<remote_load> load =
         load_in(context, region, request.service);
     if (!load) continue;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -38,6 +38,20 @@
                        request.arrived + first_event_patience(*request.route);
 }
 
+attempt none_open(const error& cause) {
+  return failed_attempt(run_state::no, cause, unavailable_retry_after);
+}
+
+attempt wait_too_long(const chosen_endpoint& chosen) {
+  const milliseconds wait = chosen.expected.wait;
+  return failed_attempt(
+      run_state::no,
+      {error_kind::overloaded,
+       "prompts that wait take " + std::to_string(wait.count()) + " ms",
+       "send it again after Retry-After"},
+      std::max(least_retry_after, wait / 2));
+}
+
 }  // namespace
 
 std::size_t route_service::known_gateways() const {
@@ -87,22 +101,11 @@
   unsigned unsent = 0;
   while (true) {
     const result<chosen_endpoint> chosen = pool_.choose(request);
-    if (!chosen) {
-      if (!last) {
-        last = failed_attempt(run_state::no, chosen.error(),
-                              unavailable_retry_after);
-      }
-      break;
-    }
-    if (too_late(request, chosen->expected, context_.clock.now())) {
+    const bool late =
+        chosen && too_late(request, chosen->expected, context_.clock.now());
+    if (!chosen || late) {
       if (!last) {
-        last = failed_attempt(
-            run_state::no,
-            {error_kind::overloaded,
-             "prompts that wait take " +
-                 std::to_string(chosen->expected.wait.count()) + " ms",
-             "send it again after Retry-After"},
-            std::max(least_retry_after, chosen->expected.wait / 2));
+        last = chosen ? wait_too_long(*chosen) : none_open(chosen.error());
       }
       break;
     }
