--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -1,7 +1,5 @@
 #include "refusal_message.h"
 
-#include <utility>
-
 #include "trestlepost/base/json.h"
 #include "trestlepost/gateway/forward_message.h"
 
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -1,6 +1,5 @@
 #include "heartbeat_service.h"
 
-#include <algorithm>
 #include <optional>
 #include <set>
 #include <utility>
--- a/node/src/probe_service.cc
+++ b/node/src/probe_service.cc
@@ -1,6 +1,5 @@
 #include "probe_service.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -2,7 +2,6 @@
 
 #include <unistd.h>
 
-#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -196,8 +195,8 @@
     // The seeds may be told by another interface of theirs.
     const std::string port = reader.text_or("seeds_port", "");
     for (std::string& it : out_.seeds) {
-      if (!port.empty())
-        it = resolve_port(it.substr(0, it.rfind(':') + 1) + port);
+      if (port.empty()) continue;
+      it = resolve_port(it.substr(0, it.rfind(':') + 1) + port);
     }
     for (const std::string& it : out_.seeds) {
       if (config::is_address(it)) continue;
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -58,10 +58,6 @@
   /// The course of a request that is sent to `id` now.
   outlook predict(const std::string& id, const engine_work& work) const;
 
-  /// The time that `tokens` of a prompt take to read at `id`.
-  std::chrono::duration<double, std::milli> reading_time(
-      const std::string& id, std::uint32_t tokens) const;
-
   /// A request was sent to `id`.
   ticket begin(const std::string& id, const engine_work& work,
                monotonic_time now);
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -100,14 +100,6 @@
   return out;
 }
 
-std::chrono::duration<double, std::milli> engine_book::reading_time(
-    const std::string& id, std::uint32_t tokens) const {
-  const record* it = find(id);
-  const double ms = it == nullptr ? 0 : model_of(*it).ms_per_unit() * tokens;
-  return std::chrono::duration<double, std::milli>(
-      it == nullptr ? ms : ms * it->slowness);
-}
-
 engine_book::ticket engine_book::begin(const std::string& id,
                                        const engine_work& work,
                                        monotonic_time now) {
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -313,8 +313,9 @@
     const std::optional<std::chrono::seconds> told =
         keep_alive_seconds(header("Keep-Alive"));
     // Half of it, so that a request does not cross the other side's close.
-    if (told)
+    if (told) {
       lifetime = std::min(lifetime, std::chrono::milliseconds(*told) / 2);
+    }
     client_->keep(address_, std::move(connection_), lifetime);
   }
   connection_.reset();
