--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -38,9 +38,23 @@
                        request.arrived + first_event_patience(*request.route);
 }
 
+attempt none_open(const error& cause) {
+  return failed_attempt(run_state::no, cause, unavailable_retry_after);
+}
+
+attempt wait_too_long(const chosen_endpoint& chosen) {
+  const milliseconds wait = chosen.expected.wait;
+  return failed_attempt(
+      run_state::no,
+      {error_kind::overloaded,
+       "prompts that wait take " + std::to_string(wait.count()) + " ms",
+       "send it again after Retry-After"},
+      std::max(least_retry_after, wait / 2));
+}
+
 }  // namespace
 
-std::size_t route_service::gateways() const {
+std::size_t route_service::known_gateways() const {
   // Those that are not heard count too: they may be on the other side of a
   // cut and retry there.
   const std::vector<const membership::node_record*> all = context_.nodes.all();
@@ -54,13 +68,13 @@
   const auto known = retries_.find(service);
   if (known != retries_.end()) return known->second;
   const routing::retry_budget fresh(
-      routing::share_of(retry_limits_, gateways()));
+      routing::share_of(retry_limits_, known_gateways()));
   return retries_.emplace(service, fresh).first->second;
 }
 
 void route_service::tick() {
   const routing::retry_budget_options share =
-      routing::share_of(retry_limits_, gateways());
+      routing::share_of(retry_limits_, known_gateways());
   for (auto& [service, it] : retries_) it.set_options(share);
 }
 
@@ -87,22 +101,11 @@
   unsigned unsent = 0;
   while (true) {
     const result<chosen_endpoint> chosen = pool_.choose(request);
-    if (!chosen) {
-      if (!last) {
-        last = failed_attempt(run_state::no, chosen.error(),
-                              unavailable_retry_after);
-      }
-      break;
-    }
-    if (too_late(request, chosen->expected, context_.clock.now())) {
+    const bool late =
+        chosen && too_late(request, chosen->expected, context_.clock.now());
+    if (!chosen || late) {
       if (!last) {
-        last = failed_attempt(
-            run_state::no,
-            {error_kind::overloaded,
-             "prompts that wait take " +
-                 std::to_string(chosen->expected.wait.count()) + " ms",
-             "send it again after Retry-After"},
-            std::max(least_retry_after, chosen->expected.wait / 2));
+        last = chosen ? wait_too_long(*chosen) : none_open(chosen.error());
       }
       break;
     }
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -30,10 +30,9 @@
   out["zone"] = value.availability_zone;
   out["slots"] = value.slots;
   if (value.leaving) out["leaving"] = true;
-  if (value.ends_in)
-    out["ends_in_ms"] = json(Json::Int64(value.ends_in->count()));
+  if (value.ends_in) out["ends_in_ms"] = as_number(*value.ends_in);
   if (value.cold_left.count() > 0) {
-    out["cold_ms"] = json(Json::Int64(value.cold_left.count()));
+    out["cold_ms"] = as_number(value.cold_left);
   }
   return out;
 }
@@ -72,12 +71,8 @@
   const std::string& region = context_.self.region;
   const std::uint64_t own = rendezvous_score(region, context_.self.name);
   for (const membership::node_record* it :
-       context_.nodes.live_in(region, context_.clock.now())) {
-    const membership::node_info& node = it->last.node;
-    if (node.forward_address.empty() || node.name == context_.self.name) {
-      continue;
-    }
-    if (rendezvous_score(region, node.name) > own) return false;
+       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+    if (rendezvous_score(region, it->last.node.name) > own) return false;
   }
   return true;
 }
@@ -146,12 +141,8 @@
     if (here) endpoints.append(to_json(it));
   }
   for (const membership::node_record* it :
-       context_.nodes.live_in(context_.self.region, context_.clock.now())) {
-    const membership::node_info& node = it->last.node;
-    if (node.forward_address.empty() || node.name == context_.self.name) {
-      continue;
-    }
-    context_.links.send(node.peer_address, "endpoints.listed", params);
+       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+    context_.links.send(it->last.node.peer_address, "endpoints.listed", params);
   }
 }
 
