Short connects between peers for the platform's surface only

Change: the time is an option again, 2 s as before for the product's own surface, whose operators' calls are relayed; on the platform's surface they are redirected.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -32,6 +32,9 @@
 using transport::awaitable;
 
 constexpr milliseconds tick_interval{25};
+// A VM without power says nothing, and a first packet that it missed is sent
+// again only after a second: trying anew finds it sooner.
+constexpr milliseconds peer_connect_timeout{500};
 // Endpoints of the platform keep idle connections until they say otherwise.
 constexpr milliseconds kept_connection_lifetime{60'000};
 // The longest way is between regions, some 110 ms there and back.
@@ -98,6 +101,9 @@
 transport::peer_options peer_options_of(const settings& options) {
   transport::peer_options out;
   out.source_ip = options.outgoing_ip;
+  if (options.surface == surface_kind::platform) {
+    out.connect_timeout = peer_connect_timeout;
+  }
   return out;
 }
 
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -4,6 +4,7 @@
 // speak nor replay. Delivery is not guaranteed.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -21,6 +22,8 @@
   std::size_t first_frame_limit = 4UL * 1024;
   std::size_t queue_limit = 64UL * 1024 * 1024;  // bytes waiting for one peer
   std::string source_ip;  // of outgoing connections; empty: any
+  /// Until the peer has greeted.
+  std::chrono::milliseconds connect_timeout{2000};
 };
 
 /// Counters for metrics.
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -22,10 +22,6 @@
 using asio::use_awaitable;
 using std::chrono::milliseconds;
 
-// Regions are some 110 ms apart, there and back. A machine without power says
-// nothing, and a first packet that it missed is sent again only after a second:
-// trying anew finds it sooner.
-constexpr milliseconds connect_timeout{500};
 constexpr milliseconds write_timeout{10'000};
 constexpr milliseconds reconnect_delay{200};
 
@@ -67,7 +63,7 @@
   error_code ec;
   to.stream.socket().close(ec);
   open_from(to.stream.socket(), *at, all.options.source_ip);
-  to.stream.expires_after(connect_timeout);
+  to.stream.expires_after(all.options.connect_timeout);
   co_await to.stream.async_connect(*at, redirect_error(use_awaitable, ec));
   if (ec) co_return false;
   set_socket_options(to.stream.socket());
