Forget the leader's name when it stays silent, for operators' calls too

Cause: a_cut_off_region_is_isolated_and_catches_up failed, six runs of six: since leader_finder, the name of the leader that relayed calls go to was never forgotten, so a cut-off node went on asking, and its last question was taken when the cut healed although its operator had been refused. Change: one source for the leader's name, leader_finder. Before: failed.

--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -64,7 +64,6 @@
 void watch_client::handle_update(const json& params) {
   const monotonic_time now = context_.clock.now();
   const std::string leader = text_of(params, "leader");
-  if (!leader.empty()) named_leader_ = leader;
   const std::string leader_address = text_of(params, "leader_address");
   if (!leader_address.empty()) context_.heard_from[leader] = leader_address;
   if (finder_.learn(leader, now)) next_poll_ = now;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -22,7 +22,7 @@
   void tick();
 
   /// The node that leads the configuration group, as far as is known.
-  std::string leader() const { return named_leader_; }
+  std::string leader() { return finder_.leader(context_.clock.now()); }
   const std::map<std::string, config::ledger_founding>& ledgers() const {
     return ledgers_;
   }
@@ -44,7 +44,6 @@
   node_context& context_;
   std::function<membership::heartbeat()> make_heartbeat_;
   leader_finder finder_;
-  std::string named_leader_;
   std::map<std::string, config::ledger_founding> ledgers_;
   std::deque<question> questions_;
   std::uint64_t next_token_ = 1;
