Copy cached prompt parts from the endpoint that all gateways prefer

Change: the endpoint is told from whose cache it may copy; the platform prices that at a fifth of reading.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -23,8 +23,15 @@
   std::string id;
   std::string address;
   routing::outlook expected;
+  /// The address of an endpoint whose cache has parts of the prompt that this
+  /// one lacks; empty: none is known.
+  std::string copy_cache_from;
+  /// On what `expected` rests.
+  routing::cache_belief belief = routing::cache_belief::own_sends;
 };
 
+struct preferred_endpoints;
+
 class endpoint_pool {
  public:
   explicit endpoint_pool(gateway_context& context) : context_(context) {}
@@ -60,12 +67,16 @@
                       const config::planned_service* service) const;
   bool is_cold_sender(const std::string& endpoint) const;
   const config::planned_service* planned(const std::string& service) const;
-  double read_again_share(const std::string& endpoint,
-                          const routing::engine_work& work,
-                          bool preferred) const;
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
-      const routed_request& request) const;
+      const routed_request& request,
+      const config::engine_profile& engine) const;
+  /// What `view` offers; with `copies`, prompt parts that it lacks may come
+  /// from another endpoint's cache.
+  chosen_endpoint weigh(const membership::endpoint_view& view,
+                        const routing::engine_work& work,
+                        const preferred_endpoints& preferred,
+                        bool copies) const;
   std::optional<chosen_endpoint> choose_plain(
       const std::vector<membership::endpoint_view>& open) const;
   /// Those of the own region that aren't dead; at least one.
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -9,6 +9,14 @@
 #include "trestlepost/routing/engine_choice.h"
 
 namespace trestlepost::gateway {
+
+/// The endpoints that all gateways prefer for a section, the best first. The
+/// second one had it before the first came.
+struct preferred_endpoints {
+  const membership::endpoint_view* first = nullptr;
+  const membership::endpoint_view* second = nullptr;
+};
+
 namespace {
 
 using membership::endpoint_view;
@@ -20,10 +28,9 @@
 // Endpoints queue a little; above this many times its limit one is not sent
 // more, and the request is refused.
 constexpr double most_over_limit = 3;
-// A section that this gateway has not sent itself was probably sent by
-// another one to the endpoint that all of them prefer for it: so unlikely is
-// it that the section is not there.
-constexpr double preferred_lacks_section = 0.4;
+// Copying fewer tokens than this saves less than asking for it takes: reading
+// them lasts a few milliseconds.
+constexpr std::uint32_t least_copied = 256;
 // The priority for which waits are told: all that waits counts.
 constexpr int least_urgent = 9;
 // What is kept of past cold requests.
@@ -38,18 +45,25 @@
   return &work.sections[n > 1 ? n - 2 : 0];
 }
 
-std::string preferred_endpoint(const std::vector<endpoint_view>& open,
-                               const routing::prompt_section& section) {
+preferred_endpoints preferred_for(const std::vector<endpoint_view>& open,
+                                  const routing::prompt_section& section) {
   const std::string key = std::to_string(section.id);
-  std::string best;
-  std::uint64_t best_score = 0;
+  preferred_endpoints out;
+  std::uint64_t first_score = 0;
+  std::uint64_t second_score = 0;
   for (const endpoint_view& it : open) {
     const std::uint64_t score = rendezvous_score(key, it.name);
-    if (!best.empty() && score <= best_score) continue;
-    best = it.name;
-    best_score = score;
+    if (out.first == nullptr || score > first_score) {
+      out.second = out.first;
+      second_score = first_score;
+      out.first = &it;
+      first_score = score;
+    } else if (out.second == nullptr || score > second_score) {
+      out.second = &it;
+      second_score = score;
+    }
   }
-  return best;
+  return out;
 }
 
 }  // namespace
@@ -141,32 +155,48 @@
   return is_cold_sender(view.name) && cold_.may_send(view.name, bears, now);
 }
 
-double endpoint_pool::read_again_share(const std::string& endpoint,
-                                       const routing::engine_work& work,
-                                       bool preferred) const {
-  if (work.sections.size() < 2 || work.prompt_tokens == 0) return 0;
-  // The last section is the request's own: nobody has read it yet.
-  const std::uint32_t own = work.sections.back().tokens;
-  const std::uint32_t uncached = engines_.uncached_tokens(endpoint, work);
-  const double shared = uncached > own ? uncached - own : 0;
-  const double doubt = preferred ? preferred_lacks_section : 1;
-  return doubt * shared / work.prompt_tokens;
+chosen_endpoint endpoint_pool::weigh(const endpoint_view& view,
+                                     const routing::engine_work& work,
+                                     const preferred_endpoints& preferred,
+                                     bool copies) const {
+  const bool is_preferred = preferred.first == &view;
+  const endpoint_view* source =
+      is_preferred ? preferred.second : preferred.first;
+  const std::uint32_t lacks =
+      engines_.reading_at(view.name, work, routing::cache_belief::own_sends)
+          .shared_tokens;
+  const bool copy = copies && source != nullptr && lacks >= least_copied;
+  chosen_endpoint out;
+  out.id = view.name;
+  out.address = view.address;
+  if (copy) out.copy_cache_from = source->address;
+  if (is_preferred) {
+    out.belief = routing::cache_belief::preferred_by_all;
+  } else if (copy) {
+    out.belief = routing::cache_belief::after_copy;
+  }
+  out.expected = engines_.predict(view.name, work, out.belief);
+  return out;
 }
 
 std::optional<chosen_endpoint> endpoint_pool::choose_engine(
-    const std::vector<endpoint_view>& open,
-    const routed_request& request) const {
-  const routing::prompt_section* shared = shared_section(request.work);
-  const std::string preferred =
-      shared == nullptr ? "" : preferred_endpoint(open, *shared);
-  std::vector<const endpoint_view*> views;
+    const std::vector<endpoint_view>& open, const routed_request& request,
+    const config::engine_profile& engine) const {
+  const routing::engine_work& work = request.work;
+  const routing::prompt_section* shared = shared_section(work);
+  const preferred_endpoints preferred =
+      shared == nullptr ? preferred_endpoints() : preferred_for(open, *shared);
+  const double prompt = std::max(1U, work.prompt_tokens);
+  std::vector<chosen_endpoint> chosen;
   std::vector<routing::engine_candidate> candidates;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    views.push_back(&it);
-    candidates.push_back(
-        {engines_.predict(it.name, request.work),
-         read_again_share(it.name, request.work, it.name == preferred)});
+    chosen.push_back(weigh(it, work, preferred, engine.moves));
+    const routing::expected_reading reading =
+        engines_.reading_at(it.name, work, chosen.back().belief);
+    candidates.push_back({chosen.back().expected,
+                          reading.shared_tokens / prompt,
+                          reading.copied_tokens / prompt});
   }
   const routing::expectation wanted{
       request.route->latency_objective,
@@ -175,15 +205,14 @@
   const std::optional<std::size_t> best =
       routing::choose_engine(candidates, wanted);
   if (!best) return std::nullopt;
-  return chosen_endpoint{views[*best]->name, views[*best]->address,
-                         candidates[*best].expected};
+  return chosen[*best];
 }
 
 std::optional<chosen_endpoint> endpoint_pool::choose_plain(
     const std::vector<endpoint_view>& open) const {
   const std::optional<endpoint_view> free = routing::choose_endpoint(
       open, {0, {}, region_gateways()}, context_.random);
-  if (free) return chosen_endpoint{free->name, free->address, {}};
+  if (free) return chosen_endpoint{free->name, free->address, {}, {}};
   const auto least =
       std::min_element(open.begin(), open.end(),
                        [](const endpoint_view& a, const endpoint_view& b) {
@@ -192,7 +221,7 @@
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
-  return chosen_endpoint{least->name, least->address, {}};
+  return chosen_endpoint{least->name, least->address, {}, {}};
 }
 
 result<chosen_endpoint> endpoint_pool::choose(
@@ -213,7 +242,8 @@
   }
   const bool engine = service != nullptr && service->engine.has_value();
   const std::optional<chosen_endpoint> chosen =
-      engine ? choose_engine(open, request) : choose_plain(open);
+      engine ? choose_engine(open, request, *service->engine)
+             : choose_plain(open);
   if (chosen) return *chosen;
   return fail(error_kind::overloaded,
               "every endpoint of " + request.service + " in " +
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -62,7 +62,8 @@
   }
   context_.endpoints.request_started(endpoint.id);
   pool_.note_sent(endpoint.id);
-  now.ticket = pool_.engines().begin(endpoint.id, request.work, now.started);
+  now.ticket = pool_.engines().begin(endpoint.id, request.work, now.started,
+                                       endpoint.belief);
   std::function<void()> on_gone = [call = now.call] { call->cancel(); };
   exchange.on_gone(std::move(on_gone));
   attempt out;
@@ -96,7 +97,8 @@
                                      now.endpoint.id,
                                      std::max(remaining, milliseconds(1)),
                                      now.request.route->priority,
-                                     now.request.head.resume_after};
+                                     now.request.head.resume_after,
+                                     now.endpoint.copy_cache_from};
   transport::http_request out = surfaces_.endpoints->encode(in);
   send_result sent = co_await now.call->send(std::move(out), now.answer_by);
   if (sent) now.call->set_deadline(now.request.deadline);
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -32,6 +32,26 @@
   int priority = 0;  // 0 is the most urgent
 };
 
+/// What a gateway may take for cached at an endpoint.
+enum class cache_belief {
+  /// The sections that this gateway sent there itself.
+  own_sends,
+  /// All shared sections, almost surely: every gateway of the region prefers
+  /// this endpoint for them.
+  preferred_by_all,
+  /// All shared sections, once they are copied from another endpoint.
+  after_copy,
+};
+
+/// How much of a prompt an endpoint can be expected to read.
+struct expected_reading {
+  std::uint32_t tokens = 0;
+  /// Those of them that other requests share: somebody read them already.
+  std::uint32_t shared_tokens = 0;
+  /// Tokens that are copied from another endpoint instead.
+  std::uint32_t copied_tokens = 0;
+};
+
 /// Prompt tokens that wait to be read, by priority (0 first).
 using pending_tokens = std::vector<std::uint32_t>;
 
@@ -55,12 +75,17 @@
   std::uint32_t uncached_tokens(const std::string& id,
                                 const engine_work& work) const;
 
+  expected_reading reading_at(const std::string& id, const engine_work& work,
+                              cache_belief belief) const;
+
   /// The course of a request that is sent to `id` now.
-  outlook predict(const std::string& id, const engine_work& work) const;
+  outlook predict(const std::string& id, const engine_work& work,
+                  cache_belief belief = cache_belief::own_sends) const;
 
   /// A request was sent to `id`.
   ticket begin(const std::string& id, const engine_work& work,
-               monotonic_time now);
+               monotonic_time now,
+               cache_belief belief = cache_belief::own_sends);
   /// An event of its answer came; speeds are learned from it.
   void event(ticket request, monotonic_time now);
   /// It ended, whole or not.
--- a/routing/include/trestlepost/routing/engine_choice.h
+++ b/routing/include/trestlepost/routing/engine_choice.h
@@ -15,6 +15,8 @@
   /// Tokens of shared prompt parts that it would read, though another
   /// endpoint has read them, as a share of the whole prompt.
   double read_again = 0;
+  /// Tokens that are copied from another endpoint's cache, likewise.
+  double copied = 0;
 };
 
 /// The best of `all`, or nothing when there are none.
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -17,6 +17,9 @@
 // An endpoint's slowness stays between these.
 constexpr double fastest = 0.3;
 constexpr double slowest = 6;
+// How likely the endpoint that all gateways prefer for a section lacks it:
+// at its first request, after evictions, and when it was passed over.
+constexpr double preferred_lacks_section = 0.1;
 // Until answers were observed.
 constexpr double first_event_ms = 80;
 
@@ -81,14 +84,35 @@
   return work.prompt_tokens - std::min(cached, work.prompt_tokens);
 }
 
-outlook engine_book::predict(const std::string& id,
-                             const engine_work& work) const {
+expected_reading engine_book::reading_at(const std::string& id,
+                                         const engine_work& work,
+                                         cache_belief belief) const {
+  const std::uint32_t uncached = uncached_tokens(id, work);
+  // The last section is the request's own: nobody has read it yet.
+  const std::uint32_t last =
+      work.sections.empty() ? uncached : work.sections.back().tokens;
+  const std::uint32_t own = std::min(uncached, last);
+  const double shared = uncached - own;
+  const double lacking =
+      belief == cache_belief::own_sends ? 1 : preferred_lacks_section;
+  expected_reading out;
+  out.shared_tokens = static_cast<std::uint32_t>(shared * lacking);
+  if (belief == cache_belief::after_copy) {
+    out.copied_tokens =
+        static_cast<std::uint32_t>(shared * (1 - preferred_lacks_section));
+  }
+  out.tokens = own + out.shared_tokens;
+  return out;
+}
+
+outlook engine_book::predict(const std::string& id, const engine_work& work,
+                             cache_belief belief) const {
   const record* it = find(id);
   if (it == nullptr) return {};
   const latency_model& model = model_of(*it);
   const double ahead = tokens_before(it->own, work.priority) +
                        tokens_before(it->others, work.priority);
-  const double own = uncached_tokens(id, work);
+  const double own = reading_at(id, work, belief).tokens;
   const unsigned per_event = std::max(1U, it->declared.tokens_per_event);
   const double events = static_cast<double>(work.output_tokens) / per_event;
   const double event_ms = it->event_ms > 0 ? it->event_ms : first_event_ms;
@@ -102,11 +126,12 @@
 
 engine_book::ticket engine_book::begin(const std::string& id,
                                        const engine_work& work,
-                                       monotonic_time now) {
+                                       monotonic_time now,
+                                       cache_belief belief) {
   const ticket out = next_ticket_++;
   begun one;
   one.endpoint = id;
-  one.tokens = uncached_tokens(id, work);
+  one.tokens = reading_at(id, work, belief).tokens;
   one.priority = work.priority;
   one.at = now;
   const auto found = endpoints_.find(id);
--- a/routing/src/engine_choice.cc
+++ b/routing/src/engine_choice.cc
@@ -4,8 +4,12 @@
 namespace {
 
 // Reading a whole prompt again costs so much of a request's value: the users
-// price it, and it takes the engine's time from those that wait.
-constexpr double read_again_cost = 0.25;
+// price it at about 0.4 of a long request's value, and it takes the engine's
+// time from those that wait.
+constexpr double read_again_cost = 0.45;
+// Copying a whole prompt's cache from another endpoint: the users price it at
+// about a fifth of reading.
+constexpr double copy_cost = 0.09;
 // Among equals the sooner one: a wait as long as the objective costs this.
 constexpr double wait_cost = 0.15;
 
@@ -17,7 +21,7 @@
   const double wait =
       static_cast<double>(it.expected.first_token.count()) / objective;
   return expected_value(it.expected, wanted) - read_again_cost * it.read_again -
-         wait_cost * wait;
+         copy_cost * it.copied - wait_cost * wait;
 }
 
 }  // namespace
--- a/routing/test/engine_book-test.cc
+++ b/routing/test/engine_book-test.cc
@@ -44,6 +44,26 @@
             4500U);
 }
 
+TEST(engine_book_test, the_preferred_endpoint_is_taken_to_have_sections) {
+  const engine_book book = make_book();
+  const engine_work one = work({{1, 500}, {2, 4500}, {3, 1000}}, 6000);
+  const expected_reading unknown =
+      book.reading_at("a", one, cache_belief::own_sends);
+  EXPECT_EQ(unknown.tokens, 6000U);
+  EXPECT_EQ(unknown.shared_tokens, 5000U);
+  const expected_reading preferred =
+      book.reading_at("a", one, cache_belief::preferred_by_all);
+  EXPECT_LT(preferred.shared_tokens, unknown.shared_tokens / 4);
+  EXPECT_EQ(preferred.tokens, 1000U + preferred.shared_tokens);
+}
+
+TEST(engine_book_test, what_waits_at_a_preferred_endpoint_is_its_reading) {
+  engine_book book = make_book();
+  const engine_work one = work({{1, 500}, {2, 4500}, {3, 1000}}, 6000);
+  book.begin("a", one, start, cache_belief::preferred_by_all);
+  EXPECT_LT(book.own_pending().at("a").at(0), 2000U);
+}
+
 TEST(engine_book_test, the_least_recently_used_sections_are_forgotten) {
   engine_book book = make_book(10'000);  // 6000 of them for caches
   book.begin("a", work({{1, 3000}}, 3000), start);
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -22,6 +22,9 @@
   int priority = 0;  // 0 is the most urgent
   /// The stream goes on after this event; empty: from its beginning.
   std::string resume_after;
+  /// "IP:PORT" of an endpoint from which cached parts of the prompt are
+  /// copied before the rest is read; empty: none.
+  std::string copy_cache_from;
 };
 
 struct endpoint_load {
