Tell gateways where prompt parts are cached; count the wait for a slot

Change: heartbeats carry the beginnings of prompts that were sent somewhere anew; a copy comes from the endpoint that lacks least, else from the one that the largest other permitted region prefers (the list of endpoints goes to all gateways whole); requests beyond an endpoint's slots count their wait.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -10,9 +10,11 @@
 
 #include "trestlepost/base/error.h"
 #include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/remote_caches.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/cold_limiter.h"
 #include "trestlepost/routing/engine_book.h"
+#include "trestlepost/routing/engine_choice.h"
 #include "trestlepost/surface/endpoint_codec.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
@@ -26,12 +28,10 @@
   /// The address of an endpoint whose cache has parts of the prompt that this
   /// one lacks; empty: none is known.
   std::string copy_cache_from;
-  /// On what `expected` rests.
-  routing::cache_belief belief = routing::cache_belief::own_sends;
+  /// Prompt tokens that it is expected to read.
+  std::uint32_t read_tokens = 0;
 };
 
-struct preferred_endpoints;
-
 class endpoint_pool {
  public:
   explicit endpoint_pool(gateway_context& context) : context_(context) {}
@@ -71,12 +71,19 @@
       const std::vector<membership::endpoint_view>& open,
       const routed_request& request,
       const config::engine_profile& engine) const;
-  /// What `view` offers; with `copies`, prompt parts that it lacks may come
-  /// from another endpoint's cache.
-  chosen_endpoint weigh(const membership::endpoint_view& view,
-                        const routing::engine_work& work,
-                        const preferred_endpoints& preferred,
-                        bool copies) const;
+  struct prompt_holders;
+  struct weighed_endpoint {
+    chosen_endpoint chosen;
+    routing::engine_candidate candidate;
+  };
+  prompt_holders find_holders(
+      const std::vector<membership::endpoint_view>& open,
+      const routed_request& request) const;
+  /// What `view` offers, with what it may copy from one of `holders`.
+  weighed_endpoint weigh(const membership::endpoint_view& view,
+                         const routing::engine_work& work,
+                         const prompt_holders& holders,
+                         const config::engine_profile& engine) const;
   std::optional<chosen_endpoint> choose_plain(
       const std::vector<membership::endpoint_view>& open) const;
   /// Those of the own region that aren't dead; at least one.
@@ -85,6 +92,7 @@
   gateway_context& context_;
   std::vector<surface::listed_endpoint> listed_;  // of the own region
   std::map<std::string, std::string> zone_of_;    // by endpoint
+  remote_caches remote_caches_;
   std::map<std::string, monotonic_time> cold_until_;
   std::map<std::string, monotonic_time> observed_at_;
   routing::engine_book engines_;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -10,13 +10,6 @@
 
 namespace trestlepost::gateway {
 
-/// The endpoints that all gateways prefer for a section, the best first. The
-/// second one had it before the first came.
-struct preferred_endpoints {
-  const membership::endpoint_view* first = nullptr;
-  const membership::endpoint_view* second = nullptr;
-};
-
 namespace {
 
 using membership::endpoint_view;
@@ -31,6 +24,16 @@
 // Copying fewer tokens than this saves less than asking for it takes: reading
 // them lasts a few milliseconds.
 constexpr std::uint32_t least_copied = 256;
+// From another region the answer comes after a round trip of some 100 ms, in
+// which an engine reads many more.
+constexpr std::uint32_t least_copied_far = 2048;
+// How likely a copy finds what it asks for: the source may have evicted it,
+// and of another region only its gateways' preference is known.
+constexpr double copy_works = 0.9;
+constexpr double remote_copy_works = 0.5;
+// How likely the endpoint that all gateways prefer for a section lacks it when
+// none is known to have it: another gateway may have sent it just now.
+constexpr double preferred_lacks_section = 0.5;
 // The priority for which waits are told: all that waits counts.
 constexpr int least_urgent = 9;
 // What is kept of past cold requests.
@@ -45,25 +48,24 @@
   return &work.sections[n > 1 ? n - 2 : 0];
 }
 
-preferred_endpoints preferred_for(const std::vector<endpoint_view>& open,
-                                  const routing::prompt_section& section) {
-  const std::string key = std::to_string(section.id);
-  preferred_endpoints out;
-  std::uint64_t first_score = 0;
-  std::uint64_t second_score = 0;
+/// The endpoint that all gateways of the region prefer for a section that
+/// none of them is known to have.
+const endpoint_view* preferred_for(const std::vector<endpoint_view>& open,
+                                   const routing::prompt_section& section) {
+  const std::string key = section_key(section);
+  const endpoint_view* best = nullptr;
+  std::uint64_t best_score = 0;
   for (const endpoint_view& it : open) {
     const std::uint64_t score = rendezvous_score(key, it.name);
-    if (out.first == nullptr || score > first_score) {
-      out.second = out.first;
-      second_score = first_score;
-      out.first = &it;
-      first_score = score;
-    } else if (out.second == nullptr || score > second_score) {
-      out.second = &it;
-      second_score = score;
-    }
+    if (best != nullptr && score <= best_score) continue;
+    best = &it;
+    best_score = score;
   }
-  return out;
+  return best;
+}
+
+std::uint32_t share_of_tokens(std::uint32_t tokens, double share) {
+  return static_cast<std::uint32_t>(tokens * share);
 }
 
 }  // namespace
@@ -71,11 +73,15 @@
 void endpoint_pool::learn(const std::vector<surface::listed_endpoint>& listed,
                           const std::map<std::string, std::string>& zones) {
   std::vector<surface::listed_endpoint> own;
+  remote_caches_.clear();
   for (const surface::listed_endpoint& it : listed) {
     const auto zone = zones.find(it.availability_zone);
-    const bool here =
-        zone != zones.end() && zone->second == context_.self.region;
-    if (here) own.push_back(it);
+    if (zone == zones.end()) continue;
+    if (zone->second == context_.self.region) {
+      own.push_back(it);
+    } else if (!it.leaving) {
+      remote_caches_.add(it.service, zone->second, {it.id, it.address});
+    }
   }
   listed_ = std::move(own);
   const monotonic_time now = context_.clock.now();
@@ -155,48 +161,78 @@
   return is_cold_sender(view.name) && cold_.may_send(view.name, bears, now);
 }
 
-chosen_endpoint endpoint_pool::weigh(const endpoint_view& view,
-                                     const routing::engine_work& work,
-                                     const preferred_endpoints& preferred,
-                                     bool copies) const {
-  const bool is_preferred = preferred.first == &view;
-  const endpoint_view* source =
-      is_preferred ? preferred.second : preferred.first;
-  const std::uint32_t lacks =
-      engines_.reading_at(view.name, work, routing::cache_belief::own_sends)
-          .shared_tokens;
-  const bool copy = copies && source != nullptr && lacks >= least_copied;
-  chosen_endpoint out;
-  out.id = view.name;
-  out.address = view.address;
-  if (copy) out.copy_cache_from = source->address;
-  if (is_preferred) {
-    out.belief = routing::cache_belief::preferred_by_all;
-  } else if (copy) {
-    out.belief = routing::cache_belief::after_copy;
+/// Where the prompt's shared sections are, as far as it is known.
+struct endpoint_pool::prompt_holders {
+  const endpoint_view* holder = nullptr;  // the one that lacks least
+  std::uint32_t holder_lacks = 0;
+  const endpoint_view* preferred = nullptr;  // if nobody has them
+  std::string remote_address;                // likewise; may be empty
+};
+
+endpoint_pool::prompt_holders endpoint_pool::find_holders(
+    const std::vector<endpoint_view>& open,
+    const routed_request& request) const {
+  prompt_holders out;
+  const routing::prompt_section* shared = shared_section(request.work);
+  if (shared == nullptr) return out;
+  for (const endpoint_view& it : open) {
+    const std::uint32_t lacks = engines_.uncached(it.name, request.work).shared;
+    const bool better =
+        out.holder == nullptr || lacks < out.holder_lacks ||
+        (lacks == out.holder_lacks && it.load < out.holder->load);
+    if (!better) continue;
+    out.holder = &it;
+    out.holder_lacks = lacks;
+  }
+  if (out.holder_lacks < least_copied) return out;
+  out.preferred = preferred_for(open, *shared);
+  if (out.holder_lacks >= least_copied_far) {
+    out.remote_address =
+        remote_caches_.likely_holder(request.service, *shared, *request.route);
+  }
+  return out;
+}
+
+endpoint_pool::weighed_endpoint endpoint_pool::weigh(
+    const endpoint_view& view, const routing::engine_work& work,
+    const prompt_holders& holders, const config::engine_profile& engine) const {
+  const routing::uncached_prompt lacks = engines_.uncached(view.name, work);
+  weighed_endpoint out;
+  out.chosen.id = view.name;
+  out.chosen.address = view.address;
+  std::uint32_t copied = 0;
+  if (engine.moves && lacks.shared >= holders.holder_lacks + least_copied) {
+    out.chosen.copy_cache_from = holders.holder->address;
+    copied = share_of_tokens(lacks.shared - holders.holder_lacks, copy_works);
+  } else if (engine.moves && !holders.remote_address.empty()) {
+    out.chosen.copy_cache_from = holders.remote_address;
+    copied = share_of_tokens(lacks.shared, remote_copy_works);
   }
-  out.expected = engines_.predict(view.name, work, out.belief);
+  const std::uint32_t read = lacks.shared - copied;
+  out.chosen.read_tokens = lacks.own + read;
+  out.chosen.expected = routing::delayed(
+      engines_.predict(view.name, work, out.chosen.read_tokens),
+      routing::slot_wait(view.load, engine.batch_slots,
+                         engines_.mean_hold(view.service)));
+  const double prompt = std::max(1U, work.prompt_tokens);
+  const double unread =
+      &view == holders.preferred ? preferred_lacks_section : 1;
+  out.candidate = {out.chosen.expected, unread * read / prompt,
+                   copied / prompt};
   return out;
 }
 
 std::optional<chosen_endpoint> endpoint_pool::choose_engine(
     const std::vector<endpoint_view>& open, const routed_request& request,
     const config::engine_profile& engine) const {
-  const routing::engine_work& work = request.work;
-  const routing::prompt_section* shared = shared_section(work);
-  const preferred_endpoints preferred =
-      shared == nullptr ? preferred_endpoints() : preferred_for(open, *shared);
-  const double prompt = std::max(1U, work.prompt_tokens);
+  const prompt_holders holders = find_holders(open, request);
   std::vector<chosen_endpoint> chosen;
   std::vector<routing::engine_candidate> candidates;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    chosen.push_back(weigh(it, work, preferred, engine.moves));
-    const routing::expected_reading reading =
-        engines_.reading_at(it.name, work, chosen.back().belief);
-    candidates.push_back({chosen.back().expected,
-                          reading.shared_tokens / prompt,
-                          reading.copied_tokens / prompt});
+    weighed_endpoint one = weigh(it, request.work, holders, engine);
+    chosen.push_back(std::move(one.chosen));
+    candidates.push_back(one.candidate);
   }
   const routing::expectation wanted{
       request.route->latency_objective,
@@ -205,14 +241,14 @@
   const std::optional<std::size_t> best =
       routing::choose_engine(candidates, wanted);
   if (!best) return std::nullopt;
-  return chosen[*best];
+  return std::move(chosen[*best]);
 }
 
 std::optional<chosen_endpoint> endpoint_pool::choose_plain(
     const std::vector<endpoint_view>& open) const {
   const std::optional<endpoint_view> free = routing::choose_endpoint(
       open, {0, {}, region_gateways()}, context_.random);
-  if (free) return chosen_endpoint{free->name, free->address, {}, {}};
+  if (free) return chosen_endpoint{free->name, free->address, {}, {}, 0};
   const auto least =
       std::min_element(open.begin(), open.end(),
                        [](const endpoint_view& a, const endpoint_view& b) {
@@ -221,7 +257,7 @@
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
-  return chosen_endpoint{least->name, least->address, {}, {}};
+  return chosen_endpoint{least->name, least->address, {}, {}, 0};
 }
 
 result<chosen_endpoint> endpoint_pool::choose(
@@ -268,7 +304,9 @@
     if (!open) continue;
     ++out.endpoints;
     if (!engine) continue;
-    wait += engines_.predict(it.name, probe).wait;
+    wait += engines_.predict(it.name, probe, 0).wait +
+            routing::slot_wait(it.load, known->engine->batch_slots,
+                               engines_.mean_hold(service));
     interval += engines_.event_interval(it.name);
   }
   // The mean, not the least: many gateways act on it before the next one.
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -62,8 +62,8 @@
   }
   context_.endpoints.request_started(endpoint.id);
   pool_.note_sent(endpoint.id);
-  now.ticket = pool_.engines().begin(endpoint.id, request.work, now.started,
-                                       endpoint.belief);
+  now.ticket = pool_.engines().begin(endpoint.id, request.work,
+                                     endpoint.read_tokens, now.started);
   std::function<void()> on_gone = [call = now.call] { call->cancel(); };
   exchange.on_gone(std::move(on_gone));
   attempt out;
@@ -83,7 +83,7 @@
     context_.metrics.served_in(request.service, context_.self.region);
   }
   exchange.on_gone(nullptr);
-  pool_.engines().end(now.ticket);
+  pool_.engines().end(now.ticket, context_.clock.now());
   context_.endpoints.request_ended(endpoint.id);
   out.endpoint = endpoint.id;
   co_return out;
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -10,6 +10,7 @@
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/json.h"
+#include "trestlepost/membership/cached_prefix.h"
 
 namespace trestlepost::membership {
 
@@ -58,6 +59,8 @@
   std::map<std::string, reported_load> reports;
   /// Prompt tokens that wait to be read at each endpoint, by priority.
   std::map<std::string, std::vector<std::uint32_t>> pending_tokens;
+  /// Prompt beginnings that endpoints were sent a moment ago.
+  std::vector<cached_prefix> cached_prefixes;
 };
 
 /// What a relay tells other regions of its own region.
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -78,6 +78,9 @@
     json& list = pending[name] = json(Json::arrayValue);
     for (const std::uint32_t it : tokens) list.append(it);
   }
+  if (!value.cached_prefixes.empty()) {
+    out["cached"] = to_json(value.cached_prefixes);
+  }
   return out;
 }
 
@@ -121,6 +124,7 @@
       }
     }
   }
+  out.cached_prefixes = cached_prefixes_from(member_of(value, "cached"));
   return out;
 }
 
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -174,6 +174,7 @@
     brief.endpoint_in_flight.clear();
     brief.reports.clear();
     brief.pending_tokens.clear();
+    brief.cached_prefixes.clear();
     summary.nodes.push_back(std::move(brief));
   }
   json params;
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -135,10 +135,7 @@
   json params;
   json& endpoints = params["endpoints"] = json(Json::arrayValue);
   for (const listed_endpoint& it : all) {
-    const auto zone = context_.options.zone_regions.find(it.availability_zone);
-    const bool here = zone != context_.options.zone_regions.end() &&
-                      zone->second == context_.self.region;
-    if (here) endpoints.append(to_json(it));
+    endpoints.append(to_json(it));
   }
   for (const membership::node_record* it :
        context_.nodes.other_gateways(context_.self, context_.clock.now())) {
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -63,6 +63,9 @@
   for (const membership::node_record* it :
        context_.nodes.live_in(context_.options.region, context_.clock.now())) {
     if (it->last.node.name == context_.options.node) continue;
+    for (const membership::cached_prefix& told : it->last.cached_prefixes) {
+      pool_.engines().note_prefix(told);
+    }
     for (const auto& [endpoint, tokens] : it->last.pending_tokens) {
       routing::pending_tokens& sum = others[endpoint];
       if (sum.size() < tokens.size()) sum.resize(tokens.size());
@@ -77,6 +80,7 @@
     beat.services[it] = pool_.load_of(it);
   }
   beat.pending_tokens = pool_.engines().own_pending();
+  beat.cached_prefixes = pool_.engines().recent_prefixes(context_.clock.now());
 }
 
 }  // namespace trestlepost::node
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <string>
@@ -12,16 +13,14 @@
 #include <vector>
 
 #include "trestlepost/base/clock.h"
+#include "trestlepost/membership/cached_prefix.h"
 #include "trestlepost/routing/latency_model.h"
 #include "trestlepost/routing/outlook.h"
 
 namespace trestlepost::routing {
 
-/// A run of prompt tokens; prompts that begin alike share their first parts.
-struct prompt_section {
-  std::uint64_t id = 0;
-  std::uint32_t tokens = 0;
-};
+using membership::cached_prefix;
+using membership::prompt_section;
 
 /// The part of a request that decides what it costs an engine.
 struct engine_work {
@@ -32,24 +31,14 @@
   int priority = 0;  // 0 is the most urgent
 };
 
-/// What a gateway may take for cached at an endpoint.
-enum class cache_belief {
-  /// The sections that this gateway sent there itself.
-  own_sends,
-  /// All shared sections, almost surely: every gateway of the region prefers
-  /// this endpoint for them.
-  preferred_by_all,
-  /// All shared sections, once they are copied from another endpoint.
-  after_copy,
-};
+/// What an endpoint lacks of a prompt, in tokens.
+struct uncached_prompt {
+  /// Of the sections that other requests share: somebody read them already.
+  std::uint32_t shared = 0;
+  /// Of the request's own last section.
+  std::uint32_t own = 0;
 
-/// How much of a prompt an endpoint can be expected to read.
-struct expected_reading {
-  std::uint32_t tokens = 0;
-  /// Those of them that other requests share: somebody read them already.
-  std::uint32_t shared_tokens = 0;
-  /// Tokens that are copied from another endpoint instead.
-  std::uint32_t copied_tokens = 0;
+  std::uint32_t total() const { return shared + own; }
 };
 
 /// Prompt tokens that wait to be read, by priority (0 first).
@@ -71,31 +60,36 @@
   /// that stays is kept.
   void declare(const std::vector<endpoint>& endpoints);
 
-  /// Prompt tokens that `id` would have to read: those not cached there.
-  std::uint32_t uncached_tokens(const std::string& id,
-                                const engine_work& work) const;
-
-  expected_reading reading_at(const std::string& id, const engine_work& work,
-                              cache_belief belief) const;
+  /// What `id` lacks of the prompt, as far as this gateway knows.
+  uncached_prompt uncached(const std::string& id,
+                           const engine_work& work) const;
 
-  /// The course of a request that is sent to `id` now.
+  /// The course of a request that is sent to `id` now and reads `tokens`.
   outlook predict(const std::string& id, const engine_work& work,
-                  cache_belief belief = cache_belief::own_sends) const;
+                  std::uint32_t tokens) const;
 
-  /// A request was sent to `id`.
+  /// A request was sent to `id`, which has to read `tokens` for it.
   ticket begin(const std::string& id, const engine_work& work,
-               monotonic_time now,
-               cache_belief belief = cache_belief::own_sends);
+               std::uint32_t tokens, monotonic_time now);
   /// An event of its answer came; speeds are learned from it.
   void event(ticket request, monotonic_time now);
   /// It ended, whole or not.
-  void end(ticket request);
+  void end(ticket request, monotonic_time now);
+
+  /// Mean time for which a request of `service` holds a slot.
+  std::chrono::milliseconds mean_hold(const std::string& service) const;
 
   /// What the other gateways of the region wait for.
   void set_others(std::map<std::string, pending_tokens> by_endpoint);
   /// What this gateway waits for, to tell the others.
   std::map<std::string, pending_tokens> own_pending() const;
 
+  /// Prompt beginnings that were sent to endpoints anew a moment ago, to tell
+  /// the other gateways of the region.
+  std::vector<cached_prefix> recent_prefixes(monotonic_time now) const;
+  /// What another gateway told.
+  void note_prefix(const cached_prefix& told);
+
   /// Mean time between two events of answers at `id`.
   std::chrono::milliseconds event_interval(const std::string& id) const;
 
@@ -125,16 +119,32 @@
     monotonic_time last_event;
   };
 
+  /// What is learned of all endpoints of a service together.
+  struct service_record {
+    latency_model latency;
+    double hold_ms = 0;  // 0: not observed
+  };
+
+  struct announcement {
+    cached_prefix prefix;
+    monotonic_time at;
+  };
+
   const record* find(const std::string& id) const;
   const latency_model& model_of(const record& it) const;
   void first_event(begun& it, record* at, monotonic_time now);
-  void note_cached(record& it, const engine_work& work);
+  /// Tokens of `sections` that were not cached until now.
+  std::uint32_t note_cached(record& it,
+                            const std::vector<prompt_section>& sections);
+  void announce(cached_prefix prefix, monotonic_time now);
   void evict(record& it);
   void forget_pending(const begun& it);
+  void observe_hold(const begun& it, monotonic_time now);
 
   std::map<std::string, record> endpoints_;
-  std::map<std::string, latency_model> models_;  // by service
+  std::map<std::string, service_record> services_;
   std::map<ticket, begun> requests_;
+  std::deque<announcement> announced_;  // the newest last
   ticket next_ticket_ = 1;
 };
 
--- a/routing/include/trestlepost/routing/outlook.h
+++ b/routing/include/trestlepost/routing/outlook.h
@@ -16,6 +16,14 @@
   std::chrono::milliseconds finish{0};
 };
 
+/// The same course, begun later by `wait`.
+outlook delayed(outlook at, std::chrono::milliseconds wait);
+
+/// How long a request waits for one of `slots` when `load` requests run or
+/// wait before it and each holds a slot for `hold`.
+std::chrono::milliseconds slot_wait(double load, unsigned slots,
+                                    std::chrono::milliseconds hold);
+
 /// What the caller and the route ask for.
 struct expectation {
   std::chrono::milliseconds latency_objective{0};
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -17,11 +17,13 @@
 // An endpoint's slowness stays between these.
 constexpr double fastest = 0.3;
 constexpr double slowest = 6;
-// How likely the endpoint that all gateways prefer for a section lacks it:
-// at its first request, after evictions, and when it was passed over.
-constexpr double preferred_lacks_section = 0.1;
+// Beginnings shorter than this are not told: reading them lasts a moment.
+constexpr std::uint32_t least_announced = 1024;
+// Told with each heartbeat for so long, so that a lost one loses nothing.
+constexpr milliseconds announced_for{450};
 // Until answers were observed.
 constexpr double first_event_ms = 80;
+constexpr double first_hold_ms = 1000;
 
 std::size_t slot_of(int priority) {
   return static_cast<std::size_t>(std::clamp(priority, 0, most_priorities - 1));
@@ -57,7 +59,7 @@
         known == endpoints_.end() ? record() : std::move(known->second);
     one.declared = it;
     next.emplace(it.id, std::move(one));
-    models_.try_emplace(it.service);
+    services_.try_emplace(it.service);
   }
   endpoints_ = std::move(next);
 }
@@ -68,51 +70,37 @@
 }
 
 const latency_model& engine_book::model_of(const record& it) const {
-  return models_.at(it.declared.service);
+  return services_.at(it.declared.service).latency;
 }
 
-std::uint32_t engine_book::uncached_tokens(const std::string& id,
-                                           const engine_work& work) const {
+uncached_prompt engine_book::uncached(const std::string& id,
+                                      const engine_work& work) const {
+  uncached_prompt out;
   const record* it = find(id);
-  if (it == nullptr) return work.prompt_tokens;
   std::uint32_t cached = 0;
   for (const prompt_section& section : work.sections) {
     // A section counts only when all before it are cached too.
-    if (!it->cached.contains(section.id)) break;
+    if (it == nullptr || !it->cached.contains(section.id)) break;
     cached += section.tokens;
   }
-  return work.prompt_tokens - std::min(cached, work.prompt_tokens);
-}
-
-expected_reading engine_book::reading_at(const std::string& id,
-                                         const engine_work& work,
-                                         cache_belief belief) const {
-  const std::uint32_t uncached = uncached_tokens(id, work);
+  const std::uint32_t total =
+      work.prompt_tokens - std::min(cached, work.prompt_tokens);
   // The last section is the request's own: nobody has read it yet.
   const std::uint32_t last =
-      work.sections.empty() ? uncached : work.sections.back().tokens;
-  const std::uint32_t own = std::min(uncached, last);
-  const double shared = uncached - own;
-  const double lacking =
-      belief == cache_belief::own_sends ? 1 : preferred_lacks_section;
-  expected_reading out;
-  out.shared_tokens = static_cast<std::uint32_t>(shared * lacking);
-  if (belief == cache_belief::after_copy) {
-    out.copied_tokens =
-        static_cast<std::uint32_t>(shared * (1 - preferred_lacks_section));
-  }
-  out.tokens = own + out.shared_tokens;
+      work.sections.empty() ? total : work.sections.back().tokens;
+  out.own = std::min(total, last);
+  out.shared = total - out.own;
   return out;
 }
 
 outlook engine_book::predict(const std::string& id, const engine_work& work,
-                             cache_belief belief) const {
+                             std::uint32_t tokens) const {
   const record* it = find(id);
   if (it == nullptr) return {};
   const latency_model& model = model_of(*it);
   const double ahead = tokens_before(it->own, work.priority) +
                        tokens_before(it->others, work.priority);
-  const double own = reading_at(id, work, belief).tokens;
+  const double own = tokens;
   const unsigned per_event = std::max(1U, it->declared.tokens_per_event);
   const double events = static_cast<double>(work.output_tokens) / per_event;
   const double event_ms = it->event_ms > 0 ? it->event_ms : first_event_ms;
@@ -126,12 +114,12 @@
 
 engine_book::ticket engine_book::begin(const std::string& id,
                                        const engine_work& work,
-                                       monotonic_time now,
-                                       cache_belief belief) {
+                                       std::uint32_t tokens,
+                                       monotonic_time now) {
   const ticket out = next_ticket_++;
   begun one;
   one.endpoint = id;
-  one.tokens = reading_at(id, work, belief).tokens;
+  one.tokens = tokens;
   one.priority = work.priority;
   one.at = now;
   const auto found = endpoints_.find(id);
@@ -142,7 +130,11 @@
     const std::size_t slot = slot_of(work.priority);
     if (it.own.size() <= slot) it.own.resize(slot + 1);
     it.own[slot] += one.tokens;
-    note_cached(it, work);
+    std::vector<prompt_section> shared = work.sections;
+    if (!shared.empty()) shared.pop_back();
+    const std::uint32_t fresh = note_cached(it, shared);
+    if (fresh >= least_announced) announce({id, std::move(shared)}, now);
+    note_cached(it, work.sections);
   }
   requests_.emplace(out, std::move(one));
   return out;
@@ -168,7 +160,7 @@
   forget_pending(it);
   it.waiting = false;
   if (at == nullptr || it.tokens == 0) return;
-  latency_model& model = models_.at(at->declared.service);
+  latency_model& model = services_.at(at->declared.service).latency;
   const double units = it.tokens + it.ahead;
   const double passed = ms_between(it.at, now);
   const double expected = std::max(1.0, model.predict_ms(units));
@@ -176,13 +168,33 @@
   model.observe(units, passed / at->slowness);
 }
 
-void engine_book::end(ticket request) {
+void engine_book::end(ticket request, monotonic_time now) {
   const auto found = requests_.find(request);
   if (found == requests_.end()) return;
-  if (found->second.waiting) forget_pending(found->second);
+  const begun& it = found->second;
+  if (it.waiting) {
+    forget_pending(it);
+  } else {
+    observe_hold(it, now);
+  }
   requests_.erase(found);
 }
 
+void engine_book::observe_hold(const begun& it, monotonic_time now) {
+  const auto at = endpoints_.find(it.endpoint);
+  if (at == endpoints_.end()) return;
+  double& mean = services_.at(at->second.declared.service).hold_ms;
+  const double passed = ms_between(it.at, now);
+  if (mean <= 0) mean = passed;
+  mix_in(mean, passed);
+}
+
+milliseconds engine_book::mean_hold(const std::string& service) const {
+  const auto it = services_.find(service);
+  const bool observed = it != services_.end() && it->second.hold_ms > 0;
+  return whole_ms(observed ? it->second.hold_ms : first_hold_ms);
+}
+
 void engine_book::forget_pending(const begun& it) {
   const auto at = endpoints_.find(it.endpoint);
   if (at == endpoints_.end()) return;
@@ -191,8 +203,10 @@
   if (slot < own.size()) own[slot] -= std::min(own[slot], it.tokens);
 }
 
-void engine_book::note_cached(record& it, const engine_work& work) {
-  for (const prompt_section& section : work.sections) {
+std::uint32_t engine_book::note_cached(
+    record& it, const std::vector<prompt_section>& sections) {
+  std::uint32_t fresh = 0;
+  for (const prompt_section& section : sections) {
     const auto known = it.cached.find(section.id);
     if (known != it.cached.end()) {
       it.recent.splice(it.recent.begin(), it.recent, known->second.position);
@@ -201,8 +215,31 @@
     it.recent.push_front(section.id);
     it.cached[section.id] = {section.tokens, it.recent.begin()};
     it.cached_tokens += section.tokens;
+    fresh += section.tokens;
   }
   evict(it);
+  return fresh;
+}
+
+void engine_book::announce(cached_prefix prefix, monotonic_time now) {
+  while (!announced_.empty() && announced_.front().at + announced_for < now) {
+    announced_.pop_front();
+  }
+  announced_.push_back({std::move(prefix), now});
+}
+
+std::vector<cached_prefix> engine_book::recent_prefixes(
+    monotonic_time now) const {
+  std::vector<cached_prefix> out;
+  for (const announcement& it : announced_) {
+    if (it.at + announced_for >= now) out.push_back(it.prefix);
+  }
+  return out;
+}
+
+void engine_book::note_prefix(const cached_prefix& told) {
+  const auto it = endpoints_.find(told.endpoint);
+  if (it != endpoints_.end()) note_cached(it->second, told.sections);
 }
 
 void engine_book::evict(record& it) {
--- a/routing/src/outlook.cc
+++ b/routing/src/outlook.cc
@@ -1,6 +1,7 @@
 #include "trestlepost/routing/outlook.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace trestlepost::routing {
 namespace {
@@ -24,6 +25,23 @@
 
 }  // namespace
 
+outlook delayed(outlook at, std::chrono::milliseconds wait) {
+  at.wait += wait;
+  at.first_token += wait;
+  at.finish += wait;
+  return at;
+}
+
+std::chrono::milliseconds slot_wait(double load, unsigned slots,
+                                    std::chrono::milliseconds hold) {
+  const double most = std::max(1U, slots);
+  // Slots that must come free before one is this request's.
+  const double ahead = load + 1 - most;
+  if (ahead <= 0) return std::chrono::milliseconds(0);
+  const double ms = ahead / most * static_cast<double>(hold.count());
+  return std::chrono::milliseconds(static_cast<std::int64_t>(ms));
+}
+
 double expected_value(const outlook& at, const expectation& wanted) {
   const double on_time = chance(at.first_token, wanted.latency_objective,
                                 surely_on_time, surely_late);
--- a/routing/test/outlook-test.cc
+++ b/routing/test/outlook-test.cc
@@ -40,5 +40,20 @@
   RC_ASSERT(now >= 0 && now <= 1);
 }
 
+TEST(outlook_test, a_free_slot_costs_no_wait) {
+  EXPECT_EQ(slot_wait(0, 32, milliseconds(2000)).count(), 0);
+  EXPECT_EQ(slot_wait(31, 32, milliseconds(2000)).count(), 0);
+}
+
+TEST(outlook_test, full_slots_cost_their_share_of_a_requests_time) {
+  EXPECT_EQ(slot_wait(47, 32, milliseconds(2000)).count(), 1000);
+  EXPECT_EQ(slot_wait(63, 32, milliseconds(2000)).count(), 2000);
+  const outlook late = delayed(
+      {milliseconds(1), milliseconds(2), milliseconds(3)}, milliseconds(1000));
+  EXPECT_EQ(late.wait.count(), 1001);
+  EXPECT_EQ(late.first_token.count(), 1002);
+  EXPECT_EQ(late.finish.count(), 1003);
+}
+
 }  // namespace
 }  // namespace trestlepost::routing
