Refuse forwarded heads whose headers are no texts

call_head_from took the members of "headers" for texts. A number or a list there read as some text or threw out of the handler, an odd count lost its last member, and an object in place of the list was read as empty. Only a peer with the secret could send such a head, so callers were never able to.

The headers are read by a function of its own that refuses with bad-input. A head without the member still reads as one without headers.

call_head_test.headers_that_are_no_pairs_of_texts_are_refused failed before (first case read as sound) and passes now.

--- a/surface/src/call_head.cc
+++ b/surface/src/call_head.cc
@@ -38,6 +38,29 @@
   return out;
 }
 
+tl::unexpected<error> unsound_head(const std::string& what) {
+  return fail(error_kind::bad_input, what,
+              "run one version of trestlepostd on all nodes");
+}
+
+/// Names and values in turns, as `to_json` writes them.
+result<transport::header_list> headers_from(const json& value) {
+  transport::header_list out;
+  if (value.isNull()) return out;
+  if (!value.isArray() || value.size() % 2 != 0) {
+    return unsound_head("the headers of a forwarded head are no pairs");
+  }
+  for (Json::ArrayIndex i = 0; i < value.size(); i += 2) {
+    const json& name = value[i];
+    const json& text = value[i + 1];
+    if (!name.isString() || !text.isString()) {
+      return unsound_head("a header of a forwarded head is no text");
+    }
+    out.emplace_back(name.asString(), text.asString());
+  }
+  return out;
+}
+
 }  // namespace
 
 json to_json(const call_head& value) {
@@ -64,16 +87,14 @@
   out.target = text_of(value, "target");
   out.prompt = prompt_from(member_of(value, "prompt"));
   out.resume_after = text_of(value, "resume_after");
-  const json& headers = member_of(value, "headers");
-  for (Json::ArrayIndex i = 0; i + 1 < headers.size(); i += 2) {
-    out.passed_on.emplace_back(headers[i].asString(),
-                               headers[i + 1].asString());
-  }
+  result<transport::header_list> headers =
+      headers_from(member_of(value, "headers"));
+  if (!headers) return tl::make_unexpected(headers.error());
+  out.passed_on = std::move(*headers);
   const bool whole = !out.request_id.empty() && !out.method.empty() &&
                      out.target.starts_with('/');
   if (whole) return out;
-  return fail(error_kind::bad_input, "a forwarded head is incomplete",
-              "run one version of trestlepostd on all nodes");
+  return unsound_head("a forwarded head is incomplete");
 }
 
 }  // namespace trestlepost::surface
--- a/surface/test/call_head-test.cc
+++ b/surface/test/call_head-test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 namespace trestlepost::surface {
 namespace {
 
@@ -44,5 +46,41 @@
   }
 }
 
+struct headers_example {
+  const char* what;
+  const char* headers;
+};
+
+TEST(call_head_test, headers_that_are_no_pairs_of_texts_are_refused) {
+  const std::vector<headers_example> table{
+      {"no list", R"({"X-A":"1"})"},
+      {"a text", R"("X-A")"},
+      {"a number as the name", R"([1,"1"])"},
+      {"a number as the value", R"(["X-A",1])"},
+      {"an object as the value", R"(["X-A",{}])"},
+      {"a list as the name", R"([[],"1"])"},
+      {"null as the value", R"(["X-A",null])"},
+      {"cut inside the second pair", R"(["X-A","1","X-B"])"},
+      {"sound, then unsound", R"(["X-A","1","X-B",[]])"},
+  };
+  for (const headers_example& it : table) {
+    json value = to_json(make_head());
+    value["headers"] = *parse_json(it.headers);
+    const result<call_head> read = call_head_from(value);
+    ASSERT_FALSE(read) << it.what;
+    EXPECT_EQ(read.error().kind, error_kind::bad_input) << it.what;
+    EXPECT_FALSE(read.error().remedy.empty()) << it.what;
+  }
+}
+
+TEST(call_head_test, a_head_without_headers_has_none) {
+  call_head bare = make_head();
+  bare.passed_on.clear();
+  json value = to_json(bare);
+  EXPECT_TRUE(call_head_from(value)->passed_on.empty());
+  value.removeMember("headers");
+  EXPECT_TRUE(call_head_from(value)->passed_on.empty());
+}
+
 }  // namespace
 }  // namespace trestlepost::surface
