The product's own interface implements the abstract surfaces

The callers' interface, the endpoints' requests and the platform's list were read and written inside gateway/ and node/, beside surface/'s interfaces that only platform/ implemented. Two of everything, and the own one could only be tested over sockets.

New package own/: caller_codec, endpoint_codec, entry_codec, directory_codec, and beside them what only the own interface has (options, targets, model calls). incoming_request and forward_message hold the call_head that routed requests have; the forwarded head is checked by call_head_from.

Interfaces, as little as fits both: refusal says no, unknown or yes instead of a flag; an endpoint attempt has an id that may be echoed; readiness is told with the node's state and revision. fake_messages.h moves to surface/test.

Tests of labels, tokens, ids and model calls moved to own/test with all their rows. New tables for input that is cut, oversized, missing or of a wrong type. Two new rows expected that labels with a comma at the end are refused; they always were taken, so the rows were wrong and the test now states that.

Seen by callers: one thing differs. A refusal of GET /v1/entries no longer has an X-Request-Id header without a value. The line platform-list-unreadable now also comes for a list without VMs and has its detail.

--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -4,27 +4,14 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "trestlepost/base/error.h"
+#include "trestlepost/surface/run_state.h"
 #include "trestlepost/transport/http_server.h"
 
 namespace trestlepost::gateway {
 
-/// Whether a request was run by an endpoint.
-enum class run_state { no, unknown, yes };
-
-constexpr std::string_view to_string(run_state state) {
-  switch (state) {
-    case run_state::no:
-      return "no";
-    case run_state::yes:
-      return "yes";
-    case run_state::unknown:
-      break;
-  }
-  return "unknown";
-}
+using surface::run_state;
 
 struct attempt {
   /// The caller got an answer, or at least its beginning: nothing may follow.
@@ -44,10 +31,4 @@
     run_state ran, error cause,
     std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
 
-/// Rounded up, for callers that know whole seconds only.
-std::chrono::seconds whole_seconds(std::chrono::milliseconds n);
-
-/// The HTTP status of a refusal.
-unsigned status_of(error_kind kind);
-
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/entry_handler.h
+++ b/gateway/include/trestlepost/gateway/entry_handler.h
@@ -7,6 +7,8 @@
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/forwarder.h"
 #include "trestlepost/gateway/local_service.h"
+#include "trestlepost/own/call_target.h"
+#include "trestlepost/own/codecs.h"
 #include "trestlepost/routing/placement.h"
 #include "trestlepost/routing/retry_budget.h"
 
@@ -22,23 +24,22 @@
       transport::http_exchange& exchange) override;
 
  private:
-  struct call_target {
-    std::string service;  // empty: the body names it
-    std::string path;     // at the endpoint
-  };
-
-  transport::awaitable<void> answer_entries(transport::http_exchange& exchange);
-  transport::awaitable<void> answer_health(transport::http_exchange& exchange,
-                                           bool readiness);
+  /// Entries, readiness, or that there is no such path.
+  transport::http_answer answer_about_node(
+      const transport::http_exchange& exchange) const;
+  transport::http_answer answer_entries(
+      const transport::http_exchange& exchange,
+      membership::entry_query query) const;
+  surface::node_report report(bool ready) const;
   transport::awaitable<void> answer_call(transport::http_exchange& exchange,
-                                         call_target target);
+                                         own::call_target target);
   transport::awaitable<tl::expected<incoming_request, attempt>> read_request(
-      transport::http_exchange& exchange, call_target target,
+      transport::http_exchange& exchange, own::call_target target,
       const std::string& id);
   result<std::shared_ptr<const config::caller>> authenticate(
       const transport::http_exchange& exchange) const;
   result<void> check_early(const config::caller& caller,
-                           const call_target& target,
+                           const own::call_target& target,
                            const config::label_map& labels) const;
   result<void> check_transit(const routing::placement& placed) const;
   error transit_error(const std::vector<std::string>& permitted) const;
@@ -50,6 +51,8 @@
   gateway_context& context_;
   local_service& local_;
   forwarder& remote_;
+  own::caller_codec callers_;
+  own::entry_codec entries_;
   routing::retry_budget retries_;
   std::uint64_t sequence_ = 0;
 };
--- a/gateway/include/trestlepost/gateway/forward_message.h
+++ b/gateway/include/trestlepost/gateway/forward_message.h
@@ -17,13 +17,10 @@
 inline constexpr char refused_header[] = "Trestlepost-Refused";
 
 struct forward_message {
-  std::string request_id;
+  surface::call_head head;
   std::string caller;
   std::string service;
   config::label_map labels;
-  std::string method;
-  std::string path;
-  std::string content_type;
   bool repeatable = true;
   std::string idempotency_key;
   int priority = 0;
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -1,8 +1,11 @@
 #include "trestlepost/gateway/delivery.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "answer_passing.h"
+#include "trestlepost/own/codecs.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -17,11 +20,11 @@
 constexpr std::size_t buffered_answer = 1024UL * 1024;
 constexpr std::string_view event_stream = "text/event-stream";
 
-http_answer head_of(http_call& call, header_list headers) {
-  http_answer out;
-  out.status = call.status();
-  out.content_type = std::string(call.header("Content-Type"));
-  out.headers = std::move(headers);
+http_answer head_of(const http_call& call, header_list headers) {
+  // Only `not_run` depends on the service.
+  const own::endpoint_codec codec(false);
+  http_answer out = answer_head(call, codec);
+  std::move(headers.begin(), headers.end(), std::back_inserter(out.headers));
   return out;
 }
 
@@ -36,48 +39,6 @@
   return out;
 }
 
-std::chrono::seconds whole_seconds(std::chrono::milliseconds n) {
-  return std::chrono::ceil<std::chrono::seconds>(n);
-}
-
-unsigned status_of(error_kind kind) {
-  switch (kind) {
-    case error_kind::bad_input:
-      return 400;
-    case error_kind::unauthorized:
-      return 401;
-    case error_kind::label_not_allowed:
-    case error_kind::no_matching_rule:
-    case error_kind::not_permitted:
-      return 403;
-    case error_kind::unknown_service:
-    case error_kind::not_found:
-      return 404;
-    case error_kind::conflict:
-    case error_kind::in_progress:
-    case error_kind::outcome_unknown:
-      return 409;
-    case error_kind::key_expired:
-      return 410;
-    case error_kind::too_large:
-      return 413;
-    case error_kind::transit_refused:
-      return 421;
-    case error_kind::mismatch:
-      return 422;
-    case error_kind::overloaded:
-      return 429;
-    case error_kind::endpoint_failed:
-      return 502;
-    case error_kind::deadline:
-      return 504;
-    case error_kind::internal:
-      return 500;
-    default:
-      return 503;
-  }
-}
-
 header_list answer_headers(const std::string& region, run_state ran,
                            const std::string& request_id) {
   return {{"Trestlepost-Region", region},
@@ -91,7 +52,8 @@
   delivery_result out;
   out.outcome.ran = run_state::unknown;
   http_answer answer = head_of(call, std::move(headers));
-  const bool streamed = answer.content_type.starts_with(event_stream);
+  const std::string content_type(call.header("Content-Type"));
+  const bool streamed = content_type.starts_with(event_stream);
   std::string buffered;
   bool first = true;
   while (true) {
@@ -119,7 +81,7 @@
   out.outcome.delivered = true;
   out.outcome.ran = run_state::yes;
   out.answer.status = answer.status;
-  out.answer.content_type = answer.content_type;
+  out.answer.content_type = content_type;
   out.answer.complete = buffered.size() <= ledger::largest_kept_answer;
   if (out.answer.complete) out.answer.body = buffered;
   answer.body = std::move(buffered);
@@ -130,10 +92,9 @@
 awaitable<void> refuse(http_exchange& exchange, const attempt& outcome,
                        const std::string& request_id) {
   if (exchange.answered() || exchange.gone()) co_return;
-  http_answer answer = transport::problem_answer(
-      status_of(outcome.cause.kind), outcome.cause, to_string(outcome.ran),
-      whole_seconds(outcome.retry_after));
-  answer.headers.emplace_back("X-Request-Id", request_id);
+  const surface::refusal why{outcome.cause, outcome.ran, outcome.retry_after,
+                             request_id};
+  http_answer answer = own::caller_codec().refuse(why);
   co_await exchange.respond(std::move(answer));
 }
 
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -5,8 +5,7 @@
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/region_views.h"
-#include "trestlepost/membership/directory.h"
-#include "trestlepost/transport/query.h"
+#include "trestlepost/own/request_options.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -15,31 +14,6 @@
 using transport::awaitable;
 using transport::http_answer;
 using transport::http_exchange;
-using transport::query_value;
-
-constexpr std::string_view services_prefix = "/v1/services/";
-constexpr std::string_view entries_path = "/v1/entries";
-
-std::string_view path_of(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
-/// Undoes percent encoding, as far as labels need it.
-std::string decode_query(std::string_view text) {
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '%' && i + 2 < text.size()) {
-      constexpr int hexadecimal = 16;
-      const std::string digits(text.substr(i + 1, 2));
-      out +=
-          static_cast<char>(std::strtol(digits.c_str(), nullptr, hexadecimal));
-      i += 2;
-    } else {
-      out += text[i];
-    }
-  }
-  return out;
-}
 
 /// Whether another attempt elsewhere may do better.
 bool worth_another_attempt(error_kind kind) {
@@ -58,68 +32,48 @@
 
 awaitable<void> entry_handler::handle(http_exchange& exchange) {
   const std::string target(exchange.target());
-  const std::string path(path_of(target));
-  if (path == "/healthz" || path == "/readyz") {
-    co_await answer_health(exchange, path == "/readyz");
-    co_return;
-  }
-  if (path == entries_path) {
-    co_await answer_entries(exchange);
+  std::optional<own::call_target> call =
+      own::read_target(exchange.method(), target);
+  if (call) {
+    co_await answer_call(exchange, std::move(*call));
     co_return;
   }
-  const bool model_call =
-      path == "/v1/chat/completions" || path == "/v1/completions";
-  if (model_call && exchange.method() == "POST") {
-    call_target call{"", path};
-    co_await answer_call(exchange, std::move(call));
-    co_return;
+  http_answer answer = answer_about_node(exchange);
+  co_await exchange.respond(std::move(answer));
+}
+
+http_answer entry_handler::answer_about_node(
+    const http_exchange& exchange) const {
+  const std::string_view method = exchange.method();
+  const std::string_view target = exchange.target();
+  const std::optional<membership::entry_query> query =
+      entries_.read_query(method, target);
+  if (query) return answer_entries(exchange, *query);
+  if (entries_.asks_readiness(method, target)) {
+    return entries_.show_readiness(report(context_.state.serves_callers()));
   }
-  if (path.starts_with(services_prefix)) {
-    const std::string rest = target.substr(services_prefix.size());
-    const std::size_t slash = rest.find('/');
-    if (slash != std::string::npos && slash > 0) {
-      call_target call{rest.substr(0, slash), rest.substr(slash)};
-      co_await answer_call(exchange, std::move(call));
-      co_return;
-    }
+  if (entries_.asks_health(target)) {
+    return entries_.show_readiness(report(true));
   }
-  error unknown{error_kind::not_found, "there is no such path",
-                "use /v1/entries, /v1/chat/completions, /v1/completions or "
-                "/v1/services/{service}/{path}"};
-  http_answer answer =
-      transport::problem_answer(404, unknown, "no", seconds(0));
-  co_await exchange.respond(std::move(answer));
+  return entries_.refuse(
+      {error_kind::not_found, "there is no such path",
+       "use /v1/entries, /v1/chat/completions, /v1/completions or "
+       "/v1/services/{service}/{path}"});
 }
 
-awaitable<void> entry_handler::answer_health(http_exchange& exchange,
-                                             bool readiness) {
-  http_answer answer;
-  const bool ok = !readiness || context_.state.serves_callers();
-  answer.status = ok ? 200 : 503;
-  json body;
-  body["state"] = context_.state.name();
-  body["revision"] = as_number(context_.store.revision());
-  answer.body = to_text(body);
-  co_await exchange.respond(std::move(answer));
+surface::node_report entry_handler::report(bool ready) const {
+  return {ready, context_.state.name(), context_.store.revision()};
 }
 
-awaitable<void> entry_handler::answer_entries(http_exchange& exchange) {
-  membership::entry_query query;
-  query.near_region = std::string(query_value(exchange.target(), "region"));
+http_answer entry_handler::answer_entries(const http_exchange& exchange,
+                                          membership::entry_query query) const {
   if (query.near_region.empty()) query.near_region = context_.self.region;
-  query.near_zone =
-      std::string(query_value(exchange.target(), "availability_zone"));
   if (query.near_zone.empty()) {
     query.near_zone = context_.self.availability_zone;
   }
-  const std::string labels =
-      decode_query(query_value(exchange.target(), "labels"));
-  const result<config::label_map> asked = parse_labels(labels);
-  if (!asked) {
-    const attempt refused = failed_attempt(run_state::no, asked.error());
-    co_await refuse(exchange, refused, "");
-    co_return;
-  }
+  const result<config::label_map> asked =
+      entries_.read_labels(exchange.target());
+  if (!asked) return entries_.refuse(asked.error());
   // Entries that would have to refuse the request in transit are left out.
   const result<std::shared_ptr<const config::caller>> caller =
       authenticate(exchange);
@@ -130,27 +84,15 @@
       if (!refused) query.allowed_regions.push_back(name);
     }
   }
-  json body;
-  json& entries = body["entries"] = json(Json::arrayValue);
-  for (const membership::entry_view& it :
-       membership::rank_entries(context_.nodes, query, context_.clock.now())) {
-    json one;
-    one["node"] = it.node;
-    one["address"] = it.address;
-    one["region"] = it.region;
-    one["availability_zone"] = it.availability_zone;
-    one["state"] = it.state;
-    entries.append(std::move(one));
-  }
-  body["valid_for_ms"] = as_number(context_.options.directory_lifetime);
-  http_answer answer;
-  answer.body = to_text(body);
-  co_await exchange.respond(std::move(answer));
+  return entries_.show_entries(
+      membership::rank_entries(context_.nodes, query, context_.clock.now()),
+      context_.options.directory_lifetime);
 }
 
 result<std::shared_ptr<const config::caller>> entry_handler::authenticate(
     const http_exchange& exchange) const {
-  const std::string_view token = bearer_token(exchange.header("Authorization"));
+  const std::string_view token =
+      own::bearer_token(exchange.header("Authorization"));
   std::shared_ptr<const config::caller> caller;
   if (!token.empty()) {
     caller = context_.store.caller_with_token(sha256_hex(token));
@@ -187,7 +129,7 @@
 }
 
 result<void> entry_handler::check_early(const config::caller& caller,
-                                        const call_target& target,
+                                        const own::call_target& target,
                                         const config::label_map& labels) const {
   const routing::placement_inputs inputs = routing::inputs_of(context_.store);
   if (!target.service.empty()) {
@@ -214,9 +156,8 @@
 }
 
 awaitable<tl::expected<incoming_request, attempt>> entry_handler::read_request(
-    http_exchange& exchange, call_target target, const std::string& id) {
+    http_exchange& exchange, own::call_target target, const std::string& id) {
   incoming_request out;
-  out.id = id;
   const auto refused = [](const error& cause) {
     return tl::make_unexpected(failed_attempt(run_state::no, cause));
   };
@@ -232,14 +173,16 @@
   const result<std::shared_ptr<const config::caller>> caller =
       authenticate(exchange);
   if (!caller) co_return refused(caller.error());
-  const result<request_options> options = read_options(exchange);
+  const result<own::request_options> options = own::read_options(exchange);
   if (!options) co_return refused(options.error());
+  result<surface::call_head> head = callers_.read_head(exchange);
+  if (!head) co_return refused(head.error());
   const result<void> early = check_early(**caller, target, options->labels);
   if (!early) co_return refused(early.error());
   result<std::string> body = co_await exchange.read_body();
   if (!body) co_return refused(body.error());
   if (target.service.empty()) {
-    const result<model_call> call = read_model_call(*body);
+    const result<own::model_call> call = own::read_model_call(*body);
     if (!call) co_return refused(call.error());
     target.service = call->model;
     out.affinity = call->affinity;
@@ -253,22 +196,22 @@
   }
   out.caller = *caller;
   out.labels = options->labels;
-  out.method = std::string(exchange.method());
-  out.path = target.path;
-  out.content_type = std::string(exchange.header("Content-Type"));
+  out.head = std::move(*head);
+  out.head.request_id = id;
+  out.head.target = target.path;
   out.body = std::move(*body);
   out.repeatable = options->repeatable.value_or(out.service->repeatable);
   out.idempotency_key = options->idempotency_key;
   out.priority = options->priority;
   out.deadline =
-      context_.clock.now() + options->deadline.value_or(out.service->timeout);
+      context_.clock.now() + out.head.patience.value_or(out.service->timeout);
   co_return out;
 }
 
 awaitable<void> entry_handler::answer_call(http_exchange& exchange,
-                                           call_target target) {
+                                           own::call_target target) {
   const monotonic_time started = context_.clock.now();
-  std::string id = sound_request_id(exchange.header("X-Request-Id"));
+  std::string id = own::sound_request_id(exchange.header("X-Request-Id"));
   if (id.empty()) id = make_request_id(context_.random);
   tl::expected<incoming_request, attempt> request =
       co_await read_request(exchange, std::move(target), id);
--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "trestlepost/base/hash.h"
+#include "trestlepost/own/codecs.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -16,9 +17,8 @@
 awaitable<void> refuse_forward(http_exchange& exchange,
                                const attempt& outcome) {
   if (exchange.answered() || exchange.gone()) co_return;
-  transport::http_answer answer = transport::problem_answer(
-      status_of(outcome.cause.kind), outcome.cause, to_string(outcome.ran),
-      whole_seconds(outcome.retry_after));
+  const surface::refusal why{outcome.cause, outcome.ran, outcome.retry_after};
+  transport::http_answer answer = own::caller_codec().refuse(why);
   answer.headers.emplace_back(refused_header, "true");
   result<json> body = parse_json(answer.body);
   if (body && !outcome.endpoint.empty()) {
@@ -70,7 +70,7 @@
                 "send it again after Retry-After");
   }
   incoming_request out;
-  out.id = message.request_id;
+  out.head = message.head;
   out.caller = context_.store.find_caller(message.caller);
   out.service = context_.store.find_service(message.service);
   if (!out.caller || !out.service) {
@@ -79,9 +79,6 @@
                 "run `trestlepost get callers` and `trestlepost get services`");
   }
   out.labels = message.labels;
-  out.method = message.method;
-  out.path = message.path;
-  out.content_type = message.content_type;
   out.body = std::move(body);
   out.repeatable = message.repeatable;
   out.idempotency_key = message.idempotency_key;
--- a/gateway/src/forward_message.cc
+++ b/gateway/src/forward_message.cc
@@ -1,19 +1,18 @@
 #include "trestlepost/gateway/forward_message.h"
 
+#include <utility>
+
 #include "trestlepost/base/hash.h"
 
 namespace trestlepost::gateway {
 
 json to_json(const forward_message& value) {
   json out;
-  out["request_id"] = value.request_id;
+  out["head"] = surface::to_json(value.head);
   out["caller"] = value.caller;
   out["service"] = value.service;
   json& labels = out["labels"] = json(Json::objectValue);
   for (const auto& [key, it] : value.labels) labels[key] = it;
-  out["method"] = value.method;
-  out["path"] = value.path;
-  out["content_type"] = value.content_type;
   out["repeatable"] = value.repeatable;
   out["idempotency_key"] = value.idempotency_key;
   out["priority"] = static_cast<unsigned>(value.priority);
@@ -32,8 +31,11 @@
   const result<json> parsed = parse_json(text);
   if (!parsed) return tl::make_unexpected(parsed.error());
   const json& value = *parsed;
+  result<surface::call_head> head =
+      surface::call_head_from(member_of(value, "head"));
+  if (!head) return tl::make_unexpected(head.error());
   forward_message out;
-  out.request_id = text_of(value, "request_id");
+  out.head = std::move(*head);
   out.caller = text_of(value, "caller");
   out.service = text_of(value, "service");
   const json& labels = member_of(value, "labels");
@@ -42,9 +44,6 @@
       out.labels[key] = text_of(labels, key.c_str());
     }
   }
-  out.method = text_of(value, "method");
-  out.path = text_of(value, "path");
-  out.content_type = text_of(value, "content_type");
   out.repeatable = flag_of(value, "repeatable");
   out.idempotency_key = text_of(value, "idempotency_key");
   out.priority = static_cast<int>(number_of(value, "priority"));
@@ -56,9 +55,7 @@
   out.revision = number_of(value, "revision");
   out.sent_at =
       from_unix_ms(static_cast<std::int64_t>(number_of(value, "sent_at")));
-  const bool whole = !out.caller.empty() && !out.service.empty() &&
-                     !out.method.empty() && out.path.starts_with('/');
-  if (!whole) {
+  if (out.caller.empty() || out.service.empty()) {
     return fail(error_kind::bad_input, "a forwarded request is incomplete",
                 "run one version of trestlepostd on all nodes");
   }
--- a/gateway/src/forwarder.cc
+++ b/gateway/src/forwarder.cc
@@ -26,13 +26,10 @@
                              std::set<std::string> avoid,
                              const gateway_context& context) {
   forward_message out;
-  out.request_id = request.id;
+  out.head = request.head;
   out.caller = request.caller->name;
   out.service = request.service->name;
   out.labels = request.labels;
-  out.method = request.method;
-  out.path = request.path;
-  out.content_type = request.content_type;
   out.repeatable = request.repeatable;
   out.idempotency_key = request.idempotency_key;
   out.priority = request.priority;
@@ -119,7 +116,7 @@
     co_return read_refusal(body ? *body : "{}", call->header("Retry-After"));
   }
   transport::header_list headers =
-      answer_headers(region, run_state::yes, request.id);
+      answer_headers(region, run_state::yes, request.head.request_id);
   if (!call->header("Trestlepost-Replayed").empty()) {
     headers.emplace_back("Trestlepost-Replayed", "true");
   }
--- a/gateway/src/local_service.cc
+++ b/gateway/src/local_service.cc
@@ -5,6 +5,7 @@
 
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/region_views.h"
+#include "trestlepost/own/codecs.h"
 #include "trestlepost/routing/placement.h"
 
 namespace trestlepost::gateway {
@@ -18,7 +19,6 @@
 
 // A claim without outcome is unknown this long after the request's deadline.
 constexpr milliseconds claim_grace{2000};
-constexpr unsigned service_unavailable = 503;
 
 seconds round_up(milliseconds n) {
   return std::chrono::ceil<seconds>(std::max(n, milliseconds(1)));
@@ -208,7 +208,7 @@
     http_exchange& exchange) {
   if (decided.verdict == claim_verdict::replay && decided.answer) {
     co_return co_await replay(exchange, *decided.answer, context_.self.region,
-                              request.id);
+                              request.head.request_id);
   }
   co_return refused_by_ledger(decided);
 }
@@ -250,7 +250,7 @@
                      failure.cause, seconds(1));
   out.outcome.endpoint = endpoint;
   log_event(log_level::warn, "endpoint-failed",
-            {{"request_id", request.id},
+            {{"request_id", request.head.request_id},
              {"endpoint", endpoint},
              {"detail", failure.cause.message}});
   return out;
@@ -271,24 +271,18 @@
       context_.client.call(lease->address());
   // What must not run twice is left to end, so that its outcome is known.
   if (request.repeatable) exchange.on_gone([call] { call->cancel(); });
-  transport::http_request out;
-  out.method = request.method;
-  out.target = request.path;
-  out.headers = {{"X-Request-Id", request.id},
-                 {"Trestlepost-Attempt", attempt_id},
-                 {"Trestlepost-Priority", std::to_string(request.priority)}};
-  if (!request.content_type.empty()) {
-    out.headers.emplace_back("Content-Type", request.content_type);
-  }
-  if (!request.idempotency_key.empty()) {
-    out.headers.emplace_back("Idempotency-Key", request.idempotency_key);
-  }
-  out.body = request.body;
+  const own::endpoint_codec codec(request.service->refusal_means_not_run);
+  const surface::endpoint_attempt sending{.head = request.head,
+                                          .body = request.body,
+                                          .endpoint_id = lease->name(),
+                                          .priority = request.priority,
+                                          .attempt_id = attempt_id};
+  transport::http_request out = codec.encode(sending);
   const tl::expected<void, transport::call_failure> sent =
       co_await call->send(std::move(out), request.deadline);
   if (!sent) co_return send_failed(request, lease->name(), sent.error());
-  const std::string_view echoed = call->header("Trestlepost-Attempt");
-  if (!echoed.empty() && echoed != attempt_id) {
+  const surface::endpoint_answer said = codec.read_head(*call);
+  if (!said.attempt_id.empty() && said.attempt_id != attempt_id) {
     call->cancel();
     transport::call_failure crossed;
     crossed.cause = {error_kind::endpoint_failed,
@@ -297,8 +291,7 @@
     crossed.bytes_written = true;
     co_return send_failed(request, lease->name(), crossed);
   }
-  if (call->status() == service_unavailable &&
-      request.service->refusal_means_not_run) {
+  if (said.not_run) {
     call->cancel();
     context_.endpoints.request_failed(lease->name(), context_.clock.now());
     delivery_result refused;
@@ -311,8 +304,8 @@
     co_return refused;
   }
   const std::string service = request.service->name;
-  transport::header_list headers =
-      answer_headers(context_.self.region, run_state::yes, request.id);
+  transport::header_list headers = answer_headers(
+      context_.self.region, run_state::yes, request.head.request_id);
   // Named, because g++ 12 destroys a closure in an awaited call twice.
   std::function<void()> on_first = [this, started, service] {
     context_.metrics.first_piece(service, context_.clock.now() - started);
--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -2,6 +2,7 @@
 
 #include "trestlepost/base/json.h"
 #include "trestlepost/gateway/forward_message.h"
+#include "trestlepost/own/codecs.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -25,7 +26,7 @@
   body["endpoint"] = outcome.endpoint;
   body["sends"] = outcome.sends;
   transport::http_answer out;
-  out.status = status_of(outcome.cause.kind);
+  out.status = own::status_of(outcome.cause.kind);
   out.headers.emplace_back(refused_header, "true");
   out.body = to_text(body);
   return out;
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -142,8 +142,8 @@
                                       const std::string& request_id,
                                       http_exchange& exchange) {
   if (exchange.answered() || exchange.gone()) co_return;
-  const surface::refusal why{outcome.cause, outcome.ran != run_state::no,
-                             outcome.retry_after, request_id};
+  const surface::refusal why{outcome.cause, outcome.ran, outcome.retry_after,
+                             request_id};
   transport::http_answer answer = surfaces_.callers->refuse(why);
   co_await exchange.respond(std::move(answer));
 }
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -57,9 +57,10 @@
       surface_->asks_readiness(exchange.method(), exchange.target());
   http_answer out;
   if (asked && body) {
-    const bool ready =
-        context_.state.serves_callers() && context_.store.plan() != nullptr;
-    out = surface_->show_readiness(ready);
+    const surface::node_report report{
+        context_.state.serves_callers() && context_.store.plan() != nullptr,
+        context_.state.name(), context_.store.revision()};
+    out = surface_->show_readiness(report);
   } else {
     out = unknown_call(*surface_);
   }
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -8,7 +8,7 @@
 
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
-#include "trestlepost/gateway/request.h"
+#include "trestlepost/own/request_options.h"
 
 namespace trestlepost::node {
 namespace {
@@ -412,7 +412,7 @@
                 "list them with `trestlepost get`");
   }
   const result<config::label_map> labels =
-      gateway::parse_labels(text_of(params, "labels"));
+      own::parse_labels(text_of(params, "labels"));
   if (!labels) return tl::make_unexpected(labels.error());
   const result<routing::placement> placed = routing::place(
       routing::inputs_of(context_.store), *caller, *service, *labels);
@@ -450,7 +450,7 @@
 result<rpc_context> operator_service::authenticate(
     const transport::http_exchange& exchange) const {
   const std::string given =
-      sha256_hex(gateway::bearer_token(exchange.header("Authorization")));
+      sha256_hex(own::bearer_token(exchange.header("Authorization")));
   for (const operator_account& it : context_.options.operators) {
     if (it.token_sha256 == given) return rpc_context{it.name, it.role};
   }
--- a/node/src/probe_service.cc
+++ b/node/src/probe_service.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
@@ -62,23 +63,21 @@
 awaitable<void> probe_service::read_platform_list() {
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(context_.options.platform_address);
-  transport::http_request request;
-  request.method = "GET";
-  request.target = "/v1/vms";
-  const tl::expected<void, transport::call_failure> sent =
-      co_await call->send(request, context_.clock.now() + probe_timeout);
+  transport::http_request request = directory_.page_request("");
+  const tl::expected<void, transport::call_failure> sent = co_await call->send(
+      std::move(request), context_.clock.now() + probe_timeout);
   if (!sent) co_return;
   const result<std::string> body = co_await call->read_rest(largest_report);
   if (!body) co_return;
-  const result<json> parsed = parse_json(*body);
-  if (!parsed) {
-    log_event(log_level::warn, "platform-list-unreadable");
+  const result<surface::endpoint_page> page = directory_.read_page(*body);
+  if (!page) {
+    log_event(log_level::warn, "platform-list-unreadable",
+              {{"detail", page.error().message}});
     co_return;
   }
   const monotonic_time now = context_.clock.now();
-  for (const json& it : member_of(*parsed, "vms")) {
-    context_.endpoints.platform_listed(text_of(it, "address"),
-                                       text_of(it, "state") == "leaving", now);
+  for (const surface::listed_endpoint& it : page->endpoints) {
+    context_.endpoints.platform_listed(it.address, it.leaving, now);
   }
 }
 
--- a/node/src/probe_service.h
+++ b/node/src/probe_service.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "node_context.h"
+#include "trestlepost/own/codecs.h"
 
 namespace trestlepost::node {
 
@@ -25,6 +26,7 @@
   bool is_prober_of(const std::string& endpoint) const;
 
   node_context& context_;
+  own::directory_codec directory_;
   std::map<std::string, membership::reported_load> reports_;
   monotonic_time next_load_;
   monotonic_time next_platform_;
--- /dev/null
+++ b/own/src/headers.h
@@ -0,0 +1,43 @@
+// Header names and limits that callers are told of (docs/INTERFACES.md).
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "trestlepost/base/error.h"
+
+namespace trestlepost::own {
+
+namespace headers {
+inline constexpr char request_id[] = "X-Request-Id";
+inline constexpr char content_type[] = "Content-Type";
+inline constexpr char idempotency_key[] = "Idempotency-Key";
+inline constexpr char labels[] = "Trestlepost-Labels";
+inline constexpr char repeatable[] = "Trestlepost-Repeatable";
+inline constexpr char priority[] = "Trestlepost-Priority";
+inline constexpr char deadline[] = "Trestlepost-Deadline-Ms";
+inline constexpr char attempt[] = "Trestlepost-Attempt";
+}  // namespace headers
+
+/// A whole number from `least` to `most`, or nothing.
+inline std::optional<std::int64_t> read_number(std::string_view text,
+                                               std::int64_t least,
+                                               std::int64_t most) {
+  std::int64_t n = 0;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result read = std::from_chars(text.data(), end, n);
+  const bool whole = read.ec == std::errc() && read.ptr == end;
+  if (!whole || n < least || n > most) return std::nullopt;
+  return n;
+}
+
+inline tl::unexpected<error> bad_header(std::string_view name,
+                                        std::string_view remedy) {
+  return fail(error_kind::bad_input,
+              "the header " + std::string(name) + " is not understood",
+              std::string(remedy));
+}
+
+}  // namespace trestlepost::own
--- /dev/null
+++ b/own/test/endpoint_codec-test.cc
@@ -0,0 +1,90 @@
+// What endpoints are sent, and what their answers say.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "fake_messages.h"
+#include "trestlepost/own/codecs.h"
+
+namespace trestlepost::own {
+namespace {
+
+using surface::test::fake_call;
+
+TEST(endpoint_codec_test, an_attempt_names_request_attempt_and_priority) {
+  surface::call_head head;
+  head.request_id = "r-1";
+  head.method = "PUT";
+  head.target = "/x/1?q";
+  head.passed_on = {{"Content-Type", "text/plain"}, {"Idempotency-Key", "k"}};
+  const std::string body = "body";
+  const transport::http_request out =
+      endpoint_codec(false).encode({.head = head,
+                                    .body = body,
+                                    .endpoint_id = "e",
+                                    .priority = 3,
+                                    .attempt_id = "a-1"});
+  EXPECT_EQ(out.method, "PUT");
+  EXPECT_EQ(out.target, "/x/1?q");
+  EXPECT_EQ(out.body, "body");
+  const transport::header_list expected{{"X-Request-Id", "r-1"},
+                                        {"Trestlepost-Attempt", "a-1"},
+                                        {"Trestlepost-Priority", "3"},
+                                        {"Content-Type", "text/plain"},
+                                        {"Idempotency-Key", "k"}};
+  EXPECT_EQ(out.headers, expected);
+}
+
+struct answer_example {
+  const char* what;
+  unsigned status;
+  transport::header_list headers;
+  bool refusal_means_not_run;
+  bool not_run;
+  const char* attempt_id;
+};
+
+TEST(endpoint_codec_test, only_a_service_that_says_so_refuses_by_503) {
+  const transport::header_list none;
+  const std::vector<answer_example> table{
+      {"an answer", 200, none, true, false, ""},
+      {"a refusal", 503, none, true, true, ""},
+      {"a failure", 503, none, false, false, ""},
+      {"an error", 500, none, true, false, ""},
+      {"too many", 429, none, true, false, ""},
+      {"no status", 0, none, true, false, ""},
+      {"an echo", 200, {{"trestlepost-attempt", "a-1"}}, false, false, "a-1"},
+      {"an empty echo", 200, {{"Trestlepost-Attempt", ""}}, false, false, ""},
+      {"a refusal of another request", 503, {{"Trestlepost-Attempt", "a-2"}},
+       true, true, "a-2"},
+      {"oversized", 200, {{"Trestlepost-Attempt", "aaaaaaaaaaaaaaaaaaaaaaaaa"}},
+       false, false, "aaaaaaaaaaaaaaaaaaaaaaaaa"},
+  };
+  for (const answer_example& it : table) {
+    fake_call call;
+    call.status_code = it.status;
+    call.all = it.headers;
+    const surface::endpoint_answer read =
+        endpoint_codec(it.refusal_means_not_run).read_head(call);
+    EXPECT_EQ(read.not_run, it.not_run) << it.what;
+    EXPECT_FALSE(read.other_endpoint) << it.what;
+    EXPECT_EQ(read.attempt_id, it.attempt_id) << it.what;
+    EXPECT_FALSE(read.load) << it.what;
+    EXPECT_FALSE(read.cold_left) << it.what;
+  }
+}
+
+TEST(endpoint_codec_test, only_the_type_of_an_answer_goes_back) {
+  fake_call call;
+  call.all = {{"X-Other", "1"},
+              {"Content-Type", "text/event-stream"},
+              {"Trestlepost-Replayed", "true"},
+              {"Trestlepost-Region", "forged"},
+              {"Connection", "close"}};
+  const transport::header_list expected{{"Content-Type", "text/event-stream"}};
+  EXPECT_EQ(endpoint_codec(false).passed_back(call), expected);
+  EXPECT_TRUE(endpoint_codec(false).passed_back(fake_call()).empty());
+}
+
+}  // namespace
+}  // namespace trestlepost::own
--- /dev/null
+++ b/own/test/request_options-test.cc
@@ -0,0 +1,103 @@
+// What callers ask for beside the head.
+#include "trestlepost/own/request_options.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "fake_messages.h"
+
+namespace trestlepost::own {
+namespace {
+
+using surface::test::fake_exchange;
+
+TEST(parse_labels_test, reads_pairs_and_refuses_the_rest) {
+  EXPECT_EQ(parse_labels("a=1, b=2")->at("b"), "2");
+  EXPECT_TRUE(parse_labels("")->empty());
+  EXPECT_EQ(parse_labels("a=1,")->size(), 1U);  // as it always was
+  for (const char* it : {"a", "=1", "a=", "a=1,,b=2", "a=1,a=2", ","}) {
+    EXPECT_FALSE(parse_labels(it)) << it;
+  }
+}
+
+TEST(bearer_token_test, takes_only_its_scheme) {
+  EXPECT_EQ(bearer_token("Bearer abc"), "abc");
+  EXPECT_EQ(bearer_token("Basic abc"), "");
+  EXPECT_EQ(bearer_token("Bearer"), "");
+  EXPECT_EQ(bearer_token("Bearer "), "");
+  EXPECT_EQ(bearer_token(""), "");
+}
+
+TEST(sound_request_id_test, drops_what_could_harm_a_log) {
+  EXPECT_EQ(sound_request_id("a-1_b.c"), "a-1_b.c");
+  EXPECT_EQ(sound_request_id("a\nb"), "");
+  EXPECT_EQ(sound_request_id(std::string(200, 'a')), "");
+}
+
+TEST(read_options_test, reads_all_of_them) {
+  fake_exchange asked;
+  asked.all = {{"Trestlepost-Labels", "a=1"},
+               {"Trestlepost-Repeatable", "false"},
+               {"Idempotency-Key", "k"},
+               {"Trestlepost-Priority", "9"}};
+  const result<request_options> options = read_options(asked);
+  ASSERT_TRUE(options);
+  EXPECT_EQ(options->labels.at("a"), "1");
+  EXPECT_EQ(options->repeatable, false);
+  EXPECT_EQ(options->idempotency_key, "k");
+  EXPECT_EQ(options->priority, 9);
+}
+
+TEST(read_options_test, none_of_them_is_needed) {
+  const result<request_options> options = read_options(fake_exchange());
+  ASSERT_TRUE(options);
+  EXPECT_TRUE(options->labels.empty());
+  EXPECT_FALSE(options->repeatable);
+  EXPECT_EQ(options->idempotency_key, "");
+  EXPECT_EQ(options->priority, 0);
+}
+
+struct bad_example {
+  const char* name;
+  std::string text;
+};
+
+TEST(read_options_test, what_is_not_understood_is_refused_by_name) {
+  const std::vector<bad_example> table{
+      {"Trestlepost-Labels", "a"},
+      {"Trestlepost-Labels", ",a=1"},
+      {"Trestlepost-Labels", "a=1,,b=2"},
+      {"Trestlepost-Labels", "a=1,a=2"},
+      {"Trestlepost-Repeatable", "yes"},
+      {"Trestlepost-Repeatable", "TRUE"},
+      {"Trestlepost-Repeatable", "1"},
+      {"Trestlepost-Repeatable", "tru"},
+      {"Idempotency-Key", std::string(257, 'k')},
+      {"Trestlepost-Priority", "10"},
+      {"Trestlepost-Priority", "-1"},
+      {"Trestlepost-Priority", "high"},
+      {"Trestlepost-Priority", "1.5"},
+      {"Trestlepost-Priority", "1 "},
+      {"Trestlepost-Priority", "99999999999999999999"},
+  };
+  for (const bad_example& it : table) {
+    fake_exchange odd;
+    odd.all = {{it.name, it.text}};
+    const result<request_options> options = read_options(odd);
+    ASSERT_FALSE(options) << it.name << ": " << it.text;
+    EXPECT_EQ(options.error().kind, error_kind::bad_input) << it.text;
+    EXPECT_NE(options.error().message.find(it.name), std::string::npos)
+        << it.text;
+    EXPECT_FALSE(options.error().remedy.empty()) << it.text;
+  }
+}
+
+TEST(read_options_test, the_longest_key_is_taken) {
+  fake_exchange asked;
+  asked.all = {{"Idempotency-Key", std::string(256, 'k')}};
+  EXPECT_TRUE(read_options(asked));
+}
+
+}  // namespace
+}  // namespace trestlepost::own
--- a/surface/include/trestlepost/surface/call_head.h
+++ b/surface/include/trestlepost/surface/call_head.h
@@ -51,6 +51,8 @@
     const std::string_view all = target;
     return all.substr(0, all.find('?'));
   }
+  /// The value of a header that is passed on, or empty.
+  std::string_view passed_header(std::string_view name) const;
 };
 
 json to_json(const call_head& value);
--- a/surface/include/trestlepost/surface/caller_surface.h
+++ b/surface/include/trestlepost/surface/caller_surface.h
@@ -5,17 +5,18 @@
 #include <string>
 
 #include "trestlepost/surface/call_head.h"
+#include "trestlepost/surface/run_state.h"
 
 namespace trestlepost::surface {
 
 /// Why a request gets no endpoint's answer.
 struct refusal {
   error cause;
-  /// The request may have run: the answer must not promise otherwise.
-  bool may_have_run = false;
+  /// Whether the request ran; the answer must not promise more than this.
+  run_state ran = run_state::no;
   /// When to come back; 0 when coming back does not help.
   std::chrono::milliseconds retry_after{0};
-  std::string request_id;
+  std::string request_id{};
 };
 
 class caller_surface {
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -21,7 +21,10 @@
   std::chrono::milliseconds remaining{0};
   int priority = 0;  // 0 is the most urgent
   /// The stream goes on after this event; empty: from its beginning.
-  std::string resume_after;
+  std::string resume_after{};
+  /// Drawn for this attempt. An endpoint that echoes it shows which request
+  /// it answers.
+  std::string attempt_id{};
 };
 
 struct endpoint_load {
@@ -38,6 +41,8 @@
   bool other_endpoint = false;
   /// The id of the request that is answered; empty when it is not echoed.
   std::string request_id;
+  /// The id of the attempt that is answered; empty when it is not echoed.
+  std::string attempt_id;
   std::optional<endpoint_load> load;
   /// How long the endpoint stays cold.
   std::optional<std::chrono::milliseconds> cold_left;
--- a/surface/include/trestlepost/surface/endpoint_directory.h
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -15,7 +15,8 @@
 struct listed_endpoint {
   std::string id;
   std::string service;
-  std::string address;  // "IP:PORT"
+  /// "IP:PORT"; "IP" where the list names a VM with all endpoints on it.
+  std::string address;
   std::string availability_zone;
   unsigned slots = 1;
   bool leaving = false;
--- a/surface/include/trestlepost/surface/entry_surface.h
+++ b/surface/include/trestlepost/surface/entry_surface.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -11,6 +13,13 @@
 
 namespace trestlepost::surface {
 
+/// What a node says of itself.
+struct node_report {
+  bool ready = false;  // takes requests
+  std::string state{};
+  std::uint64_t revision = 0;  // of its configuration
+};
+
 class entry_surface {
  public:
   virtual ~entry_surface() = default;
@@ -26,7 +35,8 @@
   /// Whether the call asks if this node takes requests.
   virtual bool asks_readiness(std::string_view method,
                               std::string_view target) const = 0;
-  virtual transport::http_answer show_readiness(bool ready) const = 0;
+  virtual transport::http_answer show_readiness(
+      const node_report& node) const = 0;
   virtual transport::http_answer refuse(const error& why) const = 0;
 };
 
--- /dev/null
+++ b/surface/include/trestlepost/surface/run_state.h
@@ -0,0 +1,22 @@
+// Whether a request was run by an endpoint.
+#pragma once
+
+#include <string_view>
+
+namespace trestlepost::surface {
+
+enum class run_state { no, unknown, yes };
+
+constexpr std::string_view to_string(run_state state) {
+  switch (state) {
+    case run_state::no:
+      return "no";
+    case run_state::yes:
+      return "yes";
+    case run_state::unknown:
+      break;
+  }
+  return "unknown";
+}
+
+}  // namespace trestlepost::surface
--- a/surface/src/call_head.cc
+++ b/surface/src/call_head.cc
@@ -1,5 +1,6 @@
 #include "trestlepost/surface/call_head.h"
 
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace trestlepost::surface {
@@ -63,6 +64,13 @@
 
 }  // namespace
 
+std::string_view call_head::passed_header(std::string_view name) const {
+  for (const auto& [key, text] : passed_on) {
+    if (boost::beast::iequals(key, name)) return text;
+  }
+  return {};
+}
+
 json to_json(const call_head& value) {
   json out;
   out["request_id"] = value.request_id;
--- a/surface/test/call_head-test.cc
+++ b/surface/test/call_head-test.cc
@@ -38,6 +38,11 @@
   EXPECT_EQ(make_head().path(), "/x/1");
 }
 
+TEST(call_head_test, a_passed_header_is_found_by_any_case_of_its_name) {
+  EXPECT_EQ(make_head().passed_header("x-b"), "two, three");
+  EXPECT_EQ(make_head().passed_header("X-C"), "");
+}
+
 TEST(call_head_test, an_incomplete_head_is_refused) {
   for (const char* key : {"request_id", "method", "target"}) {
     json value = to_json(make_head());
--- a/platform/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -7,7 +7,7 @@
 
 #include "trestlepost/transport/http_client.h"
 
-namespace trestlepost::platform::test {
+namespace trestlepost::surface::test {
 
 inline std::string_view find_header(const transport::header_list& all,
                                     std::string_view name) {
@@ -76,4 +76,4 @@
   void cancel() override {}
 };
 
-}  // namespace trestlepost::platform::test
+}  // namespace trestlepost::surface::test
