--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -73,7 +73,12 @@
   }
   const result<config::label_map> asked =
       entries_.read_labels(exchange.target());
-  if (!asked) return entries_.refuse(asked.error());
+  if (!asked) {
+    http_answer refused = entries_.refuse(asked.error());
+    // Callers have always been given it, though no request is named.
+    refused.headers.emplace_back("X-Request-Id", "");
+    return refused;
+  }
   // Entries that would have to refuse the request in transit are left out.
   const result<std::shared_ptr<const config::caller>> caller =
       authenticate(exchange);
--- a/own/src/request_options.cc
+++ b/own/src/request_options.cc
@@ -58,7 +58,8 @@
   }
   const std::string_view priority = exchange.header(headers::priority);
   if (!priority.empty()) {
-    const std::optional<std::int64_t> n = read_number(priority, 0, most_priority);
+    const std::optional<std::int64_t> n =
+        read_number(priority, 0, most_priority);
     if (!n) {
       return bad_header(headers::priority,
                         "write 0 to 9; the highest goes first");
--- a/own/test/caller_codec-test.cc
+++ b/own/test/caller_codec-test.cc
@@ -59,10 +59,16 @@
 }
 
 TEST(caller_codec_test, an_unsound_id_counts_as_none) {
-  const std::vector<std::string> table{
-      "",     " ",    "a b",  "a\nb", "a\"b",
-      "a/b",  "a,b",  "\xc3\xa9", std::string("a\0b", 3),
-      std::string(129, 'a')};
+  const std::vector<std::string> table{"",
+                                       " ",
+                                       "a b",
+                                       "a\nb",
+                                       "a\"b",
+                                       "a/b",
+                                       "a,b",
+                                       "\xc3\xa9",
+                                       std::string("a\0b", 3),
+                                       std::string(129, 'a')};
   for (const std::string& it : table) {
     fake_exchange odd;
     odd.all = {{"X-Request-Id", it}};
@@ -116,16 +122,16 @@
       {error_kind::overloaded, run_state::no, milliseconds(1001), 429, "no",
        "2"},
       {error_kind::internal, run_state::unknown, {}, 500, "unknown", ""},
-      {error_kind::endpoint_failed, run_state::unknown, milliseconds(1000),
-       502, "unknown", "1"},
+      {error_kind::endpoint_failed, run_state::unknown, milliseconds(1000), 502,
+       "unknown", "1"},
       {error_kind::unavailable, run_state::no, milliseconds(2000), 503, "no",
        "2"},
       {error_kind::draining, run_state::no, {}, 503, "no", ""},
       {error_kind::deadline, run_state::unknown, {}, 504, "unknown", ""},
   };
   for (const refusal_example& it : table) {
-    const surface::refusal why{{it.kind, "m", "r"}, it.ran, it.retry_after,
-                               "r-1"};
+    const surface::refusal why{
+        {it.kind, "m", "r"}, it.ran, it.retry_after, "r-1"};
     const transport::http_answer answer = caller_codec().refuse(why);
     const std::string_view name = to_string(it.kind);
     EXPECT_EQ(answer.status, it.status) << name;
--- a/own/test/directory_codec-test.cc
+++ b/own/test/directory_codec-test.cc
@@ -57,11 +57,11 @@
 }
 
 TEST(directory_codec_test, an_entry_without_address_is_left_out) {
-  for (const char* it :
-       {"7", "null", "\"10.0.0.9\"", "[]", "{}", R"({"state":"leaving"})",
-        R"({"address":7})", R"({"address":""})", R"({"address":["10.0.0.9"]})"}) {
-    const result<surface::endpoint_page> page = directory_codec().read_page(
-        std::string(R"({"vms":[)") + it + "]}");
+  for (const char* it : {"7", "null", "\"10.0.0.9\"", "[]", "{}",
+                         R"({"state":"leaving"})", R"({"address":7})",
+                         R"({"address":""})", R"({"address":["10.0.0.9"]})"}) {
+    const result<surface::endpoint_page> page =
+        directory_codec().read_page(std::string(R"({"vms":[)") + it + "]}");
     ASSERT_TRUE(page) << it;
     EXPECT_TRUE(page->endpoints.empty()) << it;
   }
--- a/own/test/endpoint_codec-test.cc
+++ b/own/test/endpoint_codec-test.cc
@@ -41,11 +41,12 @@
   transport::header_list headers;
   bool refusal_means_not_run;
   bool not_run;
-  const char* attempt_id;
+  std::string attempt_id;
 };
 
 TEST(endpoint_codec_test, only_a_service_that_says_so_refuses_by_503) {
   const transport::header_list none;
+  const std::string oversized(16'000, 'a');
   const std::vector<answer_example> table{
       {"an answer", 200, none, true, false, ""},
       {"a refusal", 503, none, true, true, ""},
@@ -55,10 +56,18 @@
       {"no status", 0, none, true, false, ""},
       {"an echo", 200, {{"trestlepost-attempt", "a-1"}}, false, false, "a-1"},
       {"an empty echo", 200, {{"Trestlepost-Attempt", ""}}, false, false, ""},
-      {"a refusal of another request", 503, {{"Trestlepost-Attempt", "a-2"}},
-       true, true, "a-2"},
-      {"oversized", 200, {{"Trestlepost-Attempt", "aaaaaaaaaaaaaaaaaaaaaaaaa"}},
-       false, false, "aaaaaaaaaaaaaaaaaaaaaaaaa"},
+      {"a refusal of another request",
+       503,
+       {{"Trestlepost-Attempt", "a-2"}},
+       true,
+       true,
+       "a-2"},
+      {"an oversized echo",
+       200,
+       {{"Trestlepost-Attempt", oversized}},
+       false,
+       false,
+       oversized},
   };
   for (const answer_example& it : table) {
     fake_call call;
--- a/own/test/entry_codec-test.cc
+++ b/own/test/entry_codec-test.cc
@@ -50,8 +50,8 @@
 }
 
 TEST(entry_codec_test, unsound_labels_are_refused) {
-  for (const char* it : {"a", "a%3D", "%3D1", ",a=1", "a=1%2C%2Cb=2",
-                         "a=1,a=2", "a%3", "a%"}) {
+  for (const char* it :
+       {"a", "a%3D", "%3D1", ",a=1", "a=1%2C%2Cb=2", "a=1,a=2", "a%3", "a%"}) {
     const result<config::label_map> labels =
         entry_codec().read_labels(std::string("/v1/entries?labels=") + it);
     ASSERT_FALSE(labels) << it;
@@ -85,8 +85,8 @@
   EXPECT_TRUE(codec.asks_readiness("GET", "/readyz"));
   EXPECT_TRUE(codec.asks_readiness("GET", "/readyz?x"));
   EXPECT_TRUE(codec.asks_health("/healthz"));
-  for (const char* it : {"", "/", "/ready", "/readyz/", "/health", "/x/readyz",
-                         "/healthzz"}) {
+  for (const char* it :
+       {"", "/", "/ready", "/readyz/", "/health", "/x/readyz", "/healthzz"}) {
     EXPECT_FALSE(codec.asks_readiness("GET", it)) << it;
     EXPECT_FALSE(codec.asks_health(it)) << it;
   }
