--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -21,10 +21,13 @@
   std::chrono::milliseconds remaining{0};
   int priority = 0;  // 0 is the most urgent
   /// The stream goes on after this event; empty: from its beginning.
-  std::string resume_after;
+  std::string resume_after{};
   /// "IP:PORT" of an endpoint from which cached parts of the prompt are
   /// copied before the rest is read; empty: none.
-  std::string copy_cache_from;
+  std::string copy_cache_from{};
+  /// Drawn for this attempt. An endpoint that echoes it shows which request
+  /// it answers.
+  std::string attempt_id{};
 };
 
 struct endpoint_load {
@@ -41,6 +44,8 @@
   bool other_endpoint = false;
   /// The id of the request that is answered; empty when it is not echoed.
   std::string request_id;
+  /// The id of the attempt that is answered; empty when it is not echoed.
+  std::string attempt_id;
   std::optional<endpoint_load> load;
   /// How long the endpoint stays cold.
   std::optional<std::chrono::milliseconds> cold_left;
