Digests of relays: membership and sums that do not grow with the region

Each node tells each node of its region all its news each interval: the work grows with the square of the region. The decisions for another way, without I/O: a relay writes a digest of what changed since the version that the receiver names, lists only the nodes that are late, and sums by endpoint without the receiver's own share; readers merge the digests of several relays; nodes choose relays by rendezvous among those that answer. A relay tells only what it heard at first hand: two relays that hear of a dead node from each other would keep it alive.

Unit tests and a property (any order, doubled, lost, late).

--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -70,6 +70,8 @@
 
 json to_json(const node_info& value);
 node_info node_info_from(const json& value);
+json to_json(const std::map<std::string, service_load>& value);
+std::map<std::string, service_load> service_loads_from(const json& value);
 json to_json(const heartbeat& value);
 heartbeat heartbeat_from(const json& value);
 json to_json(const region_summary& value);
@@ -80,6 +82,13 @@
 struct node_record {
   heartbeat last;
   monotonic_time heard_at;
+  /// When it was last heard at first hand: by its own word, or by that of a
+  /// relay of its region; not by a digest of another node of this region.
+  std::optional<monotonic_time> told_at{};
+  /// When its own heartbeat, with its loads, was last heard.
+  std::optional<monotonic_time> load_at{};
+  std::uint32_t load = 0;  // requests under way and queued
+  bool by_digest = false;  // the last news came by a digest
 };
 
 struct suspicion_options {
@@ -89,6 +98,8 @@
   std::chrono::milliseconds forget_after{600'000};
 };
 
+struct digest_row;
+
 class node_table {
  public:
   explicit node_table(suspicion_options options = {}) : options_(options) {}
@@ -96,8 +107,24 @@
   /// Takes in a heartbeat; an older one of the same incarnation is ignored.
   void observe(const heartbeat& in, monotonic_time now);
   void observe(const region_summary& in, monotonic_time now);
+  /// A sign of life of a known node without other news; false: not known.
+  bool observe_alive(const std::string& name, std::uint64_t incarnation,
+                     std::uint64_t sequence, std::uint64_t revision,
+                     monotonic_time now);
+  /// News by a digest, of a node that its relay heard at `heard_at`.
+  void learn(const digest_row& in, monotonic_time heard_at);
+  /// A relay heard the node at `heard_at`; `first_hand`: a relay of the
+  /// node's region, while this node is of another one.
+  void refresh(const std::string& name, monotonic_time heard_at,
+               bool first_hand);
+  /// The load of another region, as each of its ready gateways has it.
+  void learn_services(const std::string& region,
+                      const std::map<std::string, service_load>& loads,
+                      monotonic_time now);
   void forget_old(monotonic_time now);
 
+  const suspicion_options& options() const { return options_; }
+  bool has_fresh_load(const node_record& record, monotonic_time now) const;
   const node_record* find(const std::string& name) const;
   peer_state state_of(const node_record& record, monotonic_time now) const;
   bool is_live(const std::string& name, monotonic_time now) const;
@@ -117,6 +144,7 @@
  private:
   suspicion_options options_;
   std::map<std::string, node_record> nodes_;
+  std::map<std::string, monotonic_time> services_learned_;
 };
 
 /// Relays a region has.
--- /dev/null
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -0,0 +1,37 @@
+// Which nodes of its region a node sends its heartbeats to: the highest by
+// rendezvous hash among those that answer.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+
+namespace trestlepost::membership {
+
+struct relay_candidate {
+  std::string name;
+  bool leaving = false;
+};
+
+class relay_choice {
+ public:
+  /// `mute_after` without an answer puts a candidate behind all others.
+  std::vector<std::string> choose(const std::string& region,
+                                  std::vector<relay_candidate> candidates,
+                                  std::chrono::milliseconds mute_after,
+                                  monotonic_time now) const;
+  void asked(const std::string& name, monotonic_time now);
+  void answered(const std::string& name);
+
+ private:
+  bool is_mute(const std::string& name, std::chrono::milliseconds mute_after,
+               monotonic_time now) const;
+
+  /// Since when a candidate has been asked without an answer.
+  std::map<std::string, monotonic_time> asked_since_;
+};
+
+}  // namespace trestlepost::membership
--- a/membership/src/directory.cc
+++ b/membership/src/directory.cc
@@ -17,12 +17,6 @@
   auto key() const { return std::tie(state_rank, distance, load, entry.node); }
 };
 
-std::uint32_t load_of(const heartbeat& in) {
-  std::uint32_t n = 0;
-  for (const auto& [name, it] : in.services) n += it.in_flight + it.queued;
-  return n;
-}
-
 int distance_of(const node_info& node, const entry_query& query) {
   if (node.region != query.near_region) return 2;
   return node.availability_zone == query.near_zone ? 0 : 1;
@@ -54,7 +48,7 @@
           last.node.availability_zone, last.state},
          ready ? 0 : 1,
          distance_of(last.node, query),
-         load_of(last)});
+         it->load});
   }
   std::sort(ranked.begin(), ranked.end(),
             [](const ranked_entry& a, const ranked_entry& b) {
--- /dev/null
+++ b/membership/src/endpoint_sums.cc
@@ -0,0 +1,140 @@
+#include "trestlepost/membership/endpoint_sums.h"
+
+#include <algorithm>
+
+#include "trestlepost/membership/node_state.h"
+
+namespace trestlepost::membership {
+namespace {
+
+std::uint32_t less(std::uint32_t from, std::uint32_t n) {
+  return from > n ? from - n : 0;
+}
+
+void add_service(service_load& sum, const service_load& in, bool first) {
+  sum.in_flight += in.in_flight;
+  sum.queued += in.queued;
+  sum.free_slots += in.free_slots;
+  if (in.endpoints == 0) return;
+  if (!first && sum.endpoints > 0 && sum.wait <= in.wait) return;
+  sum.wait = in.wait;
+  sum.event_interval = in.event_interval;
+  sum.endpoints = in.endpoints;
+}
+
+}  // namespace
+
+void add(endpoint_sums& sums, const heartbeat& in) {
+  ++sums.nodes;
+  for (const auto& [endpoint, n] : in.endpoint_in_flight) {
+    sums.in_flight[endpoint] += n;
+  }
+  for (const auto& [endpoint, tokens] : in.pending_tokens) {
+    std::vector<std::uint32_t>& sum = sums.pending[endpoint];
+    if (sum.size() < tokens.size()) sum.resize(tokens.size());
+    for (std::size_t i = 0; i < tokens.size(); ++i) sum[i] += tokens[i];
+  }
+}
+
+void subtract(endpoint_sums& sums, const heartbeat& in) {
+  sums.nodes = less(sums.nodes, 1);
+  for (const auto& [endpoint, n] : in.endpoint_in_flight) {
+    const auto it = sums.in_flight.find(endpoint);
+    if (it == sums.in_flight.end()) continue;
+    it->second = less(it->second, n);
+    if (it->second == 0) sums.in_flight.erase(it);
+  }
+  for (const auto& [endpoint, tokens] : in.pending_tokens) {
+    const auto it = sums.pending.find(endpoint);
+    if (it == sums.pending.end()) continue;
+    std::vector<std::uint32_t>& sum = it->second;
+    for (std::size_t i = 0; i < std::min(sum.size(), tokens.size()); ++i) {
+      sum[i] = less(sum[i], tokens[i]);
+    }
+    while (!sum.empty() && sum.back() == 0) sum.pop_back();
+    if (sum.empty()) sums.pending.erase(it);
+  }
+}
+
+endpoint_sums sum_of(const node_table& table, const std::string& region,
+                     monotonic_time now) {
+  endpoint_sums out;
+  for (const node_record* it : table.all()) {
+    const bool here = it->last.node.region == region;
+    if (here && table.has_fresh_load(*it, now)) add(out, it->last);
+  }
+  return out;
+}
+
+endpoint_sums without(endpoint_sums sums, const node_table& table,
+                      const std::string& node, monotonic_time now) {
+  const node_record* it = table.find(node);
+  if (it != nullptr && table.has_fresh_load(*it, now)) {
+    subtract(sums, it->last);
+  }
+  return sums;
+}
+
+std::map<std::string, service_load> service_means(const node_table& table,
+                                                  const std::string& region,
+                                                  monotonic_time now) {
+  std::map<std::string, service_load> out;
+  std::uint32_t nodes = 0;
+  for (const node_record* it : table.live_in(region, now)) {
+    const bool counts = it->last.state == node_states::ready &&
+                        !it->last.node.forward_address.empty();
+    if (!counts) continue;
+    ++nodes;
+    for (const auto& [name, load] : it->last.services) {
+      const auto known = out.find(name);
+      add_service(out[name], load, known == out.end());
+    }
+  }
+  for (auto& [name, it] : out) {
+    it.in_flight = (it.in_flight + nodes - 1) / nodes;
+    it.queued = (it.queued + nodes - 1) / nodes;
+    it.free_slots = (it.free_slots + nodes - 1) / nodes;
+  }
+  return out;
+}
+
+json to_json(const endpoint_sums& value) {
+  json out;
+  out["m"] = value.nodes;
+  json& in_flight = out["f"] = json(Json::objectValue);
+  for (const auto& [name, n] : value.in_flight) {
+    if (n > 0) in_flight[name] = n;
+  }
+  json& pending = out["p"] = json(Json::objectValue);
+  for (const auto& [name, tokens] : value.pending) {
+    const bool any = std::any_of(tokens.begin(), tokens.end(),
+                                 [](std::uint32_t it) { return it > 0; });
+    if (!any) continue;
+    json& list = pending[name] = json(Json::arrayValue);
+    for (const std::uint32_t it : tokens) list.append(it);
+  }
+  return out;
+}
+
+endpoint_sums endpoint_sums_from(const json& value) {
+  endpoint_sums out;
+  out.nodes = static_cast<std::uint32_t>(number_of(value, "m"));
+  const json& in_flight = member_of(value, "f");
+  if (in_flight.isObject()) {
+    for (const std::string& it : in_flight.getMemberNames()) {
+      out.in_flight[it] =
+          static_cast<std::uint32_t>(number_of(in_flight, it.c_str()));
+    }
+  }
+  const json& pending = member_of(value, "p");
+  if (pending.isObject()) {
+    for (const std::string& it : pending.getMemberNames()) {
+      for (const json& n : pending[it]) {
+        out.pending[it].push_back(n.isUInt() ? n.asUInt() : 0);
+      }
+    }
+  }
+  return out;
+}
+
+}  // namespace trestlepost::membership
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "trestlepost/base/hash.h"
+#include "trestlepost/membership/node_state.h"
+#include "trestlepost/membership/region_digest.h"
 
 namespace trestlepost::membership {
 namespace {
@@ -12,6 +14,16 @@
   return static_cast<std::uint32_t>(number_of(value, key));
 }
 
+std::uint32_t load_of(const heartbeat& in) {
+  std::uint32_t n = 0;
+  for (const auto& [name, it] : in.services) n += it.in_flight + it.queued;
+  return n;
+}
+
+// The two relays of a region tell the loads of another one in turn; they are
+// copied to its nodes no more often than this.
+constexpr std::chrono::milliseconds services_interval{250};
+
 }  // namespace
 
 json to_json(const node_info& value) {
@@ -46,16 +58,9 @@
   return out;
 }
 
-json to_json(const heartbeat& value) {
-  json out;
-  out["node"] = to_json(value.node);
-  out["sequence"] = as_number(value.sequence);
-  out["state"] = value.state;
-  out["revision"] = as_number(value.revision);
-  json& endpoints = out["endpoints"] = json(Json::objectValue);
-  for (const auto& [name, n] : value.endpoint_in_flight) endpoints[name] = n;
-  json& services = out["services"] = json(Json::objectValue);
-  for (const auto& [name, it] : value.services) {
+json to_json(const std::map<std::string, service_load>& value) {
+  json out(Json::objectValue);
+  for (const auto& [name, it] : value) {
     json one;
     one["in_flight"] = it.in_flight;
     one["queued"] = it.queued;
@@ -66,8 +71,35 @@
       one["event_ms"] =
           as_number(static_cast<std::uint64_t>(it.event_interval.count()));
     }
-    services[name] = std::move(one);
+    out[name] = std::move(one);
   }
+  return out;
+}
+
+std::map<std::string, service_load> service_loads_from(const json& value) {
+  std::map<std::string, service_load> out;
+  if (!value.isObject()) return out;
+  for (const std::string& it : value.getMemberNames()) {
+    const json& one = value[it];
+    out[it] = {small_number_of(one, "in_flight"),
+               small_number_of(one, "queued"),
+               small_number_of(one, "free_slots"),
+               small_number_of(one, "endpoints"),
+               std::chrono::milliseconds(number_of(one, "wait_ms")),
+               std::chrono::milliseconds(number_of(one, "event_ms"))};
+  }
+  return out;
+}
+
+json to_json(const heartbeat& value) {
+  json out;
+  out["node"] = to_json(value.node);
+  out["sequence"] = as_number(value.sequence);
+  out["state"] = value.state;
+  out["revision"] = as_number(value.revision);
+  json& endpoints = out["endpoints"] = json(Json::objectValue);
+  for (const auto& [name, n] : value.endpoint_in_flight) endpoints[name] = n;
+  out["services"] = to_json(value.services);
   json& reports = out["reports"] = json(Json::objectValue);
   for (const auto& [name, it] : value.reports) {
     reports[name]["running"] = it.running;
@@ -93,19 +125,7 @@
       out.endpoint_in_flight[it] = small_number_of(endpoints, it.c_str());
     }
   }
-  const json& services = member_of(value, "services");
-  if (services.isObject()) {
-    for (const std::string& it : services.getMemberNames()) {
-      const json& one = services[it];
-      out.services[it] = {
-          small_number_of(one, "in_flight"),
-          small_number_of(one, "queued"),
-          small_number_of(one, "free_slots"),
-          small_number_of(one, "endpoints"),
-          std::chrono::milliseconds(number_of(one, "wait_ms")),
-          std::chrono::milliseconds(number_of(one, "event_ms"))};
-    }
-  }
+  out.services = service_loads_from(member_of(value, "services"));
   const json& reports = member_of(value, "reports");
   if (reports.isObject()) {
     for (const std::string& it : reports.getMemberNames()) {
@@ -148,13 +168,87 @@
 
 void node_table::observe(const heartbeat& in, monotonic_time now) {
   if (in.node.name.empty()) return;
-  const auto it = nodes_.find(in.node.name);
-  if (it != nodes_.end()) {
-    const heartbeat& last = it->second.last;
-    const bool same_life = last.node.incarnation == in.node.incarnation;
-    if (same_life && in.sequence <= last.sequence) return;
+  const auto known = nodes_.find(in.node.name);
+  if (known != nodes_.end()) {
+    const node_record& record = known->second;
+    const bool same_life =
+        record.last.node.incarnation == in.node.incarnation;
+    // A digest may bring the news of a heartbeat before the heartbeat itself.
+    const bool overtaken =
+        record.by_digest && in.sequence == record.last.sequence;
+    const bool newer = in.sequence > record.last.sequence || overtaken;
+    if (same_life && !newer) return;
   }
-  nodes_[in.node.name] = {in, now};
+  nodes_[in.node.name] = {in, now, now, now, load_of(in), false};
+}
+
+bool node_table::observe_alive(const std::string& name,
+                               std::uint64_t incarnation,
+                               std::uint64_t sequence, std::uint64_t revision,
+                               monotonic_time now) {
+  const auto it = nodes_.find(name);
+  if (it == nodes_.end()) return false;
+  heartbeat& last = it->second.last;
+  if (last.node.incarnation != incarnation) return false;
+  if (sequence <= last.sequence) return true;
+  last.sequence = sequence;
+  last.revision = revision;
+  it->second.heard_at = now;
+  it->second.told_at = now;
+  return true;
+}
+
+void node_table::learn(const digest_row& in, monotonic_time heard_at) {
+  const auto known = nodes_.find(in.node.name);
+  const bool unknown = known == nodes_.end();
+  if (unknown && !in.whole) return;
+  if (!unknown) {
+    const node_record& record = known->second;
+    // A node whose clock went back starts a life with smaller sequences.
+    const bool other_life =
+        in.whole && in.node.incarnation != record.last.node.incarnation &&
+        heard_at >= record.heard_at + options_.suspect_after;
+    if (in.sequence <= record.last.sequence && !other_life) return;
+  }
+  node_record& record = nodes_[in.node.name];
+  if (in.whole) record.last.node = in.node;
+  record.last.state = in.state;
+  record.last.sequence = in.sequence;
+  record.last.revision = in.revision;
+  record.load = in.load;
+  record.by_digest = true;
+  record.heard_at = std::max(record.heard_at, heard_at);
+}
+
+void node_table::refresh(const std::string& name, monotonic_time heard_at,
+                         bool first_hand) {
+  const auto it = nodes_.find(name);
+  if (it == nodes_.end()) return;
+  node_record& record = it->second;
+  record.heard_at = std::max(record.heard_at, heard_at);
+  if (!first_hand) return;
+  record.told_at = std::max(record.told_at.value_or(heard_at), heard_at);
+}
+
+void node_table::learn_services(
+    const std::string& region, const std::map<std::string, service_load>& loads,
+    monotonic_time now) {
+  const auto last = services_learned_.find(region);
+  const bool recent = last != services_learned_.end() &&
+                      now < last->second + services_interval;
+  if (recent) return;
+  services_learned_[region] = now;
+  for (auto& [name, it] : nodes_) {
+    const bool concerned = it.last.node.region == region &&
+                           it.last.state == node_states::ready &&
+                           !it.last.node.forward_address.empty();
+    if (concerned) it.last.services = loads;
+  }
+}
+
+bool node_table::has_fresh_load(const node_record& record,
+                                monotonic_time now) const {
+  return record.load_at && now < *record.load_at + options_.suspect_after;
 }
 
 void node_table::observe(const region_summary& in, monotonic_time now) {
--- /dev/null
+++ b/membership/src/region_digest.cc
@@ -0,0 +1,141 @@
+#include "trestlepost/membership/region_digest.h"
+
+#include <utility>
+
+namespace trestlepost::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An age above this is nonsense: such a node is long forgotten.
+constexpr milliseconds oldest_news{3'600'000};
+
+json to_json(const digest_row& value) {
+  json out;
+  if (value.whole) {
+    out["i"] = membership::to_json(value.node);
+  } else {
+    out["n"] = value.node.name;
+  }
+  if (value.gone) out["g"] = true;
+  out["s"] = value.state;
+  out["q"] = as_number(value.sequence);
+  out["c"] = as_number(value.revision);
+  if (value.load > 0) out["l"] = value.load;
+  return out;
+}
+
+digest_row digest_row_from(const json& value) {
+  digest_row out;
+  out.whole = member_of(value, "i").isObject();
+  if (out.whole) {
+    out.node = node_info_from(member_of(value, "i"));
+  } else {
+    out.node.name = text_of(value, "n");
+  }
+  out.gone = flag_of(value, "g");
+  out.state = text_of(value, "s");
+  out.sequence = number_of(value, "q");
+  out.revision = number_of(value, "c");
+  out.load = static_cast<std::uint32_t>(number_of(value, "l"));
+  return out;
+}
+
+result<region_digest> refused(const std::string& why) {
+  return fail(error_kind::bad_input, "a digest of a relay " + why,
+              "check that all nodes run versions that speak with each other");
+}
+
+bool is_span(const json& value) {
+  return value.isUInt64() &&
+         value.asUInt64() <= static_cast<std::uint64_t>(oldest_news.count());
+}
+
+json names_to_json(const std::map<std::string, milliseconds>& late) {
+  json out(Json::objectValue);
+  for (const auto& [name, age] : late) out[name] = as_number(age);
+  return out;
+}
+
+}  // namespace
+
+json to_json(const digest_ask& value) {
+  json out;
+  out["i"] = as_number(value.life);
+  out["v"] = as_number(value.version);
+  return out;
+}
+
+digest_ask digest_ask_from(const json& value) {
+  return {number_of(value, "i"), number_of(value, "v")};
+}
+
+json to_json(const region_digest& value) {
+  json out;
+  out["r"] = value.relay;
+  out["z"] = value.region;
+  out["i"] = as_number(value.life);
+  out["n"] = as_number(value.sequence);
+  out["b"] = as_number(value.since);
+  out["v"] = as_number(value.version);
+  json& rows = out["rows"] = json(Json::arrayValue);
+  for (const digest_row& it : value.rows) rows.append(to_json(it));
+  out["f"] = as_number(value.fresh);
+  out["late"] = names_to_json(value.late);
+  for (const auto& [region, loads] : value.services) {
+    out["sv"][region] = membership::to_json(loads);
+  }
+  if (value.sums.nodes > 0) out["ep"] = membership::to_json(value.sums);
+  for (const auto& [name, it] : value.reports) {
+    out["rp"][name].append(it.running);
+    out["rp"][name].append(it.waiting);
+  }
+  return out;
+}
+
+result<region_digest> region_digest_from(const json& value) {
+  region_digest out;
+  out.relay = text_of(value, "r");
+  out.region = text_of(value, "z");
+  out.life = number_of(value, "i");
+  out.sequence = number_of(value, "n");
+  out.since = number_of(value, "b");
+  out.version = number_of(value, "v");
+  const bool named = !out.relay.empty() && !out.region.empty();
+  if (!named || out.life == 0) return refused("names no relay");
+  if (out.since > out.version) return refused("goes back in its versions");
+  for (const json& it : member_of(value, "rows")) {
+    digest_row row = digest_row_from(it);
+    if (row.node.name.empty()) return refused("has news of a nameless node");
+    out.rows.push_back(std::move(row));
+  }
+  if (!is_span(member_of(value, "f"))) return refused("has no valid age");
+  out.fresh = milliseconds(number_of(value, "f"));
+  const json& late = member_of(value, "late");
+  if (late.isObject()) {
+    for (const std::string& it : late.getMemberNames()) {
+      if (!is_span(late[it])) return refused("has an invalid age of " + it);
+      out.late[it] = milliseconds(number_of(late, it.c_str()));
+    }
+  }
+  const json& services = member_of(value, "sv");
+  if (services.isObject()) {
+    for (const std::string& it : services.getMemberNames()) {
+      out.services[it] = service_loads_from(services[it]);
+    }
+  }
+  out.sums = endpoint_sums_from(member_of(value, "ep"));
+  const json& reports = member_of(value, "rp");
+  if (reports.isObject()) {
+    for (const std::string& it : reports.getMemberNames()) {
+      const json& one = reports[it];
+      const bool pair = one.isArray() && one.size() == 2 && one[0].isUInt() &&
+                        one[1].isUInt();
+      if (!pair) return refused("has an invalid report of " + it);
+      out.reports[it] = {one[0].asUInt(), one[1].asUInt()};
+    }
+  }
+  return out;
+}
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/src/relay_choice.cc
@@ -0,0 +1,52 @@
+#include "trestlepost/membership/relay_choice.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "trestlepost/base/hash.h"
+#include "trestlepost/membership/node_table.h"
+
+namespace trestlepost::membership {
+namespace {
+
+// A candidate that did not answer is tried again after this time.
+constexpr std::chrono::milliseconds retry_after{5000};
+
+}  // namespace
+
+bool relay_choice::is_mute(const std::string& name,
+                           std::chrono::milliseconds mute_after,
+                           monotonic_time now) const {
+  const auto it = asked_since_.find(name);
+  return it != asked_since_.end() && now >= it->second + mute_after &&
+         now < it->second + retry_after;
+}
+
+std::vector<std::string> relay_choice::choose(
+    const std::string& region, std::vector<relay_candidate> candidates,
+    std::chrono::milliseconds mute_after, monotonic_time now) const {
+  const auto key = [&](const relay_candidate& it) {
+    const bool last = it.leaving || is_mute(it.name, mute_after, now);
+    return std::make_tuple(last ? 0 : 1, rendezvous_score(region, it.name));
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&key](const relay_candidate& a, const relay_candidate& b) {
+              return key(a) > key(b);
+            });
+  std::vector<std::string> out;
+  for (const relay_candidate& it : candidates) {
+    if (out.size() < relays_per_region) out.push_back(it.name);
+  }
+  return out;
+}
+
+void relay_choice::asked(const std::string& name, monotonic_time now) {
+  const auto it = asked_since_.emplace(name, now).first;
+  if (now >= it->second + retry_after) it->second = now;
+}
+
+void relay_choice::answered(const std::string& name) {
+  asked_since_.erase(name);
+}
+
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/test/region_digest-test.cc
@@ -0,0 +1,346 @@
+#include "trestlepost/membership/region_digest.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "trestlepost/membership/digest_reader.h"
+#include "trestlepost/membership/digest_writer.h"
+
+namespace trestlepost::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds late_after{450};
+
+heartbeat beat(const std::string& name, std::uint64_t sequence,
+               const std::string& state = "ready",
+               const std::string& region = "isola") {
+  heartbeat out;
+  out.node.name = name;
+  out.node.incarnation = 1;
+  out.node.region = region;
+  out.node.forward_address = "127.0.0.1:2";
+  out.node.peer_address = "127.0.0.1:3";
+  out.sequence = sequence;
+  out.state = state;
+  return out;
+}
+
+node_info info(const std::string& name, const std::string& region = "isola") {
+  return beat(name, 0, "", region).node;
+}
+
+region_digest read_back(const region_digest& in) {
+  const result<region_digest> out = region_digest_from(to_json(in));
+  EXPECT_TRUE(out);
+  return out.value_or(region_digest());
+}
+
+/// A relay with its table.
+struct relay {
+  explicit relay(const std::string& name, std::uint64_t life = 7)
+      : writer(info(name), life) {}
+
+  region_digest tell(const digest_ask& ask, monotonic_time now) {
+    writer.update(table, late_after, now);
+    return read_back(writer.next(ask, std::nullopt));
+  }
+
+  node_table table;
+  digest_writer writer;
+};
+
+/// One that hears digests only.
+struct member {
+  digest_outcome hear(const region_digest& in, monotonic_time now) {
+    return reader.take(in, self, table, now);
+  }
+
+  node_info self = info("self");
+  node_table table;
+  digest_reader reader;
+};
+
+TEST(region_digest_test, a_second_digest_names_only_what_changed) {
+  relay r("r");
+  member m;
+  const monotonic_time start;
+  for (int i = 0; i < 20; ++i) {
+    r.table.observe(beat("n" + std::to_string(i), 1), start);
+  }
+  const region_digest first = r.tell(m.reader.ask_for("r"), start);
+  EXPECT_EQ(first.rows.size(), 20U);
+  EXPECT_EQ(m.hear(first, start), digest_outcome::taken);
+  const monotonic_time later = start + milliseconds(150);
+  for (int i = 0; i < 20; ++i) {
+    r.table.observe(
+        beat("n" + std::to_string(i), 2, i == 3 ? "draining" : "ready"), later);
+  }
+  const region_digest second = r.tell(m.reader.ask_for("r"), later);
+  ASSERT_EQ(second.rows.size(), 1U);
+  EXPECT_FALSE(second.rows[0].whole);
+  EXPECT_EQ(m.hear(second, later), digest_outcome::taken);
+  EXPECT_EQ(m.table.find("n3")->last.state, "draining");
+  EXPECT_EQ(m.table.find("n3")->last.node, info("n3"));
+  EXPECT_EQ(m.table.live_in("isola", later + milliseconds(1499)).size(), 20U);
+}
+
+TEST(region_digest_test, its_length_does_not_grow_with_the_region) {
+  const auto length = [](int nodes) {
+    relay r("r");
+    member m;
+    const monotonic_time now;
+    for (int i = 0; i < nodes; ++i) {
+      r.table.observe(beat("n" + std::to_string(i), 1), now);
+    }
+    m.hear(r.tell({}, now), now);
+    return to_text(to_json(r.tell(m.reader.ask_for("r"), now))).size();
+  };
+  EXPECT_LE(length(300), length(10) + 4);
+}
+
+TEST(region_digest_test, a_silent_node_dies_by_the_time_it_was_heard) {
+  relay r("r");
+  member m;
+  const monotonic_time start;
+  r.table.observe(beat("a", 1), start);
+  for (int ms = 0; ms <= 6000; ms += 150) {
+    const monotonic_time now = start + milliseconds(ms);
+    m.hear(r.tell(m.reader.ask_for("r"), now), now);
+    const peer_state at_relay = r.table.state_of(*r.table.find("a"), now);
+    EXPECT_EQ(m.table.state_of(*m.table.find("a"), now), at_relay) << ms;
+  }
+  EXPECT_FALSE(m.table.is_live("a", start + milliseconds(6000)));
+}
+
+TEST(region_digest_test, two_relays_do_not_keep_a_dead_node_alive) {
+  relay one("r1");
+  relay two("r2");
+  digest_reader one_reads;
+  digest_reader two_reads;
+  const monotonic_time start;
+  one.table.observe(beat("a", 1), start);
+  two.table.observe(beat("a", 1), start);
+  for (int ms = 0; ms <= 6000; ms += 100) {
+    const monotonic_time now = start + milliseconds(ms);
+    const region_digest from_one = one.tell(two_reads.ask_for("r1"), now);
+    const region_digest from_two = two.tell(one_reads.ask_for("r2"), now);
+    two_reads.take(from_one, info("r2"), two.table, now);
+    one_reads.take(from_two, info("r1"), one.table, now);
+  }
+  const monotonic_time end = start + milliseconds(6000);
+  EXPECT_EQ(one.table.state_of(*one.table.find("a"), end), peer_state::dead);
+  EXPECT_EQ(two.table.state_of(*two.table.find("a"), end), peer_state::dead);
+}
+
+TEST(region_digest_test, a_node_that_returns_is_told_whole) {
+  relay r("r");
+  member m;
+  const monotonic_time start;
+  r.table.observe(beat("a", 1), start);
+  m.hear(r.tell({}, start), start);
+  const monotonic_time dead = start + milliseconds(5000);
+  m.hear(r.tell(m.reader.ask_for("r"), dead), dead);
+  const monotonic_time back = start + milliseconds(700'000);
+  m.table.forget_old(back);
+  r.table.observe(beat("a", 2), back);
+  m.hear(r.tell(m.reader.ask_for("r"), back), back);
+  EXPECT_TRUE(m.table.is_live("a", back));
+}
+
+TEST(region_digest_test, the_relays_restart_brings_all_anew) {
+  member m;
+  const monotonic_time now;
+  relay first("r", 7);
+  first.table.observe(beat("a", 1), now);
+  const region_digest of_first = first.tell({}, now);
+  m.hear(of_first, now);
+  relay second("r", 8);
+  second.table.observe(beat("a", 2, "draining"), now);
+  EXPECT_EQ(m.hear(second.tell(m.reader.ask_for("r"), now), now),
+            digest_outcome::taken);
+  EXPECT_EQ(m.table.find("a")->last.state, "draining");
+  EXPECT_EQ(m.hear(of_first, now), digest_outcome::old);
+}
+
+TEST(region_digest_test, a_gap_refreshes_nobody) {
+  relay r("r");
+  member m;
+  const monotonic_time start;
+  r.table.observe(beat("a", 1), start);
+  m.hear(r.tell({}, start), start);
+  const monotonic_time later = start + milliseconds(2000);
+  r.table.observe(beat("a", 2), later);
+  r.table.observe(beat("b", 1), later);
+  r.writer.update(r.table, late_after, later);
+  const digest_ask ahead{7, r.writer.version_of("isola")};
+  EXPECT_EQ(m.hear(r.tell(ahead, later), later), digest_outcome::missing);
+  EXPECT_FALSE(m.table.is_live("a", later));
+  m.hear(r.tell(m.reader.ask_for("r"), later), later);
+  EXPECT_TRUE(m.table.is_live("a", later));
+  EXPECT_TRUE(m.table.is_live("b", later));
+}
+
+TEST(region_digest_test, another_regions_relay_speaks_at_first_hand) {
+  relay far("far-relay");
+  far.writer = digest_writer(info("far-relay", "golfo"), 7);
+  const monotonic_time now;
+  far.table.observe(beat("g", 1, "ready", "golfo"), now);
+  far.table.observe(beat("a", 1), now);
+  far.writer.update(far.table, late_after, now);
+  region_digest out = far.writer.next({}, "golfo");
+  out.services["golfo"]["chat"] = {1, 0, 3, 4, milliseconds(5), {}};
+  relay here("r");
+  digest_reader reader;
+  reader.take(read_back(out), info("r"), here.table, now);
+  EXPECT_EQ(here.table.find("a"), nullptr);
+  ASSERT_NE(here.table.find("g"), nullptr);
+  EXPECT_EQ(here.table.find("g")->last.services.at("chat").endpoints, 4U);
+  member m;
+  m.hear(here.tell({}, now), now);
+  EXPECT_TRUE(m.table.is_live("g", now));
+}
+
+TEST(region_digest_test, sums_leave_the_receiver_out) {
+  node_table table;
+  const monotonic_time now;
+  for (int i = 1; i <= 3; ++i) {
+    heartbeat it = beat("n" + std::to_string(i), 1);
+    it.endpoint_in_flight["e"] = static_cast<std::uint32_t>(i);
+    it.pending_tokens["e"] = {10, static_cast<std::uint32_t>(i)};
+    table.observe(it, now);
+  }
+  const endpoint_sums all = sum_of(table, "isola", now);
+  const endpoint_sums told = without(all, table, "n2", now);
+  EXPECT_EQ(told.nodes, 2U);
+  EXPECT_EQ(told.in_flight.at("e"), 4U);
+  EXPECT_EQ(told.pending.at("e"), (std::vector<std::uint32_t>{20, 4}));
+  EXPECT_EQ(endpoint_sums_from(to_json(told)), told);
+  const monotonic_time later = now + milliseconds(1500);
+  EXPECT_EQ(sum_of(table, "isola", later).nodes, 0U);
+}
+
+TEST(region_digest_test, the_sums_over_most_nodes_count) {
+  member m;
+  const monotonic_time now;
+  relay one("r1");
+  relay two("r2");
+  region_digest few = one.tell({}, now);
+  few.sums.nodes = 2;
+  region_digest many = two.tell({}, now);
+  many.sums.nodes = 9;
+  m.hear(many, now);
+  m.hear(few, now);
+  EXPECT_EQ(m.reader.best_sums(now)->nodes, 9U);
+  EXPECT_EQ(m.reader.best_sums(now + milliseconds(1)), nullptr);
+}
+
+TEST(region_digest_test, the_least_wait_of_ready_gateways_is_told) {
+  node_table table;
+  const monotonic_time now;
+  heartbeat slow = beat("a", 1);
+  slow.services["chat"] = {2, 0, 0, 5, milliseconds(90), milliseconds(7)};
+  heartbeat quick = beat("b", 1);
+  quick.services["chat"] = {4, 0, 0, 6, milliseconds(30), milliseconds(8)};
+  heartbeat leaving = beat("c", 1, "draining");
+  leaving.services["chat"] = {9, 0, 0, 9, milliseconds(1), milliseconds(1)};
+  for (const heartbeat& it : {slow, quick, leaving}) table.observe(it, now);
+  const service_load load = service_means(table, "isola", now).at("chat");
+  EXPECT_EQ(load.wait, milliseconds(30));
+  EXPECT_EQ(load.event_interval, milliseconds(8));
+  EXPECT_EQ(load.endpoints, 6U);
+  EXPECT_EQ(load.in_flight, 3U);
+}
+
+TEST(region_digest_test, nonsense_is_refused) {
+  relay r("r");
+  r.table.observe(beat("a", 1), monotonic_time());
+  const json good = to_json(r.tell({}, monotonic_time()));
+  ASSERT_TRUE(region_digest_from(good));
+  const auto refused = [&good](const char* key, const json& value) {
+    json bad = good;
+    bad[key] = value;
+    return !region_digest_from(bad);
+  };
+  EXPECT_FALSE(region_digest_from(json()));
+  EXPECT_TRUE(refused("r", ""));
+  EXPECT_TRUE(refused("z", 3));
+  EXPECT_TRUE(refused("i", 0));
+  EXPECT_TRUE(refused("b", 99));
+  EXPECT_TRUE(refused("f", -1));
+  json late;
+  late["a"] = "long";
+  EXPECT_TRUE(refused("late", late));
+  json rows(Json::arrayValue);
+  rows.append("a");
+  EXPECT_TRUE(refused("rows", rows));
+  json report;
+  report["e"] = 4;
+  EXPECT_TRUE(refused("rp", report));
+}
+
+// Digests of two relays come late, doubled, in any order or not at all.
+RC_GTEST_PROP(region_digest_test, merging_never_goes_back_and_converges, ()) {
+  relay relays[] = {relay("r1"), relay("r2")};
+  member m;
+  monotonic_time now;
+  std::vector<region_digest> under_way;
+  std::map<std::string, std::uint64_t> emitted;
+  std::map<std::pair<std::string, std::uint64_t>, std::string> truth;
+  std::map<std::string, std::uint64_t> newest_told;
+  const int steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 200));
+    const int what = *rc::gen::inRange(0, 4);
+    if (what == 0) {
+      const std::string name = "n" + std::to_string(*rc::gen::inRange(0, 4));
+      const std::uint64_t sequence = ++emitted[name];
+      const std::string state =
+          *rc::gen::element<std::string>("ready", "isolated", "draining");
+      truth[{name, sequence}] = state;
+      const int heard_by = *rc::gen::inRange(1, 4);
+      for (int r = 0; r < 2; ++r) {
+        if ((heard_by & (1 << r)) == 0) continue;
+        relays[r].table.observe(beat(name, sequence, state), now);
+      }
+    } else if (what == 1) {
+      relay& from = relays[*rc::gen::inRange(0, 2)];
+      const std::string name = &from == &relays[0] ? "r1" : "r2";
+      under_way.push_back(from.tell(m.reader.ask_for(name), now));
+    } else if (!under_way.empty()) {
+      const std::size_t at =
+          *rc::gen::inRange<std::size_t>(0, under_way.size());
+      m.hear(under_way[at], now);
+      // Left in place it may come once more.
+      if (what == 2) under_way.erase(under_way.begin() + at);
+    }
+    for (const node_record* it : m.table.all()) {
+      std::uint64_t& newest = newest_told[it->last.node.name];
+      RC_ASSERT(it->last.sequence >= newest);
+      newest = it->last.sequence;
+      RC_ASSERT(it->last.state ==
+                (truth[{it->last.node.name, it->last.sequence}]));
+      RC_ASSERT(it->last.node == info(it->last.node.name));
+      RC_ASSERT(it->heard_at <= now);
+    }
+  }
+  for (relay& it : relays) {
+    const std::string name = &it == &relays[0] ? "r1" : "r2";
+    m.hear(it.tell(m.reader.ask_for(name), now), now);
+  }
+  for (relay& it : relays) {
+    for (const node_record* known : it.table.all()) {
+      if (it.table.state_of(*known, now) == peer_state::dead) continue;
+      const node_record* merged = m.table.find(known->last.node.name);
+      RC_ASSERT(merged != nullptr);
+      const bool at_least =
+          it.table.state_of(*known, now) >= m.table.state_of(*merged, now);
+      RC_ASSERT(at_least);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace trestlepost::membership
--- /dev/null
+++ b/membership/test/relay_choice-test.cc
@@ -0,0 +1,79 @@
+#include "trestlepost/membership/relay_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace trestlepost::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds mute_after{600};
+
+std::vector<relay_candidate> nine() {
+  std::vector<relay_candidate> out;
+  for (int i = 0; i < 9; ++i) out.push_back({"n" + std::to_string(i), false});
+  return out;
+}
+
+TEST(relay_choice_test, all_choose_the_same_two) {
+  const relay_choice one;
+  const relay_choice other;
+  const monotonic_time now;
+  const std::vector<std::string> chosen =
+      one.choose("isola", nine(), mute_after, now);
+  ASSERT_EQ(chosen.size(), 2U);
+  EXPECT_EQ(chosen, other.choose("isola", nine(), mute_after, now));
+}
+
+TEST(relay_choice_test, a_mute_one_is_passed_over_until_it_answers) {
+  relay_choice choice;
+  const monotonic_time start;
+  const std::string first =
+      choice.choose("isola", nine(), mute_after, start).front();
+  choice.asked(first, start);
+  const monotonic_time early = start + mute_after - milliseconds(1);
+  EXPECT_EQ(choice.choose("isola", nine(), mute_after, early).front(), first);
+  const monotonic_time late = start + mute_after;
+  choice.asked(first, late);
+  for (const std::string& it :
+       choice.choose("isola", nine(), mute_after, late)) {
+    EXPECT_NE(it, first);
+  }
+  choice.answered(first);
+  EXPECT_EQ(choice.choose("isola", nine(), mute_after, late).front(), first);
+}
+
+TEST(relay_choice_test, a_mute_one_is_tried_again_after_a_while) {
+  relay_choice choice;
+  const monotonic_time start;
+  const std::string first =
+      choice.choose("isola", nine(), mute_after, start).front();
+  choice.asked(first, start);
+  const monotonic_time later = start + milliseconds(5000);
+  EXPECT_EQ(choice.choose("isola", nine(), mute_after, later).front(), first);
+}
+
+TEST(relay_choice_test, one_that_leaves_is_the_last_to_be_chosen) {
+  const relay_choice choice;
+  const monotonic_time now;
+  std::vector<relay_candidate> all = nine();
+  const std::string first =
+      choice.choose("isola", all, mute_after, now).front();
+  for (relay_candidate& it : all) it.leaving = it.name == first;
+  for (const std::string& it :
+       choice.choose("isola", all, mute_after, now)) {
+    EXPECT_NE(it, first);
+  }
+}
+
+TEST(relay_choice_test, all_mute_ones_are_still_asked) {
+  relay_choice choice;
+  const monotonic_time start;
+  for (const relay_candidate& it : nine()) choice.asked(it.name, start);
+  EXPECT_EQ(
+      choice.choose("isola", nine(), mute_after, start + mute_after).size(),
+      2U);
+}
+
+}  // namespace
+}  // namespace trestlepost::membership
