Large regions: heartbeats to two relays, digests back; lists and polls by change

In a region of more than eight nodes each node sends its heartbeat to two relays, with the version it has of each one's digests, and gets a digest back each interval. Whoever is asked answers, so nodes need not agree on the relays; one that leaves four heartbeats unanswered is passed over. Regions tell each other their nodes only after a change and every 3 s, else sums by service; that news comes to members with the digest.

config.poll carries the heartbeat only when the leader must be told who asks, else a sign of life. endpoints.listed carries what changed since the last message, the whole list every 10 s and to who asks; each second's message names the version before it, so a lost one is noticed by the next. At its start a gateway waits for the book before it reads the platform's list: all of them took themselves for the reader.

--- a/membership/include/trestlepost/membership/relay_choice.h
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "trestlepost/base/clock.h"
+#include "trestlepost/membership/node_table.h"
 
 namespace trestlepost::membership {
 
@@ -34,4 +35,11 @@
   std::map<std::string, monotonic_time> asked_since_;
 };
 
+/// Time between two heartbeats of a node in a region of so many: relays of a
+/// large one are spared, but five heartbeats fit into the time after which a
+/// silent node is suspected.
+std::chrono::milliseconds beat_interval(std::chrono::milliseconds base,
+                                        std::size_t nodes,
+                                        const suspicion_options& suspicion);
+
 }  // namespace trestlepost::membership
--- a/membership/src/digest_reader.cc
+++ b/membership/src/digest_reader.cc
@@ -25,8 +25,8 @@
 }
 
 digest_outcome digest_reader::take(const region_digest& in,
-                                   const node_info& self,
-                                   node_table& table, monotonic_time now) {
+                                   const node_info& self, node_table& table,
+                                   monotonic_time now) {
   relay_view& view = relays_[in.relay];
   if (!begin(view, in)) return digest_outcome::old;
   if (in.sums.nodes > 0) {
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -171,8 +171,7 @@
   const auto known = nodes_.find(in.node.name);
   if (known != nodes_.end()) {
     const node_record& record = known->second;
-    const bool same_life =
-        record.last.node.incarnation == in.node.incarnation;
+    const bool same_life = record.last.node.incarnation == in.node.incarnation;
     // A digest may bring the news of a heartbeat before the heartbeat itself.
     const bool overtaken =
         record.by_digest && in.sequence == record.last.sequence;
@@ -234,8 +233,8 @@
     const std::string& region, const std::map<std::string, service_load>& loads,
     monotonic_time now) {
   const auto last = services_learned_.find(region);
-  const bool recent = last != services_learned_.end() &&
-                      now < last->second + services_interval;
+  const bool recent =
+      last != services_learned_.end() && now < last->second + services_interval;
   if (recent) return;
   services_learned_[region] = now;
   for (auto& [name, it] : nodes_) {
--- a/membership/src/relay_choice.cc
+++ b/membership/src/relay_choice.cc
@@ -4,13 +4,15 @@
 #include <tuple>
 
 #include "trestlepost/base/hash.h"
-#include "trestlepost/membership/node_table.h"
 
 namespace trestlepost::membership {
 namespace {
 
 // A candidate that did not answer is tried again after this time.
 constexpr std::chrono::milliseconds retry_after{5000};
+// A relay bears the heartbeats of so many nodes at the set interval.
+constexpr std::size_t nodes_at_base_interval = 40;
+constexpr int beats_until_suspect = 5;
 
 }  // namespace
 
@@ -49,4 +51,14 @@
   asked_since_.erase(name);
 }
 
+std::chrono::milliseconds beat_interval(std::chrono::milliseconds base,
+                                        std::size_t nodes,
+                                        const suspicion_options& suspicion) {
+  const std::size_t loads = std::max<std::size_t>(
+      1, (nodes + nodes_at_base_interval - 1) / nodes_at_base_interval);
+  const std::chrono::milliseconds longest =
+      std::max(base, suspicion.suspect_after / beats_until_suspect);
+  return std::min(base * static_cast<int>(loads), longest);
+}
+
 }  // namespace trestlepost::membership
--- a/membership/test/relay_choice-test.cc
+++ b/membership/test/relay_choice-test.cc
@@ -60,8 +60,7 @@
   const std::string first =
       choice.choose("isola", all, mute_after, now).front();
   for (relay_candidate& it : all) it.leaving = it.name == first;
-  for (const std::string& it :
-       choice.choose("isola", all, mute_after, now)) {
+  for (const std::string& it : choice.choose("isola", all, mute_after, now)) {
     EXPECT_NE(it, first);
   }
 }
@@ -75,5 +74,16 @@
       2U);
 }
 
+TEST(relay_choice_test, five_beats_fit_into_the_time_of_suspicion) {
+  const suspicion_options suspicion;
+  const milliseconds base{150};
+  EXPECT_EQ(beat_interval(base, 1, suspicion), base);
+  EXPECT_EQ(beat_interval(base, 40, suspicion), base);
+  EXPECT_EQ(beat_interval(base, 41, suspicion), 2 * base);
+  EXPECT_EQ(beat_interval(base, 1000, suspicion), suspicion.suspect_after / 5);
+  const milliseconds longer{400};
+  EXPECT_EQ(beat_interval(longer, 1000, suspicion), longer);
+}
+
 }  // namespace
 }  // namespace trestlepost::membership
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -212,23 +212,50 @@
   it.version = ++book_version_;
 }
 
-void control_service::handle_poll(const json& params) {
-  const membership::heartbeat beat =
-      membership::heartbeat_from(member_of(params, "heartbeat"));
+std::string control_service::meet_asker(const json& params) {
   const monotonic_time now = context_.clock.now();
-  const std::string& address = beat.node.peer_address;
+  const json& alive = member_of(params, "alive");
+  if (!alive.isObject()) {
+    const membership::heartbeat beat =
+        membership::heartbeat_from(member_of(params, "heartbeat"));
+    if (!leads()) return "";
+    context_.nodes.observe(beat, now);
+    record_in_book(beat.node);
+    return beat.node.name;
+  }
+  const std::string name = text_of(alive, "name");
+  const std::uint64_t incarnation = number_of(alive, "incarnation");
+  const auto it = book_.find(name);
+  const bool in_book =
+      it != book_.end() && it->second.info.incarnation == incarnation;
+  const bool known =
+      in_book && context_.nodes.observe_alive(
+                     name, incarnation, number_of(alive, "sequence"),
+                     number_of(params, "revision"), now);
+  return known ? name : "";
+}
+
+void control_service::handle_poll(const json& params) {
+  const json& alive = member_of(params, "alive");
+  const std::string address =
+      alive.isObject()
+          ? text_of(alive, "address")
+          : text_of(member_of(member_of(params, "heartbeat"), "node"),
+                    "peer_address");
+  const std::string asker = meet_asker(params);
   json answer;
   answer["token"] = as_number(number_of(params, "token"));
   answer["leader"] = leader_node();
   answer["leader_address"] = address_of(leader_node());
-  if (leads()) {
-    context_.nodes.observe(beat, now);
-    record_in_book(beat.node);
-    watchers_[beat.node.name] = {address, now};
+  if (leads() && asker.empty()) {
+    // It must tell who it is before the book can be made for it.
+    answer["stranger"] = true;
+  } else if (leads()) {
+    watchers_[asker] = {address, context_.clock.now()};
     answer["confirmed"] = true;
-    answer["update"] =
-        make_update(number_of(params, "revision"),
-                    number_of(params, "book_version"), beat.node.region);
+    answer["update"] = make_update(number_of(params, "revision"),
+                                   number_of(params, "book_version"),
+                                   book_[asker].info.region);
   } else if (context_.store.revision() > number_of(params, "revision")) {
     // Not confirmed, but committed: a node that restarts while there is no
     // leader can serve its own region by it.
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -67,6 +67,8 @@
 
   void register_peer_methods();
   void handle_poll(const json& params);
+  /// Takes in who polls; its name, or empty when the leader must be told.
+  std::string meet_asker(const json& params);
   void handle_probe(const json& params);
   void handle_probe_answer(const json& params);
   void record_in_book(const membership::node_info& info);
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "region_peers.h"
+
 namespace trestlepost::node {
 namespace {
 
@@ -18,7 +20,7 @@
 
 heartbeat_service::heartbeat_service(
     node_context& context, std::function<membership::heartbeat()> beat)
-    : context_(context), make_heartbeat_(std::move(beat)) {}
+    : context_(context), make_heartbeat_(std::move(beat)), digests_(context) {}
 
 void heartbeat_service::start() {
   transport::rpc_dispatcher& peers = context_.peers;
@@ -40,6 +42,8 @@
       "node.pong", [this](const json& params, const transport::rpc_context&) {
         handle_pong(params);
       });
+  digests_.on_sums = [this] { heard_region(); };
+  digests_.start();
 }
 
 void heartbeat_service::handle_heartbeat(const json& params) {
@@ -50,20 +54,21 @@
   for (const auto& [endpoint, it] : beat.reports) {
     context_.endpoints.report(endpoint, {it.running, it.waiting, now, 0});
   }
-  share_in_flight();
+  digests_.note_ask(params, beat.node);
+  heard_region();
+}
+
+void heartbeat_service::heard_region() {
+  // A relay of a large region hears too many to add them up each time.
+  unshared_ = true;
+  if (!sends_by_relays(context_)) share_in_flight();
 }
 
 void heartbeat_service::share_in_flight() {
-  std::map<std::string, std::uint32_t> others;
-  for (const node_record* it :
-       context_.nodes.live_in(context_.self.region, context_.clock.now())) {
-    if (it->last.node.name == context_.self.name) continue;
-    for (const auto& [endpoint, n] : it->last.endpoint_in_flight) {
-      others[endpoint] += n;
-    }
-  }
-  context_.endpoints.others_in_flight(std::move(others));
-  if (on_region_heard) on_region_heard();
+  unshared_ = false;
+  const membership::endpoint_sums others = digests_.others();
+  context_.endpoints.others_in_flight(others.in_flight);
+  if (on_region_heard) on_region_heard(others);
 }
 
 void heartbeat_service::handle_summary(const json& params) {
@@ -71,12 +76,7 @@
       membership::region_summary_from(member_of(params, "summary"));
   if (summary.region == context_.self.region) return;
   context_.nodes.observe(summary, context_.clock.now());
-  if (flag_of(params, "passed_on")) return;
-  json onward = params;
-  onward["passed_on"] = true;
-  for (const auto& [name, address] : region_mates()) {
-    context_.links.send(address, "region.summary", onward);
-  }
+  if (!flag_of(params, "passed_on")) digests_.pass_on("region.summary", params);
 }
 
 void heartbeat_service::handle_ping(const json& params) {
@@ -100,60 +100,29 @@
   known = milliseconds(static_cast<std::int64_t>(mixed));
 }
 
-std::map<std::string, std::string> heartbeat_service::region_mates() const {
-  std::map<std::string, std::string> out;
-  for (const auto& [name, it] : context_.book) {
-    if (it.region == context_.self.region) out[name] = it.peer_address;
-  }
-  for (const node_record* it : context_.nodes.all()) {
-    const membership::node_info& node = it->last.node;
-    if (node.region == context_.self.region) out[node.name] = node.peer_address;
-  }
-  out.erase(context_.self.name);
-  return out;
-}
-
 void heartbeat_service::send_heartbeats() {
   const membership::heartbeat beat = make_heartbeat_();
   context_.nodes.observe(beat, context_.clock.now());
   const json params = membership::to_json(beat);
+  if (sends_by_relays(context_)) {
+    digests_.send_to_relays(params);
+    return;
+  }
   std::set<std::string> addresses;
   // Seeds that stand for control nodes are in other regions as well.
   if (!context_.options.control_nodes.empty()) {
     addresses.insert(context_.options.seeds.begin(),
                      context_.options.seeds.end());
   }
-  for (const auto& [name, address] : region_mates()) addresses.insert(address);
+  for (const auto& [name, address] : region_mates(context_)) {
+    addresses.insert(address);
+  }
   addresses.erase(context_.self.peer_address);
   for (const std::string& it : addresses) {
     context_.links.send(it, "node.heartbeat", params);
   }
 }
 
-std::vector<std::string> heartbeat_service::other_regions() const {
-  std::set<std::string> out;
-  for (const auto& [name, it] : context_.book) out.insert(it.region);
-  for (const std::string& it : context_.nodes.regions()) out.insert(it);
-  out.erase(context_.self.region);
-  return {out.begin(), out.end()};
-}
-
-std::vector<std::string> heartbeat_service::relay_addresses(
-    const std::string& region) const {
-  std::vector<std::string> out;
-  for (const node_record* it :
-       context_.nodes.relays_of(region, context_.clock.now())) {
-    out.push_back(it->last.node.peer_address);
-  }
-  if (!out.empty()) return out;
-  // Nobody there is known to live: try those that the book names.
-  for (const auto& [name, it] : context_.book) {
-    const bool room = out.size() < membership::relays_per_region;
-    if (it.region == region && room) out.push_back(it.peer_address);
-  }
-  return out;
-}
-
 void heartbeat_service::send_summaries() {
   const monotonic_time now = context_.clock.now();
   // Each relay of this region has one of each other region to tell.
@@ -164,12 +133,26 @@
     if (relays[i]->last.node.name == context_.self.name) place = i;
   }
   if (!place) return;
+  std::vector<std::string> addresses;
+  for (const std::string& region : other_regions(context_)) {
+    const std::vector<std::string> there = relay_addresses(context_, region);
+    if (!there.empty()) addresses.push_back(there[*place % there.size()]);
+  }
+  if (sends_by_relays(context_)) {
+    digests_.send_to_regions(addresses);
+  } else {
+    send_summary_of_nodes(addresses);
+  }
+}
+
+void heartbeat_service::send_summary_of_nodes(
+    const std::vector<std::string>& addresses) {
   membership::region_summary summary;
   summary.region = context_.self.region;
   summary.relay = context_.self.name;
   summary.sequence = ++sequence_;
   for (const node_record* it :
-       context_.nodes.live_in(context_.self.region, now)) {
+       context_.nodes.live_in(context_.self.region, context_.clock.now())) {
     membership::heartbeat brief = it->last;
     brief.endpoint_in_flight.clear();
     brief.reports.clear();
@@ -179,11 +162,8 @@
   json params;
   params["summary"] = membership::to_json(summary);
   params["passed_on"] = false;
-  for (const std::string& region : other_regions()) {
-    const std::vector<std::string> addresses = relay_addresses(region);
-    if (addresses.empty()) continue;
-    context_.links.send(addresses[*place % addresses.size()], "region.summary",
-                        params);
+  for (const std::string& it : addresses) {
+    context_.links.send(it, "region.summary", params);
   }
 }
 
@@ -193,8 +173,8 @@
   params["at"] = as_number(static_cast<std::uint64_t>(
       std::chrono::nanoseconds(context_.clock.now().time_since_epoch())
           .count()));
-  for (const std::string& region : other_regions()) {
-    const std::vector<std::string> relays = relay_addresses(region);
+  for (const std::string& region : other_regions(context_)) {
+    const std::vector<std::string> relays = relay_addresses(context_, region);
     if (!relays.empty()) {
       context_.links.send(relays.front(), "node.ping", params);
     }
@@ -203,16 +183,19 @@
 
 void heartbeat_service::announce() {
   send_heartbeats();
+  digests_.answer_asks();
   send_summaries();
 }
 
 void heartbeat_service::tick() {
   const monotonic_time now = context_.clock.now();
   if (now >= next_beat_) {
-    next_beat_ = now + context_.options.timing.heartbeat_interval;
+    next_beat_ = now + digests_.interval();
     send_heartbeats();
+    digests_.answer_asks();
     context_.nodes.forget_old(now);
   }
+  if (unshared_) share_in_flight();
   if (now >= next_summary_) {
     next_summary_ = now + summary_interval;
     send_summaries();
--- /dev/null
+++ b/node/src/listing_news.cc
@@ -0,0 +1,187 @@
+#include "listing_news.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+using surface::listed_endpoint;
+
+// A gateway is told the whole list this often, whatever it has.
+constexpr milliseconds whole_interval{10'000};
+// Spans of time shrink by themselves; they are told anew when they differ
+// from that by more than this.
+constexpr milliseconds span_tolerance{500};
+// An endpoint that left the list is named as gone for longer than any
+// gateway goes without a whole list.
+constexpr milliseconds gone_memory{60'000};
+
+milliseconds shrunk(milliseconds span, milliseconds by) {
+  return std::max(milliseconds(0), span - by);
+}
+
+bool near(milliseconds a, milliseconds b) {
+  return (a > b ? a - b : b - a) <= span_tolerance;
+}
+
+bool same(const listed_endpoint& a, const listed_endpoint& b) {
+  const bool ends = a.ends_in.has_value() == b.ends_in.has_value() &&
+                    (!a.ends_in || near(*a.ends_in, *b.ends_in));
+  return a.service == b.service && a.address == b.address &&
+         a.availability_zone == b.availability_zone && a.slots == b.slots &&
+         a.leaving == b.leaving && ends && near(a.cold_left, b.cold_left);
+}
+
+json to_json(const listed_endpoint& value) {
+  json out;
+  out["id"] = value.id;
+  out["service"] = value.service;
+  out["address"] = value.address;
+  out["zone"] = value.availability_zone;
+  out["slots"] = value.slots;
+  if (value.leaving) out["leaving"] = true;
+  if (value.ends_in) out["ends_in_ms"] = as_number(*value.ends_in);
+  if (value.cold_left.count() > 0) {
+    out["cold_ms"] = as_number(value.cold_left);
+  }
+  return out;
+}
+
+listed_endpoint listed_endpoint_from(const json& value) {
+  listed_endpoint out;
+  out.id = text_of(value, "id");
+  out.service = text_of(value, "service");
+  out.address = text_of(value, "address");
+  out.availability_zone = text_of(value, "zone");
+  out.slots = static_cast<unsigned>(number_of(value, "slots"));
+  out.leaving = flag_of(value, "leaving");
+  if (!member_of(value, "ends_in_ms").isNull()) {
+    out.ends_in = milliseconds(number_of(value, "ends_in_ms"));
+  }
+  out.cold_left = milliseconds(number_of(value, "cold_ms"));
+  return out;
+}
+
+result<listing_news> refused(const std::string& why) {
+  return fail(error_kind::bad_input, "a list of endpoints " + why,
+              "check that all nodes run versions that speak with each other");
+}
+
+}  // namespace
+
+listed_endpoint dated_endpoint::as_of(monotonic_time now) const {
+  const milliseconds passed =
+      std::chrono::duration_cast<milliseconds>(now - at);
+  listed_endpoint out = endpoint;
+  out.cold_left = shrunk(out.cold_left, passed);
+  if (out.ends_in) out.ends_in = shrunk(*out.ends_in, passed);
+  return out;
+}
+
+json to_json(const listing_news& value) {
+  json out;
+  out["reader"] = value.reader;
+  out["life"] = as_number(value.life);
+  out["since"] = as_number(value.since);
+  out["version"] = as_number(value.version);
+  json& endpoints = out["endpoints"] = json(Json::arrayValue);
+  for (const listed_endpoint& it : value.endpoints) {
+    endpoints.append(to_json(it));
+  }
+  for (const std::string& it : value.gone) out["gone"].append(it);
+  return out;
+}
+
+result<listing_news> listing_news_from(const json& value) {
+  listing_news out;
+  out.reader = text_of(value, "reader");
+  out.life = number_of(value, "life");
+  out.since = number_of(value, "since");
+  out.version = number_of(value, "version");
+  if (out.reader.empty() || out.life == 0) return refused("names no reader");
+  if (out.since > out.version) return refused("goes back in its versions");
+  for (const json& it : member_of(value, "endpoints")) {
+    listed_endpoint one = listed_endpoint_from(it);
+    if (one.id.empty()) return refused("has an endpoint without an id");
+    out.endpoints.push_back(std::move(one));
+  }
+  for (const json& it : member_of(value, "gone")) {
+    if (!it.isString()) return refused("has an id that is no text");
+    out.gone.push_back(it.asString());
+  }
+  return out;
+}
+
+void listing_writer::update(const std::vector<listed_endpoint>& all,
+                            monotonic_time now) {
+  if (version_ == 0) version_ = 1;
+  std::set<std::string> named;
+  for (const listed_endpoint& it : all) {
+    named.insert(it.id);
+    const auto known = entries_.find(it.id);
+    const bool kept = known != entries_.end() && !known->second.gone &&
+                      same(known->second.dated.as_of(now), it);
+    if (!kept) entries_[it.id] = {{it, now}, ++version_, false};
+  }
+  for (auto& [id, it] : entries_) {
+    if (it.gone || named.contains(id)) continue;
+    it.gone = true;
+    it.version = ++version_;
+    it.dated.at = now;
+  }
+  std::erase_if(entries_, [now](const auto& it) {
+    return it.second.gone && it.second.dated.at + gone_memory < now;
+  });
+}
+
+listing_news listing_writer::next(const std::string& gateway,
+                                  monotonic_time now) {
+  told& last = told_[gateway];
+  const bool whole =
+      last.version == 0 || now >= last.whole_at + whole_interval;
+  listing_news out;
+  out.reader = reader_;
+  out.life = life_;
+  out.since = whole ? 0 : last.version;
+  out.version = version_;
+  for (const auto& [id, it] : entries_) {
+    if (it.version <= out.since) continue;
+    if (!it.gone) out.endpoints.push_back(it.dated.as_of(now));
+    if (it.gone && !whole) out.gone.push_back(id);
+  }
+  last.version = version_;
+  if (whole) last.whole_at = now;
+  return out;
+}
+
+bool listing_copy::take(const listing_news& in, monotonic_time now) {
+  view& it = readers_[in.reader];
+  const bool other_life = it.life != in.life;
+  if (in.since > 0 && (other_life || in.since > it.version)) return false;
+  // Overtaken by newer news of the same reader.
+  if (!other_life && in.version < it.version) return true;
+  if (in.since == 0) it.endpoints.clear();
+  it.life = in.life;
+  it.version = in.version;
+  for (const std::string& id : in.gone) it.endpoints.erase(id);
+  for (const listed_endpoint& one : in.endpoints) {
+    it.endpoints[one.id] = {one, now};
+  }
+  last_ = in.reader;
+  return true;
+}
+
+std::vector<listed_endpoint> listing_copy::all(monotonic_time now) const {
+  std::vector<listed_endpoint> out;
+  const auto found = readers_.find(last_);
+  if (found == readers_.end()) return out;
+  for (const auto& [id, it] : found->second.endpoints) {
+    out.push_back(it.as_of(now));
+  }
+  return out;
+}
+
+}  // namespace trestlepost::node
--- /dev/null
+++ b/node/src/listing_news.h
@@ -0,0 +1,91 @@
+// What changed in the list of endpoints, from the gateway that reads it to
+// the others of its region. The decisions only; listing_service sends.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/json.h"
+#include "trestlepost/surface/endpoint_directory.h"
+
+namespace trestlepost::node {
+
+/// An endpoint with the time to which its spans of time refer.
+struct dated_endpoint {
+  surface::listed_endpoint endpoint;
+  monotonic_time at;
+
+  /// The endpoint with its spans as they are at `now`.
+  surface::listed_endpoint as_of(monotonic_time now) const;
+};
+
+/// What has changed after version `since`; all of it when that is 0.
+struct listing_news {
+  std::string reader;
+  std::uint64_t life = 0;  // of the reader's process
+  std::uint64_t since = 0;
+  std::uint64_t version = 0;
+  std::vector<surface::listed_endpoint> endpoints;
+  std::vector<std::string> gone;  // ids
+};
+
+json to_json(const listing_news& value);
+/// Refuses news that contradict themselves.
+result<listing_news> listing_news_from(const json& value);
+
+/// On the reader.
+class listing_writer {
+ public:
+  listing_writer(std::string reader, std::uint64_t life)
+      : reader_(std::move(reader)), life_(life) {}
+
+  void update(const std::vector<surface::listed_endpoint>& all,
+              monotonic_time now);
+  /// What to tell `gateway` now: what changed since it was told last, and
+  /// from time to time all.
+  listing_news next(const std::string& gateway, monotonic_time now);
+  /// The next news to `gateway` have the whole list.
+  void forget(const std::string& gateway) { told_.erase(gateway); }
+  bool empty() const { return version_ == 0; }
+
+ private:
+  struct entry {
+    dated_endpoint dated;
+    std::uint64_t version = 0;
+    bool gone = false;
+  };
+  struct told {
+    std::uint64_t version = 0;
+    monotonic_time whole_at;
+  };
+
+  std::string reader_;
+  std::uint64_t life_;
+  std::uint64_t version_ = 0;
+  std::map<std::string, entry> entries_;
+  std::map<std::string, told> told_;
+};
+
+/// On the others.
+class listing_copy {
+ public:
+  /// False when earlier news are missing: the whole list must be asked for.
+  bool take(const listing_news& in, monotonic_time now);
+  /// The list of the reader whose news came last.
+  std::vector<surface::listed_endpoint> all(monotonic_time now) const;
+
+ private:
+  struct view {
+    std::uint64_t life = 0;
+    std::uint64_t version = 0;
+    std::map<std::string, dated_endpoint> endpoints;
+  };
+
+  std::string last_;
+  std::map<std::string, view> readers_;
+};
+
+}  // namespace trestlepost::node
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 #include <utility>
 
 #include "trestlepost/base/hash.h"
@@ -19,71 +20,124 @@
 constexpr unsigned ok_status = 200;
 // A gateway that was told nothing for so many intervals reads for itself.
 constexpr int silent_intervals = 3;
+// A gateway that has no list yet asks the reader for it this often.
+constexpr milliseconds ask_interval{300};
 // Pages of one list; more of them mean a list that never ends.
 constexpr int most_pages = 1000;
 
-json to_json(const listed_endpoint& value) {
-  json out;
-  out["id"] = value.id;
-  out["service"] = value.service;
-  out["address"] = value.address;
-  out["zone"] = value.availability_zone;
-  out["slots"] = value.slots;
-  if (value.leaving) out["leaving"] = true;
-  if (value.ends_in) out["ends_in_ms"] = as_number(*value.ends_in);
-  if (value.cold_left.count() > 0) {
-    out["cold_ms"] = as_number(value.cold_left);
-  }
-  return out;
-}
-
-listed_endpoint listed_endpoint_from(const json& value) {
-  listed_endpoint out;
-  out.id = text_of(value, "id");
-  out.service = text_of(value, "service");
-  out.address = text_of(value, "address");
-  out.availability_zone = text_of(value, "zone");
-  out.slots = static_cast<unsigned>(number_of(value, "slots"));
-  out.leaving = flag_of(value, "leaving");
-  if (!member_of(value, "ends_in_ms").isNull()) {
-    out.ends_in = milliseconds(number_of(value, "ends_in_ms"));
-  }
-  out.cold_left = milliseconds(number_of(value, "cold_ms"));
-  return out;
-}
-
 }  // namespace
 
+listing_service::listing_service(node_context& context,
+                                 const surface::endpoint_directory* directory)
+    : context_(context),
+      directory_(directory),
+      writer_(context.self.name, (context.random.next() >> 1) | 1) {}
+
 void listing_service::start() {
+  started_at_ = context_.clock.now();
+  heard_at_ = started_at_;
   context_.peers.add_notification(
       "endpoints.listed",
       [this](const json& params, const transport::rpc_context&) {
-        std::vector<listed_endpoint> all;
-        for (const json& it : member_of(params, "endpoints")) {
-          all.push_back(listed_endpoint_from(it));
-        }
-        heard_at_ = context_.clock.now();
-        if (on_listed) on_listed(all);
+        handle_news(params);
+      });
+  context_.peers.add_notification(
+      "endpoints.ask",
+      [this](const json& params, const transport::rpc_context&) {
+        handle_ask(params);
       });
 }
 
-bool listing_service::is_reader() const {
+void listing_service::handle_news(const json& params) {
+  const result<listing_news> news = listing_news_from(params);
+  if (!news) {
+    log_event(
+        log_level::warn, "endpoints-refused",
+        {{"detail", news.error().message}, {"remedy", news.error().remedy}});
+    return;
+  }
+  const monotonic_time now = context_.clock.now();
+  if (!copy_.take(*news, now)) {
+    ask(news->reader);
+    return;
+  }
+  heard_at_ = now;
+  heard_ = true;
+  if (on_listed) on_listed(copy_.all(now));
+}
+
+void listing_service::handle_ask(const json& params) {
+  const std::string gateway = text_of(params, "node");
+  const std::string address = text_of(params, "reply_to");
+  const milliseconds interval = context_.options.timing.platform_poll_interval;
+  const bool reads =
+      !writer_.empty() &&
+      context_.clock.now() < read_at_ + silent_intervals * interval;
+  if (!reads || gateway.empty() || address.empty()) return;
+  writer_.forget(gateway);
+  tell(gateway, address);
+}
+
+void listing_service::ask(const std::string& gateway) {
+  const std::string address = context_.peer_address(gateway);
+  if (address.empty()) return;
+  json params;
+  params["node"] = context_.self.name;
+  params["reply_to"] = context_.self.peer_address;
+  context_.links.send(address, "endpoints.ask", params);
+}
+
+bool listing_service::may_live(const std::string& gateway) const {
+  const monotonic_time now = context_.clock.now();
+  if (context_.nodes.find(gateway) != nullptr) {
+    return context_.nodes.is_live(gateway, now);
+  }
+  // The book names it, and its first heartbeat may still be on its way.
+  const milliseconds interval = context_.options.timing.platform_poll_interval;
+  return now < started_at_ + silent_intervals * interval;
+}
+
+std::string listing_service::reader() const {
   const std::string& region = context_.self.region;
-  const std::uint64_t own = rendezvous_score(region, context_.self.name);
+  std::set<std::string> gateways{context_.self.name};
+  for (const auto& [name, it] : context_.book) {
+    const bool gateway = it.region == region && !it.forward_address.empty();
+    if (gateway) gateways.insert(name);
+  }
   for (const membership::node_record* it :
        context_.nodes.other_gateways(context_.self, context_.clock.now())) {
-    if (rendezvous_score(region, it->last.node.name) > own) return false;
+    gateways.insert(it->last.node.name);
+  }
+  std::string best;
+  for (const std::string& it : gateways) {
+    if (it != context_.self.name && !may_live(it)) continue;
+    const bool higher = best.empty() || rendezvous_score(region, it) >
+                                            rendezvous_score(region, best);
+    if (higher) best = it;
   }
-  return true;
+  return best;
+}
+
+bool listing_service::should_read() {
+  const monotonic_time now = context_.clock.now();
+  const milliseconds interval = context_.options.timing.platform_poll_interval;
+  if (now >= heard_at_ + silent_intervals * interval) return true;
+  // Until the book comes a node knows of no others, and all would read.
+  if (context_.book.empty()) return false;
+  const std::string expected = reader();
+  if (expected == context_.self.name) return true;
+  if (!heard_ && now >= next_ask_) {
+    next_ask_ = now + ask_interval;
+    ask(expected);
+  }
+  return false;
 }
 
 void listing_service::tick() {
   const monotonic_time now = context_.clock.now();
   if (reading_ || now < next_read_) return;
-  const milliseconds interval = context_.options.timing.platform_poll_interval;
-  const bool told = now < heard_at_ + silent_intervals * interval;
-  if (!is_reader() && told) return;
-  next_read_ = now + interval;
+  if (!should_read()) return;
+  next_read_ = now + context_.options.timing.platform_poll_interval;
   reading_ = true;
   boost::asio::co_spawn(context_.io, read_all(), boost::asio::detached);
 }
@@ -127,22 +181,31 @@
   if (lost_) log_event(log_level::info, "platform-list-back");
   lost_ = false;
   heard_at_ = context_.clock.now();
+  read_at_ = heard_at_;
+  heard_ = true;
   if (on_listed) on_listed(all);
   tell_others(all);
 }
 
+void listing_service::tell(const std::string& gateway,
+                           const std::string& address) {
+  context_.links.send(address, "endpoints.listed",
+                      to_json(writer_.next(gateway, context_.clock.now())));
+}
+
 void listing_service::tell_others(const std::vector<listed_endpoint>& all) {
-  json params;
-  json& endpoints = params["endpoints"] = json(Json::arrayValue);
+  const monotonic_time now = context_.clock.now();
+  std::vector<listed_endpoint> own;
   for (const listed_endpoint& it : all) {
     const auto zone = context_.options.zone_regions.find(it.availability_zone);
     const bool here = zone != context_.options.zone_regions.end() &&
                       zone->second == context_.self.region;
-    if (here) endpoints.append(to_json(it));
+    if (here) own.push_back(it);
   }
+  writer_.update(own, now);
   for (const membership::node_record* it :
-       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
-    context_.links.send(it->last.node.peer_address, "endpoints.listed", params);
+       context_.nodes.other_gateways(context_.self, now)) {
+    tell(it->last.node.name, it->last.node.peer_address);
   }
 }
 
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <vector>
 
+#include "listing_news.h"
 #include "node_context.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
@@ -13,8 +14,7 @@
 class listing_service {
  public:
   listing_service(node_context& context,
-                  const surface::endpoint_directory* directory)
-      : context_(context), directory_(directory) {}
+                  const surface::endpoint_directory* directory);
 
   void start();
   void tick();
@@ -26,13 +26,26 @@
   transport::awaitable<void> read_all();
   transport::awaitable<result<surface::endpoint_page>> read_page(
       std::string token);
-  bool is_reader() const;
+  void handle_news(const json& params);
+  void handle_ask(const json& params);
+  /// The gateway that should read, as far as this node knows.
+  std::string reader() const;
+  bool may_live(const std::string& gateway) const;
+  bool should_read();
+  void ask(const std::string& gateway);
+  void tell(const std::string& gateway, const std::string& address);
   void tell_others(const std::vector<surface::listed_endpoint>& all);
 
   node_context& context_;
   const surface::endpoint_directory* directory_;
+  listing_writer writer_;
+  listing_copy copy_;
   monotonic_time next_read_;
-  monotonic_time heard_at_;
+  monotonic_time next_ask_;
+  monotonic_time started_at_;
+  monotonic_time heard_at_;  // or when it started
+  monotonic_time read_at_;   // of the last list read by this node
+  bool heard_ = false;
   bool reading_ = false;
   bool lost_ = false;
 };
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -287,7 +287,9 @@
     declare_endpoints();
     if (routed()) routed_parts.take_plan(entry_server);
   };
-  heartbeats.on_region_heard = [this] { routed_parts.share_pending(); };
+  heartbeats.on_region_heard = [this](const membership::endpoint_sums& it) {
+    routed_parts.share_pending(it);
+  };
   operators.on_drain = [this] { stop.begin(); };
   watch.start();
   ledger.start();
--- /dev/null
+++ b/node/src/region_peers.cc
@@ -0,0 +1,50 @@
+#include "region_peers.h"
+
+#include "trestlepost/membership/region_digest.h"
+
+namespace trestlepost::node {
+
+using membership::node_record;
+
+std::map<std::string, std::string> region_mates(const node_context& context) {
+  std::map<std::string, std::string> out;
+  for (const auto& [name, it] : context.book) {
+    if (it.region == context.self.region) out[name] = it.peer_address;
+  }
+  for (const node_record* it : context.nodes.all()) {
+    const membership::node_info& node = it->last.node;
+    if (node.region == context.self.region) out[node.name] = node.peer_address;
+  }
+  out.erase(context.self.name);
+  return out;
+}
+
+bool sends_by_relays(const node_context& context) {
+  return region_mates(context).size() + 1 > membership::largest_mesh;
+}
+
+std::vector<std::string> other_regions(const node_context& context) {
+  std::set<std::string> out;
+  for (const auto& [name, it] : context.book) out.insert(it.region);
+  for (const std::string& it : context.nodes.regions()) out.insert(it);
+  out.erase(context.self.region);
+  return {out.begin(), out.end()};
+}
+
+std::vector<std::string> relay_addresses(const node_context& context,
+                                         const std::string& region) {
+  std::vector<std::string> out;
+  for (const node_record* it :
+       context.nodes.relays_of(region, context.clock.now())) {
+    out.push_back(it->last.node.peer_address);
+  }
+  if (!out.empty()) return out;
+  // Nobody there is known to live: try those that the book names.
+  for (const auto& [name, it] : context.book) {
+    const bool room = out.size() < membership::relays_per_region;
+    if (it.region == region && room) out.push_back(it.peer_address);
+  }
+  return out;
+}
+
+}  // namespace trestlepost::node
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -58,18 +58,8 @@
   pool_.refresh();
 }
 
-void routed_gateway::share_pending() {
-  std::map<std::string, routing::pending_tokens> others;
-  for (const membership::node_record* it :
-       context_.nodes.live_in(context_.options.region, context_.clock.now())) {
-    if (it->last.node.name == context_.options.node) continue;
-    for (const auto& [endpoint, tokens] : it->last.pending_tokens) {
-      routing::pending_tokens& sum = others[endpoint];
-      if (sum.size() < tokens.size()) sum.resize(tokens.size());
-      for (std::size_t i = 0; i < tokens.size(); ++i) sum[i] += tokens[i];
-    }
-  }
-  pool_.engines().set_others(std::move(others));
+void routed_gateway::share_pending(const membership::endpoint_sums& others) {
+  pool_.engines().set_others(others.pending);
 }
 
 void routed_gateway::add_loads(membership::heartbeat& beat) {
--- a/node/src/routed_gateway.h
+++ b/node/src/routed_gateway.h
@@ -11,6 +11,7 @@
 #include "trestlepost/gateway/route_forward_handler.h"
 #include "trestlepost/gateway/route_handler.h"
 #include "trestlepost/gateway/route_service.h"
+#include "trestlepost/membership/endpoint_sums.h"
 #include "trestlepost/surface/surfaces.h"
 
 namespace trestlepost::node {
@@ -28,7 +29,7 @@
   /// `entry_server`.
   void take_plan(transport::http_server& entry_server);
   /// Takes in what the region's other gateways have sent to its endpoints.
-  void share_pending();
+  void share_pending(const membership::endpoint_sums& others);
   /// Adds what peers are told of the services and the endpoints here.
   void add_loads(membership::heartbeat& beat);
 
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -53,12 +53,30 @@
   json params;
   const std::uint64_t token = next_token_++;
   params["token"] = as_number(token);
-  params["heartbeat"] = membership::to_json(make_heartbeat_());
+  const std::string address = poll_address();
+  introduce(params, address);
   params["revision"] = as_number(context_.store.revision());
   params["book_version"] = as_number(book_version_);
   questions_.push_back({token, context_.clock.now()});
   if (questions_.size() > most_questions) questions_.pop_front();
-  context_.links.send(poll_address(), "config.poll", params);
+  context_.links.send(address, "config.poll", params);
+}
+
+void watch_client::introduce(json& params, const std::string& address) {
+  const membership::heartbeat beat = make_heartbeat_();
+  const bool known =
+      introduced_to_ == address && introduced_state_ == beat.state;
+  introduced_to_ = address;
+  introduced_state_ = beat.state;
+  if (!known) {
+    params["heartbeat"] = membership::to_json(beat);
+    return;
+  }
+  json& alive = params["alive"];
+  alive["name"] = beat.node.name;
+  alive["incarnation"] = as_number(beat.node.incarnation);
+  alive["sequence"] = as_number(beat.sequence);
+  alive["address"] = beat.node.peer_address;
 }
 
 void watch_client::handle_update(const json& params) {
@@ -67,6 +85,10 @@
   const std::string leader_address = text_of(params, "leader_address");
   if (!leader_address.empty()) context_.heard_from[leader] = leader_address;
   if (finder_.learn(leader, now)) next_poll_ = now;
+  if (flag_of(params, "stranger")) {
+    introduced_to_.clear();
+    next_poll_ = now;
+  }
   const std::uint64_t token = number_of(params, "token");
   const auto asked =
       std::find_if(questions_.begin(), questions_.end(),
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -36,6 +36,9 @@
   };
 
   void poll();
+  /// Who asks: its heartbeat when it has news for control nodes, else a sign
+  /// of life.
+  void introduce(json& params, const std::string& address);
   std::string poll_address();
   void handle_update(const json& params);
   void apply(const json& update);
@@ -49,6 +52,9 @@
   std::uint64_t next_token_ = 1;
   std::uint64_t book_version_ = 0;
   monotonic_time next_poll_;
+  /// What the node at this address was told of this one.
+  std::string introduced_to_;
+  std::string introduced_state_;
 };
 
 }  // namespace trestlepost::node
