--- /dev/null
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -0,0 +1,45 @@
+// Which nodes of its region a node sends its heartbeats to: the highest by
+// rendezvous hash among those that answer.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/membership/node_table.h"
+
+namespace trestlepost::membership {
+
+struct relay_candidate {
+  std::string name;
+  bool leaving = false;
+};
+
+class relay_choice {
+ public:
+  /// `mute_after` without an answer puts a candidate behind all others.
+  std::vector<std::string> choose(const std::string& region,
+                                  std::vector<relay_candidate> candidates,
+                                  std::chrono::milliseconds mute_after,
+                                  monotonic_time now) const;
+  void asked(const std::string& name, monotonic_time now);
+  void answered(const std::string& name);
+
+ private:
+  bool is_mute(const std::string& name, std::chrono::milliseconds mute_after,
+               monotonic_time now) const;
+
+  /// Since when a candidate has been asked without an answer.
+  std::map<std::string, monotonic_time> asked_since_;
+};
+
+/// Time between two heartbeats of a node in a region of so many: relays of a
+/// large one are spared, but five heartbeats fit into the time after which a
+/// silent node is suspected.
+std::chrono::milliseconds beat_interval(std::chrono::milliseconds base,
+                                        std::size_t nodes,
+                                        const suspicion_options& suspicion);
+
+}  // namespace trestlepost::membership
--- a/membership/test/cached_prefix-test.cc
+++ b/membership/test/cached_prefix-test.cc
@@ -13,10 +13,17 @@
 }
 
 TEST(cached_prefix_test, what_is_no_prefix_is_left_out) {
-  const char* const table[] = {
-      "null",     "7",           "{}",           "[7]",
-      "[[]]",     "[[\"i-1\"]]", "[[1, 2, 3]]",  "[[\"i-1\", 5]]",
-      "[\"i-1\"]", "[[\"i-1\", \"5\", 6]]", "[[\"i-1\", 5, -6]]"};
+  const char* const table[] = {"null",
+                               "7",
+                               "{}",
+                               "[7]",
+                               "[[]]",
+                               "[[\"i-1\"]]",
+                               "[[1, 2, 3]]",
+                               "[[\"i-1\", 5]]",
+                               "[\"i-1\"]",
+                               "[[\"i-1\", \"5\", 6]]",
+                               "[[\"i-1\", 5, -6]]"};
   for (const char* text : table) {
     const result<json> value = parse_json(text);
     ASSERT_TRUE(value) << text;
