Continue broken streams at another endpoint within their answer

Cause: on routes whose streams may be resumed, an endpoint that crashed, reset its connection or cut its answer after the first event cost the caller the whole answer, although another endpoint could have gone on.

Ruled out: leaving it to callers (a new request, counted from its first event again), and continuing at the entry for requests served in another region (one break could then be sent on twice).

Change: on such routes endpoint_runner passes whole events only, and reports a break with the answer still open. route_service sends the request to another endpoint with the id of the last event passed, if the route's attempts, the deadline, the caller, the shared retries and an open endpoint allow it; else the answer is broken off. The caller keeps the head of the first endpoint. The rest has to be a 200 whose events have higher ids; anything else breaks the answer off. An answer without length is taken for broken when it ends within an event, or before the first event of a continuation. A break before the first event is retried as before. Log lines stream-resumed and stream-not-resumed, and trestlepost_stream_resumptions_total.

Not covered by a test: answers without length.

--- a/bench/src/caller.cc
+++ b/bench/src/caller.cc
@@ -35,6 +35,7 @@
   }
   out.sent = true;
   out.status = call->status();
+  out.headers = call->headers();
   out.region = std::string(call->header("Trestlepost-Region"));
   out.ran = std::string(call->header("Trestlepost-Ran"));
   out.retry_after = std::string(call->header("Retry-After"));
--- a/bench/src/caller.h
+++ b/bench/src/caller.h
@@ -30,6 +30,7 @@
   std::string kind;  // of a refusal
   std::string retry_after;
   std::string replayed;
+  transport::header_list headers;
   std::string body;
   std::chrono::nanoseconds first_piece{0};
   std::chrono::nanoseconds total{0};
--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -34,6 +34,9 @@
   std::chrono::milliseconds retry_after{0};
   std::string endpoint;  // that was tried, or empty
   unsigned sends = 0;    // endpoints that the request was written to
+  /// The endpoint broke off a stream of which the caller has events, and the
+  /// answer is still open: it has to be continued or broken off.
+  bool stream_broken = false;
   /// A failure that the endpoint itself answered; the caller gets it when no
   /// other attempt follows.
   std::optional<transport::http_answer> endpoint_answer;
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -4,6 +4,7 @@
 
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/endpoint_pool.h"
+#include "trestlepost/gateway/event_scanner.h"
 #include "trestlepost/surface/surfaces.h"
 
 namespace trestlepost::gateway {
@@ -15,10 +16,11 @@
       : context_(context), surfaces_(surfaces), pool_(pool) {}
 
   /// With `may_give_up` an endpoint that stays silent for much longer than
-  /// expected is left, so that another one can be tried.
+  /// expected is left, so that another one can be tried. `events` is fresh, or
+  /// holds what was passed on of the stream that is to be continued.
   transport::awaitable<attempt> run(const routed_request& request,
                                     const chosen_endpoint& endpoint,
-                                    bool may_give_up,
+                                    bool may_give_up, event_scanner& events,
                                     transport::http_exchange& exchange);
 
  private:
@@ -32,6 +34,14 @@
   transport::awaitable<attempt> deliver(running& now);
   transport::awaitable<attempt> deliver_whole(running& now);
   transport::awaitable<attempt> deliver_stream(running& now);
+  /// A stream that can be continued: whole events only are passed on.
+  transport::awaitable<attempt> deliver_events(running& now);
+  transport::awaitable<bool> pass_events(running& now, std::string text,
+                                         bool ended);
+  attempt no_continuation(running& now);
+  attempt events_broke(running& now, const error& cause);
+  attempt wrong_continuation(running& now, stream_fault fault);
+  attempt caller_left(running& now);
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
--- a/gateway/include/trestlepost/gateway/metrics.h
+++ b/gateway/include/trestlepost/gateway/metrics.h
@@ -23,6 +23,8 @@
   void first_piece(const std::string& service,
                    std::chrono::nanoseconds duration);
   void retried(const std::string& service);
+  /// A broken stream was continued at another endpoint.
+  void resumed(const std::string& service, const std::string& outcome);
   void forwarded(const std::string& region);
   void queue_length(const std::string& service, std::size_t n);
 
@@ -32,6 +34,7 @@
   prometheus::Family<prometheus::Histogram>& first_pieces_;
   prometheus::Family<prometheus::Counter>& served_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Counter>& forwards_;
   prometheus::Family<prometheus::Gauge>& queue_;
 };
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -34,6 +34,19 @@
   std::size_t known_gateways() const;
   bool may_retry(const routed_request& request, const attempt& last,
                  unsigned unsent);
+  /// Continues a stream that broke off at other endpoints, or breaks off its
+  /// answer.
+  transport::awaitable<attempt> resume(routed_request& request, attempt broken,
+                                       event_scanner& events,
+                                       transport::http_exchange& exchange);
+  /// The endpoint for the rest of the stream, or why it is not continued.
+  result<chosen_endpoint> next_for_rest(const routed_request& request,
+                                        const attempt& last,
+                                        const event_scanner& events,
+                                        unsigned unsent);
+  void note_resumption(const routed_request& request, const attempt& before,
+                       const attempt& after, const std::string& last_event,
+                       const std::string& outcome);
 
   gateway_context& context_;
   endpoint_pool& pool_;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -33,12 +33,19 @@
                   silent_times * expected.first_token);
 }
 
+/// Whether the answer's end can be told from a connection that was closed.
+bool has_told_end(const transport::http_call& call) {
+  return !call.header("Transfer-Encoding").empty() ||
+         !call.header("Content-Length").empty();
+}
+
 }  // namespace
 
 /// What belongs to one attempt.
 struct endpoint_runner::running {
   const routed_request& request;
   const chosen_endpoint& endpoint;
+  event_scanner& events;
   transport::http_exchange& exchange;
   std::shared_ptr<transport::http_call> call;
   routing::engine_book::ticket ticket = 0;
@@ -50,9 +57,9 @@
 
 awaitable<attempt> endpoint_runner::run(const routed_request& request,
                                         const chosen_endpoint& endpoint,
-                                        bool may_give_up,
+                                        bool may_give_up, event_scanner& events,
                                         transport::http_exchange& exchange) {
-  running now{request, endpoint, exchange,
+  running now{request, endpoint, events, exchange,
               context_.client.call(endpoint.address)};
   now.started = context_.clock.now();
   now.answer_by = request.deadline;
@@ -78,7 +85,7 @@
   } else {
     out = send_failed(now, sent.error());
   }
-  if (out.delivered) {
+  if (out.delivered && !events.continued()) {
     context_.metrics.served_in(request.service, context_.self.region);
   }
   exchange.on_gone(nullptr);
@@ -91,12 +98,15 @@
 awaitable<send_result> endpoint_runner::send(running& now) {
   const milliseconds remaining = std::chrono::duration_cast<milliseconds>(
       now.request.deadline - now.started);
+  const std::string& resume_after = now.events.continued()
+                                        ? now.events.resume_point()
+                                        : now.request.head.resume_after;
   const surface::endpoint_attempt in{now.request.head,
                                      now.request.body,
                                      now.endpoint.id,
                                      std::max(remaining, milliseconds(1)),
                                      now.request.route->priority,
-                                     now.request.head.resume_after};
+                                     resume_after};
   transport::http_request out = surfaces_.endpoints->encode(in);
   send_result sent = co_await now.call->send(std::move(out), now.answer_by);
   if (sent) now.call->set_deadline(now.request.deadline);
@@ -171,8 +181,12 @@
   const bool streamed = now.request.route->kind == config::route_kind::stream &&
                         now.call->status() == ok_status;
   attempt out;
-  if (streamed) {
+  if (streamed && now.request.route->resumable) {
+    out = co_await deliver_events(now);
+  } else if (streamed) {
     out = co_await deliver_stream(now);
+  } else if (now.events.continued()) {
+    out = no_continuation(now);
   } else {
     out = co_await deliver_whole(now);
   }
@@ -248,4 +262,99 @@
   co_return out;
 }
 
+attempt endpoint_runner::no_continuation(running& now) {
+  const unsigned status = now.call->status();
+  now.call->cancel();
+  return failed_attempt(run_state::unknown,
+                        {error_kind::endpoint_failed,
+                         "the endpoint answered the rest of a stream with " +
+                             std::to_string(status),
+                         "check the endpoint " + now.endpoint.id});
+}
+
+awaitable<attempt> endpoint_runner::deliver_events(running& now) {
+  bool ended = false;
+  while (!ended) {
+    result<std::string> piece = co_await now.call->read_piece();
+    if (!piece) co_return events_broke(now, piece.error());
+    ended = piece->empty();
+    if (ended && now.events.misses_something() && !has_told_end(*now.call)) {
+      const error cause{error_kind::endpoint_failed,
+                        "an answer without length ended too early",
+                        "check the endpoint " + now.endpoint.id};
+      co_return events_broke(now, cause);
+    }
+    if (!ended) pool_.engines().event(now.ticket, context_.clock.now());
+    scanned_events found =
+        ended ? now.events.finish() : now.events.push(std::move(*piece));
+    const stream_fault fault = found.fault;
+    const bool open =
+        co_await pass_events(now, std::move(found.passable), ended);
+    if (!open) co_return caller_left(now);
+    if (fault == stream_fault::none) continue;
+    if (now.events.continued()) co_return wrong_continuation(now, fault);
+    log_event(log_level::info, "stream-not-resumable",
+              {{"request_id", now.request.head.request_id},
+               {"endpoint", now.endpoint.id},
+               {"cause", std::string(to_string(fault))}});
+  }
+  context_.endpoints.request_succeeded(now.endpoint.id);
+  co_await now.exchange.finish_stream();
+  attempt out;
+  out.delivered = true;
+  out.ran = run_state::yes;
+  co_return out;
+}
+
+awaitable<bool> endpoint_runner::pass_events(running& now, std::string text,
+                                             bool ended) {
+  // A stream that gave no event yet can still be sent afresh.
+  const bool begins = !now.exchange.answered();
+  if (begins && text.empty() && !ended) co_return !now.exchange.gone();
+  if (begins) {
+    context_.metrics.first_piece(now.request.service,
+                                 context_.clock.now() - now.request.arrived);
+    http_answer head = answer_head(*now.call, *surfaces_.endpoints);
+    const bool open = co_await now.exchange.start_stream(std::move(head));
+    if (!open) co_return false;
+  }
+  co_return co_await now.exchange.write_piece(std::move(text));
+}
+
+attempt endpoint_runner::events_broke(running& now, const error& cause) {
+  if (now.exchange.gone()) return caller_left(now);
+  now.call->cancel();
+  context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+  if (!now.exchange.answered()) {
+    return failed_attempt(run_state::unknown, cause, refused_retry_after);
+  }
+  attempt out;
+  out.delivered = true;
+  out.ran = run_state::yes;
+  out.cause = cause;
+  out.stream_broken = true;
+  return out;
+}
+
+attempt endpoint_runner::wrong_continuation(running& now, stream_fault fault) {
+  now.call->cancel();
+  now.exchange.abort();
+  context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+  attempt out;
+  out.delivered = true;
+  out.ran = run_state::yes;
+  out.cause = {error_kind::endpoint_failed, std::string(to_string(fault)),
+               "check the endpoint " + now.endpoint.id};
+  return out;
+}
+
+attempt endpoint_runner::caller_left(running& now) {
+  now.call->cancel();
+  attempt out;
+  out.delivered = true;
+  out.ran = run_state::yes;
+  out.cause = {error_kind::bad_input, "the caller left", ""};
+  return out;
+}
+
 }  // namespace trestlepost::gateway
--- a/gateway/src/metrics.cc
+++ b/gateway/src/metrics.cc
@@ -41,6 +41,8 @@
                       "Answered requests, by the region that served them.")),
       retries_(counter(registry, "trestlepost_retries_total",
                        "Second and later attempts.")),
+      resumptions_(counter(registry, "trestlepost_stream_resumptions_total",
+                           "Broken streams continued at another endpoint.")),
       forwards_(counter(registry, "trestlepost_forwards_total",
                         "Requests sent to another region.")),
       queue_(gauge(registry, "trestlepost_queue_length",
@@ -69,6 +71,11 @@
   retries_.Add({{"service", service}}).Increment();
 }
 
+void gateway_metrics::resumed(const std::string& service,
+                              const std::string& outcome) {
+  resumptions_.Add({{"service", service}, {"outcome", outcome}}).Increment();
+}
+
 void gateway_metrics::forwarded(const std::string& region) {
   forwards_.Add({{"region", region}}).Increment();
 }
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -52,6 +52,25 @@
       std::max(least_retry_after, wait / 2));
 }
 
+/// Whether the caller would give its stream up before the endpoint begins.
+bool rest_too_late(const routed_request& request,
+                   const routing::outlook& expected, monotonic_time now) {
+  return now + expected.wait >= request.deadline ||
+         expected.wait >= first_event_patience(*request.route);
+}
+
+result<chosen_endpoint> not_continued(const std::string& why) {
+  return fail(error_kind::endpoint_failed, why,
+              "send the request again with the last event's id");
+}
+
+/// How a continuation ended.
+std::string outcome_of(const attempt& it, bool caller_left) {
+  if (caller_left) return "caller-left";
+  if (!it.delivered) return "not-taken";
+  return it.cause.message.empty() ? "whole" : "broken";
+}
+
 }  // namespace
 
 std::size_t route_service::known_gateways() const {
@@ -111,8 +130,15 @@
     }
     const bool may_give_up = request.route->may_repeat() &&
                              request.sends + 1 < request.route->attempts;
-    last = co_await runner_.run(request, *chosen, may_give_up, exchange);
+    event_scanner events;
+    last =
+        co_await runner_.run(request, *chosen, may_give_up, events, exchange);
     request.sends += last->sends;
+    if (last->stream_broken) {
+      request.avoid.insert(chosen->id);
+      attempt broken = std::move(*last);
+      co_return co_await resume(request, std::move(broken), events, exchange);
+    }
     if (last->delivered || exchange.answered() || exchange.gone()) {
       last->delivered = true;
       co_return std::move(*last);
@@ -131,4 +157,84 @@
   co_return std::move(*last);
 }
 
+result<chosen_endpoint> route_service::next_for_rest(
+    const routed_request& request, const attempt& last,
+    const event_scanner& events, unsigned unsent) {
+  if (events.resume_point().empty()) {
+    return not_continued("the last event has no id");
+  }
+  const monotonic_time now = context_.clock.now();
+  if (now >= request.deadline) return not_continued("no time is left");
+  if (request.sends >= request.route->attempts) {
+    return not_continued("the route's attempts are used up");
+  }
+  if (unsent >= most_unsent_tries) {
+    return not_continued("no endpoint takes the request");
+  }
+  result<chosen_endpoint> chosen = pool_.choose(request);
+  if (!chosen) return chosen;
+  if (rest_too_late(request, chosen->expected, now)) {
+    return not_continued("prompts that wait take too long");
+  }
+  // What was taken for a continuation that was not sent serves the next one.
+  const bool taken = last.sends == 0;
+  if (!taken && !take_retry(request.service)) {
+    return not_continued("the retries of " + request.service +
+                         " are used up for now");
+  }
+  return chosen;
+}
+
+void route_service::note_resumption(const routed_request& request,
+                                    const attempt& before, const attempt& after,
+                                    const std::string& last_event,
+                                    const std::string& outcome) {
+  context_.metrics.resumed(request.service, outcome);
+  log_event(log_level::info, "stream-resumed",
+            {{"request_id", request.head.request_id},
+             {"from", before.endpoint},
+             {"endpoint", after.endpoint},
+             {"last_event", last_event},
+             {"cause", before.cause.message},
+             {"outcome", outcome},
+             {"detail", after.cause.message}});
+}
+
+awaitable<attempt> route_service::resume(routed_request& request,
+                                         attempt broken, event_scanner& events,
+                                         transport::http_exchange& exchange) {
+  attempt last = std::move(broken);
+  unsigned unsent = 0;
+  while (!exchange.gone()) {
+    const result<chosen_endpoint> chosen =
+        next_for_rest(request, last, events, unsent);
+    if (!chosen) {
+      log_event(log_level::warn, "stream-not-resumed",
+                {{"request_id", request.head.request_id},
+                 {"endpoint", last.endpoint},
+                 {"last_event", events.resume_point()},
+                 {"cause", last.cause.message},
+                 {"why", chosen.error().message}});
+      break;
+    }
+    const std::string last_event = events.resume_point();
+    events.continue_elsewhere();
+    const bool may_give_up = request.sends + 1 < request.route->attempts;
+    attempt next =
+        co_await runner_.run(request, *chosen, may_give_up, events, exchange);
+    request.sends += next.sends;
+    request.avoid.insert(chosen->id);
+    const std::string outcome = outcome_of(next, exchange.gone());
+    note_resumption(request, last, next, last_event, outcome);
+    if (next.sends == 0) ++unsent;
+    last = std::move(next);
+    if (last.delivered && !last.stream_broken) co_return last;
+  }
+  exchange.abort();
+  last.delivered = true;
+  last.stream_broken = false;
+  last.ran = run_state::yes;
+  co_return last;
+}
+
 }  // namespace trestlepost::gateway
