A caller that leaves a stream is no failure of its endpoint

Cause: when a caller leaves, the gateway cancels the call to the endpoint. The cancelled read was taken for a stream that the endpoint had broken off: it was logged so ("cut short: Operation canceled"), and counted towards ejecting the endpoint.

An entry that passes another region's answer on now logs such a request as left too.

--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -149,7 +149,10 @@
   std::string first = std::move(*piece);
   const passed_stream passed = co_await pass_stream(
       call, exchange, std::move(head), std::move(first), on_next);
-  if (passed.caller_left) co_return out;
+  if (passed.caller_left) {
+    out.cause = {error_kind::bad_input, "the caller left", ""};
+    co_return out;
+  }
   if (passed.broken) {
     out.cause = *passed.broken;
     co_return out;
