Split the growth of a group from the control service, without I/O

Cause: when a group founded by one seed may acknowledge, how joins are taken and where members listen stood in node/, beside sockets, so that no simulated schedule could drive the shipped code.

Change: consensus::group_growth holds these decisions, word for word; the control service calls it. The simulated disk of the consensus tests gets a file of its own, for a second simulation. Behaviour is unchanged.

--- /dev/null
+++ b/consensus/src/group_growth.cc
@@ -0,0 +1,60 @@
+#include "trestlepost/consensus/group_growth.h"
+
+#include <algorithm>
+
+namespace trestlepost::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A founder waits so long for more replicas than it needs, and for those it
+// needs; then it goes on with those there are.
+constexpr milliseconds quiet_founding{1000};
+constexpr milliseconds longest_founding{6000};
+
+}  // namespace
+
+void group_growth::observe(bool leads, monotonic_time now) {
+  if (!leads) {
+    leading_since_.reset();
+  } else if (!leading_since_) {
+    leading_since_ = now;
+  }
+}
+
+void group_growth::heard(const std::string& node, const std::string& address) {
+  if (!address.empty()) heard_from_[node] = address;
+}
+
+std::string group_growth::address_of(const group_host& host,
+                                     const std::string& node) const {
+  const auto heard = heard_from_.find(node);
+  if (heard != heard_from_.end()) return heard->second;
+  const member* member = host.find_member(node);
+  return member == nullptr ? "" : member->address;
+}
+
+bool group_growth::handle_join(group_host& host, monotonic_time now,
+                               const replica_id& joiner,
+                               const std::string& address) {
+  if (!host.core().is_leader()) return false;
+  last_join_heard_ = now;
+  host.handle_join(now, joiner, address);
+  return true;
+}
+
+bool group_growth::has_grown(const group_host& host, monotonic_time now,
+                             std::size_t least_voters) const {
+  if (!leading_since_) return true;
+  if (now >= *leading_since_ + longest_founding) return true;
+  const member_list& members = host.core().members();
+  const std::ptrdiff_t voters =
+      std::count_if(members.begin(), members.end(),
+                    [](const member& it) { return it.voter; });
+  const bool enough = static_cast<std::size_t>(voters) >= least_voters;
+  const bool quiet = now >= last_join_heard_ + quiet_founding &&
+                     now >= *leading_since_ + quiet_founding;
+  return enough && quiet && !host.has_learners();
+}
+
+}  // namespace trestlepost::consensus
--- a/consensus/test/simulation.cc
+++ b/consensus/test/simulation.cc
@@ -1,7 +1,9 @@
 #include "simulation.h"
 
 #include <algorithm>
-#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
 #include <set>
 
 namespace trestlepost::consensus::test {
@@ -13,21 +15,6 @@
 constexpr std::size_t voter_count = 3;
 constexpr std::size_t node_count = 4;  // "d" stays a learner
 
-void apply_batch(const write_batch& batch, durable_state& state) {
-  if (batch.hard) state.hard = *batch.hard;
-  if (batch.base) {
-    state.base = *batch.base;
-    state.entries.clear();
-  }
-  if (batch.truncate_from) {
-    while (!state.entries.empty() &&
-           state.entries.back().index >= *batch.truncate_from) {
-      state.entries.pop_back();
-    }
-  }
-  for (const entry& it : batch.entries) state.entries.push_back(it);
-}
-
 class recording_machine final : public state_machine {
  public:
   std::function<void(const entry&)> on_apply;
@@ -377,36 +364,6 @@
 
 }  // namespace
 
-result<durable_state> simulated_storage::load() {
-  live_ = disk_.state;
-  return live_;
-}
-
-result<void> simulated_storage::save(const write_batch& batch) {
-  if (batch.empty()) return {};
-  if (disk_.crash_before_sync >= 0 && disk_.crash_before_sync-- == 0) {
-    // A torn write: some of the entries reach the disk, unacknowledged.
-    write_batch torn = batch;
-    torn.entries.resize(torn.entries.size() / 2);
-    if (!torn.base) apply_batch(torn, disk_.state);
-    throw crash_signal();
-  }
-  apply_batch(batch, live_);
-  if (!disk_.skip_sync || batch.base) disk_.state = live_;
-  if (disk_.crash_after_sync >= 0 && disk_.crash_after_sync-- == 0) {
-    throw crash_signal();
-  }
-  return {};
-}
-
-result<void> simulated_storage::compact(const snapshot& base,
-                                        const hard_state& hard,
-                                        const std::vector<entry>& entries) {
-  live_ = durable_state{hard, base, entries};
-  disk_.state = live_;
-  return {};
-}
-
 simulation_outcome simulate(const simulation_options& options) {
   return simulation(options).run();
 }
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -17,10 +17,6 @@
 constexpr milliseconds restart_interval{500};
 // A change whose outcome did not come for so long is not waited for.
 constexpr milliseconds waiting_lifetime{30'000};
-// A founder waits so long for more control nodes than the settings' losses
-// need, and for those needed; then it goes on with those there are.
-constexpr milliseconds quiet_founding{1000};
-constexpr milliseconds longest_founding{6000};
 constexpr milliseconds watcher_lifetime{5000};
 constexpr milliseconds founding_timeout{5000};
 // A new leader waits for so many election timeouts until it knows the nodes.
@@ -68,7 +64,8 @@
   }
   if (voters.empty()) {
     consensus::open_membership open;
-    open.least_voters = 2 * context_.options.tolerated_losses + 1;
+    open.least_voters =
+        consensus::voters_to_bear(context_.options.tolerated_losses);
     host_->set_open_membership(open);
   } else {
     host_->set_desired_voters(std::move(voters));
@@ -117,19 +114,12 @@
 
 bool control_service::may_acknowledge() const {
   if (!leads()) return false;
-  if (machine_.store().plan() || !leading_since_) return true;
+  if (machine_.store().plan()) return true;
   // Before the first plan: grow first, so that what is acknowledged outlives
   // the losses that must be borne.
-  const monotonic_time now = context_.clock.now();
-  if (now >= *leading_since_ + longest_founding) return true;
-  std::size_t voters = 0;
-  for (const consensus::member& it : host_->core().members()) {
-    if (it.voter) ++voters;
-  }
-  const bool enough = voters >= 2 * context_.options.tolerated_losses + 1;
-  const bool quiet = now >= last_join_heard_ + quiet_founding &&
-                     now >= *leading_since_ + quiet_founding;
-  return enough && quiet && !host_->has_learners();
+  return growth_.has_grown(
+      *host_, context_.clock.now(),
+      consensus::voters_to_bear(context_.options.tolerated_losses));
 }
 
 result<void> control_service::confirm_read(std::function<void()> ready) {
@@ -140,11 +130,8 @@
 void control_service::handle_join(const json& params) {
   const consensus::replica_id joiner = consensus::replica_id_from(params);
   const std::string address = text_of(params, "address");
-  if (host_->core().is_leader()) {
-    last_join_heard_ = context_.clock.now();
-    host_->handle_join(context_.clock.now(), joiner, address);
-    return;
-  }
+  const monotonic_time now = context_.clock.now();
+  if (growth_.handle_join(*host_, now, joiner, address)) return;
   const std::string leader = leader_node();
   if (leader.empty() || flag_of(params, "passed_on")) return;
   json onward = params;
@@ -153,11 +140,8 @@
 }
 
 std::string control_service::address_of(const std::string& node) const {
-  const auto heard = context_.heard_from.find(node);
-  if (heard != context_.heard_from.end()) return heard->second;
-  const consensus::member* member = host_->find_member(node);
-  if (member != nullptr && !member->address.empty()) return member->address;
-  return context_.peer_address(node);
+  const std::string known = growth_.address_of(*host_, node);
+  return known.empty() ? context_.peer_address(node) : known;
 }
 
 void control_service::register_peer_methods() {
@@ -167,8 +151,7 @@
       [this](const json& params, const transport::rpc_context&) {
         const result<consensus::message> in = consensus::message_from(params);
         if (!in) return;
-        const std::string address = text_of(params, "from_address");
-        if (!address.empty()) context_.heard_from[in->from.node] = address;
+        growth_.heard(in->from.node, text_of(params, "from_address"));
         host_->receive(context_.clock.now(), *in);
       });
   peers.add_notification(
@@ -463,14 +446,14 @@
 
 void control_service::found_ledgers() {
   const monotonic_time now = context_.clock.now();
-  if (!leads()) {
-    leading_since_.reset();
+  growth_.observe(leads(), now);
+  if (!growth_.leading_since()) {
     proposed_ledgers_.clear();
     return;
   }
-  if (!leading_since_) leading_since_ = now;
-  if (now < *leading_since_ + ledger_founding_delay *
-                                  context_.options.timing.election_timeout) {
+  if (now <
+      *growth_.leading_since() +
+          ledger_founding_delay * context_.options.timing.election_timeout) {
     return;
   }
   for (const auto& [region, unused] : machine_.store().regions()) {
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -12,7 +12,7 @@
 #include "node_context.h"
 #include "ticket_table.h"
 #include "trestlepost/config/state_machine.h"
-#include "trestlepost/consensus/group_host.h"
+#include "trestlepost/consensus/group_growth.h"
 
 namespace trestlepost::node {
 
@@ -87,6 +87,7 @@
   node_context& context_;
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
+  consensus::group_growth growth_{context_.heard_from};
   std::map<std::string, watcher> watchers_;
   std::map<std::string, book_entry> book_;
   std::uint64_t book_version_ = 0;
@@ -94,8 +95,6 @@
   std::optional<founding> founding_;
   monotonic_time next_join_;
   monotonic_time next_restart_;
-  std::optional<monotonic_time> leading_since_;
-  monotonic_time last_join_heard_;
   std::uint64_t next_read_ = 1;
   std::set<std::string> proposed_ledgers_;
 };
