Write to an exchanged machine where it asks from

Cause: a control node writes to where a node was heard from last, and only messages of the log counted as heard. A machine under a known name, with an empty disk at another address, asks to join and cannot write anything else; the leader took it in as a learner and wrote to the former address for ever.

Ruled out: preferring the member list to what was heard; a moved member would then be lost between its move and the change of the list.

Change: a question to join tells the address as well.

--- a/consensus/src/group_growth.cc
+++ b/consensus/src/group_growth.cc
@@ -37,6 +37,8 @@
 bool group_growth::handle_join(group_host& host, monotonic_time now,
                                const replica_id& joiner,
                                const std::string& address) {
+  // A former machine of this name may have written from elsewhere.
+  if (!address.empty()) heard_from_[joiner.node] = address;
   if (!host.core().is_leader()) return false;
   last_join_heard_ = now;
   host.handle_join(now, joiner, address);
--- a/consensus/test/group_growth-test.cc
+++ b/consensus/test/group_growth-test.cc
@@ -59,5 +59,12 @@
   EXPECT_TRUE(group.growth.has_grown(group.host, group.now, 3));
 }
 
+TEST(group_growth_test, an_exchanged_machine_is_reached_where_it_asks_from) {
+  founded_group group;
+  group.growth.heard("b", "former address");
+  group.growth.handle_join(group.host, group.now, {"b", 2}, "new address");
+  EXPECT_EQ(group.growth.address_of(group.host, "b"), "new address");
+}
+
 }  // namespace
 }  // namespace trestlepost::consensus::test
