List a moved member where it writes from

Cause: the leader learned a moved member's address from its messages, which kept it in touch, so it never asked to join and the member list kept the former address. What was heard is in memory only: after moves of a majority, one after the other, and a loss of power everywhere, no voter knew where the others are.

Change: the leader proposes the new address when a listed member writes from elsewhere. A member without a listed address, as in groups founded from a list in the settings, stays so; one that such a group took in again by a join has one, which follows it as well.

--- a/consensus/include/trestlepost/consensus/group_growth.h
+++ b/consensus/include/trestlepost/consensus/group_growth.h
@@ -25,8 +25,9 @@
 
   /// Tells whether this replica leads now; call it at every tick.
   void observe(bool leads, monotonic_time now);
-  /// A message of `node` came from `address`; empty when it does not say.
-  void heard(const std::string& node, const std::string& address);
+  /// A message of `from` came from `address`; empty when it does not say.
+  void heard(group_host& host, monotonic_time now, const replica_id& from,
+             const std::string& address);
   /// Where a node listens, as far as its messages or the members tell.
   std::string address_of(const group_host& host, const std::string& node) const;
   /// False when this replica does not lead: pass the question on.
--- a/consensus/src/group_growth.cc
+++ b/consensus/src/group_growth.cc
@@ -22,8 +22,18 @@
   }
 }
 
-void group_growth::heard(const std::string& node, const std::string& address) {
-  if (!address.empty()) heard_from_[node] = address;
+void group_growth::heard(group_host& host, monotonic_time now,
+                         const replica_id& from, const std::string& address) {
+  if (address.empty()) return;
+  heard_from_[from.node] = address;
+  if (!host.core().is_leader()) return;
+  const member_list& members = host.core().members();
+  const bool moved = std::any_of(
+      members.begin(), members.end(), [&from, &address](const member& it) {
+        return it.id == from && !it.address.empty() && it.address != address;
+      });
+  // What only processes know would be gone once all of them had stopped.
+  if (moved) host.handle_join(now, from, address);
 }
 
 std::string group_growth::address_of(const group_host& host,
--- a/consensus/test/group_growth-test.cc
+++ b/consensus/test/group_growth-test.cc
@@ -61,10 +61,18 @@
 
 TEST(group_growth_test, an_exchanged_machine_is_reached_where_it_asks_from) {
   founded_group group;
-  group.growth.heard("b", "former address");
+  group.growth.heard(group.host, group.now, {"b", 1}, "former address");
   group.growth.handle_join(group.host, group.now, {"b", 2}, "new address");
   EXPECT_EQ(group.growth.address_of(group.host, "b"), "new address");
 }
 
+TEST(group_growth_test, a_moved_member_is_listed_where_it_writes_from) {
+  founded_group group;
+  group.growth.handle_join(group.host, group.now, {"b", 1}, "former address");
+  ASSERT_EQ(group.host.find_member("b")->address, "former address");
+  group.growth.heard(group.host, group.now, {"b", 1}, "new address");
+  EXPECT_EQ(group.host.find_member("b")->address, "new address");
+}
+
 }  // namespace
 }  // namespace trestlepost::consensus::test
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -151,7 +151,8 @@
       [this](const json& params, const transport::rpc_context&) {
         const result<consensus::message> in = consensus::message_from(params);
         if (!in) return;
-        growth_.heard(in->from.node, text_of(params, "from_address"));
+        growth_.heard(*host_, context_.clock.now(), in->from,
+                      text_of(params, "from_address"));
         host_->receive(context_.clock.now(), *in);
       });
   peers.add_notification(
