List a moved leader where it listens

Cause: nobody writes to the leader as a member, and a leader does not ask to join; after its own move the member list kept its former address.

Change: at each tick the leader compares its own entry. Figures: the test failed before and passes now.

--- a/consensus/include/trestlepost/consensus/group_growth.h
+++ b/consensus/include/trestlepost/consensus/group_growth.h
@@ -23,8 +23,10 @@
   explicit group_growth(std::map<std::string, std::string>& heard_from)
       : heard_from_(heard_from) {}
 
-  /// Tells whether this replica leads now; call it at every tick.
-  void observe(bool leads, monotonic_time now);
+  /// Tells whether this replica leads now, and where it listens; call it at
+  /// every tick.
+  void observe(group_host& host, monotonic_time now, bool leads,
+               const std::string& own_address);
   /// A message of `from` came from `address`; empty when it does not say.
   void heard(group_host& host, monotonic_time now, const replica_id& from,
              const std::string& address);
@@ -41,6 +43,9 @@
   std::optional<monotonic_time> leading_since() const { return leading_since_; }
 
  private:
+  void list_where_moved(group_host& host, monotonic_time now,
+                        const replica_id& id, const std::string& address);
+
   std::map<std::string, std::string>& heard_from_;
   std::optional<monotonic_time> leading_since_;
   monotonic_time last_join_heard_;
--- a/consensus/src/group_growth.cc
+++ b/consensus/src/group_growth.cc
@@ -14,26 +14,34 @@
 
 }  // namespace
 
-void group_growth::observe(bool leads, monotonic_time now) {
+void group_growth::observe(group_host& host, monotonic_time now, bool leads,
+                           const std::string& own_address) {
   if (!leads) {
     leading_since_.reset();
-  } else if (!leading_since_) {
-    leading_since_ = now;
+    return;
   }
+  if (!leading_since_) leading_since_ = now;
+  list_where_moved(host, now, host.core().self(), own_address);
 }
 
-void group_growth::heard(group_host& host, monotonic_time now,
-                         const replica_id& from, const std::string& address) {
-  if (address.empty()) return;
-  heard_from_[from.node] = address;
+void group_growth::list_where_moved(group_host& host, monotonic_time now,
+                                    const replica_id& id,
+                                    const std::string& address) {
   if (!host.core().is_leader()) return;
   const member_list& members = host.core().members();
   const bool moved = std::any_of(
-      members.begin(), members.end(), [&from, &address](const member& it) {
-        return it.id == from && !it.address.empty() && it.address != address;
+      members.begin(), members.end(), [&id, &address](const member& it) {
+        return it.id == id && !it.address.empty() && it.address != address;
       });
   // What only processes know would be gone once all of them had stopped.
-  if (moved) host.handle_join(now, from, address);
+  if (moved) host.handle_join(now, id, address);
+}
+
+void group_growth::heard(group_host& host, monotonic_time now,
+                         const replica_id& from, const std::string& address) {
+  if (address.empty()) return;
+  heard_from_[from.node] = address;
+  list_where_moved(host, now, from, address);
 }
 
 std::string group_growth::address_of(const group_host& host,
--- a/consensus/test/group_growth-test.cc
+++ b/consensus/test/group_growth-test.cc
@@ -51,7 +51,7 @@
 
 TEST(group_growth_test, a_founder_waits_for_voters_and_not_for_ever) {
   founded_group group;
-  group.growth.observe(true, group.now);
+  group.growth.observe(group.host, group.now, true, "address of a");
   group.now += milliseconds(5999);
   EXPECT_FALSE(group.growth.has_grown(group.host, group.now, 3));
   EXPECT_TRUE(group.growth.has_grown(group.host, group.now, 1));
@@ -74,5 +74,11 @@
   EXPECT_EQ(group.host.find_member("b")->address, "new address");
 }
 
+TEST(group_growth_test, a_moved_leader_lists_itself_where_it_listens) {
+  founded_group group;
+  group.growth.observe(group.host, group.now, true, "new address");
+  EXPECT_EQ(group.host.find_member("a")->address, "new address");
+}
+
 }  // namespace
 }  // namespace trestlepost::consensus::test
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -447,7 +447,7 @@
 
 void control_service::found_ledgers() {
   const monotonic_time now = context_.clock.now();
-  growth_.observe(leads(), now);
+  growth_.observe(*host_, now, leads(), context_.self.peer_address);
   if (!growth_.leading_since()) {
     proposed_ledgers_.clear();
     return;
