Simulate growth from one seed with exchanged machines and racing plans

Cause: the schedules of consensus start with a group that stands; founding by one seed, joins, addresses and numbered plans were tried over processes only.

Change: config/test/growth_simulation runs the shipped group_host, group_growth and config_state_machine in six machines: one founds, the others join, one is a spare that later takes the place of a machine taken away for good. Faults: kills at every write, torn writes, freezes beyond the silence after which a voter counts as gone, cuts, lost, doubled and late messages, moved machines, two that exchange addresses, as many disks lost at once as are tolerated (in the young group right after an acknowledgement, and after each repair), a third of them with a new address, at times with a loss of power of all others. Operators race with equal, older, higher, invalid and resent plans. At the end power fails everywhere and all must be in the group at their addresses once more.

What happens with sockets in the daemon (letters, the interval of joins, the order of checks before an answer) is modelled in control_machine.

Properties and what catches a mechanism left out: see the test. No wait for voters: nothing acknowledged is lost. Old incarnation reused: the same, and the same log everywhere. No comparison of numbers: the highest number holds, one content under a number. Reads by whoever thinks it leads: nothing acknowledged is lost. Founding at every start: at most one group.

--- /dev/null
+++ b/config/test/growth_simulation-test.cc
@@ -0,0 +1,109 @@
+// Growth from one seed, exchanged machines and racing plans under faults; and
+// what the properties say when one mechanism is left out.
+#include "growth_simulation.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace trestlepost::config::test {
+namespace {
+
+constexpr std::uint64_t seeds_for_broken_mechanisms = 150;
+
+/// Whether this property catches the broken group, at one of the seeds.
+bool is_caught_by(const std::string& property, growth_options options) {
+  for (std::uint64_t seed = 1; seed <= seeds_for_broken_mechanisms; ++seed) {
+    options.seed = seed;
+    if (simulate_growth(options).broke(property)) return true;
+  }
+  return false;
+}
+
+RC_GTEST_PROP(growth_simulation_test, what_was_acknowledged_holds_under_faults,
+              ()) {
+  growth_options options;
+  options.seed = *rc::gen::arbitrary<std::uint64_t>();
+  options.tolerated_losses = *rc::gen::inRange<std::size_t>(1, 3);
+  const growth_outcome outcome = simulate_growth(options);
+  for (const violation& it : outcome.violations) {
+    RC_LOG() << it.property << ": " << it.what << "\n";
+  }
+  RC_LOG() << "seed " << options.seed << "\n";
+  RC_ASSERT(outcome.violations.empty());
+  RC_CLASSIFY(outcome.losses_at_once > 1, "disks lost again after the repair");
+}
+
+TEST(growth_simulation_test, the_schedules_reach_the_faults) {
+  growth_outcome sum;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    growth_options options;
+    options.seed = seed;
+    const growth_outcome outcome = simulate_growth(options);
+    EXPECT_TRUE(outcome.violations.empty()) << "seed " << seed;
+    sum.acknowledged += outcome.acknowledged;
+    sum.reads += outcome.reads;
+    sum.leaders += outcome.leaders;
+    sum.losses_at_once += outcome.losses_at_once;
+    sum.losses_of_young_group += outcome.losses_of_young_group;
+    sum.moves += outcome.moves;
+    sum.replaced += outcome.replaced;
+    sum.retired += outcome.retired;
+    sum.largest_group = std::max(sum.largest_group, outcome.largest_group);
+  }
+  EXPECT_GT(sum.acknowledged, 1000U);
+  EXPECT_GT(sum.reads, 500U);
+  EXPECT_GT(sum.leaders, 60U);
+  EXPECT_GT(sum.losses_at_once, 40U);
+  EXPECT_GT(sum.losses_of_young_group, 10U);
+  EXPECT_GT(sum.moves, 5U);
+  EXPECT_GT(sum.replaced, 20U);
+  EXPECT_GT(sum.retired, 1U);
+  EXPECT_GE(sum.largest_group, 6U);
+}
+
+TEST(growth_simulation_test, an_acknowledgement_by_one_voter_is_caught) {
+  growth_options options;
+  options.acknowledge_early = true;
+  EXPECT_TRUE(is_caught_by(nothing_lost, options));
+}
+
+TEST(growth_simulation_test, a_lost_disk_under_its_old_incarnation_is_caught) {
+  growth_options options;
+  options.reuse_incarnation = true;
+  EXPECT_TRUE(is_caught_by(nothing_lost, options));
+  EXPECT_TRUE(is_caught_by(same_log, options));
+}
+
+TEST(growth_simulation_test, a_plan_that_holds_because_it_is_last_is_caught) {
+  growth_options options;
+  options.skip_number_check = true;
+  EXPECT_TRUE(is_caught_by(highest_number_holds, options));
+  EXPECT_TRUE(is_caught_by(one_content, options));
+}
+
+TEST(growth_simulation_test, an_unconfirmed_read_is_caught) {
+  growth_options options;
+  options.reads = read_mode::unconfirmed;
+  EXPECT_TRUE(is_caught_by(nothing_lost, options));
+}
+
+TEST(growth_simulation_test, a_round_of_the_quorum_suffices_for_reads) {
+  growth_options options;
+  options.reads = read_mode::round_only;
+  for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+    options.seed = seed;
+    EXPECT_TRUE(simulate_growth(options).violations.empty()) << "seed " << seed;
+  }
+}
+
+TEST(growth_simulation_test, a_second_founding_is_caught) {
+  growth_options options;
+  options.found_at_every_start = true;
+  EXPECT_TRUE(is_caught_by(one_group, options));
+}
+
+}  // namespace
+}  // namespace trestlepost::config::test
--- /dev/null
+++ b/config/test/growth_simulation.cc
@@ -0,0 +1,439 @@
+#include "growth_simulation.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace trestlepost::config::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds step_time{20};
+constexpr int steps_of_young_group = 200;  // 4 s, in which machines are new
+constexpr int steps_to_converge = 3000;
+constexpr int answer_steps = 30;         // 0.6 s
+constexpr int seed_list_interval = 150;  // the platform's list lags by 3 s
+constexpr std::size_t seed_count = 3;
+
+struct parcel {
+  letter content;
+  int due_step = 0;
+};
+
+class growth_simulation {
+ public:
+  explicit growth_simulation(const growth_options& options)
+      : options_(options),
+        random_(options.seed),
+        operators_(random_, options.reads,
+                   [this](const std::string& property,
+                          const std::string& what) { add(property, what); }) {}
+
+  growth_outcome run();
+
+ private:
+  using machine_ptr = std::unique_ptr<control_machine>;
+
+  void add(const std::string& property, const std::string& what);
+  void set_up();
+  void add_machine(const std::string& name);
+  void start(control_machine& it);
+  void found(control_machine& seed);
+  void post(const letter& out);
+  void step(bool faults);
+  void inject_fault();
+  void lose_disks();
+  void replace_disk(control_machine& it);
+  void move(control_machine& it);
+  void exchange(control_machine& one, control_machine& other);
+  void change_machines();
+  void kill(control_machine& it, int longest);
+  void operate();
+  void deliver();
+  void tick_all();
+  void check();
+  void heal();
+  bool awake(const control_machine& it) const;
+  control_machine* lease_holder() const;
+  bool all_taken_in() const;
+  bool may_lose_disks() const;
+  bool converges();
+  void finish();
+  control_machine& any();
+
+  growth_options options_;
+  machine_options machine_options_;
+  seeded_random random_;
+  plan_operators operators_;
+  std::vector<machine_ptr> machines_;
+  std::vector<parcel> parcels_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<std::string> seeds_;
+  std::set<std::string> groups_;
+  std::map<consensus::term_number, std::string> leaders_;
+  growth_outcome outcome_;
+  bool disturbed_ = false;
+  bool loss_due_ = false;
+  int step_ = 0;
+  std::uint64_t next_incarnation_ = 1;
+  std::uint64_t next_address_ = 1;
+};
+
+void growth_simulation::add(const std::string& property,
+                            const std::string& what) {
+  outcome_.violations.push_back(
+      {property, "step " + std::to_string(step_) + ": " + what});
+}
+
+void growth_simulation::set_up() {
+  machine_options_.replica.election_timeout = milliseconds(500);
+  machine_options_.replica.heartbeat_interval = milliseconds(100);
+  machine_options_.tolerated_losses = options_.tolerated_losses;
+  machine_options_.acknowledge_early = options_.acknowledge_early;
+  machine_options_.skip_number_check = options_.skip_number_check;
+  for (const char* name : {"a", "b", "c", "d", "e", "f"}) add_machine(name);
+  machines_.back()->present = false;
+  for (std::size_t i = 0; i < seed_count; ++i) {
+    seeds_.push_back(machines_[i]->address);
+  }
+  operators_.on_acknowledged = [this] {
+    // A loss that strikes right after an acknowledgement.
+    loss_due_ = loss_due_ || random_.below(100) < 15;
+  };
+  start(*machines_.front());
+  found(*machines_.front());
+}
+
+void growth_simulation::add_machine(const std::string& name) {
+  machines_.push_back(std::make_unique<control_machine>(
+      name, "address " + std::to_string(next_address_++), next_incarnation_++));
+  control_machine* it = machines_.back().get();
+  const int spread = options_.clock_spread_percent;
+  const std::uint64_t width = 2 * static_cast<std::uint64_t>(spread) + 1;
+  it->clock_percent = 100 - spread + static_cast<int>(random_.below(width));
+  it->down_until = static_cast<int>(random_.below(15));  // within 0.3 s
+  it->post = [this](const letter& out) { post(out); };
+  it->on_applied = [this, it](const consensus::entry& committed) {
+    operators_.observe_applied(*it, committed);
+  };
+  it->on_loaded = [this, it] { operators_.observe_in_force(*it); };
+  it->on_crash = [this, it] { kill(*it, 150); };
+}
+
+void growth_simulation::start(control_machine& it) {
+  it.start(machine_options_, random_);
+  if (!options_.found_at_every_start || &it != machines_.front().get()) return;
+  if (it.host().core().group_id().empty()) found(it);
+}
+
+void growth_simulation::found(control_machine& seed) {
+  if (seed.host().core().group_id().empty()) {
+    const std::string group = "group " + std::to_string(groups_.size() + 1);
+    groups_.insert(group);
+    seed.found(group);
+  }
+  if (groups_.size() > 1) add(one_group, seed.name + " founded another");
+}
+
+void growth_simulation::post(const letter& out) {
+  for (const machine_ptr& to : machines_) {
+    if (!to->present || to->address != out.to_address) continue;
+    if (cuts_.contains({out.from_machine, to->name})) return;
+  }
+  if (random_.below(100) < 3) return;
+  const int delay = 1 + static_cast<int>(random_.below(4));
+  parcels_.push_back({out, step_ + delay});
+  if (random_.below(100) < 3) parcels_.push_back({out, step_ + delay + 7});
+}
+
+bool growth_simulation::awake(const control_machine& it) const {
+  return it.running() && step_ >= it.frozen_until;
+}
+
+control_machine& growth_simulation::any() {
+  return *machines_[random_.below(machines_.size())];
+}
+
+control_machine* growth_simulation::lease_holder() const {
+  for (const machine_ptr& it : machines_) {
+    if (it->running() && it->leads()) return it.get();
+  }
+  return nullptr;
+}
+
+bool growth_simulation::all_taken_in() const {
+  const control_machine* leader = lease_holder();
+  if (leader == nullptr) return false;
+  const consensus::replica& core = leader->host().core();
+  if (core.members_change_pending()) return false;
+  std::size_t present = 0;
+  for (const machine_ptr& it : machines_) {
+    if (!it->present) continue;
+    ++present;
+    const consensus::member expected{it->id(), true, it->address};
+    const consensus::member_list& members = core.members();
+    const bool found =
+        std::find(members.begin(), members.end(), expected) != members.end();
+    if (!found) return false;
+  }
+  return present == core.members().size();
+}
+
+bool growth_simulation::may_lose_disks() const {
+  // The young group: all machines were in touch ever since the founding, so
+  // the losses must be borne whatever the group thinks of itself.
+  if (!disturbed_ && operators_.acknowledged() > 0) return true;
+  return all_taken_in();
+}
+
+void growth_simulation::kill(control_machine& it, int longest) {
+  it.stop();
+  it.down_until = step_ + 1 + static_cast<int>(random_.below(longest));
+}
+
+void growth_simulation::replace_disk(control_machine& it) {
+  const std::uint64_t former = it.disk.incarnation;
+  it.lose_disk(options_.reuse_incarnation ? former : 100 + next_incarnation_++);
+  kill(it, 100);
+  if (random_.below(3) != 0) return;
+  // Another machine under the same name.
+  it.address = "address " + std::to_string(next_address_++);
+  ++outcome_.replaced;
+}
+
+void growth_simulation::lose_disks() {
+  if (!may_lose_disks()) return;
+  if (!disturbed_) ++outcome_.losses_of_young_group;
+  std::vector<control_machine*> left;
+  for (const machine_ptr& it : machines_) {
+    if (it->present) left.push_back(it.get());
+  }
+  for (std::size_t i = 0; i < options_.tolerated_losses; ++i) {
+    const std::size_t at = random_.below(left.size());
+    replace_disk(*left[at]);
+    left.erase(left.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+  ++outcome_.losses_at_once;
+  disturbed_ = true;
+  if (random_.below(3) != 0) return;
+  for (control_machine* it : left) kill(*it, 50);  // power, too
+}
+
+void growth_simulation::move(control_machine& it) {
+  // One after the other: of members that all moved at once, none would know
+  // where another is.
+  if (!all_taken_in()) return;
+  kill(it, 50);
+  it.address = "address " + std::to_string(next_address_++);
+  ++outcome_.moves;
+}
+
+void growth_simulation::exchange(control_machine& one, control_machine& other) {
+  if (!one.present || !other.present || !all_taken_in()) return;
+  kill(one, 50);
+  kill(other, 50);
+  std::swap(one.address, other.address);
+  ++outcome_.moves;
+}
+
+void growth_simulation::change_machines() {
+  control_machine& spare = *machines_.back();
+  if (!spare.present && outcome_.retired == 0) {
+    spare.present = true;
+    return;
+  }
+  // One machine is taken away for good once its successor is in the group.
+  if (outcome_.retired > 0 || !spare.present || !all_taken_in()) return;
+  control_machine& leaving = any();
+  leaving.stop();
+  leaving.present = false;
+  ++outcome_.retired;
+}
+
+void growth_simulation::inject_fault() {
+  control_machine& it = any();
+  const control_machine& other = any();
+  if (!it.present) return;
+  switch (random_.below(14)) {
+    case 0:
+      kill(it, 150);
+      break;
+    case 1:
+      it.disk.crash_before_sync = static_cast<int>(random_.below(3));
+      break;
+    case 2:
+      it.disk.crash_after_sync = static_cast<int>(random_.below(3));
+      break;
+    case 3:
+      // Longer than the silence after which a voter counts as gone.
+      it.frozen_until = step_ + static_cast<int>(random_.below(300));
+      break;
+    case 4:
+      cuts_.emplace(it.name, other.name);
+      break;
+    case 5:
+      cuts_.emplace(it.name, other.name);
+      cuts_.emplace(other.name, it.name);
+      break;
+    case 6:
+    case 7:
+      cuts_.clear();
+      break;
+    case 8:
+      move(it);
+      break;
+    case 9:
+      exchange(it, any());
+      break;
+    case 10:
+      change_machines();
+      break;
+    default:
+      lose_disks();
+      return;
+  }
+  disturbed_ = true;
+}
+
+void growth_simulation::operate() {
+  std::vector<control_machine*> reachable;
+  for (const machine_ptr& it : machines_) {
+    if (awake(*it)) reachable.push_back(it.get());
+  }
+  // Operators follow the leader's name most of the time.
+  control_machine* leader = lease_holder();
+  const bool knows = leader != nullptr && random_.below(4) != 0;
+  if (knows && awake(*leader)) reachable = {leader};
+  operators_.act(reachable);
+  if (std::exchange(loss_due_, false)) lose_disks();
+}
+
+void growth_simulation::deliver() {
+  std::vector<parcel> due;
+  std::erase_if(parcels_, [this, &due](const parcel& it) {
+    if (it.due_step > step_) return false;
+    due.push_back(it);
+    return true;
+  });
+  for (const parcel& it : due) {
+    for (const machine_ptr& to : machines_) {
+      if (to->address != it.content.to_address || !to->running()) continue;
+      if (step_ < to->frozen_until) {
+        parcels_.push_back({it.content, to->frozen_until});
+        continue;
+      }
+      to->deliver(it.content);
+    }
+  }
+}
+
+void growth_simulation::tick_all() {
+  for (const machine_ptr& it : machines_) {
+    it->local_now += step_time * it->clock_percent / 100;
+    if (!it->present) continue;
+    if (!it->running() && step_ >= it->down_until) start(*it);
+    if (awake(*it)) it->tick(seeds_);
+  }
+  if (step_ % seed_list_interval != 0) return;
+  seeds_.clear();
+  for (const machine_ptr& it : machines_) {
+    if (it->present && seeds_.size() < seed_count) {
+      seeds_.push_back(it->address);
+    }
+  }
+}
+
+void growth_simulation::check() {
+  int leases = 0;
+  for (const machine_ptr& it : machines_) {
+    if (!it->running() || !it->host().core().is_leader()) continue;
+    const consensus::replica& core = it->host().core();
+    const auto [found, added] = leaders_.emplace(core.term(), it->name);
+    if (added) ++outcome_.leaders;
+    if (found->second != it->name) add(one_leader, "two leaders in one term");
+    if (it->leads()) ++leases;
+    outcome_.largest_group =
+        std::max(outcome_.largest_group, core.members().size());
+  }
+  if (leases > 1) add(one_lease, "two leases");
+}
+
+void growth_simulation::step(bool faults) {
+  ++step_;
+  const bool young = step_ < steps_of_young_group;
+  if (faults && !young && random_.below(100) < 3) inject_fault();
+  deliver();
+  if (random_.below(100) < 20) operate();
+  tick_all();
+  check();
+}
+
+void growth_simulation::heal() {
+  cuts_.clear();
+  for (const machine_ptr& it : machines_) {
+    it->frozen_until = 0;
+    it->down_until = 0;
+    it->disk.crash_before_sync = -1;
+    it->disk.crash_after_sync = -1;
+  }
+}
+
+bool growth_simulation::converges() {
+  const int end = step_ + steps_to_converge;
+  while (step_ < end) {
+    step(false);
+    if (!all_taken_in()) continue;
+    const plan_number before = operators_.acknowledged();
+    operators_.send_newest(*lease_holder());
+    for (int j = 0; j < answer_steps; ++j) step(false);
+    if (operators_.acknowledged() <= before || !all_taken_in()) continue;
+    operators_.read(*lease_holder());
+    for (int j = 0; j < answer_steps; ++j) step(false);
+    if (operators_.shown() > before && all_taken_in()) return true;
+  }
+  return false;
+}
+
+void growth_simulation::finish() {
+  operators_.on_acknowledged = nullptr;
+  loss_due_ = false;
+  heal();
+  bool converged = converges();
+  if (converged) {
+    // Power fails everywhere: what only processes knew is gone.
+    for (const machine_ptr& it : machines_) kill(*it, 50);
+    converged = converges();
+  }
+  if (converged || !outcome_.violations.empty()) return;
+  const bool held = std::any_of(
+      machines_.begin(), machines_.end(), [this](const machine_ptr& it) {
+        const plan_ptr plan = it->running() ? it->machine().plan() : nullptr;
+        return plan && plan->number >= operators_.acknowledged();
+      });
+  if (!held) add(nothing_lost, "no machine holds what was acknowledged");
+  add(convergence, "the group does not hold all machines");
+}
+
+growth_outcome growth_simulation::run() {
+  set_up();
+  while (step_ < options_.steps && outcome_.violations.empty()) step(true);
+  if (outcome_.violations.empty()) finish();
+  outcome_.acknowledged = operators_.acknowledgements();
+  outcome_.reads = operators_.reads();
+  return outcome_;
+}
+
+}  // namespace
+
+bool growth_outcome::broke(const std::string& property) const {
+  return std::any_of(
+      violations.begin(), violations.end(),
+      [&property](const violation& it) { return it.property == property; });
+}
+
+growth_outcome simulate_growth(const growth_options& options) {
+  return growth_simulation(options).run();
+}
+
+}  // namespace trestlepost::config::test
