--- a/config/test/growth_simulation.h
+++ b/config/test/growth_simulation.h
@@ -40,7 +40,7 @@
   std::size_t acknowledged = 0;
   std::size_t reads = 0;
   std::size_t leaders = 0;
-  std::size_t losses_at_once = 0;  // as many disks as are tolerated
+  std::size_t losses_at_once = 0;         // as many disks as are tolerated
   std::size_t losses_of_young_group = 0;  // right after its first changes
   std::size_t moves = 0;
   std::size_t replaced = 0;
