Give a newcomer time to answer before its former incarnation outlives it

A node that lost its disk or memory comes back as a learner under a new incarnation. The leader removes, of two incarnations of one node, the one that it heard less recently; a learner that has not answered yet counted as never heard, so the dead incarnation won. Whenever the other voter committed the admission before the learner's first answer, the leader's next tick threw the learner out again, and so at every further attempt. With a busy process, or with a learner further away than the other voter, the repair never ended. Open groups did the same: a learner never heard counted as silent since the election.

A learner now has `member_silence` (3 s) from its admission for its first answer. One that never answers still leaves.

Before: a_lost_disk_far_away_is_replaced and ..._in_an_open_group failed, three voters not reached in 10 s of simulated time.

--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -114,7 +114,7 @@
   std::optional<member_list> next_members(monotonic_time now) const;
   bool is_desired(const std::string& node) const;
   bool is_admitted(const std::string& node) const;
-  bool is_replaced(const member& it) const;
+  bool is_replaced(monotonic_time now, const member& it) const;
   bool is_surplus(monotonic_time now, const member& it) const;
   bool is_silent(monotonic_time now, const member& it,
                  std::chrono::milliseconds longest) const;
--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -118,8 +118,8 @@
   bool caught_up(const replica_id& id) const;
   /// Time of the last reply of `id` (leader only).
   std::optional<monotonic_time> last_heard(const replica_id& id) const;
-  /// When this replica became leader (leader only).
-  monotonic_time elected_at() const { return elected_at_; }
+  /// Since when this leader writes to `id`; now for strangers (leader only).
+  monotonic_time known_since(const replica_id& id) const;
   bool members_change_pending() const;
   /// When a leader last wrote to this replica, or its start.
   monotonic_time leader_heard_at() const { return leader_heard_at_; }
@@ -131,6 +131,7 @@
     log_index match = 0;
     std::uint64_t acked_round = 0;
     std::optional<monotonic_time> heard_at;
+    monotonic_time known_since;  // to this leader
     monotonic_time retry_at;
     bool probing = true;
   };
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -200,7 +200,13 @@
          replica_->caught_up(learner.id);
 }
 
-bool group_host::is_replaced(const member& it) const {
+bool group_host::is_replaced(monotonic_time now, const member& it) const {
+  // A newcomer has time to answer: the last word of the incarnation that it
+  // succeeds is older than the admission, but not than silence.
+  const bool heard = replica_->last_heard(it.id).has_value();
+  const monotonic_time patience =
+      replica_->known_since(it.id) + options_.member_silence;
+  if (!heard && now < patience) return false;
   const member_list& members = replica_->members();
   // A node comes back under a new incarnation only when the old one is gone.
   return std::any_of(
@@ -214,7 +220,7 @@
 bool group_host::is_silent(monotonic_time now, const member& it,
                            std::chrono::milliseconds longest) const {
   const std::optional<monotonic_time> heard = replica_->last_heard(it.id);
-  const monotonic_time since = heard ? *heard : replica_->elected_at();
+  const monotonic_time since = heard ? *heard : replica_->known_since(it.id);
   return since + longest < now;
 }
 
@@ -234,7 +240,7 @@
 
 bool group_host::must_leave(monotonic_time now, const member& it) const {
   if (it.id == self_) return false;
-  if (is_replaced(it)) return true;
+  if (is_replaced(now, it)) return true;
   if (open_) return is_surplus(now, it);
   if (is_desired(it.id.node)) return false;
   return it.voter || is_silent(now, it, options_.member_silence);
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -229,6 +229,7 @@
     if (it.id == self_) continue;
     progress peer;
     peer.next = last_index() + 1;
+    peer.known_since = now_;
     peer.retry_at = now_;
     peers_.emplace(it.id, peer);
   }
@@ -357,6 +358,7 @@
     if (it.id == self_ || peers_.contains(it.id)) continue;
     progress peer;
     peer.next = last_index() + 1;
+    peer.known_since = now_;
     peer.retry_at = now_;
     peers_.emplace(it.id, peer);
   }
@@ -372,6 +374,11 @@
   return it->second.heard_at;
 }
 
+monotonic_time replica::known_since(const replica_id& id) const {
+  const auto it = peers_.find(id);
+  return it == peers_.end() ? now_ : it->second.known_since;
+}
+
 bool replica::caught_up(const replica_id& id) const {
   const auto it = peers_.find(id);
   return it != peers_.end() && it->second.match >= commit_ && commit_ > 0;
--- /dev/null
+++ b/consensus/test/group_host-test.cc
@@ -0,0 +1,194 @@
+// A group of hosts that is kept whole by its leader, over a network without
+// loss.
+#include "trestlepost/consensus/group_host.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "simulation.h"
+
+namespace trestlepost::consensus::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds step_time{20};
+constexpr int settling_steps = 500;
+
+class empty_machine final : public state_machine {
+ public:
+  void apply(const entry& /*committed*/) override {}
+  std::string save() const override { return "{}"; }
+  void load(std::string_view /*data*/) override {}
+};
+
+class group : public message_sink {
+ public:
+  struct node {
+    simulated_disk disk;
+    empty_machine machine;
+    std::unique_ptr<group_host> host;
+  };
+
+  /// Founds a group of three voters which `first` leads.
+  explicit group(const std::string& first, bool open = false) : open_(open) {
+    member_list members;
+    for (const char* name : {"a", "b", "c"}) {
+      nodes_[name].disk.incarnation = next_incarnation_++;
+      members.push_back({id_of(name), true});
+    }
+    for (auto& [name, it] : nodes_) start(name);
+    EXPECT_TRUE(host(first).found(now_, "group", members));
+    run([&] { return host(first).holds_lease(now_) && has_three_voters(); });
+  }
+
+  void send(const message& out) override {
+    const bool far = out.from.node == far_ || out.to.node == far_;
+    packets_.push_back({out, far ? now_ + way_ : now_});
+  }
+
+  /// Messages from and to `name` are under way for so long.
+  void set_far(const std::string& name, milliseconds way) {
+    far_ = name;
+    way_ = way;
+  }
+
+  group_host& host(const std::string& name) { return *nodes_[name].host; }
+  monotonic_time now() const { return now_; }
+
+  /// The node comes back with an empty disk, and asks at once to join.
+  void lose_disk(const std::string& name) {
+    node& it = nodes_[name];
+    it.host.reset();
+    it.disk = simulated_disk();
+    it.disk.incarnation = next_incarnation_++;
+  }
+
+  void start(const std::string& name) {
+    node& it = nodes_[name];
+    it.host = std::make_unique<group_host>(
+        id_of(name), group_options(),
+        std::make_unique<simulated_storage>(it.disk), it.machine, *this,
+        random_);
+    EXPECT_TRUE(it.host->start(now_));
+    if (open_) {
+      it.host->set_open_membership({3, milliseconds(4000)});
+    } else {
+      it.host->set_desired_voters({"a", "b", "c"});
+    }
+  }
+
+  /// Lets time pass until `holds`, for a bounded time.
+  bool run(const std::function<bool()>& holds) {
+    for (int i = 0; i < settling_steps; ++i) {
+      if (holds()) return true;
+      step();
+    }
+    return holds();
+  }
+
+  std::size_t members() { return leading()->core().members().size(); }
+
+  bool has_three_voters() {
+    const group_host* leader = leading();
+    if (leader == nullptr) return false;
+    const member_list& members = leader->core().members();
+    if (leader->core().members_change_pending()) return false;
+    if (members.size() != nodes_.size()) return false;
+    for (const member& it : members) {
+      if (!it.voter || it.id != id_of(it.id.node)) return false;
+    }
+    return true;
+  }
+
+ private:
+  replica_id id_of(const std::string& name) {
+    return {name, nodes_[name].disk.incarnation};
+  }
+
+  group_host* leading() {
+    for (auto& [name, it] : nodes_) {
+      if (it.host && it.host->holds_lease(now_)) return it.host.get();
+    }
+    return nullptr;
+  }
+
+  struct packet {
+    message content;
+    monotonic_time due;
+  };
+
+  void deliver() {
+    const auto is_due = [this](const packet& it) { return it.due <= now_; };
+    for (;;) {
+      const auto next = std::find_if(packets_.begin(), packets_.end(), is_due);
+      if (next == packets_.end()) return;
+      const message it = std::move(next->content);
+      packets_.erase(next);
+      node& to = nodes_[it.to.node];
+      if (to.host) to.host->receive(now_, it);
+    }
+  }
+
+  void step() {
+    now_ += step_time;
+    for (auto& [name, it] : nodes_) {
+      if (it.host) it.host->tick(now_);
+    }
+    deliver();
+    for (auto& [name, it] : nodes_) {
+      if (!it.host || !it.host->needs_join(now_)) continue;
+      for (auto& [other, to] : nodes_) {
+        if (to.host) to.host->handle_join(now_, id_of(name));
+      }
+    }
+    deliver();
+  }
+
+  bool open_;
+  seeded_random random_{1};
+  monotonic_time now_;
+  std::uint64_t next_incarnation_ = 1;
+  std::map<std::string, node> nodes_;
+  std::deque<packet> packets_;
+  std::string far_;
+  milliseconds way_{0};
+};
+
+TEST(group_host_test, a_lost_disk_is_replaced) {
+  group it("a");
+  it.lose_disk("b");
+  it.start("b");
+  EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
+}
+
+/// Whether a node far away is taken in again: it answers only after the near
+/// voter has committed its admission.
+bool replaces_far_disk(bool open) {
+  group it("a", open);
+  it.set_far("b", milliseconds(60));
+  EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
+  it.lose_disk("b");
+  it.start("b");
+  return it.run([&] { return it.has_three_voters(); });
+}
+
+TEST(group_host_test, a_lost_disk_far_away_is_replaced) {
+  EXPECT_TRUE(replaces_far_disk(false));
+}
+
+TEST(group_host_test, a_lost_disk_far_away_is_replaced_in_an_open_group) {
+  EXPECT_TRUE(replaces_far_disk(true));
+}
+
+TEST(group_host_test, a_newcomer_that_never_answers_leaves) {
+  group it("a");
+  it.host("a").handle_join(it.now(), {"b", 99});
+  ASSERT_EQ(it.members(), 4U);
+  EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
+}
+
+}  // namespace
+}  // namespace trestlepost::consensus::test
