Write to a newcomer only once its admission is committed

When the node that keeps its disk happens to lead, it notices the loss of its majority only after an election timeout. Nodes that come back empty within that time ask it to join; it appended their admission, which can never commit, and wrote to them at once. The first message binds an empty replica to the group, so after `recover`, which makes a new group, they refused the new leader for good. On a quiet machine the founder leads and its disk is one of the two, so the test met this only when load had moved the leadership.

A leader now writes to a new learner only once the entry that admits it is committed, and then at once. A learner counts for no majority, so admissions need none of its answers.

--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -134,6 +134,8 @@
     monotonic_time known_since;  // to this leader
     monotonic_time retry_at;
     bool probing = true;
+    /// The entry that made it a member, when this leader wrote that entry.
+    log_index admitted_at = 0;
   };
   struct round_start {
     std::uint64_t round = 0;
@@ -168,6 +170,9 @@
   void refresh_members();
   void start_round();
   void replicate_to(const replica_id& to, bool even_if_empty);
+  bool awaits_admission(const replica_id& id, const progress& peer) const;
+  /// Greets the members whose admission was not committed at `before`.
+  void write_to_admitted(log_index before);
   void send_append(const replica_id& to, progress& peer);
   void send_snapshot(const replica_id& to, progress& peer);
   void reply_append(const message& in, bool accepted, log_index match,
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -360,6 +360,7 @@
     peer.next = last_index() + 1;
     peer.known_since = now_;
     peer.retry_at = now_;
+    peer.admitted_at = members_index_;
     peers_.emplace(it.id, peer);
   }
   std::erase_if(peers_,
--- a/consensus/src/replication.cc
+++ b/consensus/src/replication.cc
@@ -81,8 +81,17 @@
   finish_reads();
 }
 
+bool replica::awaits_admission(const replica_id& id,
+                               const progress& peer) const {
+  // The first message binds an empty replica to this group for good. A leader
+  // that has lost its majority without knowing must not bind a newcomer to a
+  // group that can never admit it. A voter's own vote may be needed for that.
+  return peer.admitted_at > commit_ && !is_voter(id);
+}
+
 void replica::replicate_to(const replica_id& to, bool even_if_empty) {
   progress& peer = peers_[to];
+  if (awaits_admission(to, peer)) return;
   if (peer.next <= base_.index) {
     if (!even_if_empty) return;
     if (now_ >= peer.retry_at) {
@@ -228,7 +237,21 @@
   std::sort(matches.begin(), matches.end(), std::greater<>());
   const log_index agreed = matches[quorum() - 1];
   // Only entries of the own term are counted; earlier ones follow with them.
-  if (agreed > commit_ && term_at(agreed) == hard_.term) commit_to(agreed);
+  if (agreed <= commit_ || term_at(agreed) != hard_.term) return;
+  const log_index before = commit_;
+  commit_to(agreed);
+  write_to_admitted(before);
+}
+
+void replica::write_to_admitted(log_index before) {
+  if (role_ != role::leader) return;
+  for (const member& it : members_) {
+    const auto found = peers_.find(it.id);
+    if (found == peers_.end()) continue;
+    const log_index admitted_at = found->second.admitted_at;
+    const bool now_admitted = admitted_at > before && admitted_at <= commit_;
+    if (now_admitted) replicate_to(it.id, true);
+  }
 }
 
 void replica::commit_to(log_index index) {
--- a/consensus/test/group_host-test.cc
+++ b/consensus/test/group_host-test.cc
@@ -190,5 +190,18 @@
   EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
 }
 
+TEST(group_host_test, a_leader_that_recovers_takes_in_nodes_that_asked_before) {
+  group it("c");
+  for (const char* name : {"a", "b"}) it.lose_disk(name);
+  for (const char* name : {"a", "b"}) it.start(name);
+  // They ask while the survivor has not noticed yet that it is alone.
+  ASSERT_TRUE(it.host("c").core().is_leader());
+  ASSERT_TRUE(it.run([&] { return !it.host("c").core().is_leader(); }));
+  ASSERT_TRUE(it.run(
+      [&] { return !!it.host("c").recover_alone(it.now(), "recovered"); }));
+  EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
+  EXPECT_EQ(it.host("a").core().group_id(), "recovered");
+}
+
 }  // namespace
 }  // namespace trestlepost::consensus::test
