--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -181,6 +181,7 @@
   void commit_to(log_index index);
   void finish_reads();
   void check_quorum();
+  bool is_overdue_again();
   void send(const replica_id& to, message_body body);
 
   bool is_voter(const replica_id& id) const;
@@ -212,6 +213,7 @@
   monotonic_time heartbeat_due_;
   monotonic_time leader_heard_at_;
   monotonic_time elected_at_;
+  bool overdue_ = false;  // a deadline had passed at the last tick
   bool pre_voting_ = false;
   std::set<replica_id> votes_;
   std::map<replica_id, progress> peers_;
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -42,6 +42,7 @@
   writes_.hard = hard_;
   refresh_members();
   election_deadline_ = now_;
+  overdue_ = true;  // nobody else can lead
   return {};
 }
 
@@ -61,6 +62,7 @@
   // Alone it is the majority, which commits all that the log holds.
   append(entry_type::membership, to_text(to_json(member_list{{self_, true}})));
   election_deadline_ = now_;
+  overdue_ = true;  // nobody else can lead
   return {};
 }
 
@@ -72,7 +74,20 @@
     if (role_ == role::leader && now_ >= heartbeat_due_) start_round();
     return;
   }
-  if (now_ >= election_deadline_ && is_voter(self_)) start_pre_vote();
+  if (now_ < election_deadline_ || !is_voter(self_)) {
+    overdue_ = false;
+    return;
+  }
+  const bool alone = quorum() == 1;  // there is nobody to hear from
+  if (alone || is_overdue_again()) start_pre_vote();
+}
+
+bool replica::is_overdue_again() {
+  // A process that was not scheduled sees its deadline passed before it reads
+  // what arrived meanwhile: that has until the next tick to be read.
+  const bool again = overdue_;
+  overdue_ = !again;
+  return again;
 }
 
 void replica::receive(monotonic_time now, const message& in) {
@@ -124,6 +139,7 @@
 }
 
 void replica::reset_election_deadline() {
+  overdue_ = false;
   const std::int64_t base = options_.election_timeout.count();
   const std::uint64_t jitter =
       random_.below(static_cast<std::uint64_t>(base) + 1);
@@ -223,6 +239,7 @@
   role_ = role::leader;
   leader_ = self_;
   elected_at_ = now_;
+  overdue_ = false;
   peers_.clear();
   rounds_.clear();
   for (const member& it : members_) {
@@ -246,7 +263,11 @@
     const std::optional<monotonic_time> at = last_heard(it.id);
     if (at && *at > oldest) ++heard;
   }
-  if (heard < quorum()) become_follower(hard_.term, std::nullopt);
+  if (heard >= quorum()) {
+    overdue_ = false;
+    return;
+  }
+  if (is_overdue_again()) become_follower(hard_.term, std::nullopt);
 }
 
 std::uint64_t replica::quorum_round() const {
--- a/consensus/test/replica-test.cc
+++ b/consensus/test/replica-test.cc
@@ -93,6 +93,49 @@
   EXPECT_FALSE(it.take().restore);
 }
 
+TEST(replica_test, a_follower_reads_what_arrived_before_it_stands) {
+  seeded_random random(1);
+  monotonic_time now;
+  replica it(id_a, {}, founded_state(), random, now);
+  const message heartbeat{"group", id_b, id_a, 1,
+                          append_request{1, 1, 1, 1, {}}};
+  it.receive(now, heartbeat);
+  it.take();
+  // It is not scheduled for long; heartbeats wait to be read.
+  it.tick(now += milliseconds(5000));
+  EXPECT_EQ(it.current_role(), role::follower);
+  EXPECT_EQ(it.leader(), id_b);
+  it.receive(now += milliseconds(20), heartbeat);
+  it.tick(now += milliseconds(20));
+  EXPECT_EQ(it.current_role(), role::follower);
+  // With nothing to read it stands, also if it is seldom scheduled.
+  it.tick(now += milliseconds(5000));
+  it.tick(now += milliseconds(5000));
+  EXPECT_EQ(it.current_role(), role::candidate);
+}
+
+TEST(replica_test, a_leader_reads_what_arrived_before_it_steps_down) {
+  seeded_random random(1);
+  monotonic_time now;
+  replica it(id_a, {}, founded_state(), random, now);
+  it.tick(now += milliseconds(2500));
+  it.tick(now += milliseconds(20));
+  it.receive(now, {"group", id_b, id_a, 2, vote_reply{true, true}});
+  it.receive(now, {"group", id_b, id_a, 2, vote_reply{false, true}});
+  ASSERT_TRUE(it.is_leader());
+  const message reply{"group", id_b, id_a, 2, append_reply{true, 1, 1}};
+  it.receive(now, reply);
+  it.tick(now += milliseconds(5000));
+  EXPECT_TRUE(it.is_leader());
+  EXPECT_FALSE(it.holds_lease(now));
+  it.receive(now += milliseconds(20), reply);
+  it.tick(now += milliseconds(20));
+  EXPECT_TRUE(it.is_leader());
+  it.tick(now += milliseconds(5000));
+  it.tick(now += milliseconds(5000));
+  EXPECT_FALSE(it.is_leader());
+}
+
 TEST(message_test, survives_its_encoding) {
   append_request body{4, 2, 3, 7, {{5, 2, entry_type::command, "x\"\n"}}};
   const message sent{"group", id_a, id_b, 2, body};
