--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -118,8 +118,8 @@
   bool caught_up(const replica_id& id) const;
   /// Time of the last reply of `id` (leader only).
   std::optional<monotonic_time> last_heard(const replica_id& id) const;
-  /// When this replica became leader (leader only).
-  monotonic_time elected_at() const { return elected_at_; }
+  /// Since when this leader writes to `id`; now for strangers (leader only).
+  monotonic_time known_since(const replica_id& id) const;
   bool members_change_pending() const;
   /// When a leader last wrote to this replica, or its start.
   monotonic_time leader_heard_at() const { return leader_heard_at_; }
@@ -131,8 +131,11 @@
     log_index match = 0;
     std::uint64_t acked_round = 0;
     std::optional<monotonic_time> heard_at;
+    monotonic_time known_since;  // to this leader
     monotonic_time retry_at;
     bool probing = true;
+    /// The entry that made it a member, when this leader wrote that entry.
+    log_index admitted_at = 0;
   };
   struct round_start {
     std::uint64_t round = 0;
@@ -167,6 +170,9 @@
   void refresh_members();
   void start_round();
   void replicate_to(const replica_id& to, bool even_if_empty);
+  bool awaits_admission(const replica_id& id, const progress& peer) const;
+  /// Greets the members whose admission was not committed at `before`.
+  void write_to_admitted(log_index before);
   void send_append(const replica_id& to, progress& peer);
   void send_snapshot(const replica_id& to, progress& peer);
   void reply_append(const message& in, bool accepted, log_index match,
@@ -175,6 +181,7 @@
   void commit_to(log_index index);
   void finish_reads();
   void check_quorum();
+  bool is_overdue_again();
   void send(const replica_id& to, message_body body);
 
   bool is_voter(const replica_id& id) const;
@@ -206,6 +213,7 @@
   monotonic_time heartbeat_due_;
   monotonic_time leader_heard_at_;
   monotonic_time elected_at_;
+  bool overdue_ = false;  // a deadline had passed at the last tick
   bool pre_voting_ = false;
   std::set<replica_id> votes_;
   std::map<replica_id, progress> peers_;
--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -19,6 +19,10 @@
 // gateway goes without a whole list.
 constexpr milliseconds gone_memory{60'000};
 
+// After a restart nobody may be there to tell, and without a list a gateway
+// serves nobody: it soon reads for itself.
+constexpr milliseconds restart_patience{400};
+
 milliseconds shrunk(milliseconds span, milliseconds by) {
   return std::max(milliseconds(0), span - by);
 }
@@ -72,6 +76,13 @@
 
 }  // namespace
 
+milliseconds listing_patience(bool heard, bool first_start,
+                              milliseconds interval) {
+  // The first start comes well before any request: reading once is enough.
+  const bool restarted = !heard && !first_start;
+  return restarted ? restart_patience : silent_intervals * interval;
+}
+
 listed_endpoint dated_endpoint::as_of(monotonic_time now) const {
   const milliseconds passed =
       std::chrono::duration_cast<milliseconds>(now - at);
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -2,6 +2,7 @@
 // the others of its region. The decisions only; listing_service sends.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -36,6 +37,14 @@
 /// Refuses news that contradict themselves.
 result<listing_news> listing_news_from(const json& value);
 
+/// A gateway that was told nothing for so many intervals reads for itself.
+inline constexpr int silent_intervals = 3;
+
+/// For how long a gateway waits to be told before it reads for itself.
+/// `first_start`: the whole deployment starts for the first time.
+std::chrono::milliseconds listing_patience(bool heard, bool first_start,
+                                           std::chrono::milliseconds interval);
+
 /// On the reader.
 class listing_writer {
  public:
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -18,8 +18,6 @@
 constexpr milliseconds read_timeout{1000};
 constexpr std::size_t largest_page = 4UL * 1024 * 1024;
 constexpr unsigned ok_status = 200;
-// A gateway that was told nothing for so many intervals reads for itself.
-constexpr int silent_intervals = 3;
 // A gateway that has no list yet asks the reader for it this often.
 constexpr milliseconds ask_interval{300};
 // Pages of one list; more of them mean a list that never ends.
@@ -121,7 +119,9 @@
 bool listing_service::should_read() {
   const monotonic_time now = context_.clock.now();
   const milliseconds interval = context_.options.timing.platform_poll_interval;
-  if (now >= heard_at_ + silent_intervals * interval) return true;
+  const milliseconds patience =
+      listing_patience(heard_, context_.options.found_at_first_start, interval);
+  if (now >= heard_at_ + patience) return true;
   // Until the book comes a node knows of no others, and all would read.
   if (context_.book.empty()) return false;
   const std::string expected = reader();
--- a/node/test/listing_news-test.cc
+++ b/node/test/listing_news-test.cc
@@ -143,5 +143,12 @@
   EXPECT_TRUE(refused("gone", list));
 }
 
+TEST(listing_patience_test, a_restarted_gateway_soon_reads_for_itself) {
+  const milliseconds interval{1000};
+  EXPECT_LE(listing_patience(false, false, interval), interval / 2);
+  EXPECT_EQ(listing_patience(true, false, interval), 3 * interval);
+  EXPECT_EQ(listing_patience(false, true, interval), 3 * interval);
+}
+
 }  // namespace
 }  // namespace trestlepost::node
