--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -42,18 +42,17 @@
 }
 
 milliseconds digest_service::interval() const {
-  return membership::beat_interval(
-      context_.options.timing.heartbeat_interval,
-      region_mates(context_).size() + 1, context_.nodes.options());
+  return membership::beat_interval(context_.options.timing.heartbeat_interval,
+                                   region_mates(context_).size() + 1,
+                                   context_.nodes.options());
 }
 
 bool digest_service::take(const json& params) {
   const result<membership::region_digest> in =
       membership::region_digest_from(params);
   if (!in) {
-    log_event(
-        log_level::warn, "digest-refused",
-        {{"detail", in.error().message}, {"remedy", in.error().remedy}});
+    log_event(log_level::warn, "digest-refused",
+              {{"detail", in.error().message}, {"remedy", in.error().remedy}});
     return false;
   }
   if (in->relay == context_.self.name) return false;
@@ -85,9 +84,8 @@
     const bool leaving =
         it != nullptr && it->last.state == membership::node_states::draining;
     all.push_back({name, leaving});
-    const bool known =
-        it != nullptr &&
-        context_.nodes.state_of(*it, now) != membership::peer_state::dead;
+    const bool known = it != nullptr && context_.nodes.state_of(*it, now) !=
+                                            membership::peer_state::dead;
     if (known) heard.push_back({name, leaving});
   }
   const bool enough = heard.size() >= membership::relays_per_region;
@@ -178,8 +176,7 @@
     next_whole_ = now + whole_interval;
   }
   membership::region_digest out = writer_.next(has, region);
-  out.services[region] =
-      membership::service_means(context_.nodes, region, now);
+  out.services[region] = membership::service_means(context_.nodes, region, now);
   json params;
   params["digest"] = membership::to_json(out);
   for (const std::string& it : addresses) {
--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -140,8 +140,7 @@
 listing_news listing_writer::next(const std::string& gateway,
                                   monotonic_time now) {
   told& last = told_[gateway];
-  const bool whole =
-      last.version == 0 || now >= last.whole_at + whole_interval;
+  const bool whole = last.version == 0 || now >= last.whole_at + whole_interval;
   listing_news out;
   out.reader = reader_;
   out.life = life_;
--- /dev/null
+++ b/node/src/listing_pages.cc
@@ -0,0 +1,36 @@
+#include "listing_pages.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace trestlepost::node {
+namespace {
+
+/// Whether a name needs no escapes in a query.
+bool is_plain(const std::string& name) {
+  return !name.empty() &&
+         std::all_of(name.begin(), name.end(), [](unsigned char it) {
+           return std::isalnum(it) != 0 || it == '-' || it == '_' || it == '.';
+         });
+}
+
+}  // namespace
+
+std::vector<std::string> zones_to_read(const listing_size& last) {
+  const std::vector<std::string> whole{""};
+  if (last.pages < 2 || last.page_size == 0 || last.own_zones.empty()) {
+    return whole;
+  }
+  std::size_t pages = 0;
+  std::vector<std::string> zones;
+  for (const auto& [zone, entries] : last.own_zones) {
+    if (!is_plain(zone)) return whole;
+    // An empty zone, too, takes a call to see that it is.
+    pages += std::max<std::size_t>(
+        1, (entries + last.page_size - 1) / last.page_size);
+    zones.push_back(zone);
+  }
+  return pages < last.pages ? zones : whole;
+}
+
+}  // namespace trestlepost::node
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -1,5 +1,6 @@
 #include "listing_service.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <set>
@@ -22,6 +23,10 @@
 constexpr int silent_intervals = 3;
 // A gateway that has no list yet asks the reader for it this often.
 constexpr milliseconds ask_interval{300};
+// The first books name only those who asked the leader before.
+constexpr milliseconds book_settling{500};
+// How often the whole list is read to see whether that takes fewer calls.
+constexpr milliseconds whole_interval{60'000};
 // Pages of one list; more of them mean a list that never ends.
 constexpr int most_pages = 1000;
 
@@ -124,6 +129,8 @@
   if (now >= heard_at_ + silent_intervals * interval) return true;
   // Until the book comes a node knows of no others, and all would read.
   if (context_.book.empty()) return false;
+  if (!book_since_) book_since_ = now;
+  if (now < *book_since_ + book_settling) return false;
   const std::string expected = reader();
   if (expected == context_.self.name) return true;
   if (!heard_ && now >= next_ask_) {
@@ -143,10 +150,10 @@
 }
 
 awaitable<result<surface::endpoint_page>> listing_service::read_page(
-    std::string token) {
+    std::string zone, std::string token) {
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(context_.options.platform_address);
-  transport::http_request request = directory_->page_request(token);
+  transport::http_request request = directory_->page_request(zone, token);
   const tl::expected<void, transport::call_failure> sent = co_await call->send(
       std::move(request), context_.clock.now() + read_timeout);
   if (!sent) co_return tl::make_unexpected(sent.error().cause);
@@ -158,28 +165,67 @@
                  "read less often: raise platform.poll_interval");
 }
 
-awaitable<void> listing_service::read_all() {
-  std::vector<listed_endpoint> all;
+awaitable<bool> listing_service::read_zone(std::string zone,
+                                           std::vector<listed_endpoint>& all) {
   std::string token;
-  bool whole = false;
-  for (int n = 0; n < most_pages && !whole; ++n) {
-    result<surface::endpoint_page> page = co_await read_page(token);
+  for (int n = 0; n < most_pages; ++n) {
+    result<surface::endpoint_page> page = co_await read_page(zone, token);
     if (!page) {
       if (!lost_) {
         log_event(log_level::warn, "platform-list-lost",
                   {{"detail", page.error().message}});
       }
-      lost_ = true;
-      break;
+      co_return false;
+    }
+    if (zone.empty()) {
+      ++size_.pages;
+      size_.page_size = std::max(size_.page_size, page->endpoints.size());
     }
     for (listed_endpoint& it : page->endpoints) all.push_back(std::move(it));
     token = page->next;
-    whole = token.empty();
+    if (token.empty()) co_return true;
+  }
+  co_return false;
+}
+
+std::vector<std::string> listing_service::next_zones() {
+  const monotonic_time now = context_.clock.now();
+  std::vector<std::string> out = zones_to_read(size_);
+  if (now >= next_whole_) out = {""};
+  if (out.front().empty()) {
+    next_whole_ = now + whole_interval;
+    size_ = {};
+  }
+  return out;
+}
+
+void listing_service::measure(const std::vector<listed_endpoint>& all) {
+  for (const auto& [zone, region] : context_.options.zone_regions) {
+    if (region == context_.self.region) size_.own_zones[zone] = 0;
+  }
+  for (const listed_endpoint& it : in_own_region(all)) {
+    ++size_.own_zones[it.availability_zone];
+  }
+}
+
+awaitable<void> listing_service::read_all() {
+  std::vector<listed_endpoint> all;
+  const std::vector<std::string> zones = next_zones();
+  bool done = true;
+  for (std::size_t i = 0; i < zones.size() && done; ++i) {
+    std::string zone = zones[i];
+    done = co_await read_zone(std::move(zone), all);
   }
   reading_ = false;
-  if (!whole) co_return;
+  if (!done) {
+    lost_ = true;
+    size_ = {};
+    co_return;
+  }
   if (lost_) log_event(log_level::info, "platform-list-back");
   lost_ = false;
+  size_.own_zones.clear();
+  measure(all);
   heard_at_ = context_.clock.now();
   read_at_ = heard_at_;
   heard_ = true;
@@ -187,6 +233,18 @@
   tell_others(all);
 }
 
+std::vector<listed_endpoint> listing_service::in_own_region(
+    const std::vector<listed_endpoint>& all) const {
+  std::vector<listed_endpoint> out;
+  for (const listed_endpoint& it : all) {
+    const auto zone = context_.options.zone_regions.find(it.availability_zone);
+    const bool here = zone != context_.options.zone_regions.end() &&
+                      zone->second == context_.self.region;
+    if (here) out.push_back(it);
+  }
+  return out;
+}
+
 void listing_service::tell(const std::string& gateway,
                            const std::string& address) {
   context_.links.send(address, "endpoints.listed",
@@ -195,14 +253,7 @@
 
 void listing_service::tell_others(const std::vector<listed_endpoint>& all) {
   const monotonic_time now = context_.clock.now();
-  std::vector<listed_endpoint> own;
-  for (const listed_endpoint& it : all) {
-    const auto zone = context_.options.zone_regions.find(it.availability_zone);
-    const bool here = zone != context_.options.zone_regions.end() &&
-                      zone->second == context_.self.region;
-    if (here) own.push_back(it);
-  }
-  writer_.update(own, now);
+  writer_.update(in_own_region(all), now);
   for (const membership::node_record* it :
        context_.nodes.other_gateways(context_.self, now)) {
     tell(it->last.node.name, it->last.node.peer_address);
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "listing_news.h"
+#include "listing_pages.h"
 #include "node_context.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
@@ -25,7 +27,15 @@
  private:
   transport::awaitable<void> read_all();
   transport::awaitable<result<surface::endpoint_page>> read_page(
-      std::string token);
+      std::string zone, std::string token);
+  /// Reads a zone or, with an empty name, the whole list; false on failure.
+  transport::awaitable<bool> read_zone(
+      std::string zone, std::vector<surface::listed_endpoint>& all);
+  /// The zones to read now.
+  std::vector<std::string> next_zones();
+  void measure(const std::vector<surface::listed_endpoint>& all);
+  std::vector<surface::listed_endpoint> in_own_region(
+      const std::vector<surface::listed_endpoint>& all) const;
   void handle_news(const json& params);
   void handle_ask(const json& params);
   /// The gateway that should read, as far as this node knows.
@@ -46,6 +56,9 @@
   monotonic_time heard_at_;  // or when it started
   monotonic_time read_at_;   // of the last list read by this node
   bool heard_ = false;
+  std::optional<monotonic_time> book_since_;
+  listing_size size_;
+  monotonic_time next_whole_;
   bool reading_ = false;
   bool lost_ = false;
 };
--- a/surface/include/trestlepost/surface/endpoint_directory.h
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -35,9 +35,10 @@
  public:
   virtual ~endpoint_directory() = default;
 
-  /// The request for the page with this token; empty: the first one.
+  /// The request for the page with this token; empty: the first one. With a
+  /// zone only its entries are asked for.
   virtual transport::http_request page_request(
-      const std::string& token) const = 0;
+      const std::string& zone, const std::string& token) const = 0;
 
   virtual result<endpoint_page> read_page(const std::string& body) const = 0;
 };
