--- a/membership/test/region_digest-test.cc
+++ b/membership/test/region_digest-test.cc
@@ -314,7 +314,8 @@
           *rc::gen::inRange<std::size_t>(0, under_way.size());
       m.hear(under_way[at], now);
       // Left in place it may come once more.
-      if (what == 2) under_way.erase(under_way.begin() + at);
+      if (what == 2)
+        under_way.erase(std::next(under_way.begin(), static_cast<long>(at)));
     }
     for (const node_record* it : m.table.all()) {
       std::uint64_t& newest = newest_told[it->last.node.name];
--- a/node/src/listing_pages.cc
+++ b/node/src/listing_pages.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 std::vector<std::string> zones_to_read(const listing_size& last) {
-  const std::vector<std::string> whole{""};
+  std::vector<std::string> whole{""};
   if (last.pages < 2 || last.page_size == 0 || last.own_zones.empty()) {
     return whole;
   }
