Ask a silent leader through a follower that reaches it

Ruled out: the lease; it is right to cross no border without a confirmation. Change: a follower passes a poll on to the leader, the answer comes back the same way; an unconfirmed answer no longer ends the question.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -219,6 +219,17 @@
   return known ? name : "";
 }
 
+void control_service::pass_poll_on(const json& params) {
+  const std::string leader = address_of(leader_node());
+  const bool passed_on = !text_of(params, "via").empty();
+  if (passed_on || leader.empty() || leader == context_.self.peer_address) {
+    return;
+  }
+  json onward = params;
+  onward["via"] = context_.self.peer_address;
+  context_.links.send(leader, "config.poll", onward);
+}
+
 void control_service::handle_poll(const json& params) {
   const json& alive = member_of(params, "alive");
   const std::string address =
@@ -248,7 +259,10 @@
     update.whole = context_.store.to_json(config::plan_form::without_document);
     answer["update"] = config::to_json(update);
   }
-  context_.links.send(address, "config.update", answer);
+  if (!leads()) pass_poll_on(params);
+  const std::string via = text_of(params, "via");
+  if (!via.empty()) answer["for"] = address;
+  context_.links.send(via.empty() ? address : via, "config.update", answer);
 }
 
 json control_service::make_update(config::revision_number from,
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -66,6 +66,9 @@
   };
 
   void register_peer_methods();
+  /// To the leader, for an asker that may be cut off from it; the answer comes
+  /// back the same way.
+  void pass_poll_on(const json& params);
   void handle_poll(const json& params);
   /// Takes in who polls; its name, or empty when the leader must be told.
   std::string meet_asker(const json& params);
--- a/node/src/probe_service.cc
+++ b/node/src/probe_service.cc
@@ -63,7 +63,7 @@
 awaitable<void> probe_service::read_platform_list() {
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(context_.options.platform_address);
-  transport::http_request request = directory_.page_request("");
+  transport::http_request request = directory_.page_request("", "");
   const tl::expected<void, transport::call_failure> sent = co_await call->send(
       std::move(request), context_.clock.now() + probe_timeout);
   if (!sent) co_return;
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -80,6 +80,12 @@
 }
 
 void watch_client::handle_update(const json& params) {
+  const std::string asker = text_of(params, "for");
+  if (!asker.empty() && asker != context_.self.peer_address) {
+    // It asked through this node, as the leader does not hear it.
+    context_.links.send(asker, "config.update", params);
+    return;
+  }
   const monotonic_time now = context_.clock.now();
   const std::string leader = text_of(params, "leader");
   const std::string leader_address = text_of(params, "leader_address");
@@ -96,12 +102,12 @@
   const json& update = member_of(params, "update");
   if (update.isObject()) apply(update);
   if (asked == questions_.end()) return;
-  if (flag_of(params, "confirmed")) {
-    finder_.confirmed(now);
-    take_book(update);
-    const bool current = context_.store.revision() >= number_of(update, "to");
-    if (current) context_.state.confirm(asked->asked_at, now);
-  }
+  // A follower's answer is not the last one: it has asked the leader.
+  if (!flag_of(params, "confirmed")) return;
+  finder_.confirmed(now);
+  take_book(update);
+  const bool current = context_.store.revision() >= number_of(update, "to");
+  if (current) context_.state.confirm(asked->asked_at, now);
   questions_.erase(asked);
 }
 
--- a/own/include/trestlepost/own/codecs.h
+++ b/own/include/trestlepost/own/codecs.h
@@ -38,7 +38,8 @@
 /// The platform's list. It names VMs, each by its IP, on one page.
 class directory_codec final : public surface::endpoint_directory {
  public:
-  transport::http_request page_request(const std::string& token) const override;
+  transport::http_request page_request(const std::string& zone,
+                                       const std::string& token) const override;
   result<surface::endpoint_page> read_page(
       const std::string& body) const override;
 };
--- a/own/src/directory_codec.cc
+++ b/own/src/directory_codec.cc
@@ -9,7 +9,7 @@
 }  // namespace
 
 transport::http_request directory_codec::page_request(
-    const std::string&) const {
+    const std::string&, const std::string&) const {
   transport::http_request out;
   out.method = "GET";
   out.target = "/v1/vms";
--- a/own/test/directory_codec-test.cc
+++ b/own/test/directory_codec-test.cc
@@ -10,7 +10,8 @@
 
 TEST(directory_codec_test, there_is_one_page) {
   for (const char* it : {"", "p-2"}) {
-    const transport::http_request request = directory_codec().page_request(it);
+    const transport::http_request request =
+        directory_codec().page_request("", it);
     EXPECT_EQ(request.method, "GET");
     EXPECT_EQ(request.target, "/v1/vms");
   }
--- a/tests/test/configuration-faults-test.cc
+++ b/tests/test/configuration-faults-test.cc
@@ -179,6 +179,27 @@
   EXPECT_TRUE(eventually([&] { return in_force_everywhere(it, "while-cut"); }));
 }
 
+/// "isola" of "isola-2".
+std::string region_of(const std::string& node) {
+  return node.substr(0, node.find('-'));
+}
+
+TEST(configuration_faults_test,
+     a_region_cut_from_the_leader_asks_through_others) {
+  cluster it;
+  it.bring_up();
+  const std::string home = region_of(it.wait_for_leader());
+  const std::string away = home == "golfo" ? "stretto" : "golfo";
+  it.cut(home, away);
+  // A restarted gateway is ready only once the leader has confirmed its
+  // revision, which the third region can ask for.
+  const std::string gateway = away + "-2";
+  it.kill_node(gateway);
+  it.start_node(gateway);
+  EXPECT_TRUE(eventually([&] { return it.state(gateway) == "ready"; }));
+  it.heal();
+}
+
 TEST(configuration_faults_test, many_changes_then_a_restart_of_all) {
   cluster it;
   it.bring_up();
