--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -10,10 +10,16 @@
 
 namespace trestlepost::gateway {
 
+struct region_decision {
+  std::string region;
+  /// In the own region, the endpoint that was weighed.
+  std::optional<chosen_endpoint> endpoint;
+};
+
 /// The permitted region in which `request` can be expected to earn most, the
 /// own one unless another is clearly better; nothing when none can serve it.
 /// `exhausted` regions are left out.
-std::optional<std::string> choose_region(
+std::optional<region_decision> choose_region(
     const gateway_context& context, const endpoint_pool& own,
     const route_forwarder& remote, const routed_request& request,
     const std::set<std::string>& exhausted);
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -2,6 +2,8 @@
 // no other region: nothing that comes through here can travel on.
 #pragma once
 
+#include <optional>
+
 #include "trestlepost/gateway/endpoint_runner.h"
 #include "trestlepost/routing/retry_budget.h"
 
@@ -17,9 +19,11 @@
         runner_(context, surfaces, pool),
         retry_limits_(retries) {}
 
-  /// Runs `request` at one endpoint after the other, as its route allows.
-  transport::awaitable<attempt> serve(routed_request& request,
-                                      transport::http_exchange& exchange);
+  /// Runs `request` at one endpoint after the other, as its route allows;
+  /// first at `first`, where it was chosen already.
+  transport::awaitable<attempt> serve(
+      routed_request& request, const std::optional<chosen_endpoint>& first,
+      transport::http_exchange& exchange);
 
   /// Takes a retry of `service` out of the budget; false when none is left.
   bool take_retry(const std::string& service);
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -7,6 +7,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/config/traffic_plan.h"
 #include "trestlepost/routing/engine_book.h"
+#include "trestlepost/routing/outlook.h"
 #include "trestlepost/surface/call_head.h"
 
 namespace trestlepost::gateway {
@@ -32,6 +33,10 @@
 routing::engine_work work_of(const surface::call_head& head,
                              const config::route& route);
 
+/// What its caller and its route expect of an answer that begins at `now`.
+routing::expectation expectation_of(const routed_request& request,
+                                    monotonic_time now);
+
 /// Whether the route lets `region` serve, cache and store its requests.
 bool permits_region(const config::route& route, const std::string& region);
 
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -234,10 +234,8 @@
     chosen.push_back(std::move(one.chosen));
     candidates.push_back(one.candidate);
   }
-  const routing::expectation wanted{
-      request.route->latency_objective,
-      std::chrono::duration_cast<milliseconds>(request.deadline -
-                                               context_.clock.now())};
+  const routing::expectation wanted =
+      expectation_of(request, context_.clock.now());
   const std::optional<std::size_t> best =
       routing::choose_engine(candidates, wanted);
   if (!best) return std::nullopt;
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -93,7 +93,8 @@
                 : result<routed_request>(tl::make_unexpected(message.error()));
     if (request) {
       const unsigned before = request->sends;
-      outcome = co_await service_.serve(*request, exchange);
+      const std::optional<chosen_endpoint> none_chosen;
+      outcome = co_await service_.serve(*request, none_chosen, exchange);
       outcome.sends = request->sends - before;
     } else {
       outcome = failed_attempt(run_state::no, request.error(), retry_after);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -112,12 +112,12 @@
   bool may_have_run = false;
   std::optional<transport::http_answer> kept;
   while (exhausted.size() < most_regions) {
-    const std::optional<std::string> chosen =
+    const std::optional<region_decision> chosen =
         choose_region(context_, own_.pool(), remote_, request, exhausted);
     if (!chosen) break;
-    const std::string& region = *chosen;
+    const std::string& region = chosen->region;
     if (region == context_.self.region) {
-      last = co_await own_.serve(request, exchange);
+      last = co_await own_.serve(request, chosen->endpoint, exchange);
     } else {
       last = co_await remote_.serve(request, region, exchange);
       request.sends += last.sends;
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -73,25 +73,23 @@
 
 }  // namespace
 
-std::optional<std::string> choose_region(
+std::optional<region_decision> choose_region(
     const gateway_context& context, const endpoint_pool& own,
     const route_forwarder& remote, const routed_request& request,
     const std::set<std::string>& exhausted) {
   const monotonic_time now = context.clock.now();
-  const routing::expectation wanted{
-      request.route->latency_objective,
-      std::chrono::duration_cast<milliseconds>(request.deadline - now)};
+  const routing::expectation wanted = expectation_of(request, now);
   const auto is_candidate = [&request, &exhausted](const std::string& region) {
     return permits_region(*request.route, region) &&
            !exhausted.contains(region);
   };
-  std::optional<std::string> best;
+  std::optional<region_decision> best;
   double best_value = 0;
   const std::string& here = context.self.region;
   if (is_candidate(here)) {
     const result<chosen_endpoint> chosen = own.choose(request);
     if (chosen) {
-      best = here;
+      best = region_decision{here, *chosen};
       best_value = routing::expected_value(chosen->expected, wanted);
     }
   }
@@ -107,7 +105,7 @@
                      request.work, per_event);
     const double value = routing::expected_value(expected, wanted) - away_cost;
     if (best && value <= best_value) continue;
-    best = region;
+    best = region_decision{region, std::nullopt};
     best_value = value;
   }
   return best;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -112,14 +112,16 @@
   return retries_of(service).take();
 }
 
-awaitable<attempt> route_service::serve(routed_request& request,
-                                        transport::http_exchange& exchange) {
+awaitable<attempt> route_service::serve(
+    routed_request& request, const std::optional<chosen_endpoint>& first,
+    transport::http_exchange& exchange) {
   retries_of(request.service).request_seen();
   std::optional<attempt> last;
   bool may_have_run = false;
   unsigned unsent = 0;
   while (true) {
-    const result<chosen_endpoint> chosen = pool_.choose(request);
+    const result<chosen_endpoint> chosen =
+        first && !last ? *first : pool_.choose(request);
     const bool late =
         chosen && too_late(request, chosen->expected, context_.clock.now());
     if (!chosen || late) {
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -17,6 +17,13 @@
   return out;
 }
 
+routing::expectation expectation_of(const routed_request& request,
+                                    monotonic_time now) {
+  return {request.route->latency_objective,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              request.deadline - now)};
+}
+
 bool permits_region(const config::route& route, const std::string& region) {
   const std::vector<std::string>& homes = route.home_regions;
   return homes.empty() ||
