--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -6,6 +6,7 @@
 #include "refusal_message.h"
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/retry_after.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -14,8 +15,6 @@
 using transport::awaitable;
 using transport::http_exchange;
 
-constexpr milliseconds retry_after{300};
-
 result<routed_request> behind(const std::string& what) {
   return fail(error_kind::configuration_behind, what,
               "send it again after Retry-After");
@@ -97,7 +96,8 @@
       outcome = co_await service_.serve(*request, none_chosen, exchange);
       outcome.sends = request->sends - before;
     } else {
-      outcome = failed_attempt(run_state::no, request.error(), retry_after);
+      outcome =
+          failed_attempt(run_state::no, request.error(), after_wrong_node);
     }
   }
   if (outcome.delivered || exchange.answered() || exchange.gone()) co_return;
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -6,6 +6,7 @@
 #include "answer_passing.h"
 #include "refusal_message.h"
 #include "trestlepost/gateway/forward_message.h"
+#include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_message.h"
 
 namespace trestlepost::gateway {
@@ -16,7 +17,6 @@
 using transport::awaitable;
 
 constexpr std::size_t largest_refusal = 64UL * 1024;
-constexpr milliseconds retry_after{300};
 
 std::uint32_t busyness(const node_record& it, const std::string& service) {
   const auto found = it.last.services.find(service);
@@ -90,7 +90,7 @@
         run_state::no,
         {error_kind::unavailable, "no gateway of " + region + " is reachable",
          "send it again after Retry-After"},
-        retry_after);
+        after_wrong_node);
   }
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(gateway->last.node.forward_address);
@@ -106,7 +106,7 @@
   if (!sent) {
     const bool written = sent.error().bytes_written;
     outcome = failed_attempt(written ? run_state::unknown : run_state::no,
-                             sent.error().cause, retry_after);
+                             sent.error().cause, after_wrong_node);
     outcome.sends = written ? 1 : 0;
   } else if (!call->header(refused_header).empty()) {
     const result<std::string> body = co_await call->read_rest(largest_refusal);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_regions.h"
 
 namespace trestlepost::gateway {
@@ -13,7 +14,6 @@
 using transport::awaitable;
 using transport::http_exchange;
 
-constexpr milliseconds retry_after{300};
 // Attempts in other regions, each on another gateway, of one request.
 constexpr std::size_t most_regions = 3;
 
@@ -74,8 +74,10 @@
   const std::string id = head.request_id;
   result<routed_request> request = route(std::move(head), std::move(body));
   if (!request) {
+    const milliseconds come_back =
+        routes_.plan() ? after_wrong_node : after_no_plan;
     const attempt refused =
-        failed_attempt(run_state::no, request.error(), retry_after);
+        failed_attempt(run_state::no, request.error(), come_back);
     context_.metrics.request_done(
         "none", std::string(to_string(refused.cause.kind)), milliseconds(0));
     log_event(log_level::info, "request-refused",
@@ -108,7 +110,7 @@
   attempt last = failed_attempt(
       run_state::no,
       unavailable("no permitted region can serve " + request.service + " now"),
-      retry_after);
+      after_none_open);
   bool may_have_run = false;
   std::optional<transport::http_answer> kept;
   while (exhausted.size() < most_regions) {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/retry_after.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -12,7 +13,6 @@
 
 // Endpoints that are tried when none of them took a byte of the request.
 constexpr unsigned most_unsent_tries = 4;
-constexpr milliseconds unavailable_retry_after{300};
 constexpr milliseconds least_retry_after{100};
 
 // Callers give a stream up when nothing comes for this long, whichever is
@@ -39,7 +39,7 @@
 }
 
 attempt none_open(const error& cause) {
-  return failed_attempt(run_state::no, cause, unavailable_retry_after);
+  return failed_attempt(run_state::no, cause, after_none_open);
 }
 
 attempt wait_too_long(const chosen_endpoint& chosen) {
