Prefer a control node as first relay; ask the second one less often

Change: the first relay is a control node, which serves no callers, the second a gateway; it is asked for a digest every fourth heartbeat, and each ask is answered once. Test: a_control_node_comes_first_and_a_gateway_second.

--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -139,8 +139,8 @@
                                                  monotonic_time now) const;
   std::vector<std::string> regions() const;
 
-  /// The relays of a region: the highest by rendezvous hash among its live
-  /// nodes. Every node of the region computes the same ones.
+  /// The relays among the live nodes of a region, as `rank_relays` orders
+  /// them. Every node of the region computes the same ones.
   std::vector<const node_record*> relays_of(const std::string& region,
                                             monotonic_time now) const;
 
--- a/membership/include/trestlepost/membership/relay_choice.h
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -14,9 +14,19 @@
 
 struct relay_candidate {
   std::string name;
+  /// Only when there is no other.
   bool leaving = false;
+  /// A control node: it serves no callers.
+  bool control = false;
 };
 
+/// The relays among `candidates`, the first one first: the highest control
+/// node by rendezvous hash, which has the time, and the highest gateway, as
+/// what strikes one kind seldom strikes the other. Where a kind is missing,
+/// the highest of those left.
+std::vector<std::string> rank_relays(const std::string& region,
+                                     std::vector<relay_candidate> candidates);
+
 class relay_choice {
  public:
   /// `mute_after` without an answer puts a candidate behind all others.
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "trestlepost/base/hash.h"
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/membership/region_digest.h"
+#include "trestlepost/membership/relay_choice.h"
 
 namespace trestlepost::membership {
 namespace {
@@ -324,13 +324,14 @@
 
 std::vector<const node_record*> node_table::relays_of(
     const std::string& region, monotonic_time now) const {
-  std::vector<const node_record*> out = live_in(region, now);
-  std::sort(out.begin(), out.end(),
-            [&region](const node_record* a, const node_record* b) {
-              return rendezvous_score(region, a->last.node.name) >
-                     rendezvous_score(region, b->last.node.name);
-            });
-  if (out.size() > relays_per_region) out.resize(relays_per_region);
+  std::vector<relay_candidate> candidates;
+  for (const node_record* it : live_in(region, now)) {
+    candidates.push_back({it->last.node.name, false, it->last.node.control});
+  }
+  std::vector<const node_record*> out;
+  for (const std::string& it : rank_relays(region, std::move(candidates))) {
+    out.push_back(find(it));
+  }
   return out;
 }
 
--- a/membership/src/relay_choice.cc
+++ b/membership/src/relay_choice.cc
@@ -1,7 +1,9 @@
 #include "trestlepost/membership/relay_choice.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
+#include <utility>
 
 #include "trestlepost/base/hash.h"
 
@@ -24,22 +26,35 @@
          now < it->second + retry_after;
 }
 
+std::vector<std::string> rank_relays(const std::string& region,
+                                     std::vector<relay_candidate> candidates) {
+  // The kind that each place asks for first.
+  constexpr std::array<bool, relays_per_region> control_first{true, false};
+  std::vector<std::string> out;
+  for (const bool control : control_first) {
+    const auto key = [&](const relay_candidate& it) {
+      return std::make_tuple(!it.leaving, it.control == control,
+                             rendezvous_score(region, it.name));
+    };
+    const auto best = std::max_element(
+        candidates.begin(), candidates.end(),
+        [&key](const relay_candidate& a, const relay_candidate& b) {
+          return key(a) < key(b);
+        });
+    if (best == candidates.end()) break;
+    out.push_back(best->name);
+    candidates.erase(best);
+  }
+  return out;
+}
+
 std::vector<std::string> relay_choice::choose(
     const std::string& region, std::vector<relay_candidate> candidates,
     std::chrono::milliseconds mute_after, monotonic_time now) const {
-  const auto key = [&](const relay_candidate& it) {
-    const bool last = it.leaving || is_mute(it.name, mute_after, now);
-    return std::make_tuple(last ? 0 : 1, rendezvous_score(region, it.name));
-  };
-  std::sort(candidates.begin(), candidates.end(),
-            [&key](const relay_candidate& a, const relay_candidate& b) {
-              return key(a) > key(b);
-            });
-  std::vector<std::string> out;
-  for (const relay_candidate& it : candidates) {
-    if (out.size() < relays_per_region) out.push_back(it.name);
+  for (relay_candidate& it : candidates) {
+    it.leaving = it.leaving || is_mute(it.name, mute_after, now);
   }
-  return out;
+  return rank_relays(region, std::move(candidates));
 }
 
 void relay_choice::asked(const std::string& name, monotonic_time now) {
--- a/membership/test/relay_choice-test.cc
+++ b/membership/test/relay_choice-test.cc
@@ -53,6 +53,27 @@
   EXPECT_EQ(choice.choose("isola", nine(), mute_after, later).front(), first);
 }
 
+TEST(relay_choice_test, a_control_node_comes_first_and_a_gateway_second) {
+  std::vector<relay_candidate> all = nine();
+  const std::vector<std::string> gateways = rank_relays("isola", all);
+  all.push_back({"c1", false, true});
+  all.push_back({"c2", false, true});
+  const std::vector<std::string> chosen = rank_relays("isola", all);
+  ASSERT_EQ(chosen.size(), 2U);
+  EXPECT_TRUE(chosen[0] == "c1" || chosen[0] == "c2");
+  EXPECT_EQ(chosen[1], gateways[0]);
+}
+
+TEST(relay_choice_test, where_a_kind_is_missing_the_other_stands_in) {
+  EXPECT_EQ(
+      rank_relays("isola", {{"c1", false, true}, {"c2", false, true}}).size(),
+      2U);
+  const std::vector<std::string> expected{"n1", "c1"};
+  EXPECT_EQ(rank_relays("isola", {{"c1", true, true}, {"n1", false, false}}),
+            expected);
+  EXPECT_TRUE(rank_relays("isola", {}).empty());
+}
+
 TEST(relay_choice_test, one_that_leaves_is_the_last_to_be_chosen) {
   const relay_choice choice;
   const monotonic_time now;
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -14,6 +14,10 @@
 // A relay that leaves so many heartbeats unanswered is passed over.
 constexpr int unanswered_beats = 4;
 // A node that was not heard for so many intervals is named with its age.
+// The second relay, a gateway as a rule, is asked for a digest once in so many
+// heartbeats: answering all nodes of a large region each time took most of a
+// small VM's processor.
+constexpr std::uint64_t beats_per_second_ask = 4;
 constexpr int late_beats = 3;
 // The loads of other regions come each 300 ms; every second digest has them.
 constexpr std::uint64_t rounds_per_services = 2;
@@ -83,10 +87,14 @@
     const node_record* it = context_.nodes.find(name);
     const bool leaving =
         it != nullptr && it->last.state == membership::node_states::draining;
-    all.push_back({name, leaving});
+    const auto entry = context_.book.find(name);
+    const bool control =
+        it != nullptr ? it->last.node.control
+                      : entry != context_.book.end() && entry->second.control;
+    all.push_back({name, leaving, control});
     const bool known = it != nullptr && context_.nodes.state_of(*it, now) !=
                                             membership::peer_state::dead;
-    if (known) heard.push_back({name, leaving});
+    if (known) heard.push_back({name, leaving, control});
   }
   const bool enough = heard.size() >= membership::relays_per_region;
   return choice_.choose(context_.self.region, enough ? heard : all,
@@ -95,11 +103,17 @@
 
 void digest_service::send_to_relays(const json& heartbeat) {
   const monotonic_time now = context_.clock.now();
+  const std::map<std::string, std::string> mates = region_mates(context_);
+  const bool ask_all = beats_++ % beats_per_second_ask == 0;
+  bool first = true;
   for (const std::string& name : relays()) {
     json params = heartbeat;
-    params["ask"] = membership::to_json(reader_.ask_for(name));
-    choice_.asked(name, now);
-    context_.links.send(region_mates(context_)[name], "node.heartbeat", params);
+    if (first || ask_all) {
+      params["ask"] = membership::to_json(reader_.ask_for(name));
+      choice_.asked(name, now);
+    }
+    first = false;
+    context_.links.send(mates.at(name), "node.heartbeat", params);
   }
 }
 
@@ -108,7 +122,7 @@
   const json& ask = member_of(heartbeat, "ask");
   if (!ask.isObject()) return;
   askers_[sender.name] = {sender.peer_address, membership::digest_ask_from(ask),
-                          context_.clock.now()};
+                          context_.clock.now(), true};
 }
 
 digest_service::shared_news digest_service::gather() const {
@@ -157,7 +171,10 @@
   ++round_;
   update_writer();
   const shared_news news = gather();
-  for (const auto& [name, it] : askers_) answer(name, it, news);
+  for (auto& [name, it] : askers_) {
+    if (it.waiting) answer(name, it, news);
+    it.waiting = false;
+  }
 }
 
 void digest_service::send_to_regions(
--- a/node/src/digest_service.h
+++ b/node/src/digest_service.h
@@ -43,6 +43,7 @@
     std::string address;
     membership::digest_ask has;
     monotonic_time asked_at;
+    bool waiting = false;  // for an answer
   };
   /// Parts of a digest that are the same for all who ask.
   struct shared_news {
@@ -65,6 +66,7 @@
   membership::relay_choice choice_;
   std::map<std::string, asker> askers_;
   std::uint64_t round_ = 0;
+  std::uint64_t beats_ = 0;
   std::uint64_t told_version_ = 0;
   int whole_left_ = 0;
   monotonic_time next_whole_;
