Weigh engines in a file of their own; shorter serve and send

endpoint_pool.cc held the choice among engines beside the list of endpoints. The weighing is engine_weighing now, chosen_endpoint a header of its own, and the expected course at an endpoint is computed in one place (expected_at) for requests and for the loads that other regions are told. route_service::serve and endpoint_runner::send are split.

--- /dev/null
+++ b/gateway/include/trestlepost/gateway/chosen_endpoint.h
@@ -0,0 +1,23 @@
+// The endpoint of the own region that serves a routed request.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "trestlepost/routing/outlook.h"
+
+namespace trestlepost::gateway {
+
+/// One endpoint that was chosen for a request.
+struct chosen_endpoint {
+  std::string id;
+  std::string address;
+  routing::outlook expected;
+  /// The address of an endpoint whose cache has parts of the prompt that this
+  /// one lacks; empty: none is known.
+  std::string copy_cache_from;
+  /// Prompt tokens that it is expected to read.
+  std::uint32_t read_tokens = 0;
+};
+
+}  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -2,36 +2,25 @@
 // them serves a routed request now.
 #pragma once
 
-#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "trestlepost/base/error.h"
+#include "trestlepost/gateway/chosen_endpoint.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/remote_caches.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/cold_limiter.h"
 #include "trestlepost/routing/engine_book.h"
-#include "trestlepost/routing/engine_choice.h"
 #include "trestlepost/surface/endpoint_codec.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
 namespace trestlepost::gateway {
 
-/// One endpoint that was chosen for a request.
-struct chosen_endpoint {
-  std::string id;
-  std::string address;
-  routing::outlook expected;
-  /// The address of an endpoint whose cache has parts of the prompt that this
-  /// one lacks; empty: none is known.
-  std::string copy_cache_from;
-  /// Prompt tokens that it is expected to read.
-  std::uint32_t read_tokens = 0;
-};
-
+/// Knows the endpoints of the own region, and chooses among them. It keeps
+/// what answers tell of their load and of those that are still cold.
 class endpoint_pool {
  public:
   explicit endpoint_pool(gateway_context& context) : context_(context) {}
@@ -49,41 +38,36 @@
   /// What gateways of other regions are told of `service` here.
   membership::service_load load_of(const std::string& service) const;
 
+  /// Takes in what an answer's head tells of the endpoint's load and warmth.
   void observe(const std::string& endpoint,
                const surface::endpoint_answer& answer);
   /// Another endpoint has its address.
   void vanished(const std::string& endpoint);
+  /// A request was sent there; a cold endpoint is sent few.
   void note_sent(const std::string& endpoint);
 
   routing::engine_book& engines() { return engines_; }
   const std::vector<surface::listed_endpoint>& listed() const {
     return listed_;
   }
+  /// The services that have endpoints here.
   std::vector<std::string> services() const;
+  /// Forgets old requests to cold endpoints.
   void tick();
 
  private:
+  /// Whether `view` may be sent a request of `service` now.
   bool takes_requests(const membership::endpoint_view& view,
                       const config::planned_service* service) const;
+  /// Whether this gateway is one of the few that send to a cold endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
   const config::planned_service* planned(const std::string& service) const;
+  /// Among endpoints that run engines: the one that is worth most.
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
       const routed_request& request,
       const config::engine_profile& engine) const;
-  struct prompt_holders;
-  struct weighed_endpoint {
-    chosen_endpoint chosen;
-    routing::engine_candidate candidate;
-  };
-  prompt_holders find_holders(
-      const std::vector<membership::endpoint_view>& open,
-      const routed_request& request) const;
-  /// What `view` offers, with what it may copy from one of `holders`.
-  weighed_endpoint weigh(const membership::endpoint_view& view,
-                         const routing::engine_work& work,
-                         const prompt_holders& holders,
-                         const config::engine_profile& engine) const;
+  /// Among endpoints without engines: by their load only.
   std::optional<chosen_endpoint> choose_plain(
       const std::vector<membership::endpoint_view>& open) const;
   /// Those of the own region that aren't dead; at least one.
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -2,6 +2,9 @@
 // answer back to the caller.
 #pragma once
 
+#include <optional>
+#include <string>
+
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/endpoint_pool.h"
 #include "trestlepost/gateway/event_scanner.h"
@@ -9,6 +12,7 @@
 
 namespace trestlepost::gateway {
 
+/// Sends a request to an endpoint and passes its answer on.
 class endpoint_runner {
  public:
   endpoint_runner(gateway_context& context, const surface::surfaces& surfaces,
@@ -26,20 +30,29 @@
  private:
   struct running;
 
+  /// Writes the request and reads the head of its own answer.
   transport::awaitable<tl::expected<void, transport::call_failure>> send(
       running& now);
+  /// Skips answers to earlier requests on the same connection.
+  transport::awaitable<tl::expected<void, transport::call_failure>>
+  find_own_answer(running& now);
   attempt send_failed(const running& now,
                       const transport::call_failure& failure);
+  /// The end of the attempt when the endpoint refused the request.
   std::optional<attempt> read_head(running& now);
   transport::awaitable<attempt> deliver(running& now);
   transport::awaitable<attempt> deliver_whole(running& now);
   transport::awaitable<attempt> deliver_stream(running& now);
   /// A stream that can be continued: whole events only are passed on.
   transport::awaitable<attempt> deliver_events(running& now);
+  /// False when the caller left.
   transport::awaitable<bool> pass_events(running& now, std::string text,
                                          bool ended);
+  /// The endpoint answered the rest of a stream with something else.
   attempt no_continuation(running& now);
+  /// The stream broke off, before or after its first event.
   attempt events_broke(running& now, const error& cause);
+  /// The rest of a stream does not follow on what the caller has.
   attempt wrong_continuation(running& now, stream_fault fault);
   attempt caller_left(running& now);
 
--- a/gateway/include/trestlepost/gateway/remote_caches.h
+++ b/gateway/include/trestlepost/gateway/remote_caches.h
@@ -10,6 +10,7 @@
 
 namespace trestlepost::gateway {
 
+/// The endpoints of other regions, as the deployment lists them.
 class remote_caches {
  public:
   struct endpoint {
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -2,13 +2,17 @@
 // no other region: nothing that comes through here can travel on.
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "trestlepost/gateway/endpoint_runner.h"
 #include "trestlepost/routing/retry_budget.h"
 
 namespace trestlepost::gateway {
 
+/// Chooses endpoints, retries within the budget, and continues streams.
 class route_service {
  public:
   route_service(gateway_context& context, const surface::surfaces& surfaces,
@@ -36,6 +40,14 @@
   routing::retry_budget& retries_of(const std::string& service);
   /// Those of all regions, also those that are not heard.
   std::size_t known_gateways() const;
+  /// The endpoint that is to be tried next, or how the request ends if none
+  /// was tried before.
+  tl::expected<chosen_endpoint, attempt> choose(
+      const routed_request& request) const;
+  /// `chosen`, unless the request would wait too long there.
+  tl::expected<chosen_endpoint, attempt> in_time(
+      const routed_request& request, const chosen_endpoint& chosen) const;
+  /// Whether another endpoint may be tried; takes a retry when one is needed.
   bool may_retry(const routed_request& request, const attempt& last,
                  unsigned unsent);
   /// Continues a stream that broke off at other endpoints, or breaks off its
@@ -48,6 +60,7 @@
                                         const attempt& last,
                                         const event_scanner& events,
                                         unsigned unsent);
+  void note_retry(const routed_request& request, const attempt& last);
   void note_resumption(const routed_request& request, const attempt& before,
                        const attempt& after, const std::string& last_event,
                        const std::string& outcome);
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -12,6 +12,7 @@
 
 namespace trestlepost::gateway {
 
+/// The request, its route, and what was tried for it so far.
 struct routed_request {
   surface::call_head head;
   std::string body;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -5,6 +5,7 @@
 
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/engine_weighing.h"
 #include "trestlepost/routing/endpoint_choice.h"
 #include "trestlepost/routing/engine_choice.h"
 
@@ -21,53 +22,11 @@
 // Endpoints queue a little; above this many times its limit one is not sent
 // more, and the request is refused.
 constexpr double most_over_limit = 3;
-// Copying fewer tokens than this saves less than asking for it takes: reading
-// them lasts a few milliseconds.
-constexpr std::uint32_t least_copied = 256;
-// From another region the answer comes after a round trip of some 100 ms, in
-// which an engine reads many more.
-constexpr std::uint32_t least_copied_far = 2048;
-// How likely a copy finds what it asks for: the source may have evicted it,
-// and of another region only its gateways' preference is known.
-constexpr double copy_works = 0.9;
-constexpr double remote_copy_works = 0.5;
-// How likely the endpoint that all gateways prefer for a section lacks it when
-// none is known to have it: another gateway may have sent it just now.
-constexpr double preferred_lacks_section = 0.5;
 // The priority for which waits are told: all that waits counts.
 constexpr int least_urgent = 9;
 // What is kept of past cold requests.
 constexpr std::chrono::seconds cold_memory{30};
 
-/// The section by which requests are kept together: the last one that others
-/// share too.
-const routing::prompt_section* shared_section(
-    const routing::engine_work& work) {
-  if (work.sections.empty()) return nullptr;
-  const std::size_t n = work.sections.size();
-  return &work.sections[n > 1 ? n - 2 : 0];
-}
-
-/// The endpoint that all gateways of the region prefer for a section that
-/// none of them is known to have.
-const endpoint_view* preferred_for(const std::vector<endpoint_view>& open,
-                                   const routing::prompt_section& section) {
-  const std::string key = section_key(section);
-  const endpoint_view* best = nullptr;
-  std::uint64_t best_score = 0;
-  for (const endpoint_view& it : open) {
-    const std::uint64_t score = rendezvous_score(key, it.name);
-    if (best != nullptr && score <= best_score) continue;
-    best = &it;
-    best_score = score;
-  }
-  return best;
-}
-
-std::uint32_t share_of_tokens(std::uint32_t tokens, double share) {
-  return static_cast<std::uint32_t>(tokens * share);
-}
-
 }  // namespace
 
 void endpoint_pool::learn(const std::vector<surface::listed_endpoint>& listed,
@@ -161,76 +120,16 @@
   return is_cold_sender(view.name) && cold_.may_send(view.name, bears, now);
 }
 
-/// Where the prompt's shared sections are, as far as it is known.
-struct endpoint_pool::prompt_holders {
-  const endpoint_view* holder = nullptr;  // the one that lacks least
-  std::uint32_t holder_lacks = 0;
-  const endpoint_view* preferred = nullptr;  // if nobody has them
-  std::string remote_address;                // likewise; may be empty
-};
-
-endpoint_pool::prompt_holders endpoint_pool::find_holders(
-    const std::vector<endpoint_view>& open,
-    const routed_request& request) const {
-  prompt_holders out;
-  const routing::prompt_section* shared = shared_section(request.work);
-  if (shared == nullptr) return out;
-  for (const endpoint_view& it : open) {
-    const std::uint32_t lacks = engines_.uncached(it.name, request.work).shared;
-    const bool better =
-        out.holder == nullptr || lacks < out.holder_lacks ||
-        (lacks == out.holder_lacks && it.load < out.holder->load);
-    if (!better) continue;
-    out.holder = &it;
-    out.holder_lacks = lacks;
-  }
-  if (out.holder_lacks < least_copied) return out;
-  out.preferred = preferred_for(open, *shared);
-  if (out.holder_lacks >= least_copied_far) {
-    out.remote_address =
-        remote_caches_.likely_holder(request.service, *shared, *request.route);
-  }
-  return out;
-}
-
-endpoint_pool::weighed_endpoint endpoint_pool::weigh(
-    const endpoint_view& view, const routing::engine_work& work,
-    const prompt_holders& holders, const config::engine_profile& engine) const {
-  const routing::uncached_prompt lacks = engines_.uncached(view.name, work);
-  weighed_endpoint out;
-  out.chosen.id = view.name;
-  out.chosen.address = view.address;
-  std::uint32_t copied = 0;
-  if (engine.moves && lacks.shared >= holders.holder_lacks + least_copied) {
-    out.chosen.copy_cache_from = holders.holder->address;
-    copied = share_of_tokens(lacks.shared - holders.holder_lacks, copy_works);
-  } else if (engine.moves && !holders.remote_address.empty()) {
-    out.chosen.copy_cache_from = holders.remote_address;
-    copied = share_of_tokens(lacks.shared, remote_copy_works);
-  }
-  const std::uint32_t read = lacks.shared - copied;
-  out.chosen.read_tokens = lacks.own + read;
-  out.chosen.expected = routing::delayed(
-      engines_.predict(view.name, work, out.chosen.read_tokens),
-      routing::slot_wait(view.load, engine.batch_slots,
-                         engines_.mean_hold(view.service)));
-  const double prompt = std::max(1U, work.prompt_tokens);
-  const double unread =
-      &view == holders.preferred ? preferred_lacks_section : 1;
-  out.candidate = {out.chosen.expected, unread * read / prompt,
-                   copied / prompt};
-  return out;
-}
-
 std::optional<chosen_endpoint> endpoint_pool::choose_engine(
     const std::vector<endpoint_view>& open, const routed_request& request,
     const config::engine_profile& engine) const {
-  const prompt_holders holders = find_holders(open, request);
+  const engine_weighing weighing(open, request, engine, engines_,
+                                 remote_caches_);
   std::vector<chosen_endpoint> chosen;
   std::vector<routing::engine_candidate> candidates;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
-    weighed_endpoint one = weigh(it, request.work, holders, engine);
+    weighed_endpoint one = weighing.weigh(it);
     chosen.push_back(std::move(one.chosen));
     candidates.push_back(one.candidate);
   }
@@ -302,9 +201,7 @@
     if (!open) continue;
     ++out.endpoints;
     if (!engine) continue;
-    wait += engines_.predict(it.name, probe, 0).wait +
-            routing::slot_wait(it.load, known->engine->batch_slots,
-                               engines_.mean_hold(service));
+    wait += expected_at(it, probe, 0, *known->engine, engines_).wait;
     interval += engines_.event_interval(it.name);
   }
   // The mean, not the least: many gateways act on it before the next one.
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -18,15 +18,15 @@
 constexpr int most_surplus_answers = 2;
 // A request that was refused unrun may come back this soon.
 constexpr milliseconds refused_retry_after{200};
+// An endpoint that is silent for this many times the expected time, and for
+// the route's whole objective, is taken for hung.
+constexpr int silent_times = 3;
+// HTTP statuses.
 constexpr unsigned ok_status = 200;
 constexpr unsigned first_server_error = 500;
 
 using send_result = tl::expected<void, transport::call_failure>;
 
-// An endpoint that is silent for this many times the expected time, and for
-// the route's whole objective, is taken for hung.
-constexpr int silent_times = 3;
-
 milliseconds longest_silence(const routed_request& request,
                              const routing::outlook& expected) {
   return std::max(request.route->latency_objective,
@@ -111,7 +111,13 @@
                                      now.endpoint.copy_cache_from};
   transport::http_request out = surfaces_.endpoints->encode(in);
   send_result sent = co_await now.call->send(std::move(out), now.answer_by);
-  if (sent) now.call->set_deadline(now.request.deadline);
+  if (!sent) co_return sent;
+  now.call->set_deadline(now.request.deadline);
+  co_return co_await find_own_answer(now);
+}
+
+awaitable<send_result> endpoint_runner::find_own_answer(running& now) {
+  send_result sent;
   for (int n = 0; sent; ++n) {
     now.answer = surfaces_.endpoints->read_head(*now.call);
     const std::string& id = now.answer.request_id;
--- /dev/null
+++ b/gateway/src/engine_weighing.cc
@@ -0,0 +1,119 @@
+#include "trestlepost/gateway/engine_weighing.h"
+
+#include <algorithm>
+
+#include "trestlepost/base/hash.h"
+
+namespace trestlepost::gateway {
+
+namespace {
+
+using membership::endpoint_view;
+
+// Copying fewer tokens than this saves less than asking for it takes: reading
+// them lasts a few milliseconds.
+constexpr std::uint32_t least_copied = 256;
+// From another region the answer comes after a round trip of some 100 ms, in
+// which an engine reads many more.
+constexpr std::uint32_t least_copied_far = 2048;
+// How likely a copy finds what it asks for: the source may have evicted it,
+// and of another region only its gateways' preference is known.
+constexpr double copy_works = 0.9;
+constexpr double remote_copy_works = 0.5;
+// How likely the endpoint that all gateways prefer for a section lacks it when
+// none is known to have it: another gateway may have sent it just now.
+constexpr double preferred_lacks_section = 0.5;
+
+/// The section by which requests are kept together: the last one that others
+/// share too.
+const routing::prompt_section* shared_section(
+    const routing::engine_work& work) {
+  if (work.sections.empty()) return nullptr;
+  const std::size_t n = work.sections.size();
+  return &work.sections[n > 1 ? n - 2 : 0];
+}
+
+/// The endpoint that all gateways of the region prefer for a section that
+/// none of them is known to have.
+const endpoint_view* preferred_for(const std::vector<endpoint_view>& open,
+                                   const routing::prompt_section& section) {
+  const std::string key = section_key(section);
+  const endpoint_view* best = nullptr;
+  std::uint64_t best_score = 0;
+  for (const endpoint_view& it : open) {
+    const std::uint64_t score = rendezvous_score(key, it.name);
+    if (best != nullptr && score <= best_score) continue;
+    best = &it;
+    best_score = score;
+  }
+  return best;
+}
+
+std::uint32_t share_of_tokens(std::uint32_t tokens, double share) {
+  return static_cast<std::uint32_t>(tokens * share);
+}
+
+}  // namespace
+
+routing::outlook expected_at(const endpoint_view& view,
+                             const routing::engine_work& work,
+                             std::uint32_t tokens,
+                             const config::engine_profile& engine,
+                             const routing::engine_book& engines) {
+  return routing::delayed(engines.predict(view.name, work, tokens),
+                          routing::slot_wait(view.load, engine.batch_slots,
+                                             engines.mean_hold(view.service)));
+}
+
+engine_weighing::engine_weighing(const std::vector<endpoint_view>& open,
+                                 const routed_request& request,
+                                 const config::engine_profile& engine,
+                                 const routing::engine_book& engines,
+                                 const remote_caches& remote)
+    : work_(request.work), engine_(engine), engines_(engines) {
+  const routing::prompt_section* shared = shared_section(work_);
+  if (shared == nullptr) return;
+  find_holder(open);
+  if (holder_lacks_ < least_copied) return;
+  preferred_ = preferred_for(open, *shared);
+  if (holder_lacks_ < least_copied_far) return;
+  remote_address_ =
+      remote.likely_holder(request.service, *shared, *request.route);
+}
+
+void engine_weighing::find_holder(const std::vector<endpoint_view>& open) {
+  for (const endpoint_view& it : open) {
+    const std::uint32_t lacks = engines_.uncached(it.name, work_).shared;
+    const bool better = holder_ == nullptr || lacks < holder_lacks_ ||
+                        (lacks == holder_lacks_ && it.load < holder_->load);
+    if (!better) continue;
+    holder_ = &it;
+    holder_lacks_ = lacks;
+  }
+}
+
+weighed_endpoint engine_weighing::weigh(const endpoint_view& view) const {
+  const routing::uncached_prompt lacks = engines_.uncached(view.name, work_);
+  weighed_endpoint out;
+  out.chosen.id = view.name;
+  out.chosen.address = view.address;
+  std::uint32_t copied = 0;
+  if (engine_.moves && lacks.shared >= holder_lacks_ + least_copied) {
+    out.chosen.copy_cache_from = holder_->address;
+    copied = share_of_tokens(lacks.shared - holder_lacks_, copy_works);
+  } else if (engine_.moves && !remote_address_.empty()) {
+    out.chosen.copy_cache_from = remote_address_;
+    copied = share_of_tokens(lacks.shared, remote_copy_works);
+  }
+  const std::uint32_t read = lacks.shared - copied;
+  out.chosen.read_tokens = lacks.own + read;
+  out.chosen.expected =
+      expected_at(view, work_, out.chosen.read_tokens, engine_, engines_);
+  const double prompt = std::max(1U, work_.prompt_tokens);
+  const double unread = &view == preferred_ ? preferred_lacks_section : 1;
+  out.candidate = {out.chosen.expected, unread * read / prompt,
+                   copied / prompt};
+  return out;
+}
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -1,6 +1,7 @@
 #include "trestlepost/gateway/route_service.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/retry_after.h"
@@ -13,10 +14,13 @@
 
 // Endpoints that are tried when none of them took a byte of the request.
 constexpr unsigned most_unsent_tries = 4;
+// A request that would wait too long comes back after half that wait, but not
+// sooner than this.
 constexpr milliseconds least_retry_after{100};
 
-// Callers give a stream up when nothing comes for this long, whichever is
-// longest; what is predicted to come later is not worth an engine's time.
+// Callers give a stream up when nothing comes for the longest of these: this
+// long, so many latency objectives, or so many of the route's longest pauses.
+// What is predicted to come later is not worth an engine's time.
 constexpr milliseconds least_stream_patience{2000};
 constexpr int stream_patience_objectives = 4;
 constexpr int stream_patience_pauses = 8;
@@ -112,6 +116,30 @@
   return retries_of(service).take();
 }
 
+tl::expected<chosen_endpoint, attempt> route_service::choose(
+    const routed_request& request) const {
+  const result<chosen_endpoint> chosen = pool_.choose(request);
+  if (!chosen) return tl::make_unexpected(none_open(chosen.error()));
+  return in_time(request, *chosen);
+}
+
+tl::expected<chosen_endpoint, attempt> route_service::in_time(
+    const routed_request& request, const chosen_endpoint& chosen) const {
+  if (too_late(request, chosen.expected, context_.clock.now())) {
+    return tl::make_unexpected(wait_too_long(chosen));
+  }
+  return chosen;
+}
+
+void route_service::note_retry(const routed_request& request,
+                               const attempt& last) {
+  context_.metrics.retried(request.service);
+  log_event(log_level::info, "request-retried",
+            {{"request_id", request.head.request_id},
+             {"endpoint", last.endpoint},
+             {"cause", last.cause.message}});
+}
+
 awaitable<attempt> route_service::serve(
     routed_request& request, const std::optional<chosen_endpoint>& first,
     transport::http_exchange& exchange) {
@@ -120,14 +148,10 @@
   bool may_have_run = false;
   unsigned unsent = 0;
   while (true) {
-    const result<chosen_endpoint> chosen =
-        first && !last ? *first : pool_.choose(request);
-    const bool late =
-        chosen && too_late(request, chosen->expected, context_.clock.now());
-    if (!chosen || late) {
-      if (!last) {
-        last = chosen ? wait_too_long(*chosen) : none_open(chosen.error());
-      }
+    tl::expected<chosen_endpoint, attempt> chosen =
+        first && !last ? in_time(request, *first) : choose(request);
+    if (!chosen) {
+      if (!last) last = std::move(chosen.error());
       break;
     }
     const bool may_give_up = request.route->may_repeat() &&
@@ -149,11 +173,7 @@
     request.avoid.insert(chosen->id);
     if (last->sends == 0) ++unsent;
     if (!may_retry(request, *last, unsent)) break;
-    context_.metrics.retried(request.service);
-    log_event(log_level::info, "request-retried",
-              {{"request_id", request.head.request_id},
-               {"endpoint", chosen->id},
-               {"cause", last->cause.message}});
+    note_retry(request, *last);
   }
   if (may_have_run) last->ran = run_state::unknown;
   co_return std::move(*last);
