Digests: read in short steps, documented, whole includes

region_digest_from is split by part. Doc comments on each public type, headers include what they name.

--- a/membership/include/trestlepost/membership/digest_reader.h
+++ b/membership/include/trestlepost/membership/digest_reader.h
@@ -3,18 +3,25 @@
 // latest time at which any relay heard it.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <set>
+#include <string>
 
+#include "trestlepost/base/clock.h"
+#include "trestlepost/membership/node_table.h"
 #include "trestlepost/membership/region_digest.h"
 
 namespace trestlepost::membership {
 
+/// What became of a digest that was read.
 enum class digest_outcome {
   taken,
   old,     // doubled or overtaken
   missing  // an earlier one is missing: the next ask brings it
 };
 
+/// Keeps, for each relay, the version of its digests that this node has.
 class digest_reader {
  public:
   /// `self` is the node that reads.
@@ -38,6 +45,8 @@
     monotonic_time summed_at;
   };
 
+  /// Whether `in` is newer than what `view` has; a new process of the relay
+  /// begins a new view.
   static bool begin(relay_view& view, const region_digest& in);
 
   std::map<std::string, relay_view> relays_;
--- a/membership/include/trestlepost/membership/digest_writer.h
+++ b/membership/include/trestlepost/membership/digest_writer.h
@@ -1,12 +1,20 @@
 // Decides, on a relay, what a digest tells each receiver.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
+#include "trestlepost/base/clock.h"
+#include "trestlepost/membership/node_table.h"
 #include "trestlepost/membership/region_digest.h"
 
 namespace trestlepost::membership {
 
+/// Numbers the changes of its region's nodes, so that each receiver is told
+/// only those after the last version that it has.
 class digest_writer {
  public:
   /// `life` differs for each start of the process.
@@ -34,6 +42,7 @@
     std::chrono::milliseconds age{0};
   };
 
+  /// Gives `it` a new version when `record` differs from what was told.
   void update_one(entry& it, const node_record& record, bool gone);
 
   std::string relay_;
--- a/membership/include/trestlepost/membership/endpoint_sums.h
+++ b/membership/include/trestlepost/membership/endpoint_sums.h
@@ -6,6 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "trestlepost/base/clock.h"
+#include "trestlepost/base/json.h"
+#include "trestlepost/membership/cached_prefix.h"
 #include "trestlepost/membership/node_table.h"
 
 namespace trestlepost::membership {
@@ -43,6 +46,7 @@
                                                   monotonic_time now);
 
 json to_json(const endpoint_sums& value);
+/// What does not read as a number counts as 0.
 endpoint_sums endpoint_sums_from(const json& value);
 
 }  // namespace trestlepost::membership
--- a/membership/include/trestlepost/membership/region_digest.h
+++ b/membership/include/trestlepost/membership/region_digest.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "trestlepost/base/error.h"
+#include "trestlepost/base/json.h"
 #include "trestlepost/membership/endpoint_sums.h"
 
 namespace trestlepost::membership {
@@ -35,8 +37,10 @@
   std::uint32_t load = 0;  // requests, roughly
 };
 
+/// The load of each service, by its name.
 using service_loads = std::map<std::string, service_load>;
 
+/// One message of a relay to one receiver.
 struct region_digest {
   std::string relay;
   std::string region;          // of the relay
@@ -50,6 +54,7 @@
   std::map<std::string, std::chrono::milliseconds> late;
   std::map<std::string, service_loads> services;  // by region
   endpoint_sums sums;  // without the receiver's own share
+  /// What endpoints reported of their load.
   std::map<std::string, reported_load> reports;
 };
 
--- a/membership/include/trestlepost/membership/relay_choice.h
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,11 +13,13 @@
 
 namespace trestlepost::membership {
 
+/// A node of the region that may be chosen.
 struct relay_candidate {
   std::string name;
   bool leaving = false;
 };
 
+/// Chooses the relays, and notes which of them answer.
 class relay_choice {
  public:
   /// `mute_after` without an answer puts a candidate behind all others.
@@ -24,7 +27,9 @@
                                   std::vector<relay_candidate> candidates,
                                   std::chrono::milliseconds mute_after,
                                   monotonic_time now) const;
+  /// A heartbeat was sent to `name`.
   void asked(const std::string& name, monotonic_time now);
+  /// A digest of `name` came.
   void answered(const std::string& name);
 
  private:
--- a/membership/src/cached_prefix.cc
+++ b/membership/src/cached_prefix.cc
@@ -1,5 +1,7 @@
 #include "trestlepost/membership/cached_prefix.h"
 
+#include <utility>
+
 namespace trestlepost::membership {
 
 json to_json(const cached_prefix& value) {
--- a/membership/src/digest_writer.cc
+++ b/membership/src/digest_writer.cc
@@ -12,6 +12,7 @@
 // or halved: directories order entries by it.
 constexpr std::uint32_t least_load_change = 4;
 
+/// Whether a change from the load that was `told` is worth telling.
 bool tells_load(std::uint32_t told, std::uint32_t now) {
   const std::uint32_t low = std::min(told, now);
   const std::uint32_t high = std::max(told, now);
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -7,10 +7,13 @@
 namespace trestlepost::membership {
 namespace {
 
+/// `from` less `n`, but not below 0.
 std::uint32_t less(std::uint32_t from, std::uint32_t n) {
   return from > n ? from - n : 0;
 }
 
+/// Adds the load `in` of one node; of the waits the least one is kept. `first`:
+/// no other node has named the service yet.
 void add_service(service_load& sum, const service_load& in, bool first) {
   sum.in_flight += in.in_flight;
   sum.queued += in.queued;
@@ -22,6 +25,18 @@
   sum.endpoints = in.endpoints;
 }
 
+std::map<std::string, std::vector<std::uint32_t>> pending_from(
+    const json& value) {
+  std::map<std::string, std::vector<std::uint32_t>> out;
+  if (!value.isObject()) return out;
+  for (const std::string& it : value.getMemberNames()) {
+    for (const json& n : value[it]) {
+      out[it].push_back(n.isUInt() ? n.asUInt() : 0);
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 void add(endpoint_sums& sums, const heartbeat& in) {
@@ -137,14 +152,7 @@
           static_cast<std::uint32_t>(number_of(in_flight, it.c_str()));
     }
   }
-  const json& pending = member_of(value, "p");
-  if (pending.isObject()) {
-    for (const std::string& it : pending.getMemberNames()) {
-      for (const json& n : pending[it]) {
-        out.pending[it].push_back(n.isUInt() ? n.asUInt() : 0);
-      }
-    }
-  }
+  out.pending = pending_from(member_of(value, "p"));
   out.cached_prefixes = cached_prefixes_from(member_of(value, "c"));
   return out;
 }
--- a/membership/src/region_digest.cc
+++ b/membership/src/region_digest.cc
@@ -7,7 +7,7 @@
 
 using std::chrono::milliseconds;
 
-// An age above this is nonsense: such a node is long forgotten.
+// An age above one hour is not valid: such a node is long forgotten.
 constexpr milliseconds oldest_news{3'600'000};
 
 json to_json(const digest_row& value) {
@@ -57,6 +57,52 @@
   return out;
 }
 
+/// Reads the rows; returns what is wrong with them, or nothing.
+std::string read_rows(const json& value, std::vector<digest_row>& out) {
+  for (const json& it : value) {
+    digest_row row = digest_row_from(it);
+    if (row.node.name.empty()) return "has news of a nameless node";
+    out.push_back(std::move(row));
+  }
+  return "";
+}
+
+/// Reads how long ago the relay heard of its nodes; likewise.
+std::string read_ages(const json& value, region_digest& out) {
+  if (!is_span(member_of(value, "f"))) return "has no valid age";
+  out.fresh = milliseconds(number_of(value, "f"));
+  const json& late = member_of(value, "late");
+  if (!late.isObject()) return "";
+  for (const std::string& it : late.getMemberNames()) {
+    if (!is_span(late[it])) return "has an invalid age of " + it;
+    out.late[it] = milliseconds(number_of(late, it.c_str()));
+  }
+  return "";
+}
+
+/// Reads the loads that endpoints reported; likewise.
+std::string read_reports(const json& value,
+                         std::map<std::string, reported_load>& out) {
+  if (!value.isObject()) return "";
+  for (const std::string& it : value.getMemberNames()) {
+    const json& one = value[it];
+    const bool pair =
+        one.isArray() && one.size() == 2 && one[0].isUInt() && one[1].isUInt();
+    if (!pair) return "has an invalid report of " + it;
+    out[it] = {one[0].asUInt(), one[1].asUInt()};
+  }
+  return "";
+}
+
+std::map<std::string, service_loads> services_from(const json& value) {
+  std::map<std::string, service_loads> out;
+  if (!value.isObject()) return out;
+  for (const std::string& it : value.getMemberNames()) {
+    out[it] = service_loads_from(value[it]);
+  }
+  return out;
+}
+
 }  // namespace
 
 json to_json(const digest_ask& value) {
@@ -104,37 +150,14 @@
   const bool named = !out.relay.empty() && !out.region.empty();
   if (!named || out.life == 0) return refused("names no relay");
   if (out.since > out.version) return refused("goes back in its versions");
-  for (const json& it : member_of(value, "rows")) {
-    digest_row row = digest_row_from(it);
-    if (row.node.name.empty()) return refused("has news of a nameless node");
-    out.rows.push_back(std::move(row));
-  }
-  if (!is_span(member_of(value, "f"))) return refused("has no valid age");
-  out.fresh = milliseconds(number_of(value, "f"));
-  const json& late = member_of(value, "late");
-  if (late.isObject()) {
-    for (const std::string& it : late.getMemberNames()) {
-      if (!is_span(late[it])) return refused("has an invalid age of " + it);
-      out.late[it] = milliseconds(number_of(late, it.c_str()));
-    }
-  }
-  const json& services = member_of(value, "sv");
-  if (services.isObject()) {
-    for (const std::string& it : services.getMemberNames()) {
-      out.services[it] = service_loads_from(services[it]);
-    }
-  }
+  std::string fault = read_rows(member_of(value, "rows"), out.rows);
+  if (!fault.empty()) return refused(fault);
+  fault = read_ages(value, out);
+  if (!fault.empty()) return refused(fault);
+  out.services = services_from(member_of(value, "sv"));
   out.sums = endpoint_sums_from(member_of(value, "ep"));
-  const json& reports = member_of(value, "rp");
-  if (reports.isObject()) {
-    for (const std::string& it : reports.getMemberNames()) {
-      const json& one = reports[it];
-      const bool pair = one.isArray() && one.size() == 2 && one[0].isUInt() &&
-                        one[1].isUInt();
-      if (!pair) return refused("has an invalid report of " + it);
-      out.reports[it] = {one[0].asUInt(), one[1].asUInt()};
-    }
-  }
+  fault = read_reports(member_of(value, "rp"), out.reports);
+  if (!fault.empty()) return refused(fault);
   return out;
 }
 
--- a/membership/src/relay_choice.cc
+++ b/membership/src/relay_choice.cc
@@ -10,8 +10,9 @@
 
 // A candidate that did not answer is tried again after this time.
 constexpr std::chrono::milliseconds retry_after{5000};
-// A relay bears the heartbeats of so many nodes at the set interval.
+// A relay takes the heartbeats of so many nodes at the set interval.
 constexpr std::size_t nodes_at_base_interval = 40;
+// Heartbeats that fit into the time after which a silent node is suspected.
 constexpr int beats_until_suspect = 5;
 
 }  // namespace
