Gateways' preferred endpoint for a prompt part in one place

The rendezvous choice stood twice, for the own region and for remote caches. Now preferred_endpoint. Doc comments on the public types of gateway and surface that had none.

--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -13,6 +13,7 @@
 
 using surface::run_state;
 
+/// Whether the caller has an answer, and if not, why.
 struct attempt {
   /// The caller got an answer, or at least its beginning: nothing may follow.
   bool delivered = false;
--- a/gateway/include/trestlepost/gateway/event_scanner.h
+++ b/gateway/include/trestlepost/gateway/event_scanner.h
@@ -21,12 +21,14 @@
 
 std::string_view to_string(stream_fault fault);
 
+/// What came of one piece.
 struct scanned_events {
   /// What may be passed on now, as it came.
   std::string passable;
   stream_fault fault = stream_fault::none;
 };
 
+/// Reads one answer, which several endpoints may give one after the other.
 class event_scanner {
  public:
   /// Bytes of one event that are held back until its end arrives.
--- a/gateway/include/trestlepost/gateway/remote_caches.h
+++ b/gateway/include/trestlepost/gateway/remote_caches.h
@@ -35,7 +35,4 @@
   std::map<std::string, std::map<std::string, endpoints>> regions_;
 };
 
-/// The key under which gateways rank endpoints for a section.
-std::string section_key(const membership::prompt_section& section);
-
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -10,6 +10,7 @@
 
 namespace trestlepost::gateway {
 
+/// The region that serves a request, and its endpoint if it is the own one.
 struct region_decision {
   std::string region;
   /// In the own region, the endpoint that was weighed.
--- a/gateway/src/engine_weighing.cc
+++ b/gateway/src/engine_weighing.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "trestlepost/base/hash.h"
+#include "trestlepost/gateway/preferred_endpoint.h"
 
 namespace trestlepost::gateway {
 
@@ -33,22 +33,7 @@
   return &work.sections[n > 1 ? n - 2 : 0];
 }
 
-/// The endpoint that all gateways of the region prefer for a section that
-/// none of them is known to have.
-const endpoint_view* preferred_for(const std::vector<endpoint_view>& open,
-                                   const routing::prompt_section& section) {
-  const std::string key = section_key(section);
-  const endpoint_view* best = nullptr;
-  std::uint64_t best_score = 0;
-  for (const endpoint_view& it : open) {
-    const std::uint64_t score = rendezvous_score(key, it.name);
-    if (best != nullptr && score <= best_score) continue;
-    best = &it;
-    best_score = score;
-  }
-  return best;
-}
-
+/// `share` of `tokens`, in whole tokens.
 std::uint32_t share_of_tokens(std::uint32_t tokens, double share) {
   return static_cast<std::uint32_t>(tokens * share);
 }
@@ -75,7 +60,9 @@
   if (shared == nullptr) return;
   find_holder(open);
   if (holder_lacks_ < least_copied) return;
-  preferred_ = preferred_for(open, *shared);
+  preferred_ = preferred_for(
+      open, *shared,
+      [](const endpoint_view& it) -> const std::string& { return it.name; });
   if (holder_lacks_ < least_copied_far) return;
   remote_address_ =
       remote.likely_holder(request.service, *shared, *request.route);
--- a/surface/include/trestlepost/surface/call_head.h
+++ b/surface/include/trestlepost/surface/call_head.h
@@ -33,6 +33,7 @@
   bool operator==(const prompt_outline&) const = default;
 };
 
+/// What a call says beside its body.
 struct call_head {
   std::string request_id;
   std::string host;
--- a/surface/include/trestlepost/surface/caller_surface.h
+++ b/surface/include/trestlepost/surface/caller_surface.h
@@ -19,6 +19,7 @@
   std::string request_id{};
 };
 
+/// Reads calls and writes refusals, in the form that callers know.
 class caller_surface {
  public:
   virtual ~caller_surface() = default;
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -30,6 +30,7 @@
   std::string attempt_id{};
 };
 
+/// The load that an endpoint tells, in requests.
 struct endpoint_load {
   unsigned running = 0;
   unsigned waiting = 0;
@@ -51,6 +52,7 @@
   std::optional<std::chrono::milliseconds> cold_left;
 };
 
+/// Writes requests to endpoints and reads the heads of their answers.
 class endpoint_codec {
  public:
   virtual ~endpoint_codec() = default;
--- a/surface/include/trestlepost/surface/endpoint_directory.h
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -27,11 +27,13 @@
   bool operator==(const listed_endpoint&) const = default;
 };
 
+/// One page of the list, and how to ask for the next one.
 struct endpoint_page {
   std::vector<listed_endpoint> endpoints;
   std::string next;  // token of the next page; empty on the last one
 };
 
+/// Asks for pages of the list and reads them.
 class endpoint_directory {
  public:
   virtual ~endpoint_directory() = default;
--- a/surface/include/trestlepost/surface/entry_surface.h
+++ b/surface/include/trestlepost/surface/entry_surface.h
@@ -20,6 +20,7 @@
   std::uint64_t revision = 0;  // of its configuration
 };
 
+/// Reads the calls for entries and readiness, and writes their answers.
 class entry_surface {
  public:
   virtual ~entry_surface() = default;
--- a/surface/include/trestlepost/surface/run_state.h
+++ b/surface/include/trestlepost/surface/run_state.h
@@ -5,8 +5,10 @@
 
 namespace trestlepost::surface {
 
+/// Unknown: it was sent, and no answer tells.
 enum class run_state { no, unknown, yes };
 
+/// "no", "unknown" or "yes", as callers are told.
 constexpr std::string_view to_string(run_state state) {
   switch (state) {
     case run_state::no:
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -17,6 +17,7 @@
   return {};
 }
 
+/// A call of a caller, with the headers that a test sets.
 class fake_exchange final : public transport::http_exchange {
  public:
   std::string method_text = "POST";
@@ -48,6 +49,7 @@
   void on_gone(std::function<void()>) override {}
 };
 
+/// An endpoint's answer, with the head that a test sets.
 class fake_call final : public transport::http_call {
  public:
   unsigned status_code = 200;
