--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "audit_search.h"
+#include "ledger_voters.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/consensus/file_storage.h"
 
@@ -21,8 +23,6 @@
 constexpr milliseconds founding_timeout{5000};
 // A new leader waits for so many election timeouts until it knows the nodes.
 constexpr int ledger_founding_delay = 4;
-constexpr std::size_t ledger_voters = 3;
-constexpr std::size_t default_audit_rows = 50;
 
 consensus::group_options make_group_options(const settings& options) {
   consensus::group_options out;
@@ -34,22 +34,6 @@
 
 }  // namespace
 
-std::vector<membership::node_info> choose_ledger_voters(
-    std::vector<membership::node_info> gateways) {
-  std::sort(gateways.begin(), gateways.end(),
-            [](const membership::node_info& a, const membership::node_info& b) {
-              if (a.durable != b.durable) return a.durable;
-              return a.name < b.name;
-            });
-  if (gateways.size() >= ledger_voters) {
-    gateways.resize(ledger_voters);
-    return gateways;
-  }
-  std::erase_if(gateways,
-                [](const membership::node_info& it) { return !it.durable; });
-  return gateways;
-}
-
 result<void> control_service::start() {
   machine_.on_decided = [this](const config::audit_record& it) {
     on_decided(it);
@@ -189,13 +173,6 @@
   return leader ? leader->node : "";
 }
 
-void control_service::record_in_book(const membership::node_info& info) {
-  book_entry& it = book_[info.name];
-  if (it.info == info && it.version != 0) return;
-  it.info = info;
-  it.version = ++book_version_;
-}
-
 std::string control_service::meet_asker(const json& params) {
   const monotonic_time now = context_.clock.now();
   const json& alive = member_of(params, "alive");
@@ -204,14 +181,13 @@
         membership::heartbeat_from(member_of(params, "heartbeat"));
     if (!leads()) return "";
     context_.nodes.observe(beat, now);
-    record_in_book(beat.node);
+    book_.record(beat.node);
     return beat.node.name;
   }
   const std::string name = text_of(alive, "name");
   const std::uint64_t incarnation = number_of(alive, "incarnation");
-  const auto it = book_.find(name);
-  const bool in_book =
-      it != book_.end() && it->second.info.incarnation == incarnation;
+  const membership::node_info* met = book_.find(name);
+  const bool in_book = met != nullptr && met->incarnation == incarnation;
   const bool known =
       in_book && context_.nodes.observe_alive(
                      name, incarnation, number_of(alive, "sequence"),
@@ -250,7 +226,7 @@
     answer["confirmed"] = true;
     answer["update"] = make_update(number_of(params, "revision"),
                                    number_of(params, "book_version"),
-                                   book_[asker].info.region);
+                                   book_.find(asker)->region);
   } else if (context_.store.revision() > number_of(params, "revision")) {
     // Not confirmed, but committed: a node that restarts while there is no
     // leader can serve its own region by it.
@@ -269,17 +245,7 @@
                                   std::uint64_t book_version,
                                   const std::string& region) const {
   json out = config::to_json(machine_.update_since(from));
-  // A book of another leader has other versions; then all of it is sent.
-  const std::uint64_t known = book_version > book_version_ ? 0 : book_version;
-  json& book = out["book"] = json(Json::arrayValue);
-  for (const auto& [name, it] : book_) {
-    const bool concerns = it.info.region == region || it.info.control;
-    const bool relay_of_other = it.info.region != region && it.info.durable;
-    if (it.version > known && (concerns || relay_of_other)) {
-      book.append(membership::to_json(it.info));
-    }
-  }
-  out["book_version"] = as_number(book_version_);
+  book_.add_news(out, book_version, region);
   json& ledgers = out["ledgers"] = json(Json::arrayValue);
   for (const auto& [name, it] : machine_.ledgers()) {
     ledgers.append(config::to_json(it));
@@ -357,41 +323,12 @@
 
 void control_service::read_audit(const json& filter,
                                  const answer_function& answer) {
-  const result<void> asked =
-      confirm_read([this, filter, answer] { answer(audit_matching(filter)); });
+  const result<void> asked = confirm_read([this, filter, answer] {
+    answer(audit_matching(machine_.audit(), filter));
+  });
   if (!asked) answer(tl::make_unexpected(asked.error()));
 }
 
-json control_service::audit_matching(const json& filter) const {
-  const std::string by = text_of(filter, "operator");
-  const std::string name = text_of(filter, "name");
-  const std::string kind = text_of(filter, "kind");
-  const std::int64_t since =
-      static_cast<std::int64_t>(number_of(filter, "since_ms"));
-  const std::int64_t until =
-      static_cast<std::int64_t>(number_of(filter, "until_ms"));
-  std::size_t limit = number_of(filter, "limit");
-  if (limit == 0) limit = default_audit_rows;
-  json rows(Json::arrayValue);
-  const std::deque<config::audit_record>& all = machine_.audit();
-  for (auto it = all.rbegin(); it != all.rend() && rows.size() < limit; ++it) {
-    const std::int64_t at = to_unix_ms(it->at);
-    if (!by.empty() && it->operator_name != by) continue;
-    if (at < since || (until != 0 && at > until)) continue;
-    bool touches = name.empty() && kind.empty();
-    const json objects = touches ? json() : it->objects();
-    for (const json& object : objects) {
-      const bool same_name = name.empty() || text_of(object, "name") == name;
-      const bool same_kind = kind.empty() || text_of(object, "kind") == kind;
-      touches = touches || (same_name && same_kind);
-    }
-    if (touches) rows.append(config::to_json(*it));
-  }
-  json out;
-  out["records"] = std::move(rows);
-  return out;
-}
-
 void control_service::found(answer_function answer) {
   const std::vector<control_node>& all = context_.options.control_nodes;
   if (all.empty()) {
@@ -486,6 +423,23 @@
   }
 }
 
+config::ledger_founding control_service::new_ledger(
+    const std::string& region) const {
+  std::vector<membership::node_info> gateways;
+  for (const membership::node_record* it :
+       context_.nodes.live_in(region, context_.clock.now())) {
+    gateways.push_back(it->last.node);
+  }
+  config::ledger_founding out;
+  out.region = region;
+  out.group_id = make_request_id(context_.random);
+  for (const membership::node_info& it :
+       choose_ledger_voters(std::move(gateways))) {
+    out.members.push_back({{it.name, it.incarnation}, true});
+  }
+  return out;
+}
+
 void control_service::found_ledgers() {
   const monotonic_time now = context_.clock.now();
   growth_.observe(*host_, now, leads(), context_.self.peer_address);
@@ -501,18 +455,7 @@
   for (const auto& [region, unused] : machine_.store().regions()) {
     if (machine_.ledgers().contains(region)) continue;
     if (proposed_ledgers_.contains(region)) continue;
-    std::vector<membership::node_info> gateways;
-    for (const membership::node_record* it :
-         context_.nodes.live_in(region, now)) {
-      gateways.push_back(it->last.node);
-    }
-    config::ledger_founding ledger;
-    ledger.region = region;
-    ledger.group_id = make_request_id(context_.random);
-    for (const membership::node_info& it :
-         choose_ledger_voters(std::move(gateways))) {
-      ledger.members.push_back({{it.name, it.incarnation}, true});
-    }
+    config::ledger_founding ledger = new_ledger(region);
     if (ledger.members.empty()) continue;
     config::change asked;
     asked.id = "found-ledger-" + region;
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -2,13 +2,16 @@
 // founds the group and the ledgers.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "node_book.h"
 #include "node_context.h"
 #include "ticket_table.h"
 #include "trestlepost/config/state_machine.h"
@@ -16,6 +19,7 @@
 
 namespace trestlepost::node {
 
+/// This node's replica of the group, and what the leader does beside it.
 class control_service final : public consensus::message_sink {
  public:
   explicit control_service(node_context& context) : context_(context) {}
@@ -55,10 +59,6 @@
     std::vector<answer_function> answers;
     monotonic_time since;
   };
-  struct book_entry {
-    membership::node_info info;
-    std::uint64_t version = 0;
-  };
   struct founding {
     answer_function answer;
     std::map<std::string, std::uint64_t> incarnations;
@@ -74,12 +74,13 @@
   std::string meet_asker(const json& params);
   void handle_probe(const json& params);
   void handle_probe_answer(const json& params);
-  void record_in_book(const membership::node_info& info);
   json make_update(config::revision_number from, std::uint64_t book_version,
                    const std::string& region) const;
   void push_to_watchers();
   void on_decided(const config::audit_record& record);
   void finish_founding_if_ready();
+  /// A ledger for `region`; without members when too few nodes live there.
+  config::ledger_founding new_ledger(const std::string& region) const;
   void found_ledgers();
   void ask_to_join();
   void found_from_seeds();
@@ -87,15 +88,13 @@
   void restart_after_failure();
   void handle_join(const json& params);
   std::string address_of(const std::string& node) const;
-  json audit_matching(const json& filter) const;
 
   node_context& context_;
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
   consensus::group_growth growth_{context_.heard_from};
   std::map<std::string, watcher> watchers_;
-  std::map<std::string, book_entry> book_;
-  std::uint64_t book_version_ = 0;
+  node_book book_;
   std::map<std::string, waiting_change> waiting_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
@@ -104,10 +103,4 @@
   std::set<std::string> proposed_ledgers_;
 };
 
-/// The nodes that should vote in the ledger of a region: three, those with a
-/// disk first; with fewer than three gateways only those with a disk, because
-/// two voters without a disk could not survive a restart.
-std::vector<membership::node_info> choose_ledger_voters(
-    std::vector<membership::node_info> gateways);
-
 }  // namespace trestlepost::node
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -1,5 +1,6 @@
 #include "digest_service.h"
 
+#include <optional>
 #include <utility>
 
 #include "region_peers.h"
--- a/node/src/digest_service.h
+++ b/node/src/digest_service.h
@@ -3,9 +3,12 @@
 // Whoever is asked answers: nodes need not agree on which ones are relays.
 #pragma once
 
+#include <chrono>
+#include <cstdint>
+#include <functional>
 #include <map>
-#include <optional>
 #include <string>
+#include <vector>
 
 #include "node_context.h"
 #include "trestlepost/membership/digest_reader.h"
@@ -14,6 +17,7 @@
 
 namespace trestlepost::node {
 
+/// Sends and takes digests; on a relay it also makes them.
 class digest_service {
  public:
   explicit digest_service(node_context& context);
@@ -52,7 +56,9 @@
   };
 
   void handle_digest(const json& params);
+  /// False when the digest brought no news.
   bool take(const json& params);
+  /// The nodes of the region that heartbeats go to.
   std::vector<std::string> relays() const;
   shared_news gather() const;
   void update_writer();
@@ -63,10 +69,11 @@
   membership::digest_writer writer_;
   membership::digest_reader reader_;
   membership::relay_choice choice_;
-  std::map<std::string, asker> askers_;
-  std::uint64_t round_ = 0;
+  std::map<std::string, asker> askers_;  // by name
+  std::uint64_t round_ = 0;              // of digests to those who asked
+  /// The version of this region that the others were told last.
   std::uint64_t told_version_ = 0;
-  int whole_left_ = 0;
+  int whole_left_ = 0;  // digests to other regions that name all nodes
   monotonic_time next_whole_;
 };
 
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -14,6 +14,7 @@
 
 constexpr milliseconds summary_interval{300};
 constexpr milliseconds ping_interval{1000};
+// Weight of one observation in the round trip to a region.
 constexpr double newest_weight = 0.3;
 
 }  // namespace
--- a/node/src/ledger_service.cc
+++ b/node/src/ledger_service.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-#include "control_service.h"
+#include "ledger_voters.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/consensus/file_storage.h"
 
--- /dev/null
+++ b/node/src/ledger_voters.cc
@@ -0,0 +1,30 @@
+#include "ledger_voters.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace trestlepost::node {
+namespace {
+
+// With three, one may be lost.
+constexpr std::size_t ledger_voters = 3;
+
+}  // namespace
+
+std::vector<membership::node_info> choose_ledger_voters(
+    std::vector<membership::node_info> gateways) {
+  std::sort(gateways.begin(), gateways.end(),
+            [](const membership::node_info& a, const membership::node_info& b) {
+              if (a.durable != b.durable) return a.durable;
+              return a.name < b.name;
+            });
+  if (gateways.size() >= ledger_voters) {
+    gateways.resize(ledger_voters);
+    return gateways;
+  }
+  std::erase_if(gateways,
+                [](const membership::node_info& it) { return !it.durable; });
+  return gateways;
+}
+
+}  // namespace trestlepost::node
--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -23,6 +23,7 @@
 // serves nobody: it soon reads for itself.
 constexpr milliseconds restart_patience{400};
 
+/// What is left of `span` after the time `by`.
 milliseconds shrunk(milliseconds span, milliseconds by) {
   return std::max(milliseconds(0), span - by);
 }
@@ -31,6 +32,7 @@
   return (a > b ? a - b : b - a) <= span_tolerance;
 }
 
+/// Whether a gateway that has `a` need not be told `b`.
 bool same(const listed_endpoint& a, const listed_endpoint& b) {
   const bool ends = a.ends_in.has_value() == b.ends_in.has_value() &&
                     (!a.ends_in || near(*a.ends_in, *b.ends_in));
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trestlepost/base/clock.h"
+#include "trestlepost/base/error.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
@@ -45,12 +47,13 @@
 std::chrono::milliseconds listing_patience(bool heard, bool first_start,
                                            std::chrono::milliseconds interval);
 
-/// On the reader.
+/// On the reader: numbers the changes of the list.
 class listing_writer {
  public:
   listing_writer(std::string reader, std::uint64_t life)
       : reader_(std::move(reader)), life_(life) {}
 
+  /// Takes in the list as it was read at `now`.
   void update(const std::vector<surface::listed_endpoint>& all,
               monotonic_time now);
   /// What to tell `gateway` now: what changed since it was told last, and
@@ -78,7 +81,7 @@
   std::map<std::string, told> told_;
 };
 
-/// On the others.
+/// On the others: the list as its readers told it.
 class listing_copy {
  public:
   /// False when earlier news are missing: the whole list must be asked for.
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -16,8 +16,9 @@
 using surface::listed_endpoint;
 using transport::awaitable;
 
+// Until the platform has answered for a page.
 constexpr milliseconds read_timeout{1000};
-constexpr std::size_t largest_page = 4UL * 1024 * 1024;
+constexpr std::size_t largest_page = 4UL * 1024 * 1024;  // bytes
 constexpr unsigned ok_status = 200;
 // A gateway that has no list yet asks the reader for it this often.
 constexpr milliseconds ask_interval{300};
@@ -25,7 +26,7 @@
 constexpr milliseconds book_settling{500};
 // How often the whole list is read: to see whether that takes fewer calls, and
 // for the endpoints of other regions, which are hints only.
-constexpr milliseconds whole_interval{10'000};
+constexpr milliseconds whole_read_interval{10'000};
 // Pages of one list; more of them mean a list that never ends.
 constexpr int most_pages = 1000;
 
@@ -194,7 +195,7 @@
   std::vector<std::string> out = zones_to_read(size_);
   if (now >= next_whole_) out = {""};
   if (out.front().empty()) {
-    next_whole_ = now + whole_interval;
+    next_whole_ = now + whole_read_interval;
     size_ = {};
   }
   return out;
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "listing_news.h"
@@ -13,6 +14,8 @@
 
 namespace trestlepost::node {
 
+/// Reads the list when this gateway is the reader, and keeps what it is told
+/// otherwise.
 class listing_service {
  public:
   listing_service(node_context& context,
@@ -33,6 +36,7 @@
       std::string zone, std::vector<surface::listed_endpoint>& all);
   /// The zones to read now.
   std::vector<std::string> next_zones();
+  /// Notes how many entries each zone of the own region has.
   void measure(const std::vector<surface::listed_endpoint>& all);
   bool is_in_own_region(const surface::listed_endpoint& it) const;
   std::vector<surface::listed_endpoint> in_other_regions(
@@ -41,8 +45,11 @@
   void handle_ask(const json& params);
   /// The gateway that should read, as far as this node knows.
   std::string reader() const;
+  /// Whether `gateway` lives, or may still send its first heartbeat.
   bool may_live(const std::string& gateway) const;
+  /// Whether this node reads now; asks the reader when it has no list yet.
   bool should_read();
+  /// Asks `gateway` for the whole list.
   void ask(const std::string& gateway);
   void tell(const std::string& gateway, const std::string& address);
   void tell_others(const std::vector<surface::listed_endpoint>& all);
@@ -56,14 +63,15 @@
   monotonic_time started_at_;
   monotonic_time heard_at_;  // or when it started
   monotonic_time read_at_;   // of the last list read by this node
-  bool heard_ = false;
+  bool heard_ = false;       // whether it has a list
+  /// Since when the leader has told this node of others.
   std::optional<monotonic_time> book_since_;
   listing_size size_;
   monotonic_time next_whole_;
   /// Of the last whole list; zone by zone only the own region's are read.
   std::vector<surface::listed_endpoint> elsewhere_;
   bool reading_ = false;
-  bool lost_ = false;
+  bool lost_ = false;  // the last reading failed
 };
 
 }  // namespace trestlepost::node
--- a/node/src/region_peers.cc
+++ b/node/src/region_peers.cc
@@ -1,5 +1,7 @@
 #include "region_peers.h"
 
+#include <set>
+
 #include "trestlepost/membership/region_digest.h"
 
 namespace trestlepost::node {
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -13,6 +13,7 @@
 
 namespace trestlepost::node {
 
+/// Keeps this node's copy of the configuration current.
 class watch_client {
  public:
   watch_client(node_context& context,
