--- a/own/include/trestlepost/own/call_target.h
+++ b/own/include/trestlepost/own/call_target.h
@@ -10,6 +10,7 @@
 
 namespace trestlepost::own {
 
+/// A call's service, and the path of the request there.
 struct call_target {
   std::string service;  // empty: the body names it
   std::string path;     // at the endpoint
@@ -24,6 +25,7 @@
   std::string model;
   std::uint64_t affinity = 0;  // hash of the prompt's prefix; 0: none
 };
+/// An error when the body names no model.
 result<model_call> read_model_call(const std::string& body);
 
 }  // namespace trestlepost::own
--- a/own/include/trestlepost/own/codecs.h
+++ b/own/include/trestlepost/own/codecs.h
@@ -1,6 +1,12 @@
 // The product's own way to speak to callers, endpoints and the platform.
 #pragma once
 
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "trestlepost/config/selector.h"
 #include "trestlepost/surface/caller_surface.h"
 #include "trestlepost/surface/endpoint_codec.h"
@@ -9,6 +15,7 @@
 
 namespace trestlepost::own {
 
+/// Calls of the product's own interface, and refusals as problem documents.
 class caller_codec final : public surface::caller_surface {
  public:
   /// The id is empty where the caller sent none that is sound: the gateway
@@ -18,6 +25,7 @@
   transport::http_answer refuse(const surface::refusal& why) const override;
 };
 
+/// Requests to endpoints, and the heads of their answers.
 class endpoint_codec final : public surface::endpoint_codec {
  public:
   /// `refusal_means_not_run`: what the service says of its 503.
@@ -44,6 +52,7 @@
       const std::string& body) const override;
 };
 
+/// The calls that find entries and ask how a node is.
 class entry_codec final : public surface::entry_surface {
  public:
   std::optional<membership::entry_query> read_query(
--- a/own/include/trestlepost/own/request_options.h
+++ b/own/include/trestlepost/own/request_options.h
@@ -1,21 +1,22 @@
 // What callers ask for beside the head that every surface reads.
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "trestlepost/base/error.h"
 #include "trestlepost/config/selector.h"
 #include "trestlepost/transport/http_server.h"
 
 namespace trestlepost::own {
 
+/// What the product's own headers say.
 struct request_options {
   config::label_map labels;
   std::optional<bool> repeatable;
   std::string idempotency_key;
-  int priority = 0;
+  int priority = 0;  // 0 to 9; the highest goes first
 };
 
 /// Reads the Trestlepost headers and Idempotency-Key.
--- a/own/src/headers.h
+++ b/own/src/headers.h
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <system_error>
 
 #include "trestlepost/base/error.h"
 
@@ -33,6 +35,7 @@
   return n;
 }
 
+/// The refusal of a header; `remedy` says how to write it.
 inline tl::unexpected<error> bad_header(std::string_view name,
                                         std::string_view remedy) {
   return fail(error_kind::bad_input,
--- a/own/src/request_options.cc
+++ b/own/src/request_options.cc
@@ -8,6 +8,7 @@
 namespace trestlepost::own {
 namespace {
 
+// Limits of docs/INTERFACES.md, in characters.
 constexpr std::size_t longest_id = 128;
 constexpr std::size_t longest_key = 256;
 constexpr int most_priority = 9;
