--- a/config/test/control_machine.h
+++ b/config/test/control_machine.h
@@ -48,6 +48,7 @@
   std::unique_ptr<config_state_machine> inner_;
 };
 
+/// How a machine runs its replica.
 struct machine_options {
   consensus::replica_options replica;
   std::size_t tolerated_losses = 2;
@@ -56,6 +57,8 @@
   bool skip_number_check = false;
 };
 
+/// One machine: started, stopped, moved and deprived of its disk by the
+/// simulation.
 class control_machine final : public consensus::message_sink {
  public:
   control_machine(std::string name, std::string address,
--- a/config/test/growth_simulation.cc
+++ b/config/test/growth_simulation.cc
@@ -1,8 +1,13 @@
 #include "growth_simulation.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace trestlepost::config::test {
 namespace {
@@ -15,12 +20,19 @@
 constexpr int answer_steps = 30;         // 0.6 s
 constexpr int seed_list_interval = 150;  // the platform's list lags by 3 s
 constexpr std::size_t seed_count = 3;
+// Faults are drawn from so many equally likely ones.
+constexpr int fault_choices = 14;
+constexpr int longest_kill = 150;  // steps: 3 s
+// Longer (6 s) than the silence after which a voter counts as gone.
+constexpr int longest_freeze = 300;
 
+/// A message on its way.
 struct parcel {
   letter content;
   int due_step = 0;
 };
 
+/// The machines, the messages between them, and the faults of one run.
 class growth_simulation {
  public:
   explicit growth_simulation(const growth_options& options)
@@ -255,9 +267,9 @@
   control_machine& it = any();
   const control_machine& other = any();
   if (!it.present) return;
-  switch (random_.below(14)) {
+  switch (random_.below(fault_choices)) {
     case 0:
-      kill(it, 150);
+      kill(it, longest_kill);
       break;
     case 1:
       it.disk.crash_before_sync = static_cast<int>(random_.below(3));
@@ -266,8 +278,7 @@
       it.disk.crash_after_sync = static_cast<int>(random_.below(3));
       break;
     case 3:
-      // Longer than the silence after which a voter counts as gone.
-      it.frozen_until = step_ + static_cast<int>(random_.below(300));
+      it.frozen_until = step_ + static_cast<int>(random_.below(longest_freeze));
       break;
     case 4:
       cuts_.emplace(it.name, other.name);
--- a/config/test/growth_simulation.h
+++ b/config/test/growth_simulation.h
@@ -3,6 +3,8 @@
 // race with numbered plans. All faults come from one seed.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,7 @@
 inline constexpr char one_lease[] = "one lease at a time";
 inline constexpr char convergence[] = "all machines are taken in";
 
+/// What one run does; the same options give the same run.
 struct growth_options {
   std::uint64_t seed = 1;
   int steps = 1000;
@@ -30,11 +33,13 @@
   read_mode reads = read_mode::shipped;
 };
 
+/// A property that did not hold, and what was seen.
 struct violation {
   std::string property;
   std::string what;
 };
 
+/// What a run found, and how much of each fault it had.
 struct growth_outcome {
   std::vector<violation> violations;
   std::size_t acknowledged = 0;
--- a/config/test/plan_operators.h
+++ b/config/test/plan_operators.h
@@ -2,8 +2,12 @@
 // plans: the highest number that was accepted is in force everywhere.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "control_machine.h"
@@ -25,6 +29,7 @@
 /// round of the quorum; by one of both; or by any node that thinks it leads.
 enum class read_mode { shipped, round_only, lease_only, unconfirmed };
 
+/// Sends plans and reads, and reports each property that does not hold.
 class plan_operators {
  public:
   plan_operators(random_source& random, read_mode mode, report violation)
--- a/consensus/include/trestlepost/consensus/group_growth.h
+++ b/consensus/include/trestlepost/consensus/group_growth.h
@@ -17,6 +17,7 @@
   return 2 * losses + 1;
 }
 
+/// Decides for the replica of a group_host; it sends nothing itself.
 class group_growth {
  public:
   /// `heard_from` keeps the address from which each node wrote last.
--- a/consensus/test/simulated_disk.h
+++ b/consensus/test/simulated_disk.h
@@ -20,6 +20,7 @@
   int crash_after_sync = -1;
 };
 
+/// A storage on a simulated disk, which can fail before or after a sync.
 class simulated_storage final : public storage {
  public:
   explicit simulated_storage(simulated_disk& disk) : disk_(disk) {}
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -44,6 +44,7 @@
 /// Prompt tokens that wait to be read, by priority (0 first).
 using pending_tokens = std::vector<std::uint32_t>;
 
+/// One record for each endpoint of this region; times come from the caller.
 class engine_book {
  public:
   struct endpoint {
--- a/routing/include/trestlepost/routing/engine_choice.h
+++ b/routing/include/trestlepost/routing/engine_choice.h
@@ -10,6 +10,7 @@
 
 namespace trestlepost::routing {
 
+/// One endpoint, as it is compared with the others.
 struct engine_candidate {
   outlook expected;
   /// Tokens of shared prompt parts that it would read, though another
