--- a/membership/include/trestlepost/membership/relay_choice.h
+++ b/membership/include/trestlepost/membership/relay_choice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 
 namespace trestlepost::membership {
 
+/// A node of the region that may be chosen.
 struct relay_candidate {
   std::string name;
   /// Only when there is no other.
@@ -27,6 +29,7 @@
 std::vector<std::string> rank_relays(const std::string& region,
                                      std::vector<relay_candidate> candidates);
 
+/// Chooses the relays, and notes which of them answer.
 class relay_choice {
  public:
   /// `mute_after` without an answer puts a candidate behind all others.
@@ -34,7 +37,9 @@
                                   std::vector<relay_candidate> candidates,
                                   std::chrono::milliseconds mute_after,
                                   monotonic_time now) const;
+  /// A heartbeat was sent to `name`.
   void asked(const std::string& name, monotonic_time now);
+  /// A digest of `name` came.
   void answered(const std::string& name);
 
  private:
