Directory: homes are never left for nothing, silent entries are dropped early

Ruled out: that callers ignored the directory (they left the dead entries as soon as an answer no longer named them); that other regions lacked room.

Change: a directory node of the same region drops an entry after four missed heartbeats (0.6 s) and names other regions' entries once none is heard; one of another region, which may only be cut off, names both. Outside the homes nobody stands in where every route is bound, nor while the region only restarts by plan.

`suspects_come_before_other_regions` asserted the old order and is replaced by `seen_from_elsewhere_a_silent_region_may_be_cut_off`, which checks both sides.

--- a/membership/include/trestlepost/membership/directory.h
+++ b/membership/include/trestlepost/membership/directory.h
@@ -1,6 +1,7 @@
 // The entry directory: which nodes a caller should use, best first.
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -26,14 +27,35 @@
   std::string host{};
 };
 
-/// The entries for a caller who may use any of its region: live ones, else
-/// those that were heard not long ago. Entries of other regions stand in only
-/// when all of the caller's region are known to be gone, those of
-/// `preferred_regions` first; a region of which nothing is known may be well,
-/// so nothing is told then.
-std::vector<entry_view> entries_near(
-    const node_table& table, const entry_query& query,
-    const std::vector<std::string>& preferred_regions, monotonic_time now);
+/// Where the requests for one host may run, as far as its routes bind them.
+struct home_binding {
+  std::vector<std::string> regions;  // that some route is bound to
+  bool every_route = false;          // no route may be served elsewhere
+};
+
+/// Who answers a look-up, and how soon it takes an entry for lost.
+struct directory_options {
+  /// Region of the directory node, which hears that region's nodes itself.
+  std::string own_region;
+  /// An entry of the own region that was not heard for so long is left out
+  /// while another entry can take its callers. A caller that opens a
+  /// connection to a VM without power loses a second, and one that waits on
+  /// an open one its whole time, so this is a few heartbeats and well below
+  /// the time after which a node is suspected.
+  std::chrono::milliseconds silent_after{600};
+};
+
+/// The entries for a caller who may use any of its region. While none of them
+/// is heard, entries of other regions stand in, those of the homes first;
+/// beside them those that only a cut may hide: a caller drops one that does
+/// not answer after its first try. Entries outside the homes never stand in
+/// where every route is bound, nor where the caller's region only restarts.
+/// Of a region of which nothing is known nothing is told: it may be well.
+std::vector<entry_view> entries_near(const node_table& table,
+                                     const entry_query& query,
+                                     const home_binding& homes,
+                                     const directory_options& options,
+                                     monotonic_time now);
 
 /// Ready nodes first, near ones before far ones, less loaded ones before
 /// busier ones; isolated nodes last; draining, starting and silent ones not
--- a/membership/src/directory.cc
+++ b/membership/src/directory.cc
@@ -73,43 +73,74 @@
           in.node.availability_zone, in.state};
 }
 
-/// Entries of the caller's region in one state of suspicion.
-std::vector<entry_view> near_in_state(const node_table& table,
-                                      const entry_query& query,
-                                      peer_state wanted, monotonic_time now) {
-  std::vector<entry_view> out;
+using entry_list = std::vector<entry_view>;
+
+/// The entries of the caller's region, by what is known of them.
+struct near_entries {
+  entry_list heard;   // taking callers, and heard a moment ago
+  entry_list silent;  // taking callers when last heard; not dead
+  bool known = false;
+  bool lost = false;  // one fell silent without saying that it stops
+};
+
+near_entries find_near(const node_table& table, const entry_query& query,
+                       const directory_options& options, monotonic_time now) {
+  near_entries out;
+  const bool own = query.near_region == options.own_region;
+  // Another region's nodes are heard through relays, seldom enough for the
+  // longer limit.
+  const std::chrono::milliseconds silent_after =
+      own ? options.silent_after : table.options().suspect_after;
   for (const node_record* it : table.all()) {
-    const bool near = it->last.node.region == query.near_region;
-    if (!near || !takes_callers(it->last)) continue;
-    if (table.state_of(*it, now) == wanted) out.push_back(view_of(it->last));
+    const bool near = it->last.node.region == query.near_region &&
+                      !it->last.node.caller_address.empty();
+    if (!near) continue;
+    out.known = true;
+    if (!takes_callers(it->last)) continue;
+    if (now < it->heard_at + silent_after) {
+      out.heard.push_back(view_of(it->last));
+      continue;
+    }
+    out.lost = true;
+    if (table.state_of(*it, now) != peer_state::dead) {
+      out.silent.push_back(view_of(it->last));
+    }
   }
   return out;
 }
 
-bool knows_region(const node_table& table, const std::string& region) {
-  const std::vector<const node_record*> all = table.all();
-  return std::any_of(all.begin(), all.end(), [&region](const node_record* it) {
-    return it->last.node.region == region &&
-           !it->last.node.caller_address.empty();
-  });
+/// Entries of other regions, of the homes where there are any.
+entry_list stand_ins(const node_table& table, const entry_query& query,
+                     const home_binding& homes, bool lost, monotonic_time now) {
+  entry_query elsewhere = query;
+  elsewhere.allowed_regions = homes.regions;
+  entry_list out = rank_entries(table, elsewhere, now);
+  const bool beyond = !homes.every_route && (lost || homes.regions.empty());
+  if (!out.empty() || !beyond) return out;
+  elsewhere.allowed_regions.clear();
+  return rank_entries(table, elsewhere, now);
 }
 
 }  // namespace
 
-std::vector<entry_view> entries_near(
-    const node_table& table, const entry_query& query,
-    const std::vector<std::string>& preferred_regions, monotonic_time now) {
-  for (const peer_state it : {peer_state::live, peer_state::suspect}) {
-    std::vector<entry_view> near = near_in_state(table, query, it, now);
-    if (!near.empty()) return near;
-  }
-  if (!knows_region(table, query.near_region)) return {};
-  entry_query elsewhere = query;
-  elsewhere.allowed_regions = preferred_regions;
-  std::vector<entry_view> out = rank_entries(table, elsewhere, now);
-  if (!out.empty()) return out;
-  elsewhere.allowed_regions.clear();
-  return rank_entries(table, elsewhere, now);
+std::vector<entry_view> entries_near(const node_table& table,
+                                     const entry_query& query,
+                                     const home_binding& homes,
+                                     const directory_options& options,
+                                     monotonic_time now) {
+  near_entries near = find_near(table, query, options, now);
+  if (!near.heard.empty() || !near.known) return std::move(near.heard);
+  entry_list out = stand_ins(table, query, homes, near.lost, now);
+  std::erase_if(out, [&query](const entry_view& it) {
+    return it.region == query.near_region;
+  });
+  // This node would hear them if it reached them; a node elsewhere may only
+  // be cut off from a region that is well.
+  const bool surely_gone =
+      query.near_region == options.own_region && !out.empty();
+  if (surely_gone) return out;
+  out.insert(out.begin(), near.silent.begin(), near.silent.end());
+  return out;
 }
 
 }  // namespace trestlepost::membership
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -47,9 +47,7 @@
 }
 
 milliseconds digest_service::interval() const {
-  return membership::beat_interval(context_.options.timing.heartbeat_interval,
-                                   region_mates(context_).size() + 1,
-                                   context_.nodes.options());
+  return heartbeat_interval(context_);
 }
 
 bool digest_service::take(const json& params) {
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "region_peers.h"
+
 namespace trestlepost::node {
 namespace {
 
@@ -13,18 +15,28 @@
   return surface.refuse({error_kind::not_found, "there is no such call", ""});
 }
 
-/// The regions that routes of `host` are bound to; empty: none.
-std::vector<std::string> home_regions(const config::plan_ptr& plan,
-                                      const std::string& host) {
-  std::set<std::string> out;
-  if (!plan) return {};
+/// Where the routes of `host` are bound to.
+membership::home_binding homes_of(const config::plan_ptr& plan,
+                                  const std::string& host) {
+  membership::home_binding out;
+  if (!plan) return out;
+  std::set<std::string> regions;
+  bool any = false;
+  bool free = false;
   for (const config::route& it : plan->routes) {
     if (it.host != host) continue;
-    out.insert(it.home_regions.begin(), it.home_regions.end());
+    any = true;
+    free = free || it.home_regions.empty();
+    regions.insert(it.home_regions.begin(), it.home_regions.end());
   }
-  return {out.begin(), out.end()};
+  out.regions.assign(regions.begin(), regions.end());
+  out.every_route = any && !free;
+  return out;
 }
 
+/// A lost heartbeat or two must not empty a region.
+constexpr int beats_until_silent = 4;
+
 }  // namespace
 
 awaitable<void> directory_handler::handle(transport::http_exchange& exchange) {
@@ -35,11 +47,13 @@
   if (!query || !body) {
     out = unknown_call(*surface_);
   } else {
+    const membership::directory_options options{
+        context_.self.region,
+        beats_until_silent * heartbeat_interval(context_)};
     const std::vector<membership::entry_view> entries =
-        membership::entries_near(
-            context_.nodes, *query,
-            home_regions(context_.store.plan(), query->host),
-            context_.clock.now());
+        membership::entries_near(context_.nodes, *query,
+                                 homes_of(context_.store.plan(), query->host),
+                                 options, context_.clock.now());
     if (entries.empty()) {
       out = surface_->refuse(
           {error_kind::unavailable, "no entry is known to be ready", ""});
--- a/node/src/region_peers.cc
+++ b/node/src/region_peers.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "trestlepost/membership/region_digest.h"
+#include "trestlepost/membership/relay_choice.h"
 
 namespace trestlepost::node {
 
@@ -25,6 +26,12 @@
   return region_mates(context).size() + 1 > membership::largest_mesh;
 }
 
+std::chrono::milliseconds heartbeat_interval(const node_context& context) {
+  return membership::beat_interval(context.options.timing.heartbeat_interval,
+                                   region_mates(context).size() + 1,
+                                   context.nodes.options());
+}
+
 std::vector<std::string> other_regions(const node_context& context) {
   std::set<std::string> out;
   for (const auto& [name, it] : context.book) out.insert(it.region);
--- a/node/src/region_peers.h
+++ b/node/src/region_peers.h
@@ -2,6 +2,7 @@
 // book and from what was heard.
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,6 +20,9 @@
 /// must not change its ways at that moment.
 bool sends_by_relays(const node_context& context);
 
+/// Time between two heartbeats of a node of the own region.
+std::chrono::milliseconds heartbeat_interval(const node_context& context);
+
 std::vector<std::string> other_regions(const node_context& context);
 
 /// The peers' addresses of the relays of another region.
