A node without a plan asks all control nodes; peers are connected to sooner

Cause: after the loss of power of all, gateways started at 35.5 s and had a plan at 36.4 to 36.6 s: they asked one control node after the other, and each connection to one still without power took 500 ms and 200 ms more to be tried again. Once they had a plan they asked every 500 ms whether it was current.

Ruled out: disks and start-up of the control nodes (plan in force within 10 ms of their start).

Change: without a configuration all control nodes are asked every 150 ms; until a leader has confirmed it, the leader (or the next one) is asked that often. 350 ms to connect to a peer, 100 ms until the next try.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -33,8 +33,9 @@
 
 constexpr milliseconds tick_interval{25};
 // A VM without power says nothing, and a first packet that it missed is sent
-// again only after a second: trying anew finds it sooner.
-constexpr milliseconds peer_connect_timeout{500};
+// again only after a second: trying anew finds it sooner. Two round trips of
+// the longest way between regions, 160 ms, fit into it.
+constexpr milliseconds peer_connect_timeout{350};
 // Endpoints of the platform keep idle connections until they say otherwise.
 constexpr milliseconds kept_connection_lifetime{60'000};
 // The longest way is between regions, some 110 ms there and back.
--- /dev/null
+++ b/node/src/poll_schedule.cc
@@ -0,0 +1,29 @@
+#include "poll_schedule.h"
+
+#include <algorithm>
+
+namespace trestlepost::node {
+namespace {
+
+// After all nodes lost power, gateways polling this often learned of a new
+// leader within a round trip and a tenth of a second.
+constexpr std::chrono::milliseconds urgent_interval{150};
+
+}  // namespace
+
+std::chrono::milliseconds time_to_next_poll(const poll_situation& now,
+                                            std::chrono::milliseconds usual) {
+  const bool urgent = !now.has_configuration || !now.confirmed;
+  return urgent ? std::min(urgent_interval, usual) : usual;
+}
+
+std::vector<std::string> whom_to_ask(const poll_situation& now,
+                                     const std::string& leader_address,
+                                     const std::vector<std::string>& all,
+                                     leader_finder& finder) {
+  if (!now.has_configuration) return all;
+  if (!leader_address.empty()) return {leader_address};
+  return {finder.next_of(all)};
+}
+
+}  // namespace trestlepost::node
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -9,9 +9,7 @@
 namespace trestlepost::node {
 namespace {
 
-constexpr std::size_t most_questions = 32;
-// Until a node has any configuration it can serve nobody, so it asks often.
-constexpr std::chrono::milliseconds first_poll_interval{150};
+constexpr std::size_t most_questions = 64;
 // Without an answer for so many polls the leader is asked for anew.
 constexpr int polls_without_answer = 3;
 
@@ -34,26 +32,28 @@
       });
 }
 
+poll_situation watch_client::situation() const {
+  return {context_.store.revision() > 0,
+          context_.state.confirmed_at(context_.clock.now())};
+}
+
 void watch_client::tick() {
   const monotonic_time now = context_.clock.now();
   if (now < next_poll_) return;
-  const bool knows_nothing = context_.store.revision() == 0;
-  next_poll_ = now + (knows_nothing ? first_poll_interval
-                                    : context_.options.timing.poll_interval);
-  poll();
-}
-
-std::string watch_client::poll_address() {
-  const std::string& leader = finder_.leader(context_.clock.now());
+  next_poll_ = now + time_to_next_poll(situation(),
+                                       context_.options.timing.poll_interval);
+  const std::string& leader = finder_.leader(now);
   const std::string known = leader.empty() ? "" : context_.peer_address(leader);
-  return known.empty() ? finder_.next_of(context_.control_addresses()) : known;
+  for (const std::string& it :
+       whom_to_ask(situation(), known, context_.control_addresses(), finder_)) {
+    poll(it);
+  }
 }
 
-void watch_client::poll() {
+void watch_client::poll(const std::string& address) {
   json params;
   const std::uint64_t token = next_token_++;
   params["token"] = as_number(token);
-  const std::string address = poll_address();
   introduce(params, address);
   params["revision"] = as_number(context_.store.revision());
   params["book_version"] = as_number(book_version_);
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -9,6 +9,7 @@
 
 #include "leader_finder.h"
 #include "node_context.h"
+#include "poll_schedule.h"
 #include "trestlepost/config/state_machine.h"
 
 namespace trestlepost::node {
@@ -36,11 +37,11 @@
     monotonic_time asked_at;
   };
 
-  void poll();
+  poll_situation situation() const;
+  void poll(const std::string& address);
   /// Who asks: its heartbeat when it has news for control nodes, else a sign
   /// of life.
   void introduce(json& params, const std::string& address);
-  std::string poll_address();
   void handle_update(const json& params);
   void apply(const json& update);
   void take_book(const json& update);
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -23,7 +23,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds write_timeout{10'000};
-constexpr milliseconds reconnect_delay{200};
+// Between two attempts to connect: messages come every 150 ms or so while a
+// node starts, and what waits is dropped at each attempt that fails.
+constexpr milliseconds reconnect_delay{100};
 
 /// The connection to one peer and what waits for it.
 struct link {
