A restarted gateway reads the platform's list at once

Cause: after kills of all processes gateways with a plan refused requests for another 0.4 s or more ("no permitted region can serve"): they waited to be told the list by others that had none either.

Change: a restarted gateway reads for itself at its first tick; where the platform turns it away it tries again after 150 to 300 ms by chance, so that many gateways do not exceed the platform's limit together again.

--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -19,9 +19,10 @@
 // gateway goes without a whole list.
 constexpr milliseconds gone_memory{60'000};
 
-// After a restart nobody may be there to tell, and without a list a gateway
-// serves nobody: it soon reads for itself.
-constexpr milliseconds restart_patience{400};
+// A gateway without a list that the platform turned away tries again after
+// this and as much again by chance: gateways that restart together would
+// exceed the platform's calls a second together again.
+constexpr milliseconds first_list_retry{150};
 
 /// What is left of `span` after the time `by`.
 milliseconds shrunk(milliseconds span, milliseconds by) {
@@ -81,8 +82,18 @@
 milliseconds listing_patience(bool heard, bool first_start,
                               milliseconds interval) {
   // The first start comes well before any request: reading once is enough.
+  // After a restart nobody may be there to tell, and without a list a gateway
+  // serves nobody.
   const bool restarted = !heard && !first_start;
-  return restarted ? restart_patience : silent_intervals * interval;
+  return restarted ? milliseconds(0) : silent_intervals * interval;
+}
+
+milliseconds time_to_reread(bool heard, milliseconds interval,
+                            random_source& random) {
+  if (heard) return interval;
+  const std::uint64_t spread =
+      random.below(static_cast<std::uint64_t>(first_list_retry.count()) + 1);
+  return first_list_retry + milliseconds(static_cast<std::int64_t>(spread));
 }
 
 listed_endpoint dated_endpoint::as_of(monotonic_time now) const {
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -12,6 +12,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/error.h"
 #include "trestlepost/base/json.h"
+#include "trestlepost/base/random.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
 namespace trestlepost::node {
@@ -47,6 +48,11 @@
 std::chrono::milliseconds listing_patience(bool heard, bool first_start,
                                            std::chrono::milliseconds interval);
 
+/// Time until the list is read again after a reading that failed.
+std::chrono::milliseconds time_to_reread(bool heard,
+                                         std::chrono::milliseconds interval,
+                                         random_source& random);
+
 /// On the reader: numbers the changes of the list.
 class listing_writer {
  public:
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -220,6 +220,10 @@
   }
   reading_ = false;
   if (!done) {
+    next_read_ =
+        context_.clock.now() +
+        time_to_reread(heard_, context_.options.timing.platform_poll_interval,
+                       context_.random);
     lost_ = true;
     size_ = {};
     co_return;
--- a/node/test/listing_news-test.cc
+++ b/node/test/listing_news-test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace trestlepost::node {
 namespace {
 
@@ -143,12 +145,26 @@
   EXPECT_TRUE(refused("gone", list));
 }
 
-TEST(listing_patience_test, a_restarted_gateway_soon_reads_for_itself) {
+TEST(listing_patience_test, a_restarted_gateway_reads_for_itself_at_once) {
   const milliseconds interval{1000};
-  EXPECT_LE(listing_patience(false, false, interval), interval / 2);
+  EXPECT_EQ(listing_patience(false, false, interval), milliseconds(0));
   EXPECT_EQ(listing_patience(true, false, interval), 3 * interval);
   EXPECT_EQ(listing_patience(false, true, interval), 3 * interval);
 }
 
+TEST(listing_patience_test, gateways_without_a_list_try_again_spread_out) {
+  const milliseconds interval{1000};
+  seeded_random random(7);
+  std::set<milliseconds> seen;
+  for (int i = 0; i < 50; ++i) {
+    const milliseconds next = time_to_reread(false, interval, random);
+    EXPECT_GE(next, milliseconds(150));
+    EXPECT_LE(next, milliseconds(300));
+    seen.insert(next);
+  }
+  EXPECT_GT(seen.size(), 20U);
+  EXPECT_EQ(time_to_reread(true, interval, random), interval);
+}
+
 }  // namespace
 }  // namespace trestlepost::node
