Weigh engines by the whole course of an answer and by what it puts off

Hypothesis: an endpoint was judged by its first token and by whether the answer is whole at its deadline. But an answer that is written three times as long is cut three times as often when an endpoint or a node fails, and a prompt read beside 40 answers puts off all of them.

Change: `net_value` takes 0.02 of the value off for each second until the answer is whole, and as much for each second by which the prompt puts off the answers written there.

--- a/gateway/src/engine_weighing.cc
+++ b/gateway/src/engine_weighing.cc
@@ -45,7 +45,7 @@
                              std::uint32_t tokens,
                              const config::engine_profile& engine,
                              const routing::engine_book& engines) {
-  return routing::delayed(engines.predict(view.name, work, tokens),
+  return routing::delayed(engines.predict(view.name, work, tokens, view.load),
                           routing::slot_wait(view.load, engine.batch_slots,
                                              engines.mean_hold(view.service)));
 }
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -65,9 +65,10 @@
   uncached_prompt uncached(const std::string& id,
                            const engine_work& work) const;
 
-  /// The course of a request that is sent to `id` now and reads `tokens`.
+  /// The course of a request that is sent to `id` now and reads `tokens`,
+  /// while `running` answers are written there.
   outlook predict(const std::string& id, const engine_work& work,
-                  std::uint32_t tokens) const;
+                  std::uint32_t tokens, double running = 0) const;
 
   /// A request was sent to `id`, which has to read `tokens` for it.
   ticket begin(const std::string& id, const engine_work& work,
--- a/routing/include/trestlepost/routing/engine_choice.h
+++ b/routing/include/trestlepost/routing/engine_choice.h
@@ -10,6 +10,11 @@
 
 namespace trestlepost::routing {
 
+/// Reading a whole prompt again costs so much of a request's value: the users
+/// price it at about 0.4 of a long request's value, and it takes the engine's
+/// time from those that wait.
+inline constexpr double read_again_cost = 0.45;
+
 /// One endpoint, as it is compared with the others.
 struct engine_candidate {
   outlook expected;
--- a/routing/include/trestlepost/routing/outlook.h
+++ b/routing/include/trestlepost/routing/outlook.h
@@ -14,6 +14,9 @@
   std::chrono::milliseconds first_token{0};
   /// Until it is whole.
   std::chrono::milliseconds finish{0};
+  /// By how much its prompt puts off the answers that are written there, all
+  /// added up: an engine reads prompts between their tokens.
+  std::chrono::milliseconds slows_others{0};
 };
 
 /// The same course, begun later by `wait`.
@@ -35,4 +38,15 @@
 /// 0 to 1: the chance to be on time, and the chance to be whole in time.
 double expected_value(const outlook& at, const expectation& wanted);
 
+/// `expected_value` less the chance that the answer breaks before it is whole,
+/// and less that chance for the answers that it puts off. Long answers so go
+/// where they are written fast, and prompts where few answers are written.
+double net_value(const outlook& at, const expectation& wanted);
+
+/// The share of requests that leave a region where they are worth `home` for
+/// one where they are worth `away`. It grows with the gain instead of jumping:
+/// all gateways of a region act on the same news of the other one, which are
+/// some 300 ms old.
+double spill_share(double home, double away);
+
 }  // namespace trestlepost::routing
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -94,7 +94,7 @@
 }
 
 outlook engine_book::predict(const std::string& id, const engine_work& work,
-                             std::uint32_t tokens) const {
+                             std::uint32_t tokens, double running) const {
   const record* it = find(id);
   if (it == nullptr) return {};
   const latency_model& model = model_of(*it);
@@ -109,6 +109,8 @@
   out.wait = whole_ms(model.ms_per_unit() * ahead * it->slowness);
   out.first_token = whole_ms(first);
   out.finish = whole_ms(first + events * event_ms);
+  out.slows_others =
+      whole_ms(running * model.ms_per_unit() * own * it->slowness);
   return out;
 }
 
--- a/routing/src/engine_choice.cc
+++ b/routing/src/engine_choice.cc
@@ -3,10 +3,6 @@
 namespace trestlepost::routing {
 namespace {
 
-// Reading a whole prompt again costs so much of a request's value: the users
-// price it at about 0.4 of a long request's value, and it takes the engine's
-// time from those that wait.
-constexpr double read_again_cost = 0.45;
 // Copying a whole prompt's cache from another endpoint: the users price it at
 // about a fifth of reading.
 constexpr double copy_cost = 0.09;
@@ -20,7 +16,7 @@
           : static_cast<double>(wanted.remaining.count() + 1);
   const double wait =
       static_cast<double>(it.expected.first_token.count()) / objective;
-  return expected_value(it.expected, wanted) - read_again_cost * it.read_again -
+  return net_value(it.expected, wanted) - read_again_cost * it.read_again -
          copy_cost * it.copied - wait_cost * wait;
 }
 
--- a/routing/src/outlook.cc
+++ b/routing/src/outlook.cc
@@ -14,6 +14,18 @@
 // What a late answer is worth, as a share of one on time.
 constexpr double late_value = 0.3;
 
+// How many of a hundred answers break in each second of their writing, by
+// endpoints and nodes that fail: 1 to 3 on days with faults, restarts of all
+// nodes included. It also stands for answers that pass their deadline.
+constexpr double breaks_per_second = 0.02;
+
+// From this gain on, in shares of a request's value, all requests leave.
+constexpr double gain_for_all = 0.2;
+
+double seconds(std::chrono::milliseconds span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 /// 1 up to `good` shares of `limit`, 0 from `bad` shares on.
 double chance(std::chrono::milliseconds at, std::chrono::milliseconds limit,
               double good, double bad) {
@@ -50,4 +62,15 @@
   return (late_value + (1 - late_value) * on_time) * whole;
 }
 
+double net_value(const outlook& at, const expectation& wanted) {
+  const double whole =
+      std::max(0.0, 1 - breaks_per_second * seconds(at.finish));
+  return expected_value(at, wanted) * whole -
+         breaks_per_second * seconds(at.slows_others);
+}
+
+double spill_share(double home, double away) {
+  return std::clamp((away - home) / gain_for_all, 0.0, 1.0);
+}
+
 }  // namespace trestlepost::routing
--- a/routing/test/engine_book-test.cc
+++ b/routing/test/engine_book-test.cc
@@ -177,6 +177,15 @@
   EXPECT_LT(error, 0.2);
 }
 
+TEST(engine_book_test, reading_puts_off_each_answer_that_is_written) {
+  const engine_book book = make_book();
+  const engine_work one = work({}, 10'000);
+  const milliseconds ten = book.predict("a", one, 10'000, 10).slows_others;
+  EXPECT_GT(ten, milliseconds(500));
+  EXPECT_EQ(book.predict("a", one, 10'000, 20).slows_others, 2 * ten);
+  EXPECT_EQ(book.predict("a", one, 10'000, 0).slows_others, milliseconds(0));
+}
+
 TEST(engine_book_test, slower_events_put_off_the_finish) {
   engine_book book = make_book();
   engine_work one = work({}, 100);
--- a/routing/test/engine_choice-test.cc
+++ b/routing/test/engine_choice-test.cc
@@ -32,6 +32,12 @@
       1U);
 }
 
+TEST(engine_choice_test, a_prompt_goes_where_few_answers_are_written) {
+  engine_candidate crowded = make_candidate(100, 0);
+  crowded.expected.slows_others = milliseconds(4000);
+  EXPECT_EQ(choose_engine({crowded, make_candidate(150, 0)}, wanted), 1U);
+}
+
 TEST(engine_choice_test, without_an_objective_the_sooner_one_is_taken) {
   const expectation any{milliseconds(0), milliseconds(1000)};
   EXPECT_EQ(
--- a/routing/test/outlook-test.cc
+++ b/routing/test/outlook-test.cc
@@ -40,6 +40,27 @@
   RC_ASSERT(now >= 0 && now <= 1);
 }
 
+TEST(outlook_test, an_answer_that_is_sooner_whole_is_worth_more) {
+  const outlook slow{milliseconds(0), milliseconds(500), milliseconds(6000)};
+  const outlook fast{milliseconds(0), milliseconds(500), milliseconds(2000)};
+  EXPECT_DOUBLE_EQ(expected_value(slow, wanted), expected_value(fast, wanted));
+  EXPECT_NEAR(net_value(fast, wanted) - net_value(slow, wanted), 0.08, 1e-9);
+}
+
+TEST(outlook_test, what_puts_off_other_answers_is_worth_less) {
+  outlook alone{milliseconds(0), milliseconds(500), milliseconds(2000)};
+  outlook crowded = alone;
+  crowded.slows_others = milliseconds(5000);
+  EXPECT_NEAR(net_value(alone, wanted) - net_value(crowded, wanted), 0.1, 1e-9);
+}
+
+TEST(outlook_test, requests_leave_a_region_by_what_they_gain) {
+  EXPECT_DOUBLE_EQ(spill_share(0.8, 0.8), 0);
+  EXPECT_DOUBLE_EQ(spill_share(0.8, 0.7), 0);
+  EXPECT_NEAR(spill_share(0.8, 0.9), 0.5, 1e-9);
+  EXPECT_DOUBLE_EQ(spill_share(0.2, 0.9), 1);
+}
+
 TEST(outlook_test, a_free_slot_costs_no_wait) {
   EXPECT_EQ(slot_wait(0, 32, milliseconds(2000)).count(), 0);
   EXPECT_EQ(slot_wait(31, 32, milliseconds(2000)).count(), 0);
