Weigh regions by the whole course of an answer; spill by the gain

Change: regions are compared by `net_value` with the mean running requests and event intervals that their gateways tell; going away costs 0.03 and half of the shared part of the prompt read again.

--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "trestlepost/routing/engine_choice.h"
+
 namespace trestlepost::gateway {
 namespace {
 
@@ -9,9 +11,11 @@
 
 // Until a region's distance is measured.
 constexpr milliseconds unknown_round_trip{110};
-// What serving away costs, as a share of a request's value: bytes between
-// regions, and a prompt that is read again where it is not cached.
-constexpr double away_cost = 0.15;
+// What serving away costs, as a share of a request's value: a second gateway's
+// work, and bytes on the link that the regions share.
+constexpr double hop_cost = 0.03;
+// How often shared prompt parts that are cached here are not cached there.
+constexpr double cold_away = 0.5;
 // What a region reads, until its own gateways say how long reading takes.
 constexpr double unknown_tokens_per_ms = 80;
 
@@ -20,25 +24,44 @@
   milliseconds wait{0};
   milliseconds event_interval{0};
   std::uint32_t endpoints = 0;
+  /// Requests that run or wait at one endpoint, in the mean.
+  double running = 0;
 };
 
 std::optional<remote_load> load_in(const gateway_context& context,
                                    const std::string& region,
                                    const std::string& service) {
   std::optional<remote_load> best;
+  double in_flight = 0;
   for (const membership::node_record* it :
        context.nodes.live_in(region, context.clock.now())) {
     const auto load = it->last.services.find(service);
     const bool open = it->last.state == membership::node_states::ready &&
                       load != it->last.services.end() &&
                       load->second.endpoints > 0;
+    if (open) in_flight += load->second.in_flight;
     if (!open || (best && best->wait <= load->second.wait)) continue;
     best = remote_load{load->second.wait, load->second.event_interval,
                        load->second.endpoints};
   }
+  if (best) best->running = in_flight / best->endpoints;
   return best;
 }
 
+/// The share of the prompt that other requests share too.
+double shared_share(const routing::engine_work& work) {
+  if (work.sections.empty() || work.prompt_tokens == 0) return 0;
+  std::uint32_t shared = 0;
+  for (const routing::prompt_section& it : work.sections) shared += it.tokens;
+  // The last section is the request's own.
+  shared -= work.sections.back().tokens;
+  return std::min(1.0, static_cast<double>(shared) / work.prompt_tokens);
+}
+
+double away_cost(const routing::engine_work& work) {
+  return hop_cost + cold_away * routing::read_again_cost * shared_share(work);
+}
+
 routing::outlook outlook_away(const gateway_context& context,
                               const remote_load& load,
                               const std::string& region,
@@ -61,6 +84,8 @@
   out.finish = out.first_token +
                milliseconds(static_cast<std::int64_t>(
                    events * static_cast<double>(load.event_interval.count())));
+  out.slows_others =
+      milliseconds(static_cast<std::int64_t>(load.running * reading));
   return out;
 }
 
@@ -83,18 +108,21 @@
     return permits_region(*request.route, region) &&
            !exhausted.contains(region);
   };
-  std::optional<region_decision> best;
-  double best_value = 0;
+  std::optional<region_decision> home;
+  double home_value = 0;
   const std::string& here = context.self.region;
   if (is_candidate(here)) {
     const result<chosen_endpoint> chosen = own.choose(request);
     if (chosen) {
-      best = region_decision{here, *chosen};
-      best_value = routing::expected_value(chosen->expected, wanted);
+      home = region_decision{here, *chosen};
+      home_value = routing::net_value(chosen->expected, wanted);
     }
   }
-  if (!context.state.may_cross(now)) return best;
+  if (!context.state.may_cross(now)) return home;
+  std::optional<region_decision> away;
+  double away_value = 0;
   const unsigned per_event = tokens_per_event(request);
+  const double cost = away_cost(request.work);
   for (const std::string& region : context.nodes.regions()) {
     if (region == here || !is_candidate(region)) continue;
     const std::optional<remote_load> load =
@@ -103,12 +131,17 @@
     const routing::outlook expected =
         outlook_away(context, *load, region, remote.unanswered_tokens(region),
                      request.work, per_event);
-    const double value = routing::expected_value(expected, wanted) - away_cost;
-    if (best && value <= best_value) continue;
-    best = region_decision{region, std::nullopt};
-    best_value = value;
+    const double value = routing::net_value(expected, wanted) - cost;
+    if (away && value <= away_value) continue;
+    away = region_decision{region, std::nullopt};
+    away_value = value;
   }
-  return best;
+  if (!home || !away) return home ? home : away;
+  const double share = routing::spill_share(home_value, away_value);
+  constexpr std::uint64_t parts = 1'000'000;
+  const bool spills = static_cast<double>(context.random.below(parts)) <
+                      share * static_cast<double>(parts);
+  return spills ? away : home;
 }
 
 }  // namespace trestlepost::gateway
