Directory: name entries of the regions that can run the host's requests

Change: where the caller's region can't run the host's requests, entries of those that can are named; a directory node that hears no other region names them as they were last heard.

--- a/membership/include/trestlepost/membership/directory.h
+++ b/membership/include/trestlepost/membership/directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +28,15 @@
   std::string host{};
 };
 
-/// Where the requests for one host may run, as far as its routes bind them.
-struct home_binding {
-  std::vector<std::string> regions;  // that some route is bound to
-  bool every_route = false;          // no route may be served elsewhere
+/// Where the requests for one host may run.
+struct host_regions {
+  std::vector<std::string> homes;  // that some route is bound to
+  bool every_route = false;        // no route may be served elsewhere
+  /// Regions in which nothing is served now: they are evacuated.
+  std::set<std::string> closed{};
+
+  /// Whether some request for the host can run in `region`.
+  bool may_run_in(const std::string& region) const;
 };
 
 /// Who answers a look-up, and how soon it takes an entry for lost.
@@ -45,15 +51,21 @@
   std::chrono::milliseconds silent_after{600};
 };
 
-/// The entries for a caller who may use any of its region. While none of them
-/// is heard, entries of other regions stand in, those of the homes first;
-/// beside them those that only a cut may hide: a caller drops one that does
-/// not answer after its first try. Entries outside the homes never stand in
-/// where every route is bound, nor where the caller's region only restarts.
-/// Of a region of which nothing is known nothing is told: it may be well.
+/// The entries for a caller who may use any of its region.
+///
+/// Where that region can't run the host's requests, those of the regions that
+/// can: the way through an entry of its own region costs a round trip between
+/// regions and breaks when these are cut from each other.
+///
+/// While no entry of its region is heard, entries of other regions stand in,
+/// those of the homes first; beside them those that only a cut may hide: a
+/// caller drops one that does not answer after its first try. Entries outside
+/// the homes never stand in where every route is bound, nor where the caller's
+/// region only restarts. Of a region of which nothing is known nothing is
+/// told: it may be well.
 std::vector<entry_view> entries_near(const node_table& table,
                                      const entry_query& query,
-                                     const home_binding& homes,
+                                     const host_regions& host,
                                      const directory_options& options,
                                      monotonic_time now);
 
--- a/membership/src/directory.cc
+++ b/membership/src/directory.cc
@@ -109,31 +109,88 @@
   return out;
 }
 
-/// Entries of other regions, of the homes where there are any.
+bool contains(const std::vector<std::string>& all, const std::string& it) {
+  return std::find(all.begin(), all.end(), it) != all.end();
+}
+
+/// Leaves the entries of regions that can run the host's requests.
+void keep_useful(entry_list& entries, const host_regions& host,
+                 const std::string& near_region) {
+  std::erase_if(entries, [&](const entry_view& it) {
+    return it.region == near_region || !host.may_run_in(it.region);
+  });
+}
+
+/// Live entries of other regions, of the homes where there are any; `beyond`:
+/// else of any region.
 entry_list stand_ins(const node_table& table, const entry_query& query,
-                     const home_binding& homes, bool lost, monotonic_time now) {
+                     const host_regions& host, bool beyond,
+                     monotonic_time now) {
   entry_query elsewhere = query;
-  elsewhere.allowed_regions = homes.regions;
+  elsewhere.allowed_regions = host.homes;
   entry_list out = rank_entries(table, elsewhere, now);
-  const bool beyond = !homes.every_route && (lost || homes.regions.empty());
+  keep_useful(out, host, query.near_region);
   if (!out.empty() || !beyond) return out;
   elsewhere.allowed_regions.clear();
-  return rank_entries(table, elsewhere, now);
+  out = rank_entries(table, elsewhere, now);
+  keep_useful(out, host, query.near_region);
+  return out;
+}
+
+/// Whether no entry of another region is heard: this node's region is cut off.
+bool hears_no_other_region(const node_table& table,
+                           const directory_options& options,
+                           monotonic_time now) {
+  const std::vector<const node_record*> all = table.all();
+  return std::none_of(all.begin(), all.end(), [&](const node_record* it) {
+    return it->last.node.region != options.own_region &&
+           table.state_of(*it, now) == peer_state::live;
+  });
+}
+
+/// Entries of other regions as they were when they were last heard.
+entry_list last_heard_elsewhere(const node_table& table,
+                                const entry_query& query,
+                                const host_regions& host) {
+  entry_list out;
+  for (const node_record* it : table.all()) {
+    if (takes_callers(it->last)) out.push_back(view_of(it->last));
+  }
+  keep_useful(out, host, query.near_region);
+  return out;
+}
+
+/// Entries for a caller whose own region can't run the host's requests.
+entry_list useful_elsewhere(const node_table& table, const entry_query& query,
+                            const host_regions& host,
+                            const directory_options& options,
+                            monotonic_time now) {
+  entry_list out = stand_ins(table, query, host, host.homes.empty(), now);
+  const bool cut_off =
+      out.empty() && hears_no_other_region(table, options, now);
+  // Callers reach regions that this node does not.
+  return cut_off ? last_heard_elsewhere(table, query, host) : out;
 }
 
 }  // namespace
 
+bool host_regions::may_run_in(const std::string& region) const {
+  return !closed.contains(region) && (!every_route || contains(homes, region));
+}
+
 std::vector<entry_view> entries_near(const node_table& table,
                                      const entry_query& query,
-                                     const home_binding& homes,
+                                     const host_regions& host,
                                      const directory_options& options,
                                      monotonic_time now) {
+  if (!host.may_run_in(query.near_region)) {
+    entry_list out = useful_elsewhere(table, query, host, options, now);
+    if (!out.empty()) return out;
+  }
   near_entries near = find_near(table, query, options, now);
   if (!near.heard.empty() || !near.known) return std::move(near.heard);
-  entry_list out = stand_ins(table, query, homes, near.lost, now);
-  std::erase_if(out, [&query](const entry_view& it) {
-    return it.region == query.near_region;
-  });
+  const bool beyond = !host.every_route && (near.lost || host.homes.empty());
+  entry_list out = stand_ins(table, query, host, beyond, now);
   // This node would hear them if it reached them; a node elsewhere may only
   // be cut off from a region that is well.
   const bool surely_gone =
--- a/membership/test/directory-test.cc
+++ b/membership/test/directory-test.cc
@@ -24,13 +24,13 @@
 /// What a directory node of `asked` tells callers of the region north.
 std::vector<std::string> told(const node_table& table, monotonic_time now,
                               const std::string& asked = "north",
-                              const home_binding& homes = {}) {
+                              const host_regions& host = {}) {
   entry_query query;
   query.near_region = "north";
   directory_options options;
   options.own_region = asked;
   std::vector<std::string> out;
-  for (const entry_view& it : entries_near(table, query, homes, options, now)) {
+  for (const entry_view& it : entries_near(table, query, host, options, now)) {
     out.push_back(it.node);
   }
   return out;
@@ -113,12 +113,45 @@
   EXPECT_TRUE(told(table, later, "north", {{"north", "west"}, true}).empty());
 }
 
+TEST(directory_test, callers_go_straight_to_where_a_bound_host_is_served) {
+  node_table table;
+  table.observe(beat("n1", "north", 1), start);
+  table.observe(beat("s1", "south", 1), start);
+  table.observe(beat("w1", "west", 1), start);
+  EXPECT_EQ(told(table, start, "north", {{"west"}, true}), names({"w1"}));
+  // Some routes of the host may be served near the caller.
+  EXPECT_EQ(told(table, start, "north", {{"west"}, false}), names({"n1"}));
+}
+
+TEST(directory_test, callers_of_an_evacuated_region_go_elsewhere) {
+  node_table table;
+  table.observe(beat("n1", "north", 1), start);
+  table.observe(beat("s1", "south", 1), start);
+  host_regions host;
+  host.closed = {"north"};
+  EXPECT_EQ(told(table, start, "north", host), names({"s1"}));
+  host.closed = {"north", "south"};
+  EXPECT_EQ(told(table, start, "north", host), names({"n1"}));
+}
+
+TEST(directory_test, a_region_cut_off_still_names_who_may_serve_elsewhere) {
+  node_table table;
+  table.observe(beat("s1", "south", 1), start);
+  const monotonic_time later = start + milliseconds(8000);
+  table.observe(beat("n1", "north", 1), later);
+  const host_regions bound{{"south"}, true};
+  EXPECT_EQ(told(table, later, "north", bound), names({"s1"}));
+  // Who hears other regions knows that this one is gone.
+  table.observe(beat("w1", "west", 1), later);
+  EXPECT_EQ(told(table, later, "north", bound), names({"n1"}));
+}
+
 TEST(directory_test, callers_of_a_restarting_region_stay_within_the_homes) {
   node_table table;
   table.observe(beat("n1", "north", 1, "draining"), start);
   table.observe(beat("w1", "west", 1, "draining"), start);
   table.observe(beat("s1", "south", 1), start);
-  const home_binding homes{{"north", "west"}, false};
+  const host_regions homes{{"north", "west"}, false};
   EXPECT_TRUE(told(table, start, "north", homes).empty());
   EXPECT_EQ(told(table, start), names({"s1"}));
 }
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -15,21 +15,35 @@
   return surface.refuse({error_kind::not_found, "there is no such call", ""});
 }
 
-/// Where the routes of `host` are bound to.
-membership::home_binding homes_of(const config::plan_ptr& plan,
-                                  const std::string& host) {
-  membership::home_binding out;
+/// The regions all of whose availability zones are evacuated.
+std::set<std::string> closed_regions(const node_context& context) {
+  std::set<std::string> out;
+  std::set<std::string> open;
+  const auto& evacuated = context.store.evacuated_zones();
+  for (const auto& [zone, region] : context.options.zone_regions) {
+    (evacuated.contains(zone) ? out : open).insert(region);
+  }
+  for (const std::string& it : open) out.erase(it);
+  return out;
+}
+
+/// Where requests for `host` may run.
+membership::host_regions regions_of(const node_context& context,
+                                    const std::string& host) {
+  membership::host_regions out;
+  const config::plan_ptr& plan = context.store.plan();
   if (!plan) return out;
-  std::set<std::string> regions;
+  out.closed = closed_regions(context);
+  std::set<std::string> homes;
   bool any = false;
   bool free = false;
   for (const config::route& it : plan->routes) {
     if (it.host != host) continue;
     any = true;
     free = free || it.home_regions.empty();
-    regions.insert(it.home_regions.begin(), it.home_regions.end());
+    homes.insert(it.home_regions.begin(), it.home_regions.end());
   }
-  out.regions.assign(regions.begin(), regions.end());
+  out.homes.assign(homes.begin(), homes.end());
   out.every_route = any && !free;
   return out;
 }
@@ -52,8 +66,8 @@
         beats_until_silent * heartbeat_interval(context_)};
     const std::vector<membership::entry_view> entries =
         membership::entries_near(context_.nodes, *query,
-                                 homes_of(context_.store.plan(), query->host),
-                                 options, context_.clock.now());
+                                 regions_of(context_, query->host), options,
+                                 context_.clock.now());
     if (entries.empty()) {
       out = surface_->refuse(
           {error_kind::unavailable, "no entry is known to be ready", ""});
