Refuse what puts off other answers by more than it is worth

Change: where `net_value` is negative the request is refused at once and may come back after a quarter of the mean time for which requests run, when markedly fewer do.

--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -44,8 +44,9 @@
   /// was tried before.
   tl::expected<chosen_endpoint, attempt> choose(
       const routed_request& request) const;
-  /// `chosen`, unless the request would wait too long there.
-  tl::expected<chosen_endpoint, attempt> in_time(
+  /// `chosen`, unless the request would wait too long there, or puts off the
+  /// answers written there by more than it is worth.
+  tl::expected<chosen_endpoint, attempt> worth_running(
       const routed_request& request, const chosen_endpoint& chosen) const;
   /// Whether another endpoint may be tried; takes a retry when one is needed.
   bool may_retry(const routed_request& request, const attempt& last,
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -18,6 +18,10 @@
 // sooner than this.
 constexpr milliseconds least_retry_after{100};
 
+// Where too many answers are written for another prompt, this part of the mean
+// time of a request has to pass until markedly fewer are.
+constexpr int parts_until_fewer_run = 4;
+
 // Callers give a stream up when nothing comes for the longest of these: this
 // long, so many latency objectives, or so many of the route's longest pauses.
 // What is predicted to come later is not worth an engine's time.
@@ -31,9 +35,9 @@
                    stream_patience_pauses * route.longest_pause});
 }
 
-/// Whether a request that meets `expected` is not worth an endpoint's time.
-/// What it meets before its own prompt counts, so that long prompts are
-/// refused no sooner than short ones.
+/// Whether a request that meets `expected` would come too late. What it meets
+/// before its own prompt counts, so that long prompts are refused no sooner
+/// than short ones.
 bool too_late(const routed_request& request, const routing::outlook& expected,
               monotonic_time now) {
   if (now + expected.wait >= request.deadline) return true;
@@ -56,6 +60,18 @@
       std::max(least_retry_after, wait / 2));
 }
 
+/// `hold`: mean time for which a request of the service runs.
+attempt puts_off_too_much(const chosen_endpoint& chosen, milliseconds hold) {
+  const milliseconds by = chosen.expected.slows_others;
+  return failed_attempt(
+      run_state::no,
+      {error_kind::overloaded,
+       "reading its prompt would put off other answers by " +
+           std::to_string(by.count()) + " ms",
+       "send it again after Retry-After"},
+      std::max(least_retry_after, hold / parts_until_fewer_run));
+}
+
 /// Whether the caller would give its stream up before the endpoint begins.
 bool rest_too_late(const routed_request& request,
                    const routing::outlook& expected, monotonic_time now) {
@@ -120,14 +136,20 @@
     const routed_request& request) const {
   const result<chosen_endpoint> chosen = pool_.choose(request);
   if (!chosen) return tl::make_unexpected(none_open(chosen.error()));
-  return in_time(request, *chosen);
+  return worth_running(request, *chosen);
 }
 
-tl::expected<chosen_endpoint, attempt> route_service::in_time(
+tl::expected<chosen_endpoint, attempt> route_service::worth_running(
     const routed_request& request, const chosen_endpoint& chosen) const {
-  if (too_late(request, chosen.expected, context_.clock.now())) {
+  const monotonic_time now = context_.clock.now();
+  if (too_late(request, chosen.expected, now)) {
     return tl::make_unexpected(wait_too_long(chosen));
   }
+  const routing::expectation wanted = expectation_of(request, now);
+  if (routing::net_value(chosen.expected, wanted) < 0) {
+    return tl::make_unexpected(
+        puts_off_too_much(chosen, pool_.engines().mean_hold(request.service)));
+  }
   return chosen;
 }
 
@@ -149,7 +171,7 @@
   unsigned unsent = 0;
   while (true) {
     tl::expected<chosen_endpoint, attempt> chosen =
-        first && !last ? in_time(request, *first) : choose(request);
+        first && !last ? worth_running(request, *first) : choose(request);
     if (!chosen) {
       if (!last) last = std::move(chosen.error());
       break;
