Requests wait while a gateway that has just started still learns

Most callers come back once.

Change: in the first two seconds of a process, until half a second after the first confirmation, a request that can't be placed yet waits for up to one second; then it is refused as before. What can't come is not waited for: a node that was confirmed once refuses at once.

--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -27,12 +27,18 @@
   void stop_taking() { taking_ = false; }
 
  private:
-  result<routed_request> route(surface::call_head head, std::string body) const;
+  result<routed_request> route(surface::call_head head, std::string body,
+                               monotonic_time arrived) const;
+  /// Waits a moment for what a node that has just started still lacks; false
+  /// at once when nothing is to be waited for any more.
+  transport::awaitable<bool> wait_to_learn(monotonic_time arrived,
+                                           transport::http_exchange& exchange);
   transport::awaitable<attempt> run(routed_request& request,
                                     transport::http_exchange& exchange);
   /// Whether another region may be tried after `last`.
   bool may_go_elsewhere(const routed_request& request, const attempt& last);
   transport::awaitable<void> answer(surface::call_head head, std::string body,
+                                    monotonic_time arrived,
                                     transport::http_exchange& exchange);
   transport::awaitable<void> refuse(const attempt& outcome,
                                     const std::string& request_id,
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -1,6 +1,9 @@
 #include "trestlepost/gateway/route_handler.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "trestlepost/base/log.h"
@@ -17,13 +20,34 @@
 // Attempts in other regions, each on another gateway, of one request.
 constexpr std::size_t most_regions = 3;
 
+// A request that comes while the node still learns its plan, its endpoints or
+// that the plan is current waits for so long: told to come back it would be
+// late for certain, and most callers come back once.
+constexpr milliseconds longest_wait_to_learn{1000};
+constexpr milliseconds learning_check_interval{20};
+
 error unavailable(const std::string& what) {
   return {error_kind::unavailable, what, "send it again after Retry-After"};
 }
 
 }  // namespace
 
+awaitable<bool> route_handler::wait_to_learn(monotonic_time arrived,
+                                             http_exchange& exchange) {
+  const monotonic_time now = context_.clock.now();
+  const bool waits = context_.state.is_learning(now) && taking_ &&
+                     now < arrived + longest_wait_to_learn && !exchange.gone();
+  if (!waits) co_return false;
+  boost::asio::steady_timer timer(context_.io);
+  timer.expires_after(learning_check_interval);
+  boost::system::error_code ec;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  co_return !exchange.gone();
+}
+
 awaitable<void> route_handler::handle(http_exchange& exchange) {
+  const monotonic_time arrived = context_.clock.now();
   result<surface::call_head> head = surfaces_.callers->read_head(exchange);
   // Read in any case: a connection that closes with unread bytes is reset,
   // which may cost the caller the answer.
@@ -35,11 +59,12 @@
     co_await refuse(refused, id, exchange);
     co_return;
   }
-  co_await answer(std::move(*head), std::move(*body), exchange);
+  co_await answer(std::move(*head), std::move(*body), arrived, exchange);
 }
 
 result<routed_request> route_handler::route(surface::call_head head,
-                                            std::string body) const {
+                                            std::string body,
+                                            monotonic_time arrived) const {
   const config::plan_ptr& plan = routes_.plan();
   if (!plan) {
     return tl::make_unexpected(unavailable("this node has no plan yet"));
@@ -60,7 +85,7 @@
   out.plan = plan;
   out.route = found;
   out.service = routing::choose_service(*found, context_.random);
-  out.arrived = context_.clock.now();
+  out.arrived = arrived;
   const milliseconds patience =
       std::min(head.patience.value_or(found->timeout), found->timeout);
   out.deadline = out.arrived + patience;
@@ -70,9 +95,15 @@
 }
 
 awaitable<void> route_handler::answer(surface::call_head head, std::string body,
+                                      monotonic_time arrived,
                                       http_exchange& exchange) {
   const std::string id = head.request_id;
-  result<routed_request> request = route(std::move(head), std::move(body));
+  while (!routes_.plan()) {
+    const bool again = co_await wait_to_learn(arrived, exchange);
+    if (!again) break;
+  }
+  result<routed_request> request =
+      route(std::move(head), std::move(body), arrived);
   if (!request) {
     const milliseconds come_back =
         routes_.plan() ? after_wrong_node : after_no_plan;
@@ -116,7 +147,13 @@
   while (exhausted.size() < most_regions) {
     const std::optional<region_decision> chosen =
         choose_region(context_, own_.pool(), remote_, request, exhausted);
-    if (!chosen) break;
+    if (!chosen) {
+      const bool untried = exhausted.empty() && request.sends == 0;
+      bool again = false;
+      if (untried) again = co_await wait_to_learn(request.arrived, exchange);
+      if (again) continue;
+      break;
+    }
     const std::string& region = chosen->region;
     if (region == context_.self.region) {
       last = co_await own_.serve(request, chosen->endpoint, exchange);
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "trestlepost/base/clock.h"
@@ -26,6 +27,11 @@
   /// Time to wait for a first confirmation before serving from the stored
   /// copy, isolated.
   std::chrono::milliseconds startup_wait{5000};
+  /// For so long after its start a node is taken to be learning. After kills
+  /// of all nodes a leader confirmed gateways 1.0 to 1.6 s after their start.
+  std::chrono::milliseconds learning_time{2000};
+  /// After its first confirmation it hears of other regions within this time.
+  std::chrono::milliseconds settling_time{500};
 };
 
 class node_state {
@@ -46,6 +52,9 @@
   /// Whether requests may cross to or from other regions.
   bool crosses_regions() const { return is(node_states::ready); }
   bool confirmed_at(monotonic_time now) const;
+  /// Whether this node started not long ago and no leader has confirmed its
+  /// configuration yet, or only just: what it lacks may come any moment.
+  bool is_learning(monotonic_time now) const;
   /// As `crosses_regions`, but a node that stops still ends what it has taken.
   bool may_cross(monotonic_time now) const {
     return crosses_regions() ||
@@ -60,7 +69,7 @@
   std::string state_;
   monotonic_time started_at_;
   monotonic_time confirmed_until_;
-  bool ever_confirmed_ = false;
+  std::optional<monotonic_time> first_confirmed_at_;
 };
 
 }  // namespace trestlepost::membership
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -34,12 +34,18 @@
 void node_state::confirm(monotonic_time asked_at, monotonic_time now) {
   confirmed_until_ =
       std::max(confirmed_until_, asked_at + options_.config_lease);
-  ever_confirmed_ = true;
+  if (!first_confirmed_at_) first_confirmed_at_ = now;
   if (confirmed_at(now)) handle("confirmed", true);
 }
 
 bool node_state::confirmed_at(monotonic_time now) const {
-  return ever_confirmed_ && now < confirmed_until_;
+  return first_confirmed_at_ && now < confirmed_until_;
+}
+
+bool node_state::is_learning(monotonic_time now) const {
+  if (now >= started_at_ + options_.learning_time) return false;
+  return !first_confirmed_at_ ||
+         now < *first_confirmed_at_ + options_.settling_time;
 }
 
 void node_state::order_stop() {
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -150,5 +150,18 @@
   EXPECT_TRUE(it.is(node_states::isolated));
 }
 
+TEST(node_state_test, a_node_learns_until_a_leader_confirmed_it_or_too_long) {
+  const monotonic_time start;
+  node_state it = make_state(start);
+  EXPECT_TRUE(it.is_learning(start + milliseconds(1900)));
+  EXPECT_FALSE(it.is_learning(start + milliseconds(2000)));
+  it.confirm(start, start + milliseconds(100));
+  EXPECT_TRUE(it.is_learning(start + milliseconds(200)));
+  EXPECT_FALSE(it.is_learning(start + milliseconds(600)));
+  // Cut off later, it has learned nothing new to wait for.
+  it.tick(start + milliseconds(9000), true);
+  EXPECT_FALSE(it.is_learning(start + milliseconds(9000)));
+}
+
 }  // namespace
 }  // namespace trestlepost::membership
