--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -47,6 +47,7 @@
   void note_sent(const std::string& endpoint);
 
   routing::engine_book& engines() { return engines_; }
+  const routing::engine_book& engines() const { return engines_; }
   const std::vector<surface::listed_endpoint>& listed() const {
     return listed_;
   }
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -16,8 +16,6 @@
 constexpr double hop_cost = 0.03;
 // How often shared prompt parts that are cached here are not cached there.
 constexpr double cold_away = 0.5;
-// What a region reads, until its own gateways say how long reading takes.
-constexpr double unknown_tokens_per_ms = 80;
 
 /// What the gateways of another region say of a service there.
 struct remote_load {
@@ -62,40 +60,41 @@
   return hop_cost + cold_away * routing::read_again_cost * shared_share(work);
 }
 
+unsigned tokens_per_event(const routed_request& request) {
+  const config::planned_service* service =
+      request.plan->find_service(request.service);
+  const bool engine = service != nullptr && service->engine.has_value();
+  return engine ? std::max(1U, service->engine->tokens_per_event) : 1;
+}
+
+/// The course of `request` in `region`, as far as it can be told from here:
+/// engines there are taken to read as fast as those of the own region.
 routing::outlook outlook_away(const gateway_context& context,
                               const remote_load& load,
                               const std::string& region,
                               std::uint32_t sent_tokens,
-                              const routing::engine_work& work,
-                              unsigned tokens_per_event) {
+                              const routed_request& request,
+                              const routing::engine_book& engines) {
   const auto measured = context.round_trips.find(region);
   const milliseconds distance = measured == context.round_trips.end()
                                     ? unknown_round_trip
                                     : measured->second;
-  // What this gateway sent there since is not in the numbers yet.
-  const double unseen = sent_tokens / (unknown_tokens_per_ms * load.endpoints);
-  const double reading = work.prompt_tokens / unknown_tokens_per_ms;
-  const double events =
-      static_cast<double>(work.output_tokens) / std::max(1U, tokens_per_event);
+  const routing::engine_work& work = request.work;
+  const milliseconds reading =
+      engines.reading_time(request.service, work.prompt_tokens);
+  const unsigned events = work.output_tokens / tokens_per_event(request);
   routing::outlook out;
+  // What this gateway sent there since is not in the numbers yet.
   out.wait =
-      load.wait + distance + milliseconds(static_cast<std::int64_t>(unseen));
-  out.first_token = out.wait + milliseconds(static_cast<std::int64_t>(reading));
-  out.finish = out.first_token +
-               milliseconds(static_cast<std::int64_t>(
-                   events * static_cast<double>(load.event_interval.count())));
-  out.slows_others =
-      milliseconds(static_cast<std::int64_t>(load.running * reading));
+      load.wait + distance +
+      engines.reading_time(request.service, sent_tokens) / load.endpoints;
+  out.first_token = out.wait + reading;
+  out.finish = out.first_token + events * load.event_interval;
+  out.slows_others = milliseconds(static_cast<std::int64_t>(
+      load.running * static_cast<double>(reading.count())));
   return out;
 }
 
-unsigned tokens_per_event(const routed_request& request) {
-  const config::planned_service* service =
-      request.plan->find_service(request.service);
-  const bool engine = service != nullptr && service->engine.has_value();
-  return engine ? service->engine->tokens_per_event : 1;
-}
-
 }  // namespace
 
 std::optional<region_decision> choose_region(
@@ -121,7 +120,6 @@
   if (!context.state.may_cross(now)) return home;
   std::optional<region_decision> away;
   double away_value = 0;
-  const unsigned per_event = tokens_per_event(request);
   const double cost = away_cost(request.work);
   for (const std::string& region : context.nodes.regions()) {
     if (region == here || !is_candidate(region)) continue;
@@ -130,7 +128,7 @@
     if (!load) continue;
     const routing::outlook expected =
         outlook_away(context, *load, region, remote.unanswered_tokens(region),
-                     request.work, per_event);
+                     request, own.engines());
     const double value = routing::net_value(expected, wanted) - cost;
     if (away && value <= away_value) continue;
     away = region_decision{region, std::nullopt};
--- a/routing/include/trestlepost/routing/engine_book.h
+++ b/routing/include/trestlepost/routing/engine_book.h
@@ -78,6 +78,10 @@
   /// It ended, whole or not.
   void end(ticket request, monotonic_time now);
 
+  /// How long an engine of `service` reads `tokens`, as learned here.
+  std::chrono::milliseconds reading_time(const std::string& service,
+                                         std::uint32_t tokens) const;
+
   /// Mean time for which a request of `service` holds a slot.
   std::chrono::milliseconds mean_hold(const std::string& service) const;
 
--- a/routing/src/engine_book.cc
+++ b/routing/src/engine_book.cc
@@ -191,6 +191,15 @@
   mix_in(mean, passed);
 }
 
+milliseconds engine_book::reading_time(const std::string& service,
+                                       std::uint32_t tokens) const {
+  const auto it = services_.find(service);
+  const latency_model unknown;
+  const latency_model& model =
+      it == services_.end() ? unknown : it->second.latency;
+  return whole_ms(model.ms_per_unit() * tokens);
+}
+
 milliseconds engine_book::mean_hold(const std::string& service) const {
   const auto it = services_.find(service);
   const bool observed = it != services_.end() && it->second.hold_ms > 0;
--- a/routing/test/engine_book-test.cc
+++ b/routing/test/engine_book-test.cc
@@ -186,6 +186,20 @@
   EXPECT_EQ(book.predict("a", one, 10'000, 0).slows_others, milliseconds(0));
 }
 
+TEST(engine_book_test, how_fast_prompts_are_read_is_learned) {
+  engine_book book = make_book();
+  const milliseconds before = book.reading_time("s", 10'000);
+  monotonic_time now = start;
+  for (int i = 1; i <= 300; ++i) {
+    const std::uint32_t tokens = static_cast<std::uint32_t>(i % 10 + 1) * 1000;
+    const engine_book::ticket it = begin(book, "a", work({}, tokens), now);
+    now += milliseconds(40 + tokens / 25);
+    book.event(it, now);
+    book.end(it, now);
+  }
+  EXPECT_GT(book.reading_time("s", 10'000), 2 * before);
+}
+
 TEST(engine_book_test, slower_events_put_off_the_finish) {
   engine_book book = make_book();
   engine_work one = work({}, 100);
