A newcomer votes only once the incarnation it succeeds has left

The ledger's log shows four voters, two of them incarnations of isola-2. A leader that has never heard the lost incarnation gives it time before it removes it, but let the new one, which answered at once, vote meanwhile; when that VM was killed again two of four were left, for good.

Ruled out: that the test must wait for the new vote ("ready" comes before it): the group has its majority whenever the old incarnation leaves first.

Change: no learner is made a voter while another incarnation of its node is one. `a_newcomer_votes_only_once_the_one_it_succeeds_has_left` failed before.

--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -120,6 +120,7 @@
                  std::chrono::milliseconds longest) const;
   bool take_address(const replica_id& joiner, const std::string& address);
   bool must_leave(monotonic_time now, const member& it) const;
+  bool has_voter_of(const std::string& node) const;
   bool ready_to_vote(monotonic_time now, const member& learner) const;
 
   replica_id self_;
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -193,8 +193,18 @@
   tick(now);
 }
 
+bool group_host::has_voter_of(const std::string& node) const {
+  const member_list& members = replica_->members();
+  return std::any_of(members.begin(), members.end(), [&node](const member& it) {
+    return it.voter && it.id.node == node;
+  });
+}
+
 bool group_host::ready_to_vote(monotonic_time now,
                                const member& learner) const {
+  // Beside the lost incarnation that it succeeds it would add a vote without
+  // adding one that can be given: four voters of which two are one VM.
+  if (has_voter_of(learner.id.node)) return false;
   const std::optional<monotonic_time> heard = replica_->last_heard(learner.id);
   return heard && *heard + options_.member_silence > now &&
          replica_->caught_up(learner.id);
--- a/consensus/test/group_host-test.cc
+++ b/consensus/test/group_host-test.cc
@@ -91,6 +91,18 @@
 
   std::size_t members() { return leading()->core().members().size(); }
 
+  /// Whether two incarnations of one node vote: the lost one counts for the
+  /// majority, so that the loss of the other leaves none.
+  bool has_two_votes_of_a_node() {
+    const group_host* leader = leading();
+    if (leader == nullptr) return false;
+    std::map<std::string, int> votes;
+    for (const member& it : leader->core().members()) {
+      if (it.voter && ++votes[it.id.node] > 1) return true;
+    }
+    return false;
+  }
+
   bool has_three_voters() {
     const group_host* leader = leading();
     if (leader == nullptr) return false;
@@ -164,6 +176,19 @@
   EXPECT_TRUE(it.run([&] { return it.has_three_voters(); }));
 }
 
+TEST(group_host_test, a_newcomer_votes_only_once_the_one_it_succeeds_has_left) {
+  // The leader itself is lost, so that the next one never heard it.
+  group it("b");
+  it.lose_disk("b");
+  it.start("b");
+  bool two_votes = false;
+  EXPECT_TRUE(it.run([&] {
+    two_votes = two_votes || it.has_two_votes_of_a_node();
+    return it.has_three_voters();
+  }));
+  EXPECT_FALSE(two_votes);
+}
+
 /// Whether a node far away is taken in again: it answers only after the near
 /// voter has committed its admission.
 bool replaces_far_disk(bool open) {
