--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "trestlepost/gateway/endpoint_runner.h"
-#include "trestlepost/routing/retry_window.h"
+#include "trestlepost/routing/retry_budget.h"
 
 namespace trestlepost::gateway {
 
@@ -37,7 +37,7 @@
   void tick();
 
  private:
-  routing::retry_window& retries_of(const std::string& service);
+  routing::retry_budget& retries_of(const std::string& service);
   /// Those of all regions, also those that are not heard.
   std::size_t known_gateways() const;
   /// The endpoint that is to be tried next, or how the request ends if none
@@ -70,7 +70,7 @@
   endpoint_pool& pool_;
   endpoint_runner runner_;
   const routing::shared_retry_limits& retry_limits_;
-  std::map<std::string, routing::retry_window> retries_;  // by service
+  std::map<std::string, routing::retry_budget> retries_;  // by service
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -109,17 +109,17 @@
       }));
 }
 
-routing::retry_window& route_service::retries_of(const std::string& service) {
+routing::retry_budget& route_service::retries_of(const std::string& service) {
   const auto known = retries_.find(service);
   if (known != retries_.end()) return known->second;
-  const routing::retry_window fresh(
-      routing::window_share_of(retry_limits_, known_gateways()));
+  const routing::retry_budget fresh(
+      routing::share_of(retry_limits_, known_gateways()));
   return retries_.emplace(service, fresh).first->second;
 }
 
 void route_service::tick() {
-  const routing::retry_window_options share =
-      routing::window_share_of(retry_limits_, known_gateways());
+  const routing::retry_budget_options share =
+      routing::share_of(retry_limits_, known_gateways());
   for (auto& [service, it] : retries_) it.set_options(share);
 }
 
@@ -135,7 +135,7 @@
 }
 
 bool route_service::take_retry(const std::string& service) {
-  return retries_of(service).take(context_.clock.now());
+  return retries_of(service).take();
 }
 
 tl::expected<chosen_endpoint, attempt> route_service::choose(
@@ -171,10 +171,7 @@
 awaitable<attempt> route_service::serve(
     routed_request& request, const std::optional<chosen_endpoint>& first,
     transport::http_exchange& exchange) {
-  // One that comes after a try elsewhere was counted there.
-  if (request.sends == 0) {
-    retries_of(request.service).request_seen(context_.clock.now());
-  }
+  retries_of(request.service).request_seen();
   std::optional<attempt> last;
   bool may_have_run = false;
   unsigned unsent = 0;
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -103,7 +103,6 @@
     out_.retries.ratio = reader.real_or("ratio", out_.retries.ratio, 0, 1);
     out_.retries.slack =
         reader.real_or("slack", out_.retries.slack, 0, most_slack);
-    out_.retries.window = reader.duration_or("window", out_.retries.window);
     reader.finish();
   }
 
--- a/routing/test/choice-test.cc
+++ b/routing/test/choice-test.cc
@@ -156,6 +156,30 @@
   }
 }
 
+TEST(retry_budget_test, gateways_together_keep_within_shared_limits) {
+  const shared_retry_limits limits{0.2, 54};
+  for (const std::size_t gateways : {1U, 7U, 61U, 300U}) {
+    constexpr int requests = 50;  // of each gateway, in one window
+    int retries = 0;
+    for (std::size_t i = 0; i < gateways; ++i) {
+      retry_budget budget(share_of(limits, gateways));
+      for (int n = 0; n < requests; ++n) {
+        budget.request_seen();
+        while (budget.take()) ++retries;
+      }
+    }
+    EXPECT_LE(retries, limits.ratio * requests * gateways + limits.slack)
+        << gateways;
+  }
+}
+
+TEST(retry_budget_test, a_smaller_share_takes_what_was_saved_above_it) {
+  retry_budget budget(share_of({0.2, 100}, 1));
+  budget.set_options(share_of({0.2, 100}, 50));
+  EXPECT_TRUE(budget.take());
+  EXPECT_FALSE(budget.take());
+}
+
 TEST(retry_budget_test, an_outage_adds_a_tenth_at_most) {
   retry_budget budget;
   int retries = 0;
