--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -17,9 +17,9 @@
   std::optional<chosen_endpoint> endpoint;
 };
 
-/// The permitted region in which `request` can be expected to earn most, the
-/// own one unless another is clearly better; nothing when none can serve it.
-/// `exhausted` regions are left out.
+/// A permitted region for `request`, nothing when none can serve it now: the
+/// own one, or with a chance that grows with the gain another one in which it
+/// is worth more. `exhausted` regions are left out.
 std::optional<region_decision> choose_region(
     const gateway_context& context, const endpoint_pool& own,
     const route_forwarder& remote, const routed_request& request,
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -95,34 +95,37 @@
   return out;
 }
 
-}  // namespace
+/// A decision, and what the request is worth by it.
+struct valued_decision {
+  region_decision decision;
+  double value = 0;
+};
 
-std::optional<region_decision> choose_region(
+bool may_serve(const routed_request& request, const std::string& region,
+               const std::set<std::string>& exhausted) {
+  return permits_region(*request.route, region) && !exhausted.contains(region);
+}
+
+std::optional<valued_decision> weigh_own_region(
+    const gateway_context& context, const endpoint_pool& own,
+    const routed_request& request, const routing::expectation& wanted) {
+  const result<chosen_endpoint> chosen = own.choose(request);
+  if (!chosen) return std::nullopt;
+  return valued_decision{{context.self.region, *chosen},
+                         routing::net_value(chosen->expected, wanted)};
+}
+
+/// The best of the other regions.
+std::optional<valued_decision> weigh_other_regions(
     const gateway_context& context, const endpoint_pool& own,
     const route_forwarder& remote, const routed_request& request,
+    const routing::expectation& wanted,
     const std::set<std::string>& exhausted) {
-  const monotonic_time now = context.clock.now();
-  const routing::expectation wanted = expectation_of(request, now);
-  const auto is_candidate = [&request, &exhausted](const std::string& region) {
-    return permits_region(*request.route, region) &&
-           !exhausted.contains(region);
-  };
-  std::optional<region_decision> home;
-  double home_value = 0;
-  const std::string& here = context.self.region;
-  if (is_candidate(here)) {
-    const result<chosen_endpoint> chosen = own.choose(request);
-    if (chosen) {
-      home = region_decision{here, *chosen};
-      home_value = routing::net_value(chosen->expected, wanted);
-    }
-  }
-  if (!context.state.may_cross(now)) return home;
-  std::optional<region_decision> away;
-  double away_value = 0;
+  std::optional<valued_decision> best;
   const double cost = away_cost(request.work);
   for (const std::string& region : context.nodes.regions()) {
-    if (region == here || !is_candidate(region)) continue;
+    const bool other = region != context.self.region;
+    if (!other || !may_serve(request, region, exhausted)) continue;
     const std::optional<remote_load> load =
         load_in(context, region, request.service);
     if (!load) continue;
@@ -130,16 +133,42 @@
         outlook_away(context, *load, region, remote.unanswered_tokens(region),
                      request, own.engines());
     const double value = routing::net_value(expected, wanted) - cost;
-    if (away && value <= away_value) continue;
-    away = region_decision{region, std::nullopt};
-    away_value = value;
+    if (best && value <= best->value) continue;
+    best = valued_decision{{region, std::nullopt}, value};
   }
-  if (!home || !away) return home ? home : away;
-  const double share = routing::spill_share(home_value, away_value);
+  return best;
+}
+
+/// Whether this request is one of the `share` that leaves.
+bool leaves(double share, random_source& random) {
   constexpr std::uint64_t parts = 1'000'000;
-  const bool spills = static_cast<double>(context.random.below(parts)) <
-                      share * static_cast<double>(parts);
-  return spills ? away : home;
+  return static_cast<double>(random.below(parts)) <
+         share * static_cast<double>(parts);
+}
+
+}  // namespace
+
+std::optional<region_decision> choose_region(
+    const gateway_context& context, const endpoint_pool& own,
+    const route_forwarder& remote, const routed_request& request,
+    const std::set<std::string>& exhausted) {
+  const monotonic_time now = context.clock.now();
+  const routing::expectation wanted = expectation_of(request, now);
+  std::optional<valued_decision> home;
+  if (may_serve(request, context.self.region, exhausted)) {
+    home = weigh_own_region(context, own, request, wanted);
+  }
+  std::optional<valued_decision> away;
+  if (context.state.may_cross(now)) {
+    away =
+        weigh_other_regions(context, own, remote, request, wanted, exhausted);
+  }
+  if (!home && !away) return std::nullopt;
+  if (!home) return std::move(away->decision);
+  if (!away) return std::move(home->decision);
+  const double share = routing::spill_share(home->value, away->value);
+  const bool spills = leaves(share, context.random);
+  return std::move(spills ? away->decision : home->decision);
 }
 
 }  // namespace trestlepost::gateway
