Logs tell when a gateway takes an endpoint for cold, and by what

The three hypotheses on flooded cold endpoints could not be told apart: neither what a gateway believes of an endpoint's warmth nor when a zone's return reaches it was logged. What is known of warmth moves to routing/endpoint_warmth, with the same rules. New lines: endpoint-cold, cold-endpoint-used, zone-evacuated, zone-given-back, list-reader-changed.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "trestlepost/gateway/remote_caches.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/cold_limiter.h"
+#include "trestlepost/routing/endpoint_warmth.h"
 #include "trestlepost/routing/engine_book.h"
 #include "trestlepost/surface/endpoint_codec.h"
 #include "trestlepost/surface/endpoint_directory.h"
@@ -63,6 +65,8 @@
   /// Whether this gateway is one of the few that send to a cold endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
   const config::planned_service* planned(const std::string& service) const;
+  /// Logs which zones were evacuated or given back since the last call.
+  void note_evacuations();
   /// Among endpoints that run engines: the one that is worth most.
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
@@ -78,10 +82,11 @@
   std::vector<surface::listed_endpoint> listed_;  // of the own region
   std::map<std::string, std::string> zone_of_;    // by endpoint
   remote_caches remote_caches_;
-  std::map<std::string, monotonic_time> cold_until_;
   std::map<std::string, monotonic_time> observed_at_;
   routing::engine_book engines_;
+  routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
+  std::set<std::string> evacuated_;  // zones, as last noted in the log
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -45,12 +45,26 @@
   listed_ = std::move(own);
   const monotonic_time now = context_.clock.now();
   for (const surface::listed_endpoint& it : listed_) {
-    if (it.cold_left > milliseconds(0)) cold_until_[it.id] = now + it.cold_left;
+    warmth_.told(it.id, it.cold_left, routing::warmth_source::list, now);
   }
   refresh();
 }
 
+void endpoint_pool::note_evacuations() {
+  const std::set<std::string>& evacuated = context_.store.evacuated_zones();
+  for (const std::string& it : evacuated) {
+    if (evacuated_.contains(it)) continue;
+    log_event(log_level::info, "zone-evacuated", {{"zone", it}});
+  }
+  for (const std::string& it : evacuated_) {
+    if (evacuated.contains(it)) continue;
+    log_event(log_level::info, "zone-given-back", {{"zone", it}});
+  }
+  evacuated_ = evacuated;
+}
+
 void endpoint_pool::refresh() {
+  note_evacuations();
   const monotonic_time now = context_.clock.now();
   std::vector<membership::endpoint_tracker::declared_endpoint> declared;
   std::vector<routing::engine_book::endpoint> engines;
@@ -66,9 +80,8 @@
   }
   context_.endpoints.declare(declared, now);
   engines_.declare(engines);
-  std::erase_if(cold_until_, [this, now](const auto& it) {
-    return it.second < now || !zone_of_.contains(it.first);
-  });
+  warmth_.keep([this](const std::string& it) { return zone_of_.contains(it); },
+               now);
   std::erase_if(observed_at_, [this](const auto& it) {
     return !zone_of_.contains(it.first);
   });
@@ -112,8 +125,7 @@
     return false;
   }
   const monotonic_time now = context_.clock.now();
-  const auto cold = cold_until_.find(view.name);
-  if (cold == cold_until_.end() || cold->second < now) return true;
+  if (!warmth_.is_cold(view.name, now)) return true;
   const double bears =
       service == nullptr ? 0 : service->cold_requests_per_second;
   if (bears <= 0) return true;
@@ -221,8 +233,9 @@
 void endpoint_pool::observe(const std::string& endpoint,
                             const surface::endpoint_answer& answer) {
   const monotonic_time now = context_.clock.now();
-  if (answer.cold_left && *answer.cold_left > milliseconds(0)) {
-    cold_until_[endpoint] = now + *answer.cold_left;
+  if (answer.cold_left) {
+    warmth_.told(endpoint, *answer.cold_left, routing::warmth_source::answer,
+                 now);
   }
   monotonic_time& last = observed_at_[endpoint];
   if (!answer.load || now < last + report_interval) return;
@@ -240,8 +253,12 @@
 }
 
 void endpoint_pool::note_sent(const std::string& endpoint) {
-  if (!cold_until_.contains(endpoint)) return;
-  cold_.sent(endpoint, context_.clock.now());
+  const monotonic_time now = context_.clock.now();
+  if (!warmth_.is_cold(endpoint, now)) return;
+  cold_.sent(endpoint, now);
+  log_event(log_level::info, "cold-endpoint-used",
+            {{"endpoint", endpoint},
+             {"gateways", std::to_string(region_gateways())}});
 }
 
 void endpoint_pool::tick() {
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -66,9 +66,22 @@
     ask(news->reader);
     return;
   }
+  heard_from(news->reader);
+  if (on_listed) on_listed(copy_.all(now));
+}
+
+void listing_service::heard_from(const std::string& reader) {
+  const monotonic_time now = context_.clock.now();
+  if (reader != last_reader_) {
+    const milliseconds silence =
+        std::chrono::duration_cast<milliseconds>(now - heard_at_);
+    log_event(
+        log_level::info, "list-reader-changed",
+        {{"reader", reader}, {"silent_ms", std::to_string(silence.count())}});
+  }
+  last_reader_ = reader;
   heard_at_ = now;
   heard_ = true;
-  if (on_listed) on_listed(copy_.all(now));
 }
 
 void listing_service::handle_ask(const json& params) {
@@ -237,9 +250,8 @@
   } else {
     all.insert(all.end(), elsewhere_.begin(), elsewhere_.end());
   }
-  heard_at_ = context_.clock.now();
+  heard_from(context_.self.name);
   read_at_ = heard_at_;
-  heard_ = true;
   if (on_listed) on_listed(all);
   tell_others(all);
 }
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -53,6 +53,9 @@
   void ask(const std::string& gateway);
   void tell(const std::string& gateway, const std::string& address);
   void tell_others(const std::vector<surface::listed_endpoint>& all);
+  /// Notes that a list came from `reader`, and logs when that is another one
+  /// than before.
+  void heard_from(const std::string& reader);
 
   node_context& context_;
   const surface::endpoint_directory* directory_;
@@ -64,6 +67,7 @@
   monotonic_time heard_at_;  // or when it started
   monotonic_time read_at_;   // of the last list read by this node
   bool heard_ = false;       // whether it has a list
+  std::string last_reader_;  // whose list came last
   /// Since when the leader has told this node of others.
   std::optional<monotonic_time> book_since_;
   listing_size size_;
--- /dev/null
+++ b/routing/src/endpoint_warmth.cc
@@ -0,0 +1,47 @@
+#include "trestlepost/routing/endpoint_warmth.h"
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+const char* name_of(warmth_source source) {
+  switch (source) {
+    case warmth_source::list:
+      return "list";
+    case warmth_source::answer:
+      return "answer";
+  }
+  return "";
+}
+
+}  // namespace
+
+void endpoint_warmth::told(const std::string& endpoint, milliseconds left,
+                           warmth_source source, monotonic_time now) {
+  if (left <= milliseconds(0)) return;
+  const bool news = !is_cold(endpoint, now);
+  cold_until_[endpoint] = now + left;
+  if (!news) return;
+  log_event(log_level::info, "endpoint-cold",
+            {{"endpoint", endpoint},
+             {"left_ms", std::to_string(left.count())},
+             {"told_by", name_of(source)}});
+}
+
+bool endpoint_warmth::is_cold(const std::string& endpoint,
+                              monotonic_time now) const {
+  const auto it = cold_until_.find(endpoint);
+  return it != cold_until_.end() && now <= it->second;
+}
+
+void endpoint_warmth::keep(
+    const std::function<bool(const std::string&)>& exists, monotonic_time now) {
+  std::erase_if(cold_until_, [&exists, now](const auto& it) {
+    return it.second < now || !exists(it.first);
+  });
+}
+
+}  // namespace trestlepost::routing
