What a zone's return says of its endpoints counts until a list tells

Cause: a gateway took for warm whatever no list had called cold. The end of an evacuation reaches it in 0.1 s, the list that calls the zone's endpoints cold comes 0.4 to 4 s later when its reader stands still or the list is slow.

Change: the configuration keeps the revision that gave each zone back. A gateway that takes such a change treats the zone's endpoints as cold until a list comes that covers that revision, for as long as an endpoint stays cold at most. A list covers the revisions that its reader had in force for longer than the list lags (platform.list_lag) when it began to read: causes, not clocks, so news that were delayed prove nothing. A node that missed both changes of an evacuation sees the return too.

--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -99,7 +99,14 @@
 
   /// Availability zones whose endpoints take no requests.
   const std::set<std::string>& evacuated_zones() const { return evacuated_; }
-  void set_evacuated(const std::string& zone, bool evacuated);
+  /// The change `revision` evacuates a zone or gives it back.
+  void set_evacuated(const std::string& zone, bool evacuated,
+                     revision_number revision);
+  /// The change that gave each availability zone back last. A watcher that
+  /// missed both changes of an evacuation learns from it that there was one.
+  const std::map<std::string, revision_number>& given_back() const {
+    return given_back_;
+  }
 
   json to_json(plan_form form = plan_form::whole) const;
   static result<object_store> from_json(const json& value);
@@ -119,6 +126,7 @@
   std::deque<former_spec> former_;
   plan_ptr plan_;
   std::set<std::string> evacuated_;
+  std::map<std::string, revision_number> given_back_;  // by zone
 };
 
 /// The regions whose labels match, in order of name.
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -236,11 +236,13 @@
   return out;
 }
 
-void object_store::set_evacuated(const std::string& zone, bool evacuated) {
+void object_store::set_evacuated(const std::string& zone, bool evacuated,
+                                 revision_number revision) {
   if (evacuated) {
     evacuated_.insert(zone);
   } else {
     evacuated_.erase(zone);
+    given_back_[zone] = revision;
   }
 }
 
@@ -265,6 +267,9 @@
   if (plan_) out["plan"] = config::to_json(*plan_, form);
   json& evacuated = out["evacuated_zones"] = json(Json::arrayValue);
   for (const std::string& it : evacuated_) evacuated.append(it);
+  for (const auto& [zone, revision] : given_back_) {
+    out["zones_given_back"][zone] = json(Json::UInt64(revision));
+  }
   return out;
 }
 
@@ -299,6 +304,12 @@
   for (const json& it : member_of(value, "evacuated_zones")) {
     if (it.isString()) out.evacuated_.insert(it.asString());
   }
+  const json& given_back = member_of(value, "zones_given_back");
+  if (given_back.isObject()) {
+    for (const std::string& it : given_back.getMemberNames()) {
+      out.given_back_[it] = number_of(given_back, it.c_str());
+    }
+  }
   out.revision_ = number_of(value, "revision");
   return out;
 }
--- a/config/src/watch_update.cc
+++ b/config/src/watch_update.cc
@@ -59,7 +59,7 @@
   }
   if (it.evacuation) {
     store.set_evacuated(it.evacuation->availability_zone,
-                        it.evacuation->evacuated);
+                        it.evacuation->evacuated, it.revision);
   }
   store.set_revision(it.revision);
 }
--- a/config/test/traffic_plan-test.cc
+++ b/config/test/traffic_plan-test.cc
@@ -148,6 +148,10 @@
   EXPECT_EQ(restored.store().plan()->document, make_plan(7).document);
   EXPECT_TRUE(restored.store().evacuated_zones().contains("z1"));
   EXPECT_EQ(restored.store().revision(), 2U);
+  machine.apply(entry_of(evacuation_change("z1", false, "c")));
+  restored.load(machine.save());
+  EXPECT_TRUE(restored.store().evacuated_zones().empty());
+  EXPECT_EQ(restored.store().given_back().at("z1"), 3U);
 }
 
 RC_GTEST_PROP(traffic_plan_test, a_watcher_ends_with_the_leaders_plan, ()) {
@@ -178,6 +182,7 @@
                 .has_value());
   RC_ASSERT(watcher.revision() == machine.store().revision());
   RC_ASSERT(watcher.evacuated_zones() == machine.store().evacuated_zones());
+  RC_ASSERT(watcher.given_back() == machine.store().given_back());
   RC_ASSERT(!watcher.plan() == !machine.store().plan());
   if (watcher.plan()) {
     RC_ASSERT(watcher.plan()->number == machine.store().plan()->number);
--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -27,9 +27,10 @@
  public:
   explicit endpoint_pool(gateway_context& context) : context_(context) {}
 
-  /// Takes in the whole list of the deployment; `zones` gives each
-  /// availability zone's region.
+  /// Takes in the whole list of the deployment, which covers the configuration
+  /// up to `covers`; `zones` gives each availability zone's region.
   void learn(const std::vector<surface::listed_endpoint>& listed,
+             config::revision_number covers,
              const std::map<std::string, std::string>& zones);
   /// The plan or the evacuated zones changed.
   void refresh();
@@ -65,8 +66,10 @@
   /// Whether this gateway is one of the few that send to a cold endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
   const config::planned_service* planned(const std::string& service) const;
-  /// Logs which zones were evacuated or given back since the last call.
+  /// Takes in which zones were evacuated or given back since the last call.
   void note_evacuations();
+  /// Whether `endpoint` is to get no more than a cold one bears.
+  bool may_be_cold(const std::string& endpoint, monotonic_time now) const;
   /// Among endpoints that run engines: the one that is worth most.
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
@@ -78,15 +81,24 @@
   /// Those of the own region that aren't dead; at least one.
   unsigned region_gateways() const;
 
+  /// Where an endpoint stands, and what for.
+  struct place {
+    std::string zone;
+    std::string service;
+  };
+
   gateway_context& context_;
   std::vector<surface::listed_endpoint> listed_;  // of the own region
-  std::map<std::string, std::string> zone_of_;    // by endpoint
+  std::map<std::string, place> places_;           // by endpoint
   remote_caches remote_caches_;
   std::map<std::string, monotonic_time> observed_at_;
   routing::engine_book engines_;
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
-  std::set<std::string> evacuated_;  // zones, as last noted in the log
+  // The configuration's zones as last noted, and whether any was.
+  std::set<std::string> evacuated_;
+  std::map<std::string, config::revision_number> given_back_;
+  bool configured_ = false;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -30,6 +30,7 @@
 }  // namespace
 
 void endpoint_pool::learn(const std::vector<surface::listed_endpoint>& listed,
+                          config::revision_number covers,
                           const std::map<std::string, std::string>& zones) {
   std::vector<surface::listed_endpoint> own;
   remote_caches_.clear();
@@ -44,6 +45,7 @@
   }
   listed_ = std::move(own);
   const monotonic_time now = context_.clock.now();
+  warmth_.list_covers(covers);
   for (const surface::listed_endpoint& it : listed_) {
     warmth_.told(it.id, it.cold_left, routing::warmth_source::list, now);
   }
@@ -51,16 +53,24 @@
 }
 
 void endpoint_pool::note_evacuations() {
+  if (context_.store.revision() == 0) return;
   const std::set<std::string>& evacuated = context_.store.evacuated_zones();
   for (const std::string& it : evacuated) {
     if (evacuated_.contains(it)) continue;
     log_event(log_level::info, "zone-evacuated", {{"zone", it}});
   }
-  for (const std::string& it : evacuated_) {
-    if (evacuated.contains(it)) continue;
-    log_event(log_level::info, "zone-given-back", {{"zone", it}});
-  }
   evacuated_ = evacuated;
+  // Not from `evacuated_`: a node that was cut off or stood still may get both
+  // changes of an evacuation at once.
+  for (const auto& [zone, revision] : context_.store.given_back()) {
+    const bool known = given_back_[zone] == revision;
+    given_back_[zone] = revision;
+    // What is in the first configuration may have happened at any time.
+    if (known || !configured_) continue;
+    warmth_.given_back(zone, revision, context_.clock.now());
+    log_event(log_level::info, "zone-given-back", {{"zone", zone}});
+  }
+  configured_ = true;
 }
 
 void endpoint_pool::refresh() {
@@ -68,10 +78,10 @@
   const monotonic_time now = context_.clock.now();
   std::vector<membership::endpoint_tracker::declared_endpoint> declared;
   std::vector<routing::engine_book::endpoint> engines;
-  zone_of_.clear();
+  places_.clear();
   for (const surface::listed_endpoint& it : listed_) {
     declared.push_back({it.id, it.service, it.address, it.slots, it.leaving});
-    zone_of_[it.id] = it.availability_zone;
+    places_[it.id] = {it.availability_zone, it.service};
     const config::planned_service* service = planned(it.service);
     if (service != nullptr && service->engine) {
       engines.push_back({it.id, it.service, service->engine->kv_capacity,
@@ -80,11 +90,10 @@
   }
   context_.endpoints.declare(declared, now);
   engines_.declare(engines);
-  warmth_.keep([this](const std::string& it) { return zone_of_.contains(it); },
+  warmth_.keep([this](const std::string& it) { return places_.contains(it); },
                now);
-  std::erase_if(observed_at_, [this](const auto& it) {
-    return !zone_of_.contains(it.first);
-  });
+  std::erase_if(observed_at_,
+                [this](const auto& it) { return !places_.contains(it.first); });
 }
 
 const config::planned_service* endpoint_pool::planned(
@@ -116,16 +125,26 @@
   return better < routing::cold_limiter::senders_per_endpoint;
 }
 
+bool endpoint_pool::may_be_cold(const std::string& endpoint,
+                                monotonic_time now) const {
+  const auto found = places_.find(endpoint);
+  if (found == places_.end()) return false;
+  const config::planned_service* service = planned(found->second.service);
+  const milliseconds warmup =
+      service == nullptr ? milliseconds(0) : service->warmup;
+  return warmth_.may_be_cold(endpoint, found->second.zone, warmup, now);
+}
+
 bool endpoint_pool::takes_requests(
     const endpoint_view& view, const config::planned_service* service) const {
   if (!view.usable) return false;
-  const auto zone = zone_of_.find(view.name);
-  if (zone == zone_of_.end() ||
-      context_.store.evacuated_zones().contains(zone->second)) {
+  const auto found = places_.find(view.name);
+  if (found == places_.end() ||
+      context_.store.evacuated_zones().contains(found->second.zone)) {
     return false;
   }
   const monotonic_time now = context_.clock.now();
-  if (!warmth_.is_cold(view.name, now)) return true;
+  if (!may_be_cold(view.name, now)) return true;
   const double bears =
       service == nullptr ? 0 : service->cold_requests_per_second;
   if (bears <= 0) return true;
@@ -254,7 +273,7 @@
 
 void endpoint_pool::note_sent(const std::string& endpoint) {
   const monotonic_time now = context_.clock.now();
-  if (!warmth_.is_cold(endpoint, now)) return;
+  if (!may_be_cold(endpoint, now)) return;
   cold_.sent(endpoint, now);
   log_event(log_level::info, "cold-endpoint-used",
             {{"endpoint", endpoint},
--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -111,6 +111,7 @@
   out["life"] = as_number(value.life);
   out["since"] = as_number(value.since);
   out["version"] = as_number(value.version);
+  out["covers"] = as_number(value.covers);
   json& endpoints = out["endpoints"] = json(Json::arrayValue);
   for (const listed_endpoint& it : value.endpoints) {
     endpoints.append(to_json(it));
@@ -125,6 +126,7 @@
   out.life = number_of(value, "life");
   out.since = number_of(value, "since");
   out.version = number_of(value, "version");
+  out.covers = number_of(value, "covers");
   if (out.reader.empty() || out.life == 0) return refused("names no reader");
   if (out.since > out.version) return refused("goes back in its versions");
   for (const json& it : member_of(value, "endpoints")) {
@@ -140,8 +142,10 @@
 }
 
 void listing_writer::update(const std::vector<listed_endpoint>& all,
+                            config::revision_number covers,
                             monotonic_time now) {
   if (version_ == 0) version_ = 1;
+  covers_ = covers;
   std::set<std::string> named;
   for (const listed_endpoint& it : all) {
     named.insert(it.id);
@@ -170,6 +174,7 @@
   out.life = life_;
   out.since = whole ? 0 : last.version;
   out.version = version_;
+  out.covers = covers_;
   for (const auto& [id, it] : entries_) {
     if (it.version <= out.since) continue;
     if (!it.gone) out.endpoints.push_back(it.dated.as_of(now));
@@ -189,6 +194,7 @@
   if (in.since == 0) it.endpoints.clear();
   it.life = in.life;
   it.version = in.version;
+  it.covers = in.covers;
   for (const std::string& id : in.gone) it.endpoints.erase(id);
   for (const listed_endpoint& one : in.endpoints) {
     it.endpoints[one.id] = {one, now};
@@ -207,4 +213,9 @@
   return out;
 }
 
+config::revision_number listing_copy::covers() const {
+  const auto found = readers_.find(last_);
+  return found == readers_.end() ? 0 : found->second.covers;
+}
+
 }  // namespace trestlepost::node
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -13,6 +13,7 @@
 #include "trestlepost/base/error.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/base/random.h"
+#include "trestlepost/config/change.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
 namespace trestlepost::node {
@@ -32,6 +33,9 @@
   std::uint64_t life = 0;  // of the reader's process
   std::uint64_t since = 0;
   std::uint64_t version = 0;
+  /// The list shows what the configuration did to endpoints up to this
+  /// revision.
+  config::revision_number covers = 0;
   std::vector<surface::listed_endpoint> endpoints;
   std::vector<std::string> gone;  // ids
 };
@@ -59,9 +63,10 @@
   listing_writer(std::string reader, std::uint64_t life)
       : reader_(std::move(reader)), life_(life) {}
 
-  /// Takes in the list as it was read at `now`.
+  /// Takes in the list as it was read at `now`; it covers the configuration
+  /// up to `covers`.
   void update(const std::vector<surface::listed_endpoint>& all,
-              monotonic_time now);
+              config::revision_number covers, monotonic_time now);
   /// What to tell `gateway` now: what changed since it was told last, and
   /// from time to time all.
   listing_news next(const std::string& gateway, monotonic_time now);
@@ -83,6 +88,7 @@
   std::string reader_;
   std::uint64_t life_;
   std::uint64_t version_ = 0;
+  config::revision_number covers_ = 0;
   std::map<std::string, entry> entries_;
   std::map<std::string, told> told_;
 };
@@ -94,11 +100,14 @@
   bool take(const listing_news& in, monotonic_time now);
   /// The list of the reader whose news came last.
   std::vector<surface::listed_endpoint> all(monotonic_time now) const;
+  /// Up to which revision of the configuration that list tells.
+  config::revision_number covers() const;
 
  private:
   struct view {
     std::uint64_t life = 0;
     std::uint64_t version = 0;
+    config::revision_number covers = 0;
     std::map<std::string, dated_endpoint> endpoints;
   };
 
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -36,7 +36,8 @@
                                  const surface::endpoint_directory* directory)
     : context_(context),
       directory_(directory),
-      writer_(context.self.name, (context.random.next() >> 1) | 1) {}
+      writer_(context.self.name, (context.random.next() >> 1) | 1),
+      configured_(context.options.timing.platform_list_lag) {}
 
 void listing_service::start() {
   started_at_ = context_.clock.now();
@@ -67,7 +68,7 @@
     return;
   }
   heard_from(news->reader);
-  if (on_listed) on_listed(copy_.all(now));
+  if (on_listed) on_listed(copy_.all(now), copy_.covers());
 }
 
 void listing_service::heard_from(const std::string& reader) {
@@ -157,6 +158,7 @@
 
 void listing_service::tick() {
   const monotonic_time now = context_.clock.now();
+  configured_.note(context_.store.revision(), now);
   if (reading_ || now < next_read_) return;
   if (!should_read()) return;
   next_read_ = now + context_.options.timing.platform_poll_interval;
@@ -224,6 +226,9 @@
 }
 
 awaitable<void> listing_service::read_all() {
+  // What has been in force here for longer than the list lags is in the list
+  // that is asked for now.
+  const config::revision_number covers = configured_.at(context_.clock.now());
   std::vector<listed_endpoint> all;
   const std::vector<std::string> zones = next_zones();
   bool done = true;
@@ -252,8 +257,8 @@
   }
   heard_from(context_.self.name);
   read_at_ = heard_at_;
-  if (on_listed) on_listed(all);
-  tell_others(all);
+  if (on_listed) on_listed(all, covers);
+  tell_others(all, covers);
 }
 
 bool listing_service::is_in_own_region(const listed_endpoint& it) const {
@@ -275,10 +280,11 @@
                       to_json(writer_.next(gateway, context_.clock.now())));
 }
 
-void listing_service::tell_others(const std::vector<listed_endpoint>& all) {
+void listing_service::tell_others(const std::vector<listed_endpoint>& all,
+                                  config::revision_number covers) {
   const monotonic_time now = context_.clock.now();
   // Those of other regions too: prompt parts may be copied from them.
-  writer_.update(all, now);
+  writer_.update(all, covers, now);
   for (const membership::node_record* it :
        context_.nodes.other_gateways(context_.self, now)) {
     tell(it->last.node.name, it->last.node.peer_address);
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -10,6 +10,7 @@
 #include "listing_news.h"
 #include "listing_pages.h"
 #include "node_context.h"
+#include "settled_revision.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
 namespace trestlepost::node {
@@ -25,7 +26,11 @@
   void tick();
 
   /// Called with each list that was read or told.
-  std::function<void(const std::vector<surface::listed_endpoint>&)> on_listed;
+  /// Called with each list that comes, and the revision of the configuration
+  /// up to which it tells.
+  std::function<void(const std::vector<surface::listed_endpoint>&,
+                     config::revision_number)>
+      on_listed;
 
  private:
   transport::awaitable<void> read_all();
@@ -52,7 +57,8 @@
   /// Asks `gateway` for the whole list.
   void ask(const std::string& gateway);
   void tell(const std::string& gateway, const std::string& address);
-  void tell_others(const std::vector<surface::listed_endpoint>& all);
+  void tell_others(const std::vector<surface::listed_endpoint>& all,
+                   config::revision_number covers);
   /// Notes that a list came from `reader`, and logs when that is another one
   /// than before.
   void heard_from(const std::string& reader);
@@ -68,6 +74,7 @@
   monotonic_time read_at_;   // of the last list read by this node
   bool heard_ = false;       // whether it has a list
   std::string last_reader_;  // whose list came last
+  settled_revision configured_;
   /// Since when the leader has told this node of others.
   std::optional<monotonic_time> book_since_;
   listing_size size_;
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -24,10 +24,10 @@
       readiness_(context, surfaces_.entries.get()) {}
 
 void routed_gateway::start() {
-  listing_.on_listed =
-      [this](const std::vector<surface::listed_endpoint>& all) {
-        pool_.learn(all, context_.options.zone_regions);
-      };
+  listing_.on_listed = [this](const std::vector<surface::listed_endpoint>& all,
+                              config::revision_number covers) {
+    pool_.learn(all, covers, context_.options.zone_regions);
+  };
   listing_.start();
 }
 
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -224,6 +224,8 @@
     out_.platform_address = read_address(reader, "address");
     out_.timing.platform_poll_interval =
         reader.duration_or("poll_interval", out_.timing.platform_poll_interval);
+    out_.timing.platform_list_lag =
+        reader.duration_or("list_lag", out_.timing.platform_list_lag);
     reader.finish();
   }
 
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds poll_interval{500};
   std::chrono::milliseconds load_poll_interval{250};
   std::chrono::milliseconds platform_poll_interval{1000};
+  /// By how much the platform's list lags behind its endpoints at most.
+  std::chrono::milliseconds platform_list_lag{1000};
   std::chrono::milliseconds drain_timeout{60'000};
   /// How long a planned stop goes on taking requests: callers learn of it
   /// only when they ask the directory again.
--- /dev/null
+++ b/node/src/settled_revision.h
@@ -0,0 +1,33 @@
+// Which revision of the configuration has been in force here for some time.
+#pragma once
+
+#include <chrono>
+#include <deque>
+
+#include "trestlepost/base/clock.h"
+#include "trestlepost/config/change.h"
+
+namespace trestlepost::node {
+
+class settled_revision {
+ public:
+  /// A revision has settled when it has been in force for `after`.
+  explicit settled_revision(std::chrono::milliseconds after) : after_(after) {}
+
+  /// `revision` is in force at `now`.
+  void note(config::revision_number revision, monotonic_time now);
+  /// The newest one that has settled at `now`; 0: none has.
+  config::revision_number at(monotonic_time now);
+
+ private:
+  struct held {
+    config::revision_number revision = 0;
+    monotonic_time since;
+  };
+
+  std::chrono::milliseconds after_;
+  config::revision_number settled_ = 0;
+  std::deque<held> newer_;  // oldest first
+};
+
+}  // namespace trestlepost::node
--- a/node/test/listing_news-test.cc
+++ b/node/test/listing_news-test.cc
@@ -11,6 +11,7 @@
 using surface::listed_endpoint;
 
 const monotonic_time start{std::chrono::hours(1)};
+constexpr config::revision_number revision = 3;
 
 listed_endpoint endpoint(const std::string& id, bool leaving = false) {
   listed_endpoint out;
@@ -30,12 +31,12 @@
 TEST(listing_news_test, only_what_changed_is_told) {
   listing_writer writer("r", 7);
   listing_copy copy;
-  writer.update({endpoint("a"), endpoint("b"), endpoint("c")}, start);
+  writer.update({endpoint("a"), endpoint("b"), endpoint("c")}, revision, start);
   EXPECT_TRUE(copy.take(read_back(writer.next("g", start)), start));
   EXPECT_EQ(copy.all(start).size(), 3U);
   const monotonic_time later = start + milliseconds(1000);
   const std::vector<listed_endpoint> now{endpoint("a"), endpoint("b", true)};
-  writer.update(now, later);
+  writer.update(now, revision, later);
   const listing_news news = read_back(writer.next("g", later));
   EXPECT_EQ(news.endpoints.size(), 1U);
   EXPECT_EQ(news.gone, (std::vector<std::string>{"c"}));
@@ -49,29 +50,29 @@
   listed_endpoint cold = endpoint("a");
   cold.cold_left = milliseconds(3000);
   cold.ends_in = milliseconds(5000);
-  writer.update({cold}, start);
+  writer.update({cold}, revision, start);
   copy.take(writer.next("g", start), start);
   const monotonic_time later = start + milliseconds(1000);
   cold.cold_left = milliseconds(2100);
   cold.ends_in = milliseconds(3900);
-  writer.update({cold}, later);
+  writer.update({cold}, revision, later);
   EXPECT_TRUE(writer.next("g", later).endpoints.empty());
   EXPECT_EQ(copy.all(later)[0].cold_left, milliseconds(2000));
   EXPECT_EQ(copy.all(later)[0].ends_in, milliseconds(4000));
   cold.ends_in = milliseconds(900);
-  writer.update({cold}, later);
+  writer.update({cold}, revision, later);
   EXPECT_EQ(writer.next("g", later).endpoints.size(), 1U);
 }
 
 TEST(listing_news_test, a_lost_message_is_noticed_by_the_next_one) {
   listing_writer writer("r", 7);
   listing_copy copy;
-  writer.update({endpoint("a")}, start);
+  writer.update({endpoint("a")}, revision, start);
   copy.take(writer.next("g", start), start);
-  writer.update({endpoint("a", true)}, start + milliseconds(1000));
+  writer.update({endpoint("a", true)}, revision, start + milliseconds(1000));
   writer.next("g", start + milliseconds(1000));  // lost
   const monotonic_time later = start + milliseconds(2000);
-  writer.update({endpoint("a", true)}, later);
+  writer.update({endpoint("a", true)}, revision, later);
   EXPECT_FALSE(copy.take(writer.next("g", later), later));
   writer.forget("g");
   EXPECT_TRUE(copy.take(writer.next("g", later), later));
@@ -80,7 +81,7 @@
 
 TEST(listing_news_test, the_whole_list_comes_every_ten_seconds) {
   listing_writer writer("r", 7);
-  writer.update({endpoint("a")}, start);
+  writer.update({endpoint("a")}, revision, start);
   EXPECT_EQ(writer.next("g", start).since, 0U);
   EXPECT_GT(writer.next("g", start + milliseconds(9999)).since, 0U);
   const listing_news whole = writer.next("g", start + milliseconds(10'000));
@@ -90,24 +91,37 @@
 
 TEST(listing_news_test, a_new_gateway_and_a_new_reader_tell_all) {
   listing_writer writer("r", 7);
-  writer.update({endpoint("a")}, start);
+  writer.update({endpoint("a")}, revision, start);
   writer.next("g", start);
   EXPECT_EQ(writer.next("other", start).since, 0U);
   listing_copy copy;
   EXPECT_FALSE(copy.take(writer.next("g", start), start));
   copy.take(writer.next("new", start), start);
   listing_writer restarted("r", 8);
-  restarted.update({endpoint("b")}, start);
+  restarted.update({endpoint("b")}, revision, start);
   EXPECT_TRUE(copy.take(restarted.next("g", start), start));
   ASSERT_EQ(copy.all(start).size(), 1U);
   EXPECT_EQ(copy.all(start)[0].id, "b");
 }
 
+TEST(listing_news_test, a_list_tells_which_configuration_it_covers) {
+  listing_writer writer("r", 7);
+  listing_copy copy;
+  EXPECT_EQ(copy.covers(), 0U);
+  writer.update({endpoint("a")}, 5, start);
+  copy.take(read_back(writer.next("g", start)), start);
+  EXPECT_EQ(copy.covers(), 5U);
+  // Also when nothing else is new.
+  writer.update({endpoint("a")}, 6, start);
+  copy.take(read_back(writer.next("g", start)), start);
+  EXPECT_EQ(copy.covers(), 6U);
+}
+
 TEST(listing_news_test, an_empty_list_is_a_list) {
   listing_writer writer("r", 7);
   listing_copy copy;
   EXPECT_TRUE(writer.empty());
-  writer.update({}, start);
+  writer.update({}, revision, start);
   EXPECT_FALSE(writer.empty());
   EXPECT_TRUE(copy.take(read_back(writer.next("g", start)), start));
   EXPECT_TRUE(copy.all(start).empty());
@@ -116,9 +130,9 @@
 TEST(listing_news_test, overtaken_news_change_nothing) {
   listing_writer writer("r", 7);
   listing_copy copy;
-  writer.update({endpoint("a")}, start);
+  writer.update({endpoint("a")}, revision, start);
   const listing_news first = writer.next("g", start);
-  writer.update({endpoint("a", true)}, start);
+  writer.update({endpoint("a", true)}, revision, start);
   const listing_news second = writer.next("g", start);
   copy.take(first, start);
   copy.take(second, start);
@@ -128,7 +142,7 @@
 
 TEST(listing_news_test, nonsense_is_refused) {
   listing_writer writer("r", 7);
-  writer.update({endpoint("a")}, start);
+  writer.update({endpoint("a")}, revision, start);
   const json good = to_json(writer.next("g", start));
   ASSERT_TRUE(listing_news_from(good));
   const auto refused = [&good](const char* key, const json& value) {
--- a/routing/src/endpoint_warmth.cc
+++ b/routing/src/endpoint_warmth.cc
@@ -1,5 +1,7 @@
 #include "trestlepost/routing/endpoint_warmth.h"
 
+#include <algorithm>
+
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::routing {
@@ -31,6 +33,25 @@
              {"told_by", name_of(source)}});
 }
 
+void endpoint_warmth::given_back(const std::string& zone,
+                                 config::revision_number revision,
+                                 monotonic_time now) {
+  returns_[zone] = {revision, now};
+}
+
+void endpoint_warmth::list_covers(config::revision_number revision) {
+  covered_ = std::max(covered_, revision);
+}
+
+bool endpoint_warmth::may_be_cold(const std::string& endpoint,
+                                  const std::string& zone, milliseconds warmup,
+                                  monotonic_time now) const {
+  if (is_cold(endpoint, now)) return true;
+  const auto it = returns_.find(zone);
+  if (it == returns_.end()) return false;
+  return it->second.revision > covered_ && now < it->second.at + warmup;
+}
+
 bool endpoint_warmth::is_cold(const std::string& endpoint,
                               monotonic_time now) const {
   const auto it = cold_until_.find(endpoint);
