Gateways that are not heard keep their rank as senders to cold endpoints

Cause: who may send to a cold endpoint was ranked among the gateways that are heard. Where many stand still or have just started, more of the rest took themselves for one of the two.

Change: those count that are not dead (5 s of silence), heard or not; a gateway sends to no cold endpoint before it has heard from the others, half a second after its first confirmation: what its former life sent is then a second ago as well. The test failed with the rank among those that are heard, and passes.

--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -103,23 +103,24 @@
 }
 
 unsigned endpoint_pool::region_gateways() const {
-  unsigned n = 0;
-  const monotonic_time now = context_.clock.now();
-  for (const membership::node_record* it : context_.nodes.all()) {
-    const bool gateway = it->last.node.region == context_.self.region &&
-                         !it->last.node.forward_address.empty();
-    const bool gone =
-        context_.nodes.state_of(*it, now) == membership::peer_state::dead;
-    if (gateway && !gone) ++n;
-  }
-  return std::max(1U, n);
+  const std::size_t others =
+      context_.nodes.possible_gateways(context_.self, context_.clock.now())
+          .size();
+  return static_cast<unsigned>(others + 1);
 }
 
 bool endpoint_pool::is_cold_sender(const std::string& endpoint) const {
+  const monotonic_time now = context_.clock.now();
+  // One that has just started hears few of the others yet, and what it sent
+  // in its former life is not known.
+  if (context_.state.is_learning(now)) return false;
   const std::uint64_t own = rendezvous_score(endpoint, context_.self.name);
   std::size_t better = 0;
+  // Those that are not heard count too, or while many stand still more of the
+  // rest take themselves for one of the few: five gateways of 18 sent to one
+  // cold endpoint within a second, seven requests where it bears eight.
   for (const membership::node_record* it :
-       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
+       context_.nodes.possible_gateways(context_.self, now)) {
     if (rendezvous_score(endpoint, it->last.node.name) > own) ++better;
   }
   return better < routing::cold_limiter::senders_per_endpoint;
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -137,6 +137,10 @@
   /// The live gateways of the region of `self`, itself left out.
   std::vector<const node_record*> other_gateways(const node_info& self,
                                                  monotonic_time now) const;
+  /// As `other_gateways`, with those that are not heard now but not dead: they
+  /// may serve their callers all the same.
+  std::vector<const node_record*> possible_gateways(const node_info& self,
+                                                    monotonic_time now) const;
   std::vector<std::string> regions() const;
 
   /// The relays among the live nodes of a region, as `rank_relays` orders
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -306,14 +306,26 @@
 
 std::vector<const node_record*> node_table::other_gateways(
     const node_info& self, monotonic_time now) const {
-  std::vector<const node_record*> out = live_in(self.region, now);
-  std::erase_if(out, [&self](const node_record* it) {
-    const node_info& node = it->last.node;
-    return node.forward_address.empty() || node.name == self.name;
+  std::vector<const node_record*> out = possible_gateways(self, now);
+  std::erase_if(out, [this, now](const node_record* it) {
+    return state_of(*it, now) != peer_state::live;
   });
   return out;
 }
 
+std::vector<const node_record*> node_table::possible_gateways(
+    const node_info& self, monotonic_time now) const {
+  std::vector<const node_record*> out;
+  for (const auto& [name, it] : nodes_) {
+    const node_info& node = it.last.node;
+    const bool gateway = node.region == self.region &&
+                         !node.forward_address.empty() &&
+                         node.name != self.name;
+    if (gateway && state_of(it, now) != peer_state::dead) out.push_back(&it);
+  }
+  return out;
+}
+
 std::vector<std::string> node_table::regions() const {
   std::vector<std::string> out;
   for (const auto& [name, it] : nodes_) out.push_back(it.last.node.region);
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -84,6 +84,33 @@
   EXPECT_EQ(others[0]->last.node.name, "other");
 }
 
+// Who sends to a cold endpoint is ranked among these. A gateway that is not
+// heard for a moment may send all the same: left out, it would be replaced
+// while it still sends, and where many stand still or have just started, every
+// one of the others would take the place.
+TEST(node_table_test, a_gateway_that_is_not_heard_may_still_send) {
+  node_table table;
+  const monotonic_time start;
+  const auto gateway = [](const std::string& name, const std::string& region) {
+    heartbeat out = beat(name, region, 1);
+    out.node.forward_address = "127.0.0.1:2";
+    return out;
+  };
+  const heartbeat self = gateway("self", "isola");
+  table.observe(self, start);
+  table.observe(gateway("silent", "isola"), start);
+  table.observe(gateway("far", "golfo"), start);
+  table.observe(beat("control", "isola", 1), start);
+  const milliseconds silent{4000};
+  ASSERT_FALSE(table.is_live("silent", start + silent));
+  const std::vector<const node_record*> others =
+      table.possible_gateways(self.node, start + silent);
+  ASSERT_EQ(others.size(), 1U);
+  EXPECT_EQ(others[0]->last.node.name, "silent");
+  const milliseconds dead{5000};
+  EXPECT_TRUE(table.possible_gateways(self.node, start + dead).empty());
+}
+
 TEST(directory_test, ranks_by_state_distance_and_load) {
   node_table table;
   const monotonic_time now;
