A starting gateway believes no list from before its first configuration

A gateway that starts while no leader stands reads its list at once and is configured later: its list was 1.5 s old and from before the endpoints turned cold. Ruled out: waiting until the first configuration has settled (list_lag, 0.8 s), which would make each start serve at the cold rate for a second; telling the age of each zone's return from the leader, which after a restart of all does not know it either.

Change: the zones given back in the first configuration count like any others, and where there are any the gateway reads the list once more as it is configured. That list counts for itself alone; what it tells others covers settled revisions only.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -95,10 +95,9 @@
   routing::engine_book engines_;
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
-  // The configuration's zones as last noted, and whether any was.
+  // The configuration's zones as last noted.
   std::set<std::string> evacuated_;
   std::map<std::string, config::revision_number> given_back_;
-  bool configured_ = false;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -53,7 +53,6 @@
 }
 
 void endpoint_pool::note_evacuations() {
-  if (context_.store.revision() == 0) return;
   const std::set<std::string>& evacuated = context_.store.evacuated_zones();
   for (const std::string& it : evacuated) {
     if (evacuated_.contains(it)) continue;
@@ -65,12 +64,10 @@
   for (const auto& [zone, revision] : context_.store.given_back()) {
     const bool known = given_back_[zone] == revision;
     given_back_[zone] = revision;
-    // What is in the first configuration may have happened at any time.
-    if (known || !configured_) continue;
+    if (known) continue;
     warmth_.given_back(zone, revision, context_.clock.now());
     log_event(log_level::info, "zone-given-back", {{"zone", zone}});
   }
-  configured_ = true;
 }
 
 void endpoint_pool::refresh() {
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -156,11 +156,23 @@
   return false;
 }
 
+void listing_service::note_configuration() {
+  const bool configured = configured_.first() > 0;
+  configured_.note(context_.store.revision(), context_.clock.now());
+  const bool is_first = !configured && configured_.first() > 0;
+  if (!is_first || context_.store.given_back().empty()) return;
+  // A list from before tells nothing of the zones that were given back since,
+  // and waiting for the reader's takes up to a second.
+  must_read_ = true;
+  next_read_ = context_.clock.now();
+}
+
 void listing_service::tick() {
+  note_configuration();
   const monotonic_time now = context_.clock.now();
-  configured_.note(context_.store.revision(), now);
   if (reading_ || now < next_read_) return;
-  if (!should_read()) return;
+  if (!must_read_ && !should_read()) return;
+  must_read_ = false;
   next_read_ = now + context_.options.timing.platform_poll_interval;
   reading_ = true;
   boost::asio::co_spawn(context_.io, read_all(), boost::asio::detached);
@@ -229,6 +241,10 @@
   // What has been in force here for longer than the list lags is in the list
   // that is asked for now.
   const config::revision_number covers = configured_.at(context_.clock.now());
+  // The first configuration is no change that has just been made, as a rule:
+  // to wait until it has settled would cost a second of each start.
+  const config::revision_number covers_here =
+      std::max(covers, configured_.first());
   std::vector<listed_endpoint> all;
   const std::vector<std::string> zones = next_zones();
   bool done = true;
@@ -257,7 +273,7 @@
   }
   heard_from(context_.self.name);
   read_at_ = heard_at_;
-  if (on_listed) on_listed(all, covers);
+  if (on_listed) on_listed(all, covers_here);
   tell_others(all, covers);
 }
 
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -39,6 +39,8 @@
   /// Reads a zone or, with an empty name, the whole list; false on failure.
   transport::awaitable<bool> read_zone(
       std::string zone, std::vector<surface::listed_endpoint>& all);
+  /// Notes which configuration is in force.
+  void note_configuration();
   /// The zones to read now.
   std::vector<std::string> next_zones();
   /// Notes how many entries each zone of the own region has.
@@ -75,6 +77,7 @@
   bool heard_ = false;       // whether it has a list
   std::string last_reader_;  // whose list came last
   settled_revision configured_;
+  bool must_read_ = false;  // whatever others read
   /// Since when the leader has told this node of others.
   std::optional<monotonic_time> book_since_;
   listing_size size_;
--- a/node/src/settled_revision.cc
+++ b/node/src/settled_revision.cc
@@ -4,6 +4,7 @@
 
 void settled_revision::note(config::revision_number revision,
                             monotonic_time now) {
+  if (first_ == 0) first_ = revision;
   const config::revision_number last =
       newer_.empty() ? settled_ : newer_.back().revision;
   if (revision != last) newer_.push_back({revision, now});
--- a/node/src/settled_revision.h
+++ b/node/src/settled_revision.h
@@ -18,6 +18,8 @@
   void note(config::revision_number revision, monotonic_time now);
   /// The newest one that has settled at `now`; 0: none has.
   config::revision_number at(monotonic_time now);
+  /// The first one that was noted; 0: none was.
+  config::revision_number first() const { return first_; }
 
  private:
   struct held {
@@ -26,6 +28,7 @@
   };
 
   std::chrono::milliseconds after_;
+  config::revision_number first_ = 0;
   config::revision_number settled_ = 0;
   std::deque<held> newer_;  // oldest first
 };
--- a/node/test/settled_revision-test.cc
+++ b/node/test/settled_revision-test.cc
@@ -11,6 +11,8 @@
   const monotonic_time start{std::chrono::hours(1)};
   settled_revision it(milliseconds(800));
   EXPECT_EQ(it.at(start), 0U);
+  EXPECT_EQ(it.first(), 0U);
+  it.note(0, start);
   it.note(3, start);
   it.note(3, start + milliseconds(500));
   it.note(5, start + milliseconds(600));
@@ -20,6 +22,7 @@
   EXPECT_EQ(it.at(start + milliseconds(1400)), 5U);
   it.note(5, start + milliseconds(1500));
   EXPECT_EQ(it.at(start + milliseconds(9000)), 5U);
+  EXPECT_EQ(it.first(), 3U);
 }
 
 }  // namespace
