A node that stood still hears from a leader before it serves what waits

Cause: after a standstill the sockets hold requests and changes, and those come first that came first. What a gateway then believes is as old as its standstill, and nothing told it so.

Change: a node whose ticks lie a second apart is behind until a leader confirms what it asked after it resumed, or for a second. Requests of callers wait for that before they are routed, so they meet the newest plan as well; endpoints that can be cold get nothing in that time, also from forwarded requests.

--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -130,7 +130,9 @@
   const config::planned_service* service = planned(found->second.service);
   const milliseconds warmup =
       service == nullptr ? milliseconds(0) : service->warmup;
-  return warmth_.may_be_cold(endpoint, found->second.zone, warmup, now);
+  const bool unheard = warmup.count() > 0 && context_.state.is_behind(now);
+  return unheard ||
+         warmth_.may_be_cold(endpoint, found->second.zone, warmup, now);
 }
 
 bool endpoint_pool::takes_requests(
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -32,6 +32,12 @@
   std::chrono::milliseconds learning_time{2000};
   /// After its first confirmation it hears of other regions within this time.
   std::chrono::milliseconds settling_time{500};
+  /// A node whose ticks lie so far apart has stood still: so old is at times
+  /// what it knows of endpoints anyway, by the interval at which it is told.
+  std::chrono::milliseconds standstill{1000};
+  /// Then it waits so long to hear from a leader, and goes on without; an
+  /// answer takes one round trip, 160 ms at most where it was measured.
+  std::chrono::milliseconds standstill_wait{1000};
 };
 
 class node_state {
@@ -52,8 +58,12 @@
   /// Whether requests may cross to or from other regions.
   bool crosses_regions() const { return is(node_states::ready); }
   bool confirmed_at(monotonic_time now) const;
-  /// Whether this node started not long ago and no leader has confirmed its
-  /// configuration yet, or only just: what it lacks may come any moment.
+  /// Whether this node stood still and no leader has confirmed its
+  /// configuration since: what changed meanwhile may still be unread.
+  bool is_behind(monotonic_time now) const;
+  /// Whether this node is behind, or started not long ago and no leader has
+  /// confirmed its configuration yet, or only just: what it lacks may come any
+  /// moment.
   bool is_learning(monotonic_time now) const;
   /// As `crosses_regions`, but a node that stops still ends what it has taken.
   bool may_cross(monotonic_time now) const {
@@ -70,6 +80,8 @@
   monotonic_time started_at_;
   monotonic_time confirmed_until_;
   std::optional<monotonic_time> first_confirmed_at_;
+  std::optional<monotonic_time> last_tick_;
+  std::optional<monotonic_time> resumed_at_;  // until it is confirmed
 };
 
 }  // namespace trestlepost::membership
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -35,6 +35,7 @@
   confirmed_until_ =
       std::max(confirmed_until_, asked_at + options_.config_lease);
   if (!first_confirmed_at_) first_confirmed_at_ = now;
+  if (resumed_at_ && asked_at >= *resumed_at_) resumed_at_.reset();
   if (confirmed_at(now)) handle("confirmed", true);
 }
 
@@ -42,7 +43,16 @@
   return first_confirmed_at_ && now < confirmed_until_;
 }
 
+bool node_state::is_behind(monotonic_time now) const {
+  // Requests that waited in the sockets may be read before the next tick.
+  const bool ticks_late =
+      last_tick_ && now >= *last_tick_ + options_.standstill;
+  return ticks_late ||
+         (resumed_at_ && now < *resumed_at_ + options_.standstill_wait);
+}
+
 bool node_state::is_learning(monotonic_time now) const {
+  if (is_behind(now)) return true;
   if (now >= started_at_ + options_.learning_time) return false;
   return !first_confirmed_at_ ||
          now < *first_confirmed_at_ + options_.settling_time;
@@ -53,6 +63,8 @@
 }
 
 void node_state::tick(monotonic_time now, bool has_configuration) {
+  if (last_tick_ && now >= *last_tick_ + options_.standstill) resumed_at_ = now;
+  last_tick_ = now;
   if (!confirmed_at(now)) handle("lease_expired", has_configuration);
   if (now >= started_at_ + options_.startup_wait) {
     handle("startup_over", has_configuration);
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -181,5 +181,32 @@
   EXPECT_FALSE(it.is_learning(start + milliseconds(9000)));
 }
 
+TEST(node_state_test, a_node_that_stood_still_is_behind_until_it_is_confirmed) {
+  const monotonic_time start;
+  node_state it = make_state(start);
+  it.confirm(start, start);
+  it.tick(start + milliseconds(3000), true);
+  EXPECT_FALSE(it.is_behind(start + milliseconds(3999)));
+  // Asked before it resumed, however late the answer is read.
+  const monotonic_time resumed = start + milliseconds(4500);
+  EXPECT_TRUE(it.is_behind(resumed));
+  it.tick(resumed, true);
+  it.confirm(start + milliseconds(3000), resumed);
+  EXPECT_TRUE(it.is_behind(resumed));
+  EXPECT_TRUE(it.is_learning(resumed));
+  it.confirm(resumed, resumed + milliseconds(100));
+  EXPECT_FALSE(it.is_behind(resumed + milliseconds(100)));
+}
+
+TEST(node_state_test, without_a_leader_a_node_that_stood_still_goes_on) {
+  const monotonic_time start;
+  node_state it = make_state(start);
+  it.tick(start, true);
+  for (int ms = 1500; ms <= 2500; ms += 100) {
+    it.tick(start + milliseconds(ms), true);
+  }
+  EXPECT_FALSE(it.is_behind(start + milliseconds(2500)));
+}
+
 }  // namespace
 }  // namespace trestlepost::membership
