--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -13,6 +13,12 @@
 using std::chrono::milliseconds;
 using test::beat;
 
+heartbeat gateway(const std::string& name, const std::string& region) {
+  heartbeat out = beat(name, region, 1);
+  out.node.forward_address = "127.0.0.1:2";
+  return out;
+}
+
 TEST(node_table_test, silence_makes_a_node_suspect_then_dead) {
   node_table table;
   const monotonic_time start;
@@ -67,11 +73,6 @@
   node_table table;
   const monotonic_time start;
   const monotonic_time now = start + milliseconds(2000);
-  const auto gateway = [](const std::string& name, const std::string& region) {
-    heartbeat out = beat(name, region, 1);
-    out.node.forward_address = "127.0.0.1:2";
-    return out;
-  };
   const heartbeat self = gateway("self", "isola");
   table.observe(self, now);
   table.observe(gateway("other", "isola"), now);
@@ -91,11 +92,6 @@
 TEST(node_table_test, a_gateway_that_is_not_heard_may_still_send) {
   node_table table;
   const monotonic_time start;
-  const auto gateway = [](const std::string& name, const std::string& region) {
-    heartbeat out = beat(name, region, 1);
-    out.node.forward_address = "127.0.0.1:2";
-    return out;
-  };
   const heartbeat self = gateway("self", "isola");
   table.observe(self, start);
   table.observe(gateway("silent", "isola"), start);
