An entry that another writer spoiled costs only itself

Cause: the list's decoder read each member leniently, so an entry with an unknown state, slots of 1e12 or an id in broken UTF-8 became an endpoint, and one that is no JSON threw away its whole page.

Ruled out: checking in the gateway where entries are used; the platform's words are known in platform/ only, and a page that is no JSON never gets there.

Change: each entry is checked by itself (platform/endpoint_entry); of a page that is no JSON as a whole the readable entries are found one by one (base/json_elements), within a bound of work; a page whose next token can't be read is an error as before. What is left out is counted and logged once.

--- /dev/null
+++ b/base/src/json_elements.cc
@@ -0,0 +1,150 @@
+#include "trestlepost/base/json_elements.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "trestlepost/base/utf8.h"
+
+namespace trestlepost {
+namespace {
+
+// Bytes of one element; bounds the work on text without an end.
+constexpr std::size_t largest_element = 16UL * 1024;
+// Above this many unreadable places a document is given up: looking for where
+// the next element begins costs up to `largest_element` each time.
+constexpr std::size_t most_unreadable = 256;
+
+constexpr std::string_view blanks = " \t\r\n";
+
+tl::unexpected<error> unreadable(const std::string& what) {
+  return fail(error_kind::bad_input, what, "check who writes the list");
+}
+
+/// Past the object that begins at `begin`; npos when its end isn't there.
+std::size_t end_of_object(std::string_view text, std::size_t begin) {
+  const std::size_t last = std::min(text.size(), begin + largest_element);
+  std::size_t depth = 0;
+  bool quoted = false;
+  for (std::size_t i = begin; i < last; ++i) {
+    const char it = text[i];
+    if (quoted) {
+      if (it == '\\') ++i;
+      if (it == '"') quoted = false;
+      continue;
+    }
+    if (it == '"') quoted = true;
+    if (it == '{') ++depth;
+    if (it == '}' && --depth == 0) return i + 1;
+  }
+  return std::string_view::npos;
+}
+
+/// Whether the signs of a list stand around the text from `begin` to `end`: a
+/// comma, or the bracket of its beginning or end.
+bool is_divided(std::string_view text, std::size_t begin, std::size_t end) {
+  const std::size_t next = text.find_first_not_of(blanks, end);
+  const std::size_t last = text.substr(0, begin).find_last_not_of(blanks);
+  if (next == std::string_view::npos || last == std::string_view::npos) {
+    return false;
+  }
+  return (text[next] == ',' || text[next] == ']') &&
+         (text[last] == ',' || text[last] == '[');
+}
+
+/// The object at `begin` and where it ends, if it is an element.
+struct found_element {
+  json value;
+  std::size_t end = 0;
+};
+std::optional<found_element> element_at(std::string_view text,
+                                        std::size_t begin, const char* mark) {
+  const std::size_t end = end_of_object(text, begin);
+  if (end == std::string_view::npos || !is_divided(text, begin, end)) {
+    return std::nullopt;
+  }
+  const std::string_view own = text.substr(begin, end - begin);
+  if (!is_utf8(own)) return std::nullopt;
+  result<json> value = parse_json(own);
+  if (!value || !value->isMember(mark)) return std::nullopt;
+  return found_element{std::move(*value), end};
+}
+
+/// Past the bracket that opens the list; npos when there is none.
+std::size_t begin_of_list(std::string_view text, const char* list) {
+  const std::string key = "\"" + std::string(list) + "\"";
+  const std::size_t named = text.find(key);
+  if (named == std::string_view::npos) return named;
+  const std::size_t colon = text.find_first_not_of(blanks, named + key.size());
+  if (colon == std::string_view::npos || text[colon] != ':') {
+    return std::string_view::npos;
+  }
+  const std::size_t open = text.find_first_not_of(blanks, colon + 1);
+  const bool opens = open != std::string_view::npos && text[open] == '[';
+  return opens ? open + 1 : std::string_view::npos;
+}
+
+result<json_elements> search(std::string_view text, const char* list,
+                             const char* mark) {
+  std::size_t at = begin_of_list(text, list);
+  if (at == std::string_view::npos) return unreadable("there is no list");
+  json_elements out;
+  std::size_t unreadable_places = 0;
+  bool in_unreadable = false;
+  while ((at = text.find('{', at)) != std::string_view::npos) {
+    std::optional<found_element> found = element_at(text, at, mark);
+    if (found) {
+      out.items.emplace_back(std::move(found->value));
+      at = found->end;
+      in_unreadable = false;
+      continue;
+    }
+    if (++unreadable_places > most_unreadable) {
+      return unreadable("most of the list is unreadable");
+    }
+    // Objects inside of one that can't be read belong to it.
+    if (!in_unreadable) {
+      out.items.emplace_back(unreadable("it is not JSON in UTF-8"));
+    }
+    in_unreadable = true;
+    ++at;
+  }
+  return out;
+}
+
+}  // namespace
+
+result<json_elements> read_elements(std::string_view text, const char* list,
+                                    const char* mark) {
+  result<json> document = is_utf8(text) ? parse_json(text) : unreadable("");
+  if (!document) return search(text, list, mark);
+  if (!member_of(*document, list).isArray()) {
+    return unreadable("there is no list");
+  }
+  json_elements out;
+  out.whole = true;
+  json all;
+  document->removeMember(list, &all);
+  for (json& it : all) out.items.emplace_back(std::move(it));
+  out.rest = std::move(*document);
+  return out;
+}
+
+result<json> find_text_member(std::string_view text, std::string_view key) {
+  const std::string quoted = "\"" + std::string(key) + "\"";
+  const std::size_t named = text.rfind(quoted);
+  if (named == std::string_view::npos) {
+    return unreadable("there is no " + std::string(key));
+  }
+  const std::string_view tail = text.substr(named, largest_element);
+  std::size_t end = tail.find_first_of(",}", quoted.size());
+  if (end == std::string_view::npos) end = tail.size();
+  const std::string member = "{" + std::string(tail.substr(0, end)) + "}";
+  const result<json> parsed = parse_json(member);
+  if (!parsed) return tl::make_unexpected(parsed.error());
+  const json& value = member_of(*parsed, std::string(key).c_str());
+  if (value.isString() || value.isNull()) return value;
+  return unreadable(std::string(key) + " is not a text");
+}
+
+}  // namespace trestlepost
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -195,7 +196,7 @@
 }
 
 awaitable<bool> listing_service::read_zone(std::string zone,
-                                           std::vector<listed_endpoint>& all) {
+                                           surface::endpoint_page& all) {
   std::string token;
   for (int n = 0; n < most_pages; ++n) {
     result<surface::endpoint_page> page = co_await read_page(zone, token);
@@ -210,7 +211,10 @@
       ++size_.pages;
       size_.page_size = std::max(size_.page_size, page->endpoints.size());
     }
-    for (listed_endpoint& it : page->endpoints) all.push_back(std::move(it));
+    std::move(page->endpoints.begin(), page->endpoints.end(),
+              std::back_inserter(all.endpoints));
+    std::move(page->unreadable.begin(), page->unreadable.end(),
+              std::back_inserter(all.unreadable));
     token = page->next;
     if (token.empty()) co_return true;
   }
@@ -245,12 +249,12 @@
   // to wait until it has settled would cost a second of each start.
   const config::revision_number covers_here =
       std::max(covers, configured_.first());
-  std::vector<listed_endpoint> all;
+  surface::endpoint_page read;
   const std::vector<std::string> zones = next_zones();
   bool done = true;
   for (std::size_t i = 0; i < zones.size() && done; ++i) {
     std::string zone = zones[i];
-    done = co_await read_zone(std::move(zone), all);
+    done = co_await read_zone(std::move(zone), read);
   }
   reading_ = false;
   if (!done) {
@@ -264,6 +268,8 @@
   }
   if (lost_) log_event(log_level::info, "platform-list-back");
   lost_ = false;
+  unreadable_.note(read.unreadable);
+  std::vector<listed_endpoint> all = std::move(read.endpoints);
   size_.own_zones.clear();
   measure(all);
   if (zones.front().empty()) {
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -12,6 +12,7 @@
 #include "node_context.h"
 #include "settled_revision.h"
 #include "trestlepost/surface/endpoint_directory.h"
+#include "unreadable_entries.h"
 
 namespace trestlepost::node {
 
@@ -25,7 +26,9 @@
   void start();
   void tick();
 
-  /// Called with each list that was read or told.
+  /// How many entries of the last list read here name no endpoint to use.
+  std::size_t unreadable() const { return unreadable_.count(); }
+
   /// Called with each list that comes, and the revision of the configuration
   /// up to which it tells.
   std::function<void(const std::vector<surface::listed_endpoint>&,
@@ -36,9 +39,10 @@
   transport::awaitable<void> read_all();
   transport::awaitable<result<surface::endpoint_page>> read_page(
       std::string zone, std::string token);
-  /// Reads a zone or, with an empty name, the whole list; false on failure.
-  transport::awaitable<bool> read_zone(
-      std::string zone, std::vector<surface::listed_endpoint>& all);
+  /// Reads a zone or, with an empty name, the whole list, and adds it to
+  /// `all`; false on failure.
+  transport::awaitable<bool> read_zone(std::string zone,
+                                       surface::endpoint_page& all);
   /// Notes which configuration is in force.
   void note_configuration();
   /// The zones to read now.
@@ -84,6 +88,7 @@
   monotonic_time next_whole_;
   /// Of the last whole list; zone by zone only the own region's are read.
   std::vector<surface::listed_endpoint> elsewhere_;
+  unreadable_entries unreadable_;
   bool reading_ = false;
   bool lost_ = false;  // the last reading failed
 };
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -395,6 +395,8 @@
       static_cast<double>(peer_server.traffic().bytes_received));
   set("peer_messages_dropped",
       static_cast<double>(links.traffic().messages_dropped));
+  set("platform_entries_unreadable",
+      static_cast<double>(routed_parts.unreadable_entries()));
   set("peer_strangers_refused",
       static_cast<double>(peer_server.traffic().strangers_refused));
 }
--- a/node/src/routed_gateway.h
+++ b/node/src/routed_gateway.h
@@ -33,6 +33,9 @@
   /// Adds what peers are told of the services and the endpoints here.
   void add_loads(membership::heartbeat& beat);
 
+  /// How many entries of the platform's list name no endpoint to use.
+  std::size_t unreadable_entries() const { return listing_.unreadable(); }
+
   gateway::route_handler& entry() { return entry_; }
   transport::http_handler& forwards() { return forwards_; }
   transport::http_handler& orders() { return orders_; }
--- a/surface/include/trestlepost/surface/endpoint_directory.h
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,9 +28,18 @@
   bool operator==(const listed_endpoint&) const = default;
 };
 
+/// An entry of the list that names no endpoint to use.
+struct unreadable_entry {
+  std::string id;  // empty where it has none that can be read
+  std::string cause;
+
+  auto operator<=>(const unreadable_entry&) const = default;
+};
+
 /// One page of the list, and how to ask for the next one.
 struct endpoint_page {
   std::vector<listed_endpoint> endpoints;
+  std::vector<unreadable_entry> unreadable;
   std::string next;  // token of the next page; empty on the last one
 };
 
