What is known of an endpoint belongs to one of its lives

Cause: endpoints may start again under their id, with nothing of before, and records of load, speed, ejection, warmth and cached prompt parts were kept by id; the start that the list tells was read nowhere.

Ruled out: a second key in each record: every module keys by one text, which also travels between gateways; two keys would have to agree in a dozen places.

Change: surface::endpoint_identity (id, start) names a life; that name is the key everywhere, requests still name the id.

Before: the tests do not compile, as nothing tells lives apart; by reading, engine_book::declare carried a record over by id.

Not mended: between an endpoint's new start and the list that tells it, its gateways take it for the life before.

--- a/base/src/json_elements.cc
+++ b/base/src/json_elements.cc
@@ -139,7 +139,9 @@
   const std::string_view tail = text.substr(named, largest_element);
   std::size_t end = tail.find_first_of(",}", quoted.size());
   if (end == std::string_view::npos) end = tail.size();
-  const std::string member = "{" + std::string(tail.substr(0, end)) + "}";
+  std::string member = "{";
+  member.append(tail.substr(0, end));
+  member.append("}");
   const result<json> parsed = parse_json(member);
   if (!parsed) return tl::make_unexpected(parsed.error());
   const json& value = member_of(*parsed, std::string(key).c_str());
--- a/gateway/include/trestlepost/gateway/chosen_endpoint.h
+++ b/gateway/include/trestlepost/gateway/chosen_endpoint.h
@@ -10,7 +10,8 @@
 
 /// One endpoint that was chosen for a request.
 struct chosen_endpoint {
-  std::string id;
+  /// Of its present life.
+  std::string name;
   std::string address;
   routing::outlook expected;
   /// The address of an endpoint whose cache has parts of the prompt that this
--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include "trestlepost/base/error.h"
 #include "trestlepost/gateway/chosen_endpoint.h"
 #include "trestlepost/gateway/context.h"
+#include "trestlepost/gateway/endpoint_lives.h"
 #include "trestlepost/gateway/remote_caches.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/cold_limiter.h"
@@ -88,6 +89,7 @@
   };
 
   gateway_context& context_;
+  endpoint_lives lives_;
   std::vector<surface::listed_endpoint> listed_;  // of the own region
   std::map<std::string, place> places_;           // by endpoint
   remote_caches remote_caches_;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -34,20 +34,22 @@
                           const std::map<std::string, std::string>& zones) {
   std::vector<surface::listed_endpoint> own;
   remote_caches_.clear();
-  for (const surface::listed_endpoint& it : listed) {
+  const monotonic_time now = context_.clock.now();
+  for (const surface::listed_endpoint& it : lives_.newest(listed, now)) {
     const auto zone = zones.find(it.availability_zone);
     if (zone == zones.end()) continue;
     if (zone->second == context_.self.region) {
       own.push_back(it);
     } else if (!it.leaving) {
-      remote_caches_.add(it.service, zone->second, {it.id, it.address});
+      remote_caches_.add(it.service, zone->second,
+                         {it.identity.name(), it.address});
     }
   }
   listed_ = std::move(own);
-  const monotonic_time now = context_.clock.now();
   warmth_.list_covers(covers);
   for (const surface::listed_endpoint& it : listed_) {
-    warmth_.told(it.id, it.cold_left, routing::warmth_source::list, now);
+    warmth_.told(it.identity.name(), it.cold_left, routing::warmth_source::list,
+                 now);
   }
   refresh();
 }
@@ -77,11 +79,12 @@
   std::vector<routing::engine_book::endpoint> engines;
   places_.clear();
   for (const surface::listed_endpoint& it : listed_) {
-    declared.push_back({it.id, it.service, it.address, it.slots, it.leaving});
-    places_[it.id] = {it.availability_zone, it.service};
+    const std::string name = it.identity.name();
+    declared.push_back({name, it.service, it.address, it.slots, it.leaving});
+    places_[name] = {it.availability_zone, it.service};
     const config::planned_service* service = planned(it.service);
     if (service != nullptr && service->engine) {
-      engines.push_back({it.id, it.service, service->engine->kv_capacity,
+      engines.push_back({name, it.service, service->engine->kv_capacity,
                          service->engine->tokens_per_event});
     }
   }
@@ -266,7 +269,7 @@
 void endpoint_pool::vanished(const std::string& endpoint) {
   log_event(log_level::info, "endpoint-vanished", {{"endpoint", endpoint}});
   std::erase_if(listed_, [&endpoint](const surface::listed_endpoint& it) {
-    return it.id == endpoint;
+    return it.identity.name() == endpoint;
   });
   refresh();
 }
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -67,9 +67,9 @@
     const milliseconds silence = longest_silence(request, endpoint.expected);
     now.answer_by = std::min(request.deadline, now.started + silence);
   }
-  context_.endpoints.request_started(endpoint.id);
-  pool_.note_sent(endpoint.id);
-  now.ticket = pool_.engines().begin(endpoint.id, request.work,
+  context_.endpoints.request_started(endpoint.name);
+  pool_.note_sent(endpoint.name);
+  now.ticket = pool_.engines().begin(endpoint.name, request.work,
                                      endpoint.read_tokens, now.started);
   std::function<void()> on_gone = [call = now.call] { call->cancel(); };
   exchange.on_gone(std::move(on_gone));
@@ -91,8 +91,8 @@
   }
   exchange.on_gone(nullptr);
   pool_.engines().end(now.ticket, context_.clock.now());
-  context_.endpoints.request_ended(endpoint.id);
-  out.endpoint = endpoint.id;
+  context_.endpoints.request_ended(endpoint.name);
+  out.endpoint = endpoint.name;
   co_return out;
 }
 
@@ -102,9 +102,10 @@
   const std::string& resume_after = now.events.continued()
                                         ? now.events.resume_point()
                                         : now.request.head.resume_after;
+  const std::string_view id = surface::id_in_name(now.endpoint.name);
   const surface::endpoint_attempt in{now.request.head,
                                      now.request.body,
-                                     now.endpoint.id,
+                                     std::string(id),
                                      std::max(remaining, milliseconds(1)),
                                      now.request.route->priority,
                                      resume_after,
@@ -125,14 +126,14 @@
     if (own) break;
     log_event(log_level::warn, "surplus-answer",
               {{"request_id", now.request.head.request_id},
-               {"endpoint", now.endpoint.id},
+               {"endpoint", now.endpoint.name},
                {"answered_id", id}});
     if (n == most_surplus_answers) {
       now.call->cancel();
       transport::call_failure crossed;
       crossed.cause = {error_kind::endpoint_failed,
                        "the endpoint answered other requests only",
-                       "check the endpoint " + now.endpoint.id};
+                       "check the endpoint " + now.endpoint.name};
       crossed.bytes_written = true;
       co_return tl::make_unexpected(std::move(crossed));
     }
@@ -148,9 +149,9 @@
   const bool late = failure.cause.kind == error_kind::deadline &&
                     now.answer_by == now.request.deadline;
   if (failure.refused) {
-    context_.endpoints.connection_refused(now.endpoint.id, at);
+    context_.endpoints.connection_refused(now.endpoint.name, at);
   } else if (!now.exchange.gone() && !(late && failure.bytes_written)) {
-    context_.endpoints.request_failed(now.endpoint.id, at);
+    context_.endpoints.request_failed(now.endpoint.name, at);
   }
   attempt out =
       failed_attempt(failure.bytes_written ? run_state::unknown : run_state::no,
@@ -159,7 +160,7 @@
   if (!now.exchange.gone()) {
     log_event(log_level::warn, "endpoint-failed",
               {{"request_id", now.request.head.request_id},
-               {"endpoint", now.endpoint.id},
+               {"endpoint", now.endpoint.name},
                {"sent", failure.bytes_written ? "yes" : "no"},
                {"detail", failure.cause.message}});
   }
@@ -167,9 +168,9 @@
 }
 
 std::optional<attempt> endpoint_runner::read_head(running& now) {
-  pool_.observe(now.endpoint.id, now.answer);
+  pool_.observe(now.endpoint.name, now.answer);
   if (!now.answer.not_run && !now.answer.other_endpoint) return std::nullopt;
-  if (now.answer.other_endpoint) pool_.vanished(now.endpoint.id);
+  if (now.answer.other_endpoint) pool_.vanished(now.endpoint.name);
   attempt out =
       failed_attempt(run_state::no,
                      {now.answer.other_endpoint ? error_kind::unavailable
@@ -180,7 +181,7 @@
   out.sends = 1;
   log_event(log_level::info, "endpoint-refused",
             {{"request_id", now.request.head.request_id},
-             {"endpoint", now.endpoint.id},
+             {"endpoint", now.endpoint.name},
              {"status", std::to_string(now.call->status())}});
   return out;
 }
@@ -206,12 +207,13 @@
   result<std::string> body = co_await now.call->read_rest(largest_plain_answer);
   if (!body) {
     if (!now.exchange.gone()) {
-      context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+      context_.endpoints.request_failed(now.endpoint.name,
+                                        context_.clock.now());
     }
     co_return failed_attempt(run_state::unknown, body.error(),
                              refused_retry_after);
   }
-  context_.endpoints.request_succeeded(now.endpoint.id);
+  context_.endpoints.request_succeeded(now.endpoint.name);
   http_answer answer = answer_head(*now.call, *surfaces_.endpoints);
   answer.body = std::move(*body);
   attempt out;
@@ -238,7 +240,8 @@
   result<std::string> piece = co_await now.call->read_piece();
   if (!piece) {
     if (!now.exchange.gone()) {
-      context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+      context_.endpoints.request_failed(now.endpoint.name,
+                                        context_.clock.now());
     }
     co_return failed_attempt(run_state::unknown, piece.error(),
                              refused_retry_after);
@@ -261,11 +264,11 @@
     co_return out;
   }
   if (passed.broken) {
-    context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+    context_.endpoints.request_failed(now.endpoint.name, context_.clock.now());
     out.cause = *passed.broken;
     co_return out;
   }
-  context_.endpoints.request_succeeded(now.endpoint.id);
+  context_.endpoints.request_succeeded(now.endpoint.name);
   co_await now.exchange.finish_stream();
   co_return out;
 }
@@ -277,7 +280,7 @@
                         {error_kind::endpoint_failed,
                          "the endpoint answered the rest of a stream with " +
                              std::to_string(status),
-                         "check the endpoint " + now.endpoint.id});
+                         "check the endpoint " + now.endpoint.name});
 }
 
 awaitable<attempt> endpoint_runner::deliver_events(running& now) {
@@ -289,7 +292,7 @@
     if (ended && now.events.misses_something() && !has_told_end(*now.call)) {
       const error cause{error_kind::endpoint_failed,
                         "an answer without length ended too early",
-                        "check the endpoint " + now.endpoint.id};
+                        "check the endpoint " + now.endpoint.name};
       co_return events_broke(now, cause);
     }
     if (!ended) pool_.engines().event(now.ticket, context_.clock.now());
@@ -303,10 +306,10 @@
     if (now.events.continued()) co_return wrong_continuation(now, fault);
     log_event(log_level::info, "stream-not-resumable",
               {{"request_id", now.request.head.request_id},
-               {"endpoint", now.endpoint.id},
+               {"endpoint", now.endpoint.name},
                {"cause", std::string(to_string(fault))}});
   }
-  context_.endpoints.request_succeeded(now.endpoint.id);
+  context_.endpoints.request_succeeded(now.endpoint.name);
   co_await now.exchange.finish_stream();
   attempt out;
   out.delivered = true;
@@ -332,7 +335,7 @@
 attempt endpoint_runner::events_broke(running& now, const error& cause) {
   if (now.exchange.gone()) return caller_left(now);
   now.call->cancel();
-  context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+  context_.endpoints.request_failed(now.endpoint.name, context_.clock.now());
   if (!now.exchange.answered()) {
     return failed_attempt(run_state::unknown, cause, refused_retry_after);
   }
@@ -347,12 +350,12 @@
 attempt endpoint_runner::wrong_continuation(running& now, stream_fault fault) {
   now.call->cancel();
   now.exchange.abort();
-  context_.endpoints.request_failed(now.endpoint.id, context_.clock.now());
+  context_.endpoints.request_failed(now.endpoint.name, context_.clock.now());
   attempt out;
   out.delivered = true;
   out.ran = run_state::yes;
   out.cause = {error_kind::endpoint_failed, std::string(to_string(fault)),
-               "check the endpoint " + now.endpoint.id};
+               "check the endpoint " + now.endpoint.name};
   return out;
 }
 
--- a/gateway/src/engine_weighing.cc
+++ b/gateway/src/engine_weighing.cc
@@ -82,7 +82,7 @@
 weighed_endpoint engine_weighing::weigh(const endpoint_view& view) const {
   const routing::uncached_prompt lacks = engines_.uncached(view.name, work_);
   weighed_endpoint out;
-  out.chosen.id = view.name;
+  out.chosen.name = view.name;
   out.chosen.address = view.address;
   std::uint32_t copied = 0;
   if (engine_.moves && lacks.shared >= holder_lacks_ + least_copied) {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -189,7 +189,7 @@
         co_await runner_.run(request, *chosen, may_give_up, events, exchange);
     request.sends += last->sends;
     if (last->stream_broken) {
-      request.avoid.insert(chosen->id);
+      request.avoid.insert(chosen->name);
       attempt broken = std::move(*last);
       co_return co_await resume(request, std::move(broken), events, exchange);
     }
@@ -198,7 +198,7 @@
       co_return std::move(*last);
     }
     may_have_run = may_have_run || last->ran != run_state::no;
-    request.avoid.insert(chosen->id);
+    request.avoid.insert(chosen->name);
     if (last->sends == 0) ++unsent;
     if (!may_retry(request, *last, unsent)) break;
     note_retry(request, *last);
@@ -273,7 +273,7 @@
     attempt next =
         co_await runner_.run(request, *chosen, may_give_up, events, exchange);
     request.sends += next.sends;
-    request.avoid.insert(chosen->id);
+    request.avoid.insert(chosen->name);
     const std::string outcome = outcome_of(next, exchange.gone());
     note_resumption(request, last, next, last_event, outcome);
     if (next.sends == 0) ++unsent;
--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -9,6 +9,7 @@
 
 using std::chrono::milliseconds;
 using surface::listed_endpoint;
+using surface::start_time;
 
 // A gateway is told the whole list this often, whatever it has.
 constexpr milliseconds whole_interval{10'000};
@@ -44,7 +45,9 @@
 
 json to_json(const listed_endpoint& value) {
   json out;
-  out["id"] = value.id;
+  out["id"] = value.identity.id;
+  const start_time born = value.identity.born;
+  if (born != start_time{}) out["born"] = as_number(born.time_since_epoch());
   out["service"] = value.service;
   out["address"] = value.address;
   out["zone"] = value.availability_zone;
@@ -59,7 +62,8 @@
 
 listed_endpoint listed_endpoint_from(const json& value) {
   listed_endpoint out;
-  out.id = text_of(value, "id");
+  out.identity.id = text_of(value, "id");
+  out.identity.born = start_time(milliseconds(number_of(value, "born")));
   out.service = text_of(value, "service");
   out.address = text_of(value, "address");
   out.availability_zone = text_of(value, "zone");
@@ -131,7 +135,8 @@
   if (out.since > out.version) return refused("goes back in its versions");
   for (const json& it : member_of(value, "endpoints")) {
     listed_endpoint one = listed_endpoint_from(it);
-    if (one.id.empty()) return refused("has an endpoint without an id");
+    if (one.identity.id.empty())
+      return refused("has an endpoint without an id");
     out.endpoints.push_back(std::move(one));
   }
   for (const json& it : member_of(value, "gone")) {
@@ -148,11 +153,12 @@
   covers_ = covers;
   std::set<std::string> named;
   for (const listed_endpoint& it : all) {
-    named.insert(it.id);
-    const auto known = entries_.find(it.id);
+    const std::string name = it.identity.name();
+    if (!named.insert(name).second) continue;
+    const auto known = entries_.find(name);
     const bool kept = known != entries_.end() && !known->second.gone &&
                       same(known->second.dated.as_of(now), it);
-    if (!kept) entries_[it.id] = {{it, now}, ++version_, false};
+    if (!kept) entries_[name] = {{it, now}, ++version_, false};
   }
   for (auto& [id, it] : entries_) {
     if (it.gone || named.contains(id)) continue;
@@ -197,7 +203,7 @@
   it.covers = in.covers;
   for (const std::string& id : in.gone) it.endpoints.erase(id);
   for (const listed_endpoint& one : in.endpoints) {
-    it.endpoints[one.id] = {one, now};
+    it.endpoints[one.identity.name()] = {one, now};
   }
   last_ = in.reader;
   return true;
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -37,7 +37,7 @@
   /// revision.
   config::revision_number covers = 0;
   std::vector<surface::listed_endpoint> endpoints;
-  std::vector<std::string> gone;  // ids
+  std::vector<std::string> gone;  // names of lives
 };
 
 json to_json(const listing_news& value);
--- a/node/test/listing_news-test.cc
+++ b/node/test/listing_news-test.cc
@@ -15,7 +15,7 @@
 
 listed_endpoint endpoint(const std::string& id, bool leaving = false) {
   listed_endpoint out;
-  out.id = id;
+  out.identity.id = id;
   out.service = "chat";
   out.address = "127.0.0.1:1";
   out.leaving = leaving;
@@ -101,7 +101,7 @@
   restarted.update({endpoint("b")}, revision, start);
   EXPECT_TRUE(copy.take(restarted.next("g", start), start));
   ASSERT_EQ(copy.all(start).size(), 1U);
-  EXPECT_EQ(copy.all(start)[0].id, "b");
+  EXPECT_EQ(copy.all(start)[0].identity.id, "b");
 }
 
 TEST(listing_news_test, a_list_tells_which_configuration_it_covers) {
@@ -117,6 +117,20 @@
   EXPECT_EQ(copy.covers(), 6U);
 }
 
+TEST(listing_news_test, a_new_life_under_the_same_id_replaces_the_old_one) {
+  listing_writer writer("r", 7);
+  listing_copy copy;
+  writer.update({endpoint("a")}, revision, start);
+  copy.take(read_back(writer.next("g", start)), start);
+  listed_endpoint again = endpoint("a");
+  again.identity.born = surface::start_time(milliseconds(1764722400123));
+  writer.update({again}, revision, start);
+  const listing_news news = read_back(writer.next("g", start));
+  EXPECT_EQ(news.gone, (std::vector<std::string>{"a"}));
+  EXPECT_TRUE(copy.take(news, start));
+  EXPECT_EQ(copy.all(start), (std::vector<listed_endpoint>{again}));
+}
+
 TEST(listing_news_test, an_empty_list_is_a_list) {
   listing_writer writer("r", 7);
   listing_copy copy;
--- a/own/src/directory_codec.cc
+++ b/own/src/directory_codec.cc
@@ -29,7 +29,7 @@
   for (const json& it : all) {
     surface::listed_endpoint one;
     one.address = text_of(it, "address");
-    one.id = one.address;
+    one.identity.id = one.address;
     one.leaving = text_of(it, "state") == leaving_state;
     if (!one.address.empty()) out.endpoints.push_back(std::move(one));
   }
--- a/own/test/directory_codec-test.cc
+++ b/own/test/directory_codec-test.cc
@@ -25,7 +25,7 @@
   ASSERT_TRUE(page);
   ASSERT_EQ(page->endpoints.size(), 3U);
   EXPECT_EQ(page->endpoints[0].address, "10.0.0.9");
-  EXPECT_EQ(page->endpoints[0].id, "10.0.0.9");
+  EXPECT_EQ(page->endpoints[0].identity.id, "10.0.0.9");
   EXPECT_FALSE(page->endpoints[0].leaving);
   EXPECT_TRUE(page->endpoints[1].leaving);
   EXPECT_FALSE(page->endpoints[2].leaving);
--- a/surface/include/trestlepost/surface/endpoint_directory.h
+++ b/surface/include/trestlepost/surface/endpoint_directory.h
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
+#include "trestlepost/surface/endpoint_identity.h"
 #include "trestlepost/transport/http_client.h"
 
 namespace trestlepost::surface {
 
-/// One endpoint as the list names it. Each start of an endpoint has an id of
-/// its own; addresses are used again.
+/// One endpoint as the list names it. Addresses are used again by others.
 struct listed_endpoint {
-  std::string id;
+  endpoint_identity identity;
   std::string service;
   /// "IP:PORT"; "IP" where the list names a VM with all endpoints on it.
   std::string address;
--- /dev/null
+++ b/surface/src/endpoint_identity.cc
@@ -0,0 +1,21 @@
+#include "trestlepost/surface/endpoint_identity.h"
+
+namespace trestlepost::surface {
+namespace {
+
+constexpr char before_start = '@';
+
+}  // namespace
+
+std::string endpoint_identity::name() const {
+  const bool plain =
+      born == start_time{} && id.find(before_start) == std::string::npos;
+  if (plain) return id;
+  return id + before_start + std::to_string(born.time_since_epoch().count());
+}
+
+std::string_view id_in_name(std::string_view name) {
+  return name.substr(0, name.rfind(before_start));
+}
+
+}  // namespace trestlepost::surface
--- /dev/null
+++ b/surface/test/endpoint_identity-test.cc
@@ -0,0 +1,29 @@
+#include "trestlepost/surface/endpoint_identity.h"
+
+#include <gtest/gtest.h>
+
+namespace trestlepost::surface {
+namespace {
+
+using std::chrono::milliseconds;
+
+const start_time later{milliseconds(1764722400123)};
+
+TEST(endpoint_identity_test, each_life_has_a_name_of_its_own) {
+  EXPECT_EQ((endpoint_identity{"i-7", {}}).name(), "i-7");
+  EXPECT_EQ((endpoint_identity{"i-7", later}).name(), "i-7@1764722400123");
+  // Not the name of a later life of "i-7".
+  EXPECT_EQ((endpoint_identity{"i-7@1764722400123", {}}).name(),
+            "i-7@1764722400123@0");
+}
+
+TEST(endpoint_identity_test, the_id_is_found_in_the_name) {
+  for (const char* id : {"i-7", "i-7@9", "@", ""}) {
+    for (const start_time& born : {start_time{}, later}) {
+      EXPECT_EQ(id_in_name(endpoint_identity{id, born}.name()), id);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace trestlepost::surface
