--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -70,7 +70,9 @@
   /// Takes in which zones were evacuated or given back since the last call.
   void note_evacuations();
   /// Whether `endpoint` is to get no more than a cold one bears.
-  bool may_be_cold(const std::string& endpoint, monotonic_time now) const;
+  bool may_be_cold(const std::string& endpoint, const std::string& zone,
+                   const config::planned_service* service,
+                   monotonic_time now) const;
   /// Among endpoints that run engines: the one that is worth most.
   std::optional<chosen_endpoint> choose_engine(
       const std::vector<membership::endpoint_view>& open,
@@ -97,9 +99,7 @@
   routing::engine_book engines_;
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
-  // The configuration's zones as last noted.
-  std::set<std::string> evacuated_;
-  std::map<std::string, config::revision_number> given_back_;
+  std::set<std::string> evacuated_;  // zones, as last noted
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -64,10 +64,8 @@
   // Not from `evacuated_`: a node that was cut off or stood still may get both
   // changes of an evacuation at once.
   for (const auto& [zone, revision] : context_.store.given_back()) {
-    const bool known = given_back_[zone] == revision;
-    given_back_[zone] = revision;
-    if (known) continue;
-    warmth_.given_back(zone, revision, context_.clock.now());
+    const bool news = warmth_.given_back(zone, revision, context_.clock.now());
+    if (!news) continue;
     log_event(log_level::info, "zone-given-back", {{"zone", zone}});
   }
 }
@@ -127,15 +125,13 @@
 }
 
 bool endpoint_pool::may_be_cold(const std::string& endpoint,
+                                const std::string& zone,
+                                const config::planned_service* service,
                                 monotonic_time now) const {
-  const auto found = places_.find(endpoint);
-  if (found == places_.end()) return false;
-  const config::planned_service* service = planned(found->second.service);
   const milliseconds warmup =
       service == nullptr ? milliseconds(0) : service->warmup;
   const bool unheard = warmup.count() > 0 && context_.state.is_behind(now);
-  return unheard ||
-         warmth_.may_be_cold(endpoint, found->second.zone, warmup, now);
+  return unheard || warmth_.may_be_cold(endpoint, zone, warmup, now);
 }
 
 bool endpoint_pool::takes_requests(
@@ -147,7 +143,7 @@
     return false;
   }
   const monotonic_time now = context_.clock.now();
-  if (!may_be_cold(view.name, now)) return true;
+  if (!may_be_cold(view.name, found->second.zone, service, now)) return true;
   const double bears =
       service == nullptr ? 0 : service->cold_requests_per_second;
   if (bears <= 0) return true;
@@ -275,8 +271,11 @@
 }
 
 void endpoint_pool::note_sent(const std::string& endpoint) {
+  const auto place = places_.find(endpoint);
+  if (place == places_.end()) return;
   const monotonic_time now = context_.clock.now();
-  if (!may_be_cold(endpoint, now)) return;
+  const config::planned_service* service = planned(place->second.service);
+  if (!may_be_cold(endpoint, place->second.zone, service, now)) return;
   cold_.sent(endpoint, now);
   log_event(log_level::info, "cold-endpoint-used",
             {{"endpoint", endpoint},
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -218,6 +218,11 @@
     token = page->next;
     if (token.empty()) co_return true;
   }
+  if (!lost_) {
+    log_event(log_level::warn, "platform-list-lost",
+              {{"detail", "the list has more than " +
+                              std::to_string(most_pages) + " pages"}});
+  }
   co_return false;
 }
 
--- a/routing/include/trestlepost/routing/endpoint_warmth.h
+++ b/routing/include/trestlepost/routing/endpoint_warmth.h
@@ -24,7 +24,8 @@
 
   /// The change `revision` has given `zone` back. Its endpoints may have turned
   /// cold before, and that change is here sooner than a list that says so.
-  void given_back(const std::string& zone, config::revision_number revision,
+  /// Returns whether that is news.
+  bool given_back(const std::string& zone, config::revision_number revision,
                   monotonic_time now);
 
   /// A list came that shows what the configuration did up to `revision`.
--- a/routing/src/endpoint_warmth.cc
+++ b/routing/src/endpoint_warmth.cc
@@ -33,10 +33,13 @@
              {"told_by", name_of(source)}});
 }
 
-void endpoint_warmth::given_back(const std::string& zone,
+bool endpoint_warmth::given_back(const std::string& zone,
                                  config::revision_number revision,
                                  monotonic_time now) {
-  returns_[zone] = {revision, now};
+  zone_return& last = returns_[zone];
+  if (last.revision == revision) return false;
+  last = {revision, now};
+  return true;
 }
 
 void endpoint_warmth::list_covers(config::revision_number revision) {
