A connection on which the other side is silent ends after 2 s

Cause: open connections may fall silent for good. An idle one was never probed, and one with bytes on their way ended after 5 s; a leader and its watchers, each with a link of its own, lost 5 s one after the other, so that changes were in force up to 10 s after they were acknowledged.

Ruled out: the lease (a node polls and is answered all the while, over the links that still work); a slow leader (it acknowledged within 0.4 s).

Change: connections to nodes and endpoints are probed each second and end after timing.connection_silence, 2 s. Accepted ones keep 5 s: callers may read slowly.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -105,6 +105,7 @@
 
 transport::peer_options peer_options_of(const settings& options) {
   transport::peer_options out;
+  out.silence = options.timing.connection_silence;
   out.source_ip = options.outgoing_ip;
   if (options.surface == surface_kind::platform) {
     out.connect_timeout = peer_connect_timeout;
@@ -114,6 +115,7 @@
 
 transport::http_client_options client_options_of(const settings& options) {
   transport::http_client_options out;
+  out.silence = options.timing.connection_silence;
   out.source_ip = options.outgoing_ip;
   if (options.surface == surface_kind::platform) {
     out.accept_unframed = true;
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -267,6 +267,7 @@
     read("heartbeat_interval", timing.heartbeat_interval);
     read("poll_interval", timing.poll_interval);
     read("load_poll_interval", timing.load_poll_interval);
+    read("connection_silence", timing.connection_silence);
     read("drain_timeout", timing.drain_timeout);
     read("drain_grace", timing.drain_grace);
     read("directory_lifetime", timing.directory_lifetime);
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -13,6 +13,7 @@
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/routing/region_choice.h"
 #include "trestlepost/routing/retry_budget.h"
+#include "trestlepost/transport/asio.h"
 
 namespace trestlepost::node {
 
@@ -35,6 +36,9 @@
   std::chrono::milliseconds platform_poll_interval{1000};
   /// By how much the platform's list lags behind its endpoints at most.
   std::chrono::milliseconds platform_list_lag{1000};
+  /// After so long without a word from the other side's system an open
+  /// connection to a node or an endpoint counts as lost.
+  std::chrono::milliseconds connection_silence{transport::usual_silence};
   std::chrono::milliseconds drain_timeout{60'000};
   /// How long a planned stop goes on taking requests: callers learn of it
   /// only when they ask the directory again.
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <string>
 
 #include "trestlepost/base/error.h"
@@ -23,6 +24,16 @@
 /// messages, and an end to connections whose peer is silently gone.
 void set_socket_options(tcp::socket& socket);
 
+/// For connections that this node opened. One on which the other side's system
+/// is silent for `silence`, to what was sent or to probes while nothing is, is
+/// ended with a time-out. Probes go out in whole seconds: an idle one may last
+/// up to two seconds longer.
+void end_when_silent(tcp::socket& socket, std::chrono::milliseconds silence);
+
+/// What `end_when_silent` takes where nothing else is set. Two round trips of
+/// 160 ms with three packets lost in between take less.
+inline constexpr std::chrono::milliseconds usual_silence{2000};
+
 /// Opens `socket` for a connection to `to` from the own address `source_ip`;
 /// an empty one leaves the choice to the system.
 void open_from(tcp::socket& socket, const tcp::endpoint& to,
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -16,6 +16,9 @@
   std::chrono::milliseconds connect_timeout{1000};
   /// A kept connection that is idle for longer is closed.
   std::chrono::milliseconds keep_idle{5000};
+  /// A connection on which the other side's system is silent for so long is
+  /// ended, also while it is kept or an answer is awaited.
+  std::chrono::milliseconds silence{usual_silence};
   std::size_t most_kept = 64;  // for each address
   std::string source_ip;       // of outgoing connections; empty: any
   /// Takes an answer without length, which ends with its connection. A reset
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -25,6 +25,9 @@
   std::string source_ip;  // of outgoing connections; empty: any
   /// Until the connection stands, and again until the peer has greeted.
   std::chrono::milliseconds connect_timeout{2000};
+  /// A connection on which the peer's system is silent for so long is opened
+  /// anew.
+  std::chrono::milliseconds silence{usual_silence};
 };
 
 /// Counters for metrics.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -196,7 +196,9 @@
   error_code ec;
   co_await connection_->stream.async_connect(*at,
                                              redirect_error(use_awaitable, ec));
-  if (!ec) set_socket_options(connection_->stream.socket());
+  if (ec) co_return ec;
+  set_socket_options(connection_->stream.socket());
+  end_when_silent(connection_->stream.socket(), client_->options.silence);
   co_return ec;
 }
 
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -11,6 +11,8 @@
 
 // Unacknowledged data for so long means that the peer or the link is gone.
 constexpr int unacknowledged_ms = 5000;
+// Until an idle connection is probed, and between probes.
+constexpr int probe_seconds = 1;
 
 }  // namespace
 
@@ -38,6 +40,18 @@
                &unacknowledged_ms, sizeof unacknowledged_ms);
 }
 
+void end_when_silent(tcp::socket& socket, std::chrono::milliseconds silence) {
+  boost::system::error_code ec;
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  const int fd = socket.native_handle();
+  const auto set = [fd](int option, int value) {
+    ::setsockopt(fd, IPPROTO_TCP, option, &value, sizeof value);
+  };
+  set(TCP_KEEPIDLE, probe_seconds);
+  set(TCP_KEEPINTVL, probe_seconds);
+  set(TCP_USER_TIMEOUT, static_cast<int>(silence.count()));
+}
+
 void open_from(tcp::socket& socket, const tcp::endpoint& to,
                const std::string& source_ip) {
   if (source_ip.empty()) return;
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -189,5 +190,29 @@
   EXPECT_FALSE(failed->bytes_written);
 }
 
+/// The value of a TCP option of `socket`.
+int tcp_option(tcp::socket& socket, int option) {
+  int value = 0;
+  socklen_t size = sizeof value;
+  ::getsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, &size);
+  return value;
+}
+
+// That the system then ends the connection is not shown here: loopback always
+// answers.
+TEST(socket_options_test, an_opened_connection_is_watched_for_silence) {
+  asio::io_context io;
+  tcp::socket socket(io);
+  socket.open(tcp::v4());
+  set_socket_options(socket);
+  end_when_silent(socket, std::chrono::milliseconds(1700));
+  asio::socket_base::keep_alive probed;
+  socket.get_option(probed);
+  EXPECT_TRUE(probed.value());
+  EXPECT_EQ(tcp_option(socket, TCP_KEEPIDLE), 1);
+  EXPECT_EQ(tcp_option(socket, TCP_KEEPINTVL), 1);
+  EXPECT_EQ(tcp_option(socket, TCP_USER_TIMEOUT), 1700);
+}
+
 }  // namespace
 }  // namespace trestlepost::transport
