A change that was lost with its connection is sent again at once

Cause: the leader takes what it sent to a watcher for under way for 2 s, then for 4 s and so on. When all connections fall silent, the first copy and its repeat are lost with two connections, and a gateway goes on by the older plan for more than 5 s.

Ruled out: a shorter patience: a link that is squeezed would carry copies of one change again and again, for which the patience doubles.

Change: a link tells when a connection that stood has broken, after it has dropped what waited; the leader then counts nothing as sent there and sends what is due over the next connection.

The test failed to compile before: nothing told that a connection was lost.

--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -55,6 +55,15 @@
   return is_direct(it) || context_.clock.now() >= it.first_at + first_patience;
 }
 
+void config_watchers::connection_lost(const std::string& address) {
+  for (auto& [name, it] : all_) {
+    const bool direct = is_direct(it) || it.via.empty();
+    if ((direct ? it.address : it.via) != address) continue;
+    it.delivery.missed();
+    send_due(it);
+  }
+}
+
 void config_watchers::lead_in(consensus::term_number term) {
   if (term == term_) return;
   term_ = term;
--- a/node/src/config_watchers.h
+++ b/node/src/config_watchers.h
@@ -39,6 +39,11 @@
   void polled(const watcher_poll& poll);
   /// Sends all watchers what is due after a change.
   void push();
+  /// The connection to the peer at `address` was lost: what was sent there is
+  /// sent again at once. Waiting for it to be taken for lost left a gateway
+  /// without an acknowledged change for more than 5 s after all connections had
+  /// fallen silent.
+  void connection_lost(const std::string& address);
   /// This node leads in `term`: what was sent in another may not count. A lease
   /// that lapses for a moment changes nothing.
   void lead_in(consensus::term_number term);
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -56,6 +56,10 @@
   std::string leader_node() const;
   /// How often this node sent a configuration, or changes of it, to a watcher.
   std::uint64_t contents_sent() const { return watchers_.contents_sent(); }
+  /// The connection to the peer at `address` was lost.
+  void connection_lost(const std::string& address) {
+    if (leads()) watchers_.connection_lost(address);
+  }
 
  private:
   struct waiting_change {
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -293,6 +293,9 @@
   if (control) {
     result<void> started = control->start();
     if (!started) return started;
+    links.set_on_lost([this](const std::string& address) {
+      control->connection_lost(address);
+    });
   }
   watch.on_changed = [this] {
     declare_endpoints();
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -66,6 +67,11 @@
   /// one to a peer that is connected: 0.32 s between regions.
   void keep_open(std::set<std::string> addresses);
 
+  /// Called when a connection that stood has broken. What was sent over it in
+  /// the last moment, and what waited, may be lost; what is sent from now on
+  /// goes over the next connection.
+  void set_on_lost(std::function<void(const std::string& address)> on_lost);
+
   const peer_traffic& traffic() const;
   void close();
 
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -55,6 +55,7 @@
   std::map<std::string, std::shared_ptr<link>> links;
   std::set<std::string> kept;
   peer_traffic traffic;
+  std::function<void(const std::string&)> on_lost = [](const std::string&) {};
 };
 
 namespace {
@@ -122,6 +123,7 @@
     all->traffic.messages_dropped += to->queue.size();
     to->queue.clear();
     to->queued_bytes = 0;
+    if (connected) all->on_lost(to->address);
     error_code ec;
     to->wake.expires_after(reconnect_delay);
     co_await to->wake.async_wait(redirect_error(use_awaitable, ec));
@@ -193,6 +195,11 @@
   }
 }
 
+void peer_links::set_on_lost(
+    std::function<void(const std::string& address)> on_lost) {
+  state_->on_lost = std::move(on_lost);
+}
+
 const peer_traffic& peer_links::traffic() const {
   return state_->traffic;
 }
--- a/transport/test/peer-test.cc
+++ b/transport/test/peer-test.cc
@@ -74,6 +74,33 @@
       run_until([&links] { return links.traffic().messages_sent == 1; }));
 }
 
+TEST_F(peer_test, what_is_sent_when_a_connection_is_lost_arrives) {
+  const std::string other = own_ip() + ":7803";
+  auto server = std::make_unique<peer_server>(context_, secret, dispatcher_,
+                                              random_, peer_options());
+  ASSERT_TRUE(server->listen(other));
+  peer_links links(context_, secret, {});
+  std::vector<std::string> lost;
+  links.set_on_lost([&lost, &links](const std::string& it) {
+    lost.push_back(it);
+    links.send(it, "count", numbered(2));
+  });
+  links.send(other, "count", numbered(1));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 1; }));
+  server = std::make_unique<peer_server>(context_, secret, dispatcher_, random_,
+                                         peer_options());
+  ASSERT_TRUE(server->listen(other));
+  // The system of a peer that is gone answers the first write with a reset.
+  links.send(other, "none", numbered(0));
+  run_until(
+      [&lost, turns = 0]() mutable { return !lost.empty() || ++turns > 50; });
+  if (lost.empty()) links.send(other, "none", numbered(0));
+  ASSERT_TRUE(run_until([&lost] { return !lost.empty(); }));
+  EXPECT_EQ(lost, std::vector<std::string>{other});
+  EXPECT_TRUE(run_until([this] { return received_.size() == 2; }));
+  EXPECT_EQ(received_.back(), 2);
+}
+
 TEST_F(peer_test, a_peer_with_another_secret_gets_nothing) {
   peer_links links(context_, "another secret", {});
   links.send(address, "count", numbered(1));
