A node that was told there is no plan yet asks the leader only

Cause: before the first plan each node asked all control nodes every 150 ms, though a leader had confirmed that there is none. At 300 nodes that kept the leader from its lease, and no order was ever acknowledged.

Change: a confirmation counts for a node without a configuration too: it asks the leader at the usual interval, and the first plan is pushed to it.

Node, platform and plan tests green.

--- a/node/src/poll_schedule.cc
+++ b/node/src/poll_schedule.cc
@@ -13,15 +13,14 @@
 
 std::chrono::milliseconds time_to_next_poll(const poll_situation& now,
                                             std::chrono::milliseconds usual) {
-  const bool urgent = !now.has_configuration || !now.confirmed;
-  return urgent ? std::min(urgent_interval, usual) : usual;
+  return now.confirmed ? usual : std::min(urgent_interval, usual);
 }
 
 std::vector<std::string> whom_to_ask(const poll_situation& now,
                                      const std::string& leader_address,
                                      const std::vector<std::string>& all,
                                      leader_finder& finder) {
-  if (!now.has_configuration) return all;
+  if (!now.has_configuration && !now.confirmed) return all;
   if (!leader_address.empty()) return {leader_address};
   return {finder.next_of(all)};
 }
