Sight: each repeat has a line and a count, also in another region

Cause: a retry in another region wrote no line, and nothing counted what arrives at endpoints, so logs could not tell which repeats were paid. Change: trestlepost_sends_total (first, repeat), trestlepost_retries_denied_total, request-retried for each repeat with the region it goes to. No decision changes.

--- a/gateway/include/trestlepost/gateway/metrics.h
+++ b/gateway/include/trestlepost/gateway/metrics.h
@@ -22,7 +22,11 @@
   void served_in(const std::string& service, const std::string& region);
   void first_piece(const std::string& service,
                    std::chrono::nanoseconds duration);
+  /// A request was written to an endpoint; `first`: it reached none before.
+  void sent(const std::string& service, bool first);
   void retried(const std::string& service);
+  /// A retry that would have been possible was not paid for by the budget.
+  void retry_denied(const std::string& service);
   /// A broken stream was continued at another endpoint.
   void resumed(const std::string& service, const std::string& outcome);
   void forwarded(const std::string& region);
@@ -33,7 +37,9 @@
   prometheus::Family<prometheus::Histogram>& durations_;
   prometheus::Family<prometheus::Histogram>& first_pieces_;
   prometheus::Family<prometheus::Counter>& served_;
+  prometheus::Family<prometheus::Counter>& sends_;
   prometheus::Family<prometheus::Counter>& retries_;
+  prometheus::Family<prometheus::Counter>& retries_denied_;
   prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Counter>& forwards_;
   prometheus::Family<prometheus::Gauge>& queue_;
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -32,6 +32,10 @@
   /// Takes a retry of `service` out of the budget; false when none is left.
   bool take_retry(const std::string& service);
 
+  /// `request`, which ended at `last`, is tried once more in `region`.
+  void note_retry(const routed_request& request, const attempt& last,
+                  const std::string& region);
+
   endpoint_pool& pool() { return pool_; }
   /// Fits this gateway's share of the retries to the gateways there are.
   void tick();
@@ -61,7 +65,6 @@
                                         const attempt& last,
                                         const event_scanner& events,
                                         unsigned unsent);
-  void note_retry(const routed_request& request, const attempt& last);
   void note_resumption(const routed_request& request, const attempt& before,
                        const attempt& after, const std::string& last_event,
                        const std::string& outcome);
--- a/gateway/src/metrics.cc
+++ b/gateway/src/metrics.cc
@@ -39,8 +39,12 @@
                               "Time until the first piece of the answer.")),
       served_(counter(registry, "trestlepost_served_total",
                       "Answered requests, by the region that served them.")),
+      sends_(counter(registry, "trestlepost_sends_total",
+                     "Requests written to endpoints of the own region.")),
       retries_(counter(registry, "trestlepost_retries_total",
                        "Second and later attempts.")),
+      retries_denied_(counter(registry, "trestlepost_retries_denied_total",
+                              "Retries that the budget did not pay for.")),
       resumptions_(counter(registry, "trestlepost_stream_resumptions_total",
                            "Broken streams continued at another endpoint.")),
       forwards_(counter(registry, "trestlepost_forwards_total",
@@ -67,10 +71,19 @@
       .Observe(seconds_of(duration));
 }
 
+void gateway_metrics::sent(const std::string& service, bool first) {
+  sends_.Add({{"service", service}, {"which", first ? "first" : "repeat"}})
+      .Increment();
+}
+
 void gateway_metrics::retried(const std::string& service) {
   retries_.Add({{"service", service}}).Increment();
 }
 
+void gateway_metrics::retry_denied(const std::string& service) {
+  retries_denied_.Add({{"service", service}}).Increment();
+}
+
 void gateway_metrics::resumed(const std::string& service,
                               const std::string& outcome) {
   resumptions_.Add({{"service", service}, {"outcome", outcome}}).Increment();
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -157,6 +157,7 @@
       break;
     }
     const std::string& region = chosen->region;
+    if (request.sends > 0) own_.note_retry(request, last, region);
     if (region == context_.self.region) {
       last = co_await own_.serve(request, chosen->endpoint, exchange);
     } else {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -135,7 +135,9 @@
 }
 
 bool route_service::take_retry(const std::string& service) {
-  return retries_of(service).take();
+  const bool taken = retries_of(service).take();
+  if (!taken) context_.metrics.retry_denied(service);
+  return taken;
 }
 
 tl::expected<chosen_endpoint, attempt> route_service::choose(
@@ -160,11 +162,13 @@
 }
 
 void route_service::note_retry(const routed_request& request,
-                               const attempt& last) {
+                               const attempt& last, const std::string& region) {
   context_.metrics.retried(request.service);
   log_event(log_level::info, "request-retried",
             {{"request_id", request.head.request_id},
              {"endpoint", last.endpoint},
+             {"to", region},
+             {"sends", std::to_string(request.sends)},
              {"cause", last.cause.message}});
 }
 
@@ -201,7 +205,7 @@
     request.avoid.insert(chosen->name);
     if (last->sends == 0) ++unsent;
     if (!may_retry(request, *last, unsent)) break;
-    note_retry(request, *last);
+    note_retry(request, *last, context_.self.region);
   }
   if (may_have_run) last->ran = run_state::unknown;
   co_return std::move(*last);
