Each send of a request after its first is paid for, wherever it goes

Cause: a gateway paid for a retry by its reason. What an endpoint had rejected went to another region for nothing, since it can't have run; each gateway that served a forwarded request earned a share of a retry by it again; and a process started with its whole part saved, which is that of a single gateway while it knows no other. Class: a limit on arrivals that is kept where decisions are made instead of where arrivals are sent. Change: routing::paid_sends stands with the request; each send asks it, the first is free, the others are taken from the budget of the gateway that sends. Only the caller's gateway earns. A refusal that can't be read counts as a send. The test of a smaller share earned nothing before it asked; it now earns what it asks for.

--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -24,13 +24,20 @@
         retry_limits_(retries) {}
 
   /// Runs `request` at one endpoint after the other, as its route allows;
-  /// first at `first`, where it was chosen already.
+  /// first at `first`, where it was chosen already. The first send is paid for.
   transport::awaitable<attempt> serve(
       routed_request& request, const std::optional<chosen_endpoint>& first,
       transport::http_exchange& exchange);
 
-  /// Takes a retry of `service` out of the budget; false when none is left.
-  bool take_retry(const std::string& service);
+  /// A caller of this gateway sent a request for `service`, which pays for a
+  /// share of a retry. Gateways that serve it for this one do not count it.
+  void request_seen(const std::string& service);
+
+  /// Whether `request` may be sent to an endpoint, in whatever region: the
+  /// first time is free, the others are taken out of the budget.
+  bool pay_for_send(routed_request& request);
+  /// `request` has ended: what was paid for and not sent goes back.
+  void end_sends(routed_request& request);
 
   /// `request`, which ended at `last`, is tried once more in `region`.
   void note_retry(const routed_request& request, const attempt& last,
@@ -52,17 +59,16 @@
   /// answers written there by more than it is worth.
   tl::expected<chosen_endpoint, attempt> worth_running(
       const routed_request& request, const chosen_endpoint& chosen) const;
-  /// Whether another endpoint may be tried; takes a retry when one is needed.
+  /// Whether another endpoint of this region may be tried.
   bool may_retry(const routed_request& request, const attempt& last,
-                 unsigned unsent);
+                 unsigned unsent) const;
   /// Continues a stream that broke off at other endpoints, or breaks off its
   /// answer.
   transport::awaitable<attempt> resume(routed_request& request, attempt broken,
                                        event_scanner& events,
                                        transport::http_exchange& exchange);
   /// The endpoint for the rest of the stream, or why it is not continued.
-  result<chosen_endpoint> next_for_rest(const routed_request& request,
-                                        const attempt& last,
+  result<chosen_endpoint> next_for_rest(routed_request& request,
                                         const event_scanner& events,
                                         unsigned unsent);
   void note_resumption(const routed_request& request, const attempt& before,
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -8,6 +8,7 @@
 #include "trestlepost/config/traffic_plan.h"
 #include "trestlepost/routing/engine_book.h"
 #include "trestlepost/routing/outlook.h"
+#include "trestlepost/routing/paid_sends.h"
 #include "trestlepost/surface/call_head.h"
 
 namespace trestlepost::gateway {
@@ -26,8 +27,7 @@
   monotonic_time deadline;
   /// Endpoints that this request has been sent to or that refused it.
   std::set<std::string> avoid;
-  /// Endpoints that it has been written to so far.
-  unsigned sends = 0;
+  routing::paid_sends sends;
 };
 
 /// What `head` costs an engine.
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -87,7 +87,8 @@
     out = send_failed(now, sent.error());
   }
   const bool reached = out.sends > 0;
-  if (reached) context_.metrics.sent(request.service, request.sends == 0);
+  const bool first = request.sends.count() == 0;
+  if (reached) context_.metrics.sent(request.service, first);
   if (out.delivered && !events.continued()) {
     context_.metrics.served_in(request.service, context_.self.region);
   }
--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -41,7 +41,9 @@
        text_of(value, "remedy")},
       std::chrono::milliseconds(number_of(value, "retry_after_ms")));
   out.endpoint = text_of(value, "endpoint");
-  out.sends = static_cast<unsigned>(number_of(value, "sends"));
+  // What can't be read may hide a send; told too few, the request could reach
+  // more endpoints than its route allows.
+  out.sends = parsed ? static_cast<unsigned>(number_of(value, "sends")) : 1;
   return out;
 }
 
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -72,7 +72,7 @@
   out.arrived = context_.clock.now();
   out.deadline = out.arrived + message.remaining;
   out.avoid = std::move(message.avoid);
-  out.sends = message.sends;
+  out.sends = routing::paid_sends(message.sends);
   return out;
 }
 
@@ -91,10 +91,11 @@
         message ? accept(std::move(*message), std::move(*body))
                 : result<routed_request>(tl::make_unexpected(message.error()));
     if (request) {
-      const unsigned before = request->sends;
+      const unsigned before = request->sends.count();
       const std::optional<chosen_endpoint> none_chosen;
       outcome = co_await service_.serve(*request, none_chosen, exchange);
-      outcome.sends = request->sends - before;
+      outcome.sends = request->sends.count() - before;
+      service_.end_sends(*request);
     } else {
       outcome =
           failed_attempt(run_state::no, request.error(), after_wrong_node);
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -69,7 +69,7 @@
       request.deadline - context_.clock.now());
   message.remaining = std::max(message.remaining, milliseconds(1));
   message.avoid = request.avoid;
-  message.sends = request.sends;
+  message.sends = request.sends.count();
   message.plan = request.plan->number;
   const std::string text = to_text(to_json(message));
   transport::http_request out;
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -118,7 +118,9 @@
     co_await refuse(refused, id, exchange);
     co_return;
   }
+  own_.request_seen(request->service);
   attempt outcome = co_await run(*request, exchange);
+  own_.end_sends(*request);
   record(*request, outcome);
   if (outcome.delivered || exchange.answered() || exchange.gone()) co_return;
   if (outcome.endpoint_answer) {
@@ -130,11 +132,10 @@
 }
 
 bool route_handler::may_go_elsewhere(const routed_request& request,
-                                     const attempt& last) {
-  if (request.sends >= request.route->attempts) return false;
+                                     const attempt& last) const {
+  if (request.sends.count() >= request.route->attempts) return false;
   if (context_.clock.now() >= request.deadline) return false;
-  if (last.ran == run_state::no) return true;
-  return request.route->may_repeat() && own_.take_retry(request.service);
+  return last.ran == run_state::no || request.route->may_repeat();
 }
 
 awaitable<attempt> route_handler::run(routed_request& request,
@@ -150,19 +151,20 @@
     const std::optional<region_decision> chosen =
         choose_region(context_, own_.pool(), remote_, request, exhausted);
     if (!chosen) {
-      const bool untried = exhausted.empty() && request.sends == 0;
+      const bool untried = exhausted.empty() && request.sends.count() == 0;
       bool again = false;
       if (untried) again = co_await wait_to_learn(request.arrived, exchange);
       if (again) continue;
       break;
     }
+    if (!own_.pay_for_send(request)) break;
     const std::string& region = chosen->region;
-    if (request.sends > 0) own_.note_retry(request, last, region);
+    if (request.sends.count() > 0) own_.note_retry(request, last, region);
     if (region == context_.self.region) {
       last = co_await own_.serve(request, chosen->endpoint, exchange);
     } else {
       last = co_await remote_.serve(request, region, exchange);
-      request.sends += last.sends;
+      request.sends.sent(last.sends);
       if (!last.endpoint.empty()) request.avoid.insert(last.endpoint);
     }
     if (last.delivered || exchange.answered() || exchange.gone()) {
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -124,20 +124,25 @@
 }
 
 bool route_service::may_retry(const routed_request& request,
-                              const attempt& last, unsigned unsent) {
+                              const attempt& last, unsigned unsent) const {
   if (context_.clock.now() >= request.deadline) return false;
   if (last.sends == 0) return unsent < most_unsent_tries;
-  if (request.sends >= request.route->attempts) return false;
-  const bool safe = last.ran == run_state::no || request.route->may_repeat();
-  // Without another endpoint here the retry is left to other regions.
-  if (!safe || !pool_.choose(request)) return false;
-  return take_retry(request.service);
+  if (request.sends.count() >= request.route->attempts) return false;
+  return last.ran == run_state::no || request.route->may_repeat();
 }
 
-bool route_service::take_retry(const std::string& service) {
-  const bool taken = retries_of(service).take();
-  if (!taken) context_.metrics.retry_denied(service);
-  return taken;
+void route_service::request_seen(const std::string& service) {
+  retries_of(service).request_seen();
+}
+
+bool route_service::pay_for_send(routed_request& request) {
+  const bool paid = request.sends.cover_next(retries_of(request.service));
+  if (!paid) context_.metrics.retry_denied(request.service);
+  return paid;
+}
+
+void route_service::end_sends(routed_request& request) {
+  request.sends.end(retries_of(request.service));
 }
 
 tl::expected<chosen_endpoint, attempt> route_service::choose(
@@ -168,14 +173,13 @@
             {{"request_id", request.head.request_id},
              {"endpoint", last.endpoint},
              {"to", region},
-             {"sends", std::to_string(request.sends)},
+             {"sends", std::to_string(request.sends.count())},
              {"cause", last.cause.message}});
 }
 
 awaitable<attempt> route_service::serve(
     routed_request& request, const std::optional<chosen_endpoint>& first,
     transport::http_exchange& exchange) {
-  retries_of(request.service).request_seen();
   std::optional<attempt> last;
   bool may_have_run = false;
   unsigned unsent = 0;
@@ -186,12 +190,16 @@
       if (!last) last = std::move(chosen.error());
       break;
     }
-    const bool may_give_up = request.route->may_repeat() &&
-                             request.sends + 1 < request.route->attempts;
+    // Whoever sent it here has paid for the first.
+    if (last && !pay_for_send(request)) break;
+    if (last) note_retry(request, *last, context_.self.region);
+    const bool may_give_up =
+        request.route->may_repeat() &&
+        request.sends.count() + 1 < request.route->attempts;
     event_scanner events;
     last =
         co_await runner_.run(request, *chosen, may_give_up, events, exchange);
-    request.sends += last->sends;
+    request.sends.sent(last->sends);
     if (last->stream_broken) {
       request.avoid.insert(chosen->name);
       attempt broken = std::move(*last);
@@ -205,21 +213,19 @@
     request.avoid.insert(chosen->name);
     if (last->sends == 0) ++unsent;
     if (!may_retry(request, *last, unsent)) break;
-    note_retry(request, *last, context_.self.region);
   }
   if (may_have_run) last->ran = run_state::unknown;
   co_return std::move(*last);
 }
 
 result<chosen_endpoint> route_service::next_for_rest(
-    const routed_request& request, const attempt& last,
-    const event_scanner& events, unsigned unsent) {
+    routed_request& request, const event_scanner& events, unsigned unsent) {
   if (events.resume_point().empty()) {
     return not_continued("the last event has no id");
   }
   const monotonic_time now = context_.clock.now();
   if (now >= request.deadline) return not_continued("no time is left");
-  if (request.sends >= request.route->attempts) {
+  if (request.sends.count() >= request.route->attempts) {
     return not_continued("the route's attempts are used up");
   }
   if (unsent >= most_unsent_tries) {
@@ -230,9 +236,7 @@
   if (rest_too_late(request, chosen->expected, now)) {
     return not_continued("prompts that wait take too long");
   }
-  // What was taken for a continuation that was not sent serves the next one.
-  const bool taken = last.sends == 0;
-  if (!taken && !take_retry(request.service)) {
+  if (!pay_for_send(request)) {
     return not_continued("the retries of " + request.service +
                          " are used up for now");
   }
@@ -261,7 +265,7 @@
   unsigned unsent = 0;
   while (!exchange.gone()) {
     const result<chosen_endpoint> chosen =
-        next_for_rest(request, last, events, unsent);
+        next_for_rest(request, events, unsent);
     if (!chosen) {
       log_event(log_level::warn, "stream-not-resumed",
                 {{"request_id", request.head.request_id},
@@ -273,10 +277,11 @@
     }
     const std::string last_event = events.resume_point();
     events.continue_elsewhere();
-    const bool may_give_up = request.sends + 1 < request.route->attempts;
+    const bool may_give_up =
+        request.sends.count() + 1 < request.route->attempts;
     attempt next =
         co_await runner_.run(request, *chosen, may_give_up, events, exchange);
-    request.sends += next.sends;
+    request.sends.sent(next.sends);
     request.avoid.insert(chosen->name);
     const std::string outcome = outcome_of(next, exchange.gone());
     note_resumption(request, last, next, last_event, outcome);
--- a/routing/test/choice-test.cc
+++ b/routing/test/choice-test.cc
@@ -175,6 +175,7 @@
 
 TEST(retry_budget_test, a_smaller_share_takes_what_was_saved_above_it) {
   retry_budget budget(share_of({0.2, 100}, 1));
+  for (int n = 0; n < 100; ++n) budget.request_seen();
   budget.set_options(share_of({0.2, 100}, 50));
   EXPECT_TRUE(budget.take());
   EXPECT_FALSE(budget.take());
