What rejects is weighed by the chance that it takes a request

Hypothesis: endpoints that reject at once look idle, so load draws requests to them, and a region that rejects gets what another one would take; the worth that the paid retries cost comes back where the first send meets an endpoint that takes it.

--- a/gateway/include/trestlepost/gateway/chosen_endpoint.h
+++ b/gateway/include/trestlepost/gateway/chosen_endpoint.h
@@ -19,6 +19,8 @@
   std::string copy_cache_from;
   /// Prompt tokens that it is expected to read.
   std::uint32_t read_tokens = 0;
+  /// That it takes the request.
+  double chance = 1;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -14,6 +14,7 @@
 #include "trestlepost/gateway/endpoint_lives.h"
 #include "trestlepost/gateway/remote_caches.h"
 #include "trestlepost/gateway/routed_request.h"
+#include "trestlepost/routing/acceptance.h"
 #include "trestlepost/routing/cold_limiter.h"
 #include "trestlepost/routing/endpoint_warmth.h"
 #include "trestlepost/routing/engine_book.h"
@@ -47,6 +48,9 @@
                const surface::endpoint_answer& answer);
   /// Another endpoint has its address.
   void vanished(const std::string& endpoint);
+  /// A request that was sent to `endpoint` was taken there, or rejected unrun.
+  void note_taken(const std::string& endpoint);
+  void note_rejected(const std::string& endpoint);
   /// A request was sent there; a cold endpoint is sent few.
   void note_sent(const std::string& endpoint);
 
@@ -80,6 +84,9 @@
       const config::engine_profile& engine) const;
   /// Among endpoints without engines: by their load only.
   std::optional<chosen_endpoint> choose_plain(
+      const std::vector<membership::endpoint_view>& all) const;
+  /// Those of `open` that are about as likely as any to take a request.
+  std::vector<membership::endpoint_view> likely_of(
       const std::vector<membership::endpoint_view>& open) const;
   /// Those of the own region that aren't dead; at least one.
   unsigned region_gateways() const;
@@ -99,6 +106,7 @@
   routing::engine_book engines_;
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
+  routing::acceptance acceptance_;   // by endpoint
   std::set<std::string> evacuated_;  // zones, as last noted
 };
 
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -7,6 +7,7 @@
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/routed_request.h"
+#include "trestlepost/routing/acceptance.h"
 #include "trestlepost/surface/surfaces.h"
 
 namespace trestlepost::gateway {
@@ -21,6 +22,10 @@
                                       const std::string& region,
                                       transport::http_exchange& exchange);
 
+  /// The chance that endpoints of `region` take a request of `service`, by the
+  /// last answers to this gateway.
+  double chance(const std::string& region, const std::string& service) const;
+
   /// Prompt tokens sent to `region` whose answer has not begun yet.
   std::uint32_t unanswered_tokens(const std::string& region) const;
 
@@ -34,7 +39,11 @@
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
+  void note_acceptance(const std::string& region, const std::string& service,
+                       const attempt& outcome);
+
   std::map<std::string, std::uint32_t> unanswered_;  // by region
+  routing::acceptance acceptance_;                   // by region and service
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -25,6 +25,9 @@
 constexpr double most_over_limit = 3;
 // The priority for which waits are told: all that waits counts.
 constexpr int least_urgent = 9;
+// Endpoints without engines are compared by their load among those whose
+// chance to take a request is at least this share of the best one's.
+constexpr double least_share_of_best = 0.6;
 // What is kept of past cold requests.
 constexpr std::chrono::seconds cold_memory{30};
 
@@ -91,6 +94,8 @@
   engines_.declare(engines);
   warmth_.keep([this](const std::string& it) { return places_.contains(it); },
                now);
+  acceptance_.keep(
+      [this](const std::string& it) { return places_.contains(it); });
   std::erase_if(observed_at_,
                 [this](const auto& it) { return !places_.contains(it.first); });
 }
@@ -156,27 +161,49 @@
     const config::engine_profile& engine) const {
   const engine_weighing weighing(open, request, engine, engines_,
                                  remote_caches_);
+  const monotonic_time now = context_.clock.now();
   std::vector<chosen_endpoint> chosen;
   std::vector<routing::engine_candidate> candidates;
   for (const endpoint_view& it : open) {
     if (it.load >= it.limit * most_over_limit) continue;
     weighed_endpoint one = weighing.weigh(it);
+    one.candidate.chance = one.chosen.chance = acceptance_.chance(it.name, now);
     chosen.push_back(std::move(one.chosen));
     candidates.push_back(one.candidate);
   }
-  const routing::expectation wanted =
-      expectation_of(request, context_.clock.now());
+  const routing::expectation wanted = expectation_of(request, now);
   const std::optional<std::size_t> best =
       routing::choose_engine(candidates, wanted);
   if (!best) return std::nullopt;
   return std::move(chosen[*best]);
 }
 
-std::optional<chosen_endpoint> endpoint_pool::choose_plain(
+std::vector<endpoint_view> endpoint_pool::likely_of(
     const std::vector<endpoint_view>& open) const {
+  const monotonic_time now = context_.clock.now();
+  double best = 0;
+  for (const endpoint_view& it : open) {
+    best = std::max(best, acceptance_.chance(it.name, now));
+  }
+  std::vector<endpoint_view> out;
+  for (const endpoint_view& it : open) {
+    const double chance = acceptance_.chance(it.name, now);
+    if (chance >= least_share_of_best * best) out.push_back(it);
+  }
+  return out;
+}
+
+std::optional<chosen_endpoint> endpoint_pool::choose_plain(
+    const std::vector<endpoint_view>& all) const {
+  const std::vector<endpoint_view> open = likely_of(all);
   const std::optional<endpoint_view> free = routing::choose_endpoint(
       open, {0, {}, region_gateways()}, context_.random);
-  if (free) return chosen_endpoint{free->name, free->address, {}, {}, 0};
+  const monotonic_time now = context_.clock.now();
+  if (free) {
+    return chosen_endpoint{free->name, free->address,
+                           {},         {},
+                           0,          acceptance_.chance(free->name, now)};
+  }
   const auto least =
       std::min_element(open.begin(), open.end(),
                        [](const endpoint_view& a, const endpoint_view& b) {
@@ -185,7 +212,9 @@
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
-  return chosen_endpoint{least->name, least->address, {}, {}, 0};
+  return chosen_endpoint{least->name, least->address,
+                         {},          {},
+                         0,           acceptance_.chance(least->name, now)};
 }
 
 result<chosen_endpoint> endpoint_pool::choose(
@@ -263,6 +292,14 @@
       endpoint, {answer.load->running, answer.load->waiting, now, 0});
 }
 
+void endpoint_pool::note_taken(const std::string& endpoint) {
+  acceptance_.taken(endpoint, context_.clock.now());
+}
+
+void endpoint_pool::note_rejected(const std::string& endpoint) {
+  acceptance_.rejected(endpoint, context_.clock.now());
+}
+
 void endpoint_pool::vanished(const std::string& endpoint) {
   log_event(log_level::info, "endpoint-vanished", {{"endpoint", endpoint}});
   std::erase_if(listed_, [&endpoint](const surface::listed_endpoint& it) {
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -172,8 +172,15 @@
 
 std::optional<attempt> endpoint_runner::read_head(running& now) {
   pool_.observe(now.endpoint.name, now.answer);
-  if (!now.answer.not_run && !now.answer.other_endpoint) return std::nullopt;
-  if (now.answer.other_endpoint) pool_.vanished(now.endpoint.name);
+  if (!now.answer.not_run && !now.answer.other_endpoint) {
+    pool_.note_taken(now.endpoint.name);
+    return std::nullopt;
+  }
+  if (now.answer.other_endpoint) {
+    pool_.vanished(now.endpoint.name);
+  } else {
+    pool_.note_rejected(now.endpoint.name);
+  }
   attempt out =
       failed_attempt(run_state::no,
                      {now.answer.other_endpoint ? error_kind::unavailable
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -59,6 +59,20 @@
   return it == unanswered_.end() ? 0 : it->second;
 }
 
+void route_forwarder::note_acceptance(const std::string& region,
+                                      const std::string& service,
+                                      const attempt& outcome) {
+  const std::string place = region + "/" + service;
+  const bool rejected = outcome.ran == run_state::no && outcome.sends > 0;
+  if (rejected) acceptance_.rejected(place, context_.clock.now());
+  if (outcome.delivered) acceptance_.taken(place, context_.clock.now());
+}
+
+double route_forwarder::chance(const std::string& region,
+                               const std::string& service) const {
+  return acceptance_.chance(region + "/" + service, context_.clock.now());
+}
+
 transport::http_request route_forwarder::make_request(
     const routed_request& request) const {
   route_message message;
@@ -115,6 +129,7 @@
     outcome = co_await pass_back(request, *call, exchange);
   }
   exchange.on_gone(nullptr);
+  note_acceptance(region, request.service, outcome);
   co_return outcome;
 }
 
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -111,8 +111,10 @@
     const routed_request& request, const routing::expectation& wanted) {
   const result<chosen_endpoint> chosen = own.choose(request);
   if (!chosen) return std::nullopt;
-  return valued_decision{{context.self.region, *chosen},
-                         routing::net_value(chosen->expected, wanted)};
+  return valued_decision{
+      {context.self.region, *chosen},
+      routing::chance_value(routing::net_value(chosen->expected, wanted),
+                            chosen->chance)};
 }
 
 /// The best of the other regions.
@@ -132,7 +134,10 @@
     const routing::outlook expected =
         outlook_away(context, *load, region, remote.unanswered_tokens(region),
                      request, own.engines());
-    const double value = routing::net_value(expected, wanted) - cost;
+    const double value =
+        routing::chance_value(routing::net_value(expected, wanted),
+                              remote.chance(region, request.service)) -
+        cost;
     if (best && value <= best->value) continue;
     best = valued_decision{{region, std::nullopt}, value};
   }
--- a/routing/include/trestlepost/routing/engine_choice.h
+++ b/routing/include/trestlepost/routing/engine_choice.h
@@ -23,6 +23,8 @@
   double read_again = 0;
   /// Tokens that are copied from another endpoint's cache, likewise.
   double copied = 0;
+  /// That it takes the request.
+  double chance = 1;
 };
 
 /// The best of `all`, or nothing when there are none.
--- a/routing/include/trestlepost/routing/outlook.h
+++ b/routing/include/trestlepost/routing/outlook.h
@@ -34,6 +34,10 @@
   std::chrono::milliseconds remaining{0};
 };
 
+/// What a request that is worth `value` where it is taken is worth where it is
+/// taken by `chance` only; no better than `value` when that is below 0.
+double chance_value(double value, double chance);
+
 /// The share of a request's full value that it can be expected to earn, from
 /// 0 to 1: the chance to be on time, and the chance to be whole in time.
 double expected_value(const outlook& at, const expectation& wanted);
--- a/routing/src/engine_choice.cc
+++ b/routing/src/engine_choice.cc
@@ -16,8 +16,9 @@
           : static_cast<double>(wanted.remaining.count() + 1);
   const double wait =
       static_cast<double>(it.expected.first_token.count()) / objective;
-  return net_value(it.expected, wanted) - read_again_cost * it.read_again -
-         copy_cost * it.copied - wait_cost * wait;
+  return chance_value(net_value(it.expected, wanted), it.chance) -
+         read_again_cost * it.read_again - copy_cost * it.copied -
+         wait_cost * wait;
 }
 
 }  // namespace
--- a/routing/src/outlook.cc
+++ b/routing/src/outlook.cc
@@ -70,6 +70,10 @@
          cost_per_second * seconds(at.slows_others);
 }
 
+double chance_value(double value, double chance) {
+  return value > 0 ? value * chance : value;
+}
+
 double spill_share(double home, double away) {
   return std::clamp((away - home) / gain_for_all, 0.0, 1.0);
 }
