A peer that lost its connection is connected to anew

Change: after a loss, and for what is sent again, a watcher that is not heard directly is written to by all ways (node/watcher_ways); a node that opens a connection because one before was lost says so, and the other side renews its own unless that is young. peer-connection-lost is logged by every node.

--- a/config/include/trestlepost/config/content_delivery.h
+++ b/config/include/trestlepost/config/content_delivery.h
@@ -26,6 +26,8 @@
   /// watcher holds `newest` or all of it is under way.
   std::optional<revision_number> due(revision_number newest,
                                      monotonic_time now) const;
+  /// Whether what is due was sent before and is taken for lost.
+  bool is_repeat(monotonic_time now) const;
   /// All changes up to `revision` were sent. What has to be sent again is given
   /// twice as long each time, until the watcher gets on.
   void sent(revision_number revision, monotonic_time now);
--- a/config/src/content_delivery.cc
+++ b/config/src/content_delivery.cc
@@ -35,6 +35,10 @@
   return from;
 }
 
+bool content_delivery::is_repeat(monotonic_time now) const {
+  return sent_ > held_ && !under_way(now);
+}
+
 void content_delivery::sent(revision_number revision, monotonic_time now) {
   const bool again = sent_ > held_;
   if (!under_way(now)) {
--- a/config/test/content_delivery-test.cc
+++ b/config/test/content_delivery-test.cc
@@ -43,8 +43,11 @@
   it.sent(4, at(0));
   // Changes in quick succession must not put this off.
   it.sent(5, at(1500));
+  EXPECT_FALSE(it.is_repeat(at(1900)));
   EXPECT_EQ(it.due(5, at(2000)), 3U);
+  EXPECT_TRUE(it.is_repeat(at(2000)));
   it.sent(5, at(2000));
+  EXPECT_FALSE(it.is_repeat(at(2000)));
   EXPECT_EQ(it.due(5, at(2500)), nothing);
   EXPECT_EQ(it.due(5, at(6000)), 3U);
 }
--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -71,7 +71,10 @@
 
 void config_watchers::send_due(watcher& to) {
   const monotonic_time now = context_.clock.now();
-  if (to.ways.known(now)) send_due_by(to, {to.ways.best(now)});
+  if (!to.ways.known(now)) return;
+  const bool repeats = to.delivery.is_repeat(now);
+  send_due_by(to, repeats ? to.ways.all(now)
+                          : std::vector<watcher_ways::way>{to.ways.best(now)});
 }
 
 void config_watchers::send_due_by(watcher& to,
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -107,6 +107,7 @@
   transport::peer_options out;
   out.silence = options.timing.connection_silence;
   out.source_ip = options.outgoing_ip;
+  out.own_address = options.advertised_peers;
   if (options.surface == surface_kind::platform) {
     out.connect_timeout = peer_connect_timeout;
   }
@@ -293,10 +294,13 @@
   if (control) {
     result<void> started = control->start();
     if (!started) return started;
-    links.set_on_lost([this](const std::string& address) {
-      control->connection_lost(address);
-    });
   }
+  links.set_on_lost([this](const std::string& address) {
+    log_event(log_level::info, "peer-connection-lost", {{"peer", address}});
+    if (control) control->connection_lost(address);
+  });
+  peer_server.set_on_reopened(
+      [this](const std::string& address) { links.renew(address); });
   watch.on_changed = [this] {
     declare_endpoints();
     if (routed()) routed_parts.take_plan(entry_server);
--- a/node/src/watcher_ways.cc
+++ b/node/src/watcher_ways.cc
@@ -39,11 +39,18 @@
   return direct ? way::direct : way::passed_on;
 }
 
+std::vector<watcher_ways::way> watcher_ways::all(monotonic_time now) const {
+  if (is_direct(now) || via_.empty()) return {way::direct};
+  // It has not been heard for a while, which need not mean a cut: its own
+  // connections may have fallen silent, or those of the node in between. With
+  // one way alone a gateway got a change 2.2 s after all others.
+  return {way::direct, way::passed_on};
+}
+
 std::vector<watcher_ways::way> watcher_ways::after_loss(
     const std::string& lost, monotonic_time now) const {
-  const way used = best(now);
-  if ((used == way::direct ? address_ : via_) != lost) return {};
-  return {used};
+  const bool concerned = lost == address_ || (!is_direct(now) && lost == via_);
+  return concerned ? all(now) : std::vector<way>{};
 }
 
 }  // namespace trestlepost::node
--- a/node/src/watcher_ways.h
+++ b/node/src/watcher_ways.h
@@ -28,6 +28,8 @@
   bool known(monotonic_time now) const;
   /// The way to send by.
   way best(monotonic_time now) const;
+  /// All ways that may reach it: for what was lost on the best one.
+  std::vector<way> all(monotonic_time now) const;
   /// The connection to the peer at `lost` was lost: the ways by which to send
   /// again what may have been lost with it, or none.
   std::vector<way> after_loss(const std::string& lost,
--- a/node/test/watcher_ways-test.cc
+++ b/node/test/watcher_ways-test.cc
@@ -52,6 +52,14 @@
   EXPECT_EQ(it.after_loss("another", at(2000)), ways{});
 }
 
+TEST(watcher_ways_test, what_was_lost_goes_by_all_ways) {
+  watcher_ways it(at(0));
+  it.polled("w", "", at(0));
+  EXPECT_EQ(it.all(at(500)), ways{way::direct});
+  it.polled("w", "relay", at(1500));
+  EXPECT_EQ(it.all(at(1500)), (ways{way::direct, way::passed_on}));
+}
+
 TEST(watcher_ways_test, one_that_is_heard_directly_is_not_sent_more) {
   watcher_ways it(at(0));
   it.polled("w", "relay", at(0));
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -29,6 +29,9 @@
   /// A connection on which the peer's system is silent for so long is opened
   /// anew.
   std::chrono::milliseconds silence{usual_silence};
+  /// Where this node receives; told to a peer when a connection to it was lost.
+  /// Empty: not told.
+  std::string own_address;
 };
 
 /// Counters for metrics.
@@ -72,6 +75,13 @@
   /// goes over the next connection.
   void set_on_lost(std::function<void(const std::string& address)> on_lost);
 
+  /// The peer has lost its connection to this node and opened another: this
+  /// node's to it is opened anew too, unless it is younger than the silence by
+  /// which such a loss is noticed. Systems notice a silent connection when they
+  /// send again, with gaps that double, so one side may take 2 s longer: a
+  /// change reached a gateway 5.1 s after all its connections fell silent.
+  void renew(const std::string& address);
+
   const peer_traffic& traffic() const;
   void close();
 
@@ -91,6 +101,12 @@
   ~peer_server();
 
   result<void> listen(const std::string& address);
+
+  /// Called when the peer that receives at `address` has opened a connection
+  /// because one before it was lost.
+  void set_on_reopened(
+      std::function<void(const std::string& address)> on_reopened);
+
   const peer_traffic& traffic() const;
   void close();
 
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -41,6 +41,9 @@
   std::string challenge;
   std::uint64_t counter = 0;
   bool closed = false;
+  bool lost_before = false;  // a connection to this peer
+  bool renews = false;       // the one that stands is to be replaced
+  std::chrono::steady_clock::time_point opened_at{};
 };
 
 }  // namespace
@@ -94,12 +97,19 @@
   co_return true;
 }
 
-/// Sends what is queued until the connection breaks.
+std::string make_hello(const peer_links::state& all, const link& to) {
+  json params(Json::objectValue);
+  if (to.lost_before) params["reopened_by"] = all.options.own_address;
+  return make_rpc_notification(detail::hello_method, params);
+}
+
+/// Sends what is queued until the connection breaks or is to be replaced.
 awaitable<void> send_queue(peer_links::state& all, link& to) {
-  const std::string hello =
-      make_rpc_notification(detail::hello_method, json(Json::objectValue));
+  to.renews = false;
+  to.opened_at = std::chrono::steady_clock::now();
+  const std::string hello = make_hello(all, to);
   bool connected = co_await write(all, to, hello);
-  while (connected && !to.closed) {
+  while (connected && !to.closed && !to.renews) {
     if (to.queue.empty()) {
       error_code ec;
       to.wake.expires_at(asio::steady_timer::time_point::max());
@@ -122,7 +132,10 @@
     all->traffic.messages_dropped += to->queue.size();
     to->queue.clear();
     to->queued_bytes = 0;
-    if (connected) all->on_lost(to->address);
+    if (connected) {
+      to->lost_before = true;
+      all->on_lost(to->address);
+    }
     error_code ec;
     to->wake.expires_after(reconnect_delay);
     co_await to->wake.async_wait(redirect_error(use_awaitable, ec));
@@ -194,6 +207,17 @@
   }
 }
 
+void peer_links::renew(const std::string& address) {
+  const auto found = state_->links.find(address);
+  if (found == state_->links.end()) return;
+  link& it = *found->second;
+  const std::chrono::steady_clock::duration age =
+      std::chrono::steady_clock::now() - it.opened_at;
+  if (age < state_->options.silence) return;
+  it.renews = true;
+  it.wake.cancel();
+}
+
 void peer_links::set_on_lost(
     std::function<void(const std::string& address)> on_lost) {
   state_->on_lost = std::move(on_lost);
--- a/transport/src/peer_server.cc
+++ b/transport/src/peer_server.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -42,6 +43,8 @@
   std::optional<tcp::acceptor> acceptor;
   std::set<boost::beast::tcp_stream*> open;
   peer_traffic traffic;
+  std::function<void(const std::string&)> on_reopened = [](const std::string&) {
+  };
 };
 
 namespace {
@@ -137,8 +140,16 @@
                          peer_options options)
     : state_(std::make_shared<state>(context, std::move(secret), dispatcher,
                                      random, std::move(options))) {
-  dispatcher.add_notification(detail::hello_method,
-                              [](const json&, const rpc_context&) {});
+  dispatcher.add_notification(
+      detail::hello_method, [all = state_](const json& in, const rpc_context&) {
+        const std::string by = text_of(in, "reopened_by");
+        if (!by.empty()) all->on_reopened(by);
+      });
+}
+
+void peer_server::set_on_reopened(
+    std::function<void(const std::string& address)> on_reopened) {
+  state_->on_reopened = std::move(on_reopened);
 }
 
 peer_server::~peer_server() {
--- a/transport/test/peer-test.cc
+++ b/transport/test/peer-test.cc
@@ -101,6 +101,63 @@
   EXPECT_EQ(received_.back(), 2);
 }
 
+TEST_F(peer_test, a_peer_that_lost_its_connection_is_connected_to_anew) {
+  constexpr std::chrono::milliseconds silence{20};
+  const std::string other = own_ip() + ":7804";
+  peer_options options;
+  options.silence = silence;
+  peer_links links(context_, secret, options);
+  std::vector<std::string> lost;
+  links.set_on_lost([&lost](const std::string& it) { lost.push_back(it); });
+  links.send(address, "count", numbered(1));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 1; }));
+  std::vector<std::string> reopened;
+  const std::function<void(const std::string&)> on_reopened =
+      [&reopened, &links](const std::string& it) {
+        reopened.push_back(it);
+        links.renew(it);
+      };
+  const std::chrono::steady_clock::time_point old_enough =
+      std::chrono::steady_clock::now() + silence;
+  ASSERT_TRUE(run_until(
+      [old_enough] { return std::chrono::steady_clock::now() > old_enough; }));
+  // The other node, which is reached at `address`, loses its connection.
+  peer_options others;
+  others.own_address = address;
+  peer_links back(context_, secret, others);
+  auto server = std::make_unique<peer_server>(context_, secret, dispatcher_,
+                                              random_, peer_options());
+  ASSERT_TRUE(server->listen(other));
+  server->set_on_reopened(on_reopened);
+  back.send(other, "count", numbered(2));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 2; }));
+  EXPECT_TRUE(reopened.empty());
+  server = std::make_unique<peer_server>(context_, secret, dispatcher_, random_,
+                                         peer_options());
+  ASSERT_TRUE(server->listen(other));
+  server->set_on_reopened(on_reopened);
+  ASSERT_TRUE(run_until([&back, &other, &reopened] {
+    back.send(other, "none", numbered(0));
+    return !reopened.empty();
+  }));
+  EXPECT_EQ(reopened.front(), address);
+  ASSERT_TRUE(run_until([&lost] { return !lost.empty(); }));
+  links.send(address, "count", numbered(3));
+  EXPECT_TRUE(run_until([this] { return received_.back() == 3; }));
+}
+
+TEST_F(peer_test, a_young_connection_is_kept) {
+  peer_links links(context_, secret, {});
+  std::vector<std::string> lost;
+  links.set_on_lost([&lost](const std::string& it) { lost.push_back(it); });
+  links.send(address, "count", numbered(1));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 1; }));
+  links.renew(address);
+  links.send(address, "count", numbered(2));
+  EXPECT_TRUE(run_until([this] { return received_.size() == 2; }));
+  EXPECT_TRUE(lost.empty());
+}
+
 TEST_F(peer_test, a_peer_with_another_secret_gets_nothing) {
   peer_links links(context_, "another secret", {});
   links.send(address, "count", numbered(1));
