--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -85,6 +85,7 @@
   /// Among endpoints without engines: by their load only.
   std::optional<chosen_endpoint> choose_plain(
       const std::vector<membership::endpoint_view>& all) const;
+  chosen_endpoint without_engine(const membership::endpoint_view& view) const;
   /// Those of `open` that are about as likely as any to take a request.
   std::vector<membership::endpoint_view> likely_of(
       const std::vector<membership::endpoint_view>& open) const;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -193,17 +193,20 @@
   return out;
 }
 
+chosen_endpoint endpoint_pool::without_engine(const endpoint_view& view) const {
+  chosen_endpoint out;
+  out.name = view.name;
+  out.address = view.address;
+  out.chance = acceptance_.chance(view.name, context_.clock.now());
+  return out;
+}
+
 std::optional<chosen_endpoint> endpoint_pool::choose_plain(
     const std::vector<endpoint_view>& all) const {
   const std::vector<endpoint_view> open = likely_of(all);
   const std::optional<endpoint_view> free = routing::choose_endpoint(
       open, {0, {}, region_gateways()}, context_.random);
-  const monotonic_time now = context_.clock.now();
-  if (free) {
-    return chosen_endpoint{free->name, free->address,
-                           {},         {},
-                           0,          acceptance_.chance(free->name, now)};
-  }
+  if (free) return without_engine(*free);
   const auto least =
       std::min_element(open.begin(), open.end(),
                        [](const endpoint_view& a, const endpoint_view& b) {
@@ -212,9 +215,7 @@
   if (least == open.end() || least->load >= least->limit * most_over_limit) {
     return std::nullopt;
   }
-  return chosen_endpoint{least->name, least->address,
-                         {},          {},
-                         0,           acceptance_.chance(least->name, now)};
+  return without_engine(*least);
 }
 
 result<chosen_endpoint> endpoint_pool::choose(
@@ -309,11 +310,11 @@
 }
 
 void endpoint_pool::note_sent(const std::string& endpoint) {
-  const auto place = places_.find(endpoint);
-  if (place == places_.end()) return;
+  const auto found = places_.find(endpoint);
+  if (found == places_.end()) return;
   const monotonic_time now = context_.clock.now();
-  const config::planned_service* service = planned(place->second.service);
-  if (!may_be_cold(endpoint, place->second.zone, service, now)) return;
+  const config::planned_service* service = planned(found->second.service);
+  if (!may_be_cold(endpoint, found->second.zone, service, now)) return;
   cold_.sent(endpoint, now);
   log_event(log_level::info, "cold-endpoint-used",
             {{"endpoint", endpoint},
