--- a/node/src/poll_schedule.h
+++ b/node/src/poll_schedule.h
@@ -26,7 +26,7 @@
 
 /// The addresses to ask now. A node without any configuration asks all, unless
 /// a leader told it that there is none yet: those it would ask in turn may be
-/// without power, which shows only after the time limit of a connection, some
+/// without power, which shows only after a connection's timeout, some
 /// 350 ms for each. Any other node asks the leader, or while none is known the
 /// next one in turn: 300 nodes that all asked five control nodes kept the
 /// leader from its lease, and the first plan was never acknowledged.
