Sight: what an order's time goes to, lapsed leases, changes that all watchers hold

The logs could not tell the hypotheses apart: an order that took seconds showed its end only, a leader's refusal not its cause, and configuration-pushed counts what was handed to sockets. New: order-timed (reading, deciding, writing, and the bytes), lease-lapsed and lease-regained, configuration-confirmed and its histogram. No decision changes.

--- a/config/include/trestlepost/config/content_delivery.h
+++ b/config/include/trestlepost/config/content_delivery.h
@@ -21,6 +21,7 @@
   /// The watcher could not use what it was sent, or listens elsewhere now:
   /// nothing that was sent counts.
   void missed();
+  revision_number held() const { return held_; }
 
   /// The revision that the changes due now begin after; nothing when the
   /// watcher holds `newest` or all of it is under way.
--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -1,5 +1,6 @@
 #include "config_watchers.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -12,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds watcher_lifetime{5000};
+// Two polls of a watcher that is content: one that is silent for longer has
+// stopped, or is cut off.
+constexpr milliseconds heard_lifetime{1000};
 constexpr char update_method[] = "config.update";
 
 }  // namespace
@@ -29,6 +33,7 @@
   if (address != it.ways.address()) it.delivery.missed();
   it.ways.polled(address, poll.via, now);
   if (!late) take_newest(it, poll);
+  note_confirmed();
   send_due(it);
 }
 
@@ -37,6 +42,26 @@
   it.delivery.holds(poll.held, it.seen_at);
 }
 
+config::revision_number config_watchers::held_by_all() const {
+  const monotonic_time oldest = context_.clock.now() - heard_lifetime;
+  config::revision_number out = machine_.store().revision();
+  for (const auto& [name, it] : all_) {
+    if (it.seen_at >= oldest) out = std::min(out, it.delivery.held());
+  }
+  return out;
+}
+
+void config_watchers::note_confirmed() {
+  for (const config::confirmed_revision& it :
+       confirmations_.confirmed(held_by_all(), context_.clock.now())) {
+    on_confirmed(it.taken);
+    log_event(log_level::info, "configuration-confirmed",
+              {{"revision", std::to_string(it.revision)},
+               {"watchers", std::to_string(all_.size())},
+               {"ms", std::to_string(it.taken.count())}});
+  }
+}
+
 void config_watchers::connection_lost(const std::string& address) {
   const monotonic_time now = context_.clock.now();
   for (auto& [name, it] : all_) {
@@ -52,10 +77,12 @@
   if (term == term_) return;
   term_ = term;
   all_.clear();
+  confirmations_.clear();
 }
 
 void config_watchers::push() {
   const monotonic_time now = context_.clock.now();
+  confirmations_.decided(machine_.store().revision(), now);
   std::erase_if(all_, [now](const auto& it) {
     return it.second.seen_at + watcher_lifetime < now;
   });
--- a/node/src/config_watchers.h
+++ b/node/src/config_watchers.h
@@ -1,12 +1,15 @@
 // The nodes that follow the configuration through this node while it leads.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "node_context.h"
+#include "trestlepost/config/confirmation_tracker.h"
 #include "trestlepost/config/content_delivery.h"
 #include "trestlepost/config/state_machine.h"
 #include "watcher_ways.h"
@@ -48,6 +51,14 @@
   /// that lapses for a moment changes nothing.
   void lead_in(consensus::term_number term);
 
+  /// The revision that all watchers hold which were heard a moment ago; the
+  /// newest when there is none.
+  config::revision_number held_by_all() const;
+  /// Called when all watchers have a revision: how long that took since it was
+  /// decided here.
+  std::function<void(std::chrono::milliseconds)> on_confirmed =
+      [](std::chrono::milliseconds) {};
+
   /// How often a configuration, or changes of it, was sent.
   std::uint64_t contents_sent() const { return contents_sent_; }
 
@@ -60,6 +71,7 @@
   };
 
   void take_newest(watcher& it, const watcher_poll& poll);
+  void note_confirmed();
   void send_due(watcher& to);
   /// The same, by all of `ways`.
   void send_due_by(watcher& to, const std::vector<watcher_ways::way>& ways);
@@ -71,6 +83,7 @@
   node_context& context_;
   const config::config_state_machine& machine_;
   std::map<std::string, watcher> all_;  // by name
+  config::confirmation_tracker confirmations_;
   /// Messages that lead to `packed_to_`, by the revision that they begin after.
   std::map<config::revision_number, transport::packed_notification> packed_;
   config::revision_number packed_to_ = 0;
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -470,10 +470,33 @@
   }
 }
 
+void control_service::note_lease() {
+  const monotonic_time now = context_.clock.now();
+  const bool holds = leads();
+  if (holds == held_lease_) return;
+  const consensus::replica& core = host_->core();
+  if (!holds && !core.is_leader()) {
+    held_lease_ = false;
+    return;
+  }
+  const std::string term = std::to_string(core.term());
+  if (holds && lease_lapsed_at_ != monotonic_time()) {
+    const milliseconds without =
+        std::chrono::duration_cast<milliseconds>(now - lease_lapsed_at_);
+    log_event(log_level::info, "lease-regained",
+              {{"term", term}, {"ms", std::to_string(without.count())}});
+  } else if (!holds) {
+    log_event(log_level::warn, "lease-lapsed", {{"term", term}});
+  }
+  held_lease_ = holds;
+  lease_lapsed_at_ = holds ? monotonic_time() : now;
+}
+
 void control_service::tick() {
   const monotonic_time now = context_.clock.now();
   restart_after_failure();
   host_->tick(now);
+  note_lease();
   upkeep_.tick(host_->core());
   ask_to_join();
   found_ledgers();
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -57,6 +57,10 @@
   std::string leader_node() const;
   /// How often this node sent a configuration, or changes of it, to a watcher.
   std::uint64_t contents_sent() const { return watchers_.contents_sent(); }
+  /// Called when all watchers have a revision: the time since its decision.
+  void set_on_confirmed(std::function<void(std::chrono::milliseconds)> action) {
+    watchers_.on_confirmed = std::move(action);
+  }
   /// The connection to the peer at `address` was lost.
   void connection_lost(const std::string& address) {
     if (leads()) watchers_.connection_lost(address);
@@ -104,6 +108,8 @@
   void found_from_seeds();
   std::unique_ptr<consensus::storage> open_storage() const;
   void restart_after_failure();
+  /// Logs when this leader loses its lease without being replaced.
+  void note_lease();
   void handle_join(const json& params);
   std::string address_of(const std::string& node) const;
 
@@ -123,6 +129,8 @@
   monotonic_time next_join_;
   monotonic_time next_restart_;
   std::uint64_t next_read_ = 1;
+  bool held_lease_ = false;
+  monotonic_time lease_lapsed_at_;
   std::set<std::string> proposed_ledgers_;
 };
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <algorithm>
@@ -45,6 +46,8 @@
 constexpr milliseconds kept_connection_lifetime{60'000};
 // The longest way is between regions, some 110 ms there and back.
 constexpr milliseconds endpoint_connect_timeout{400};
+const prometheus::Histogram::BucketBoundaries confirm_buckets{
+    0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
 
 }  // namespace
 
@@ -201,6 +204,7 @@
   transport::http_server readiness_server;
   planned_stop stop;
   prometheus::Family<prometheus::Gauge>& node_gauges;
+  prometheus::Histogram& confirm_seconds;
   std::uint64_t sequence = 0;
   /// The longest time by which a tick was late.
   milliseconds longest_turn{0};
@@ -276,7 +280,12 @@
       node_gauges(prometheus::BuildGauge()
                       .Name("trestlepost_node")
                       .Help("State of this node, by what is measured.")
-                      .Register(*registry)) {
+                      .Register(*registry)),
+      confirm_seconds(prometheus::BuildHistogram()
+                          .Name("trestlepost_configuration_confirm_seconds")
+                          .Help("From a decision until all watchers hold it.")
+                          .Register(*registry)
+                          .Add({}, confirm_buckets)) {
   // Above every number of an earlier life, so that peers take it for newer.
   sequence = static_cast<std::uint64_t>(to_unix_ms(base.clock.wall_now()));
 }
@@ -327,6 +336,9 @@
 
 result<void> node::implementation::start() {
   if (control) {
+    control->set_on_confirmed([this](milliseconds taken) {
+      confirm_seconds.Observe(std::chrono::duration<double>(taken).count());
+    });
     result<void> started = control->start();
     if (!started) return started;
   }
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -63,6 +63,11 @@
   return "end-evacuation";
 }
 
+std::string ms_between(monotonic_time from, monotonic_time to) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(to - from).count());
+}
+
 config::change make_change(const operator_order& order, random_source& random) {
   config::change out;
   out.id = "order-" + make_request_id(random);
@@ -80,14 +85,27 @@
 awaitable<void> order_handler::handle(transport::http_exchange& exchange) {
   const std::string method(exchange.method());
   const std::string target(exchange.target());
+  const monotonic_time begun = context_.clock.now();
   const result<std::string> body = co_await exchange.read_body();
+  const monotonic_time read = context_.clock.now();
   http_answer out;
   if (body) {
     out = co_await answer(method, target, *body);
   } else {
     out = surface_->refuse(body.error());
   }
+  const monotonic_time answered = context_.clock.now();
+  const unsigned status = out.status;
+  const std::size_t answer_bytes = out.body.size();
   co_await exchange.respond(std::move(out));
+  log_event(log_level::info, "order-timed",
+            {{"target", target},
+             {"status", std::to_string(status)},
+             {"bytes", std::to_string(body ? body->size() : 0)},
+             {"answer_bytes", std::to_string(answer_bytes)},
+             {"read_ms", ms_between(begun, read)},
+             {"decide_ms", ms_between(read, answered)},
+             {"write_ms", ms_between(answered, context_.clock.now())}});
 }
 
 awaitable<http_answer> order_handler::answer(const std::string& method,
