--- a/config/src/confirmation_tracker.cc
+++ b/config/src/confirmation_tracker.cc
@@ -4,8 +4,7 @@
 
 void confirmation_tracker::decided(revision_number revision,
                                    monotonic_time now) {
-  const bool known =
-      !waiting_.empty() && waiting_.back().revision >= revision;
+  const bool known = !waiting_.empty() && waiting_.back().revision >= revision;
   if (!known) waiting_.push_back({revision, now});
 }
 
@@ -14,9 +13,9 @@
   std::vector<confirmed_revision> out;
   while (!waiting_.empty() && waiting_.front().revision <= held) {
     const waiting_revision& it = waiting_.front();
-    out.push_back({it.revision,
-                   std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now - it.decided_at)});
+    out.push_back(
+        {it.revision, std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - it.decided_at)});
     waiting_.pop_front();
   }
   return out;
