A plan stands in the log as an edit of the one before it

Part of the turn that outlives a leader's lease, and of the time that an entry keeps the heartbeats waiting behind it: each plan was written to the log twice in whole, as routes and as the operator's document, compressed again for each follower, and parsed again where it was applied. Now an order becomes an edit: the routes that changed, and the parts of the document that are new. An edit of a plan that another one has replaced meanwhile is a conflict, which the control node that took the order resolves by making the edit anew; replicas hold the same plan under one number, so an edit leads to the same text everywhere.

--- a/base/src/json_document.cc
+++ b/base/src/json_document.cc
@@ -112,12 +112,10 @@
   out.arena_ = std::make_unique<boost::json::monotonic_resource>();
   parser.handler().reset(out.arena_.get());
   error_code ec;
-  const std::size_t n =
-      parser.write_some(false, text.data(), text.size(), ec);
+  const std::size_t n = parser.write_some(false, text.data(), text.size(), ec);
   if (ec) return not_json(ec.message());
   if (n < text.size()) return not_json("text follows the document");
-  out.root_ =
-      std::make_unique<boost::json::value>(parser.handler().release());
+  out.root_ = std::make_unique<boost::json::value>(parser.handler().release());
   // An object keeps one value of each key.
   if (count_members(*out.root_) != parser.handler().keys()) {
     return not_json("a key stands twice in an object");
--- /dev/null
+++ b/base/src/text_delta.cc
@@ -0,0 +1,158 @@
+#include "trestlepost/base/text_delta.h"
+
+#include <charconv>
+#include <unordered_map>
+#include <vector>
+
+namespace trestlepost {
+namespace {
+
+// A delta is "{", then any number of "=OFFSET,LENGTH;" (copied from the text
+// before) and "+LENGTH;" with so many bytes behind it (new text).
+constexpr char delta_mark = '{';
+constexpr char copy_mark = '=';
+constexpr char new_mark = '+';
+
+std::vector<std::string_view> split(std::string_view text) {
+  std::vector<std::string_view> out;
+  while (!text.empty()) {
+    const std::size_t brace = text.find('}');
+    const std::size_t n =
+        brace == std::string_view::npos ? text.size() : brace + 1;
+    out.push_back(text.substr(0, n));
+    text.remove_prefix(n);
+  }
+  return out;
+}
+
+/// Joins neighbouring pieces of one kind.
+class delta_writer {
+ public:
+  void copy(std::size_t offset, std::size_t length) {
+    const bool follows =
+        copied_ > 0 && new_.empty() && offset == offset_ + copied_;
+    if (!follows) {
+      flush();
+      offset_ = offset;
+    }
+    copied_ += length;
+  }
+  void add(std::string_view text) {
+    if (copied_ > 0) flush();
+    new_ += text;
+  }
+  /// Where a copy that continues the last one would begin.
+  std::optional<std::size_t> next_offset() const {
+    if (copied_ == 0) return std::nullopt;
+    return offset_ + copied_;
+  }
+  std::string finish() {
+    flush();
+    return std::move(out_);
+  }
+
+ private:
+  void flush() {
+    if (copied_ > 0) {
+      out_ += copy_mark + std::to_string(offset_) + ',' +
+              std::to_string(copied_) + ';';
+    }
+    if (!new_.empty()) {
+      out_ += new_mark + std::to_string(new_.size()) + ';' + new_;
+    }
+    copied_ = 0;
+    new_.clear();
+  }
+
+  std::string out_{delta_mark};
+  std::size_t offset_ = 0;
+  std::size_t copied_ = 0;
+  std::string new_;
+};
+
+/// Reads a delta from its start on.
+class delta_reader {
+ public:
+  explicit delta_reader(std::string_view text) : left_(text) {}
+
+  bool at_end() const { return left_.empty(); }
+  bool take(char wanted) {
+    if (left_.empty() || left_.front() != wanted) return false;
+    left_.remove_prefix(1);
+    return true;
+  }
+  std::optional<std::size_t> take_number(char end) {
+    std::size_t out = 0;
+    const std::from_chars_result read =
+        std::from_chars(left_.data(), left_.data() + left_.size(), out);
+    if (read.ec != std::errc()) return std::nullopt;
+    left_.remove_prefix(static_cast<std::size_t>(read.ptr - left_.data()));
+    if (!take(end)) return std::nullopt;
+    return out;
+  }
+  std::optional<std::string_view> take_bytes(std::size_t n) {
+    if (n > left_.size()) return std::nullopt;
+    const std::string_view out = left_.substr(0, n);
+    left_.remove_prefix(n);
+    return out;
+  }
+
+ private:
+  std::string_view left_;
+};
+
+/// The next piece of the text that a delta leads to.
+std::optional<std::string_view> read_piece(delta_reader& in,
+                                           std::string_view before) {
+  if (in.take(new_mark)) {
+    const std::optional<std::size_t> length = in.take_number(';');
+    if (!length) return std::nullopt;
+    return in.take_bytes(*length);
+  }
+  if (!in.take(copy_mark)) return std::nullopt;
+  const std::optional<std::size_t> offset = in.take_number(',');
+  if (!offset || *offset > before.size()) return std::nullopt;
+  const std::optional<std::size_t> length = in.take_number(';');
+  if (!length || *length > before.size() - *offset) return std::nullopt;
+  return before.substr(*offset, *length);
+}
+
+}  // namespace
+
+std::string make_text_delta(std::string_view before, std::string_view after) {
+  std::unordered_map<std::string_view, std::size_t> places;
+  for (const std::string_view it : split(before)) {
+    places.emplace(it, static_cast<std::size_t>(it.data() - before.data()));
+  }
+  delta_writer out;
+  for (const std::string_view it : split(after)) {
+    const std::optional<std::size_t> next = out.next_offset();
+    if (next && before.substr(*next, it.size()) == it) {
+      out.copy(*next, it.size());
+      continue;
+    }
+    const auto found = places.find(it);
+    if (found == places.end()) {
+      out.add(it);
+    } else {
+      out.copy(found->second, it.size());
+    }
+  }
+  return out.finish();
+}
+
+std::optional<std::string> apply_text_delta(std::string_view before,
+                                            std::string_view delta,
+                                            std::size_t limit) {
+  delta_reader in(delta);
+  if (!in.take(delta_mark)) return std::nullopt;
+  std::string out;
+  while (!in.at_end()) {
+    const std::optional<std::string_view> piece = read_piece(in, before);
+    if (!piece || piece->size() > limit - out.size()) return std::nullopt;
+    out += *piece;
+  }
+  return out;
+}
+
+}  // namespace trestlepost
--- a/config/include/trestlepost/config/change.h
+++ b/config/include/trestlepost/config/change.h
@@ -1,11 +1,13 @@
 // Changes of the configuration, their results, and the audit trail.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "trestlepost/config/plan_edit.h"
 #include "trestlepost/config/store.h"
 #include "trestlepost/consensus/types.h"
 
@@ -37,6 +39,9 @@
   std::optional<ledger_founding> founding;
   /// Replaces the traffic plan, unless a plan of this number or above holds.
   plan_ptr plan;
+  /// The same, told as an edit of the plan that it was made from. A conflict
+  /// when that one does not hold any more.
+  std::shared_ptr<const plan_edit> edited_plan;
   std::optional<zone_evacuation> evacuation;
   std::optional<request_hold> hold;
 };
@@ -73,9 +78,7 @@
 zone_evacuation zone_evacuation_from(const json& value);
 json to_json(const change& value);
 result<change> change_from(const json& value);
-/// A change as it stands in the log: JSON, compressed when it is large. A plan
-/// of 4,250 routes takes 118 KB of the log and of each message to a replica,
-/// 2.3 MB as text.
+/// A change as it stands in the log: JSON, compressed when it is large.
 std::string encode_change(const change& value);
 result<change> decode_change(std::string_view command);
 json to_json(const change_result& value);
--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -59,6 +59,13 @@
   change_result decide(const change& asked, json& touched);
   change_result decide_founding(const change& asked);
   change_result decide_plan(const change& asked, json& touched);
+  change_result decide_edited_plan(const change& asked, json& touched);
+  /// Number of the plan that holds; 0 when there is none.
+  plan_number held_number() const;
+  change_result plan_stays() const;
+  /// Puts `next` in force, which `delta` leads to.
+  change_result take_plan(const change& asked, plan_ptr next, plan_delta delta,
+                          json& touched);
   change_result decide_evacuation(const change& asked, json& touched);
   change_result decide_hold(const change& asked, json& touched);
   void add_to_history(applied_change accepted);
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -83,6 +83,7 @@
   }
   if (value.founding) out["founding"] = to_json(*value.founding);
   if (value.plan) out["plan"] = to_json(*value.plan, plan_form::whole);
+  if (value.edited_plan) out["plan_edit"] = to_json(*value.edited_plan);
   if (value.evacuation) out["evacuation"] = to_json(*value.evacuation);
   if (value.hold) out["hold"] = to_json(*value.hold);
   return out;
@@ -108,6 +109,12 @@
     if (!read) return tl::make_unexpected(read.error());
     out.plan = std::make_shared<const traffic_plan>(std::move(*read));
   }
+  const json& edited = member_of(value, "plan_edit");
+  if (edited.isObject()) {
+    result<plan_edit> read = plan_edit_from(edited);
+    if (!read) return tl::make_unexpected(read.error());
+    out.edited_plan = std::make_shared<const plan_edit>(std::move(*read));
+  }
   const json& evacuation = member_of(value, "evacuation");
   if (evacuation.isObject()) out.evacuation = zone_evacuation_from(evacuation);
   const json& hold = member_of(value, "hold");
@@ -200,6 +207,11 @@
     if (sent) asked["document"] = sha256_hex(value.plan->document);
     if (!sent) asked["plan"] = to_json(*value.plan, plan_form::whole);
   }
+  if (value.edited_plan) {
+    asked["base"] = as_number(value.edited_plan->base);
+    asked["number"] = as_number(value.edited_plan->delta.number);
+    asked["document"] = sha256_hex(value.edited_plan->document);
+  }
   if (value.evacuation) asked["evacuation"] = to_json(*value.evacuation);
   if (value.hold) asked["hold"] = to_json(*value.hold);
   return sha256_hex(to_text(asked));
--- a/config/src/plan_delta.cc
+++ b/config/src/plan_delta.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "trestlepost/config/route_list.h"
+
 namespace trestlepost::config {
 namespace {
 
@@ -80,8 +82,7 @@
 json to_json(const plan_delta& value) {
   json out;
   out["number"] = as_number(value.number);
-  json& written = out["written"] = json(Json::arrayValue);
-  for (const route& it : value.written) written.append(to_json(it));
+  out["written"] = config::to_json(value.written);
   json& removed = out["removed"] = json(Json::arrayValue);
   for (const route_place& it : value.removed) removed.append(to_json(it));
   if (value.services) out["services"] = to_json(*value.services);
@@ -96,9 +97,7 @@
     return fail(error_kind::bad_input, "a change of the plan has no number",
                 "run one version of trestlepostd on all nodes");
   }
-  for (const json& it : member_of(value, "written")) {
-    out.written.push_back(route_from(it));
-  }
+  out.written = routes_from(member_of(value, "written"));
   for (const json& it : member_of(value, "removed")) {
     out.removed.push_back(route_place_from(it));
   }
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -47,6 +47,7 @@
 change_result config_state_machine::decide(const change& asked, json& touched) {
   if (asked.founding) return decide_founding(asked);
   if (asked.plan) return decide_plan(asked, touched);
+  if (asked.edited_plan) return decide_edited_plan(asked, touched);
   if (asked.evacuation) return decide_evacuation(asked, touched);
   if (asked.hold) return decide_hold(asked, touched);
   std::optional<change_result> conflict = find_conflict(asked);
@@ -80,27 +81,67 @@
     return refusal(change_status::invalid, store_.revision(),
                    sound.error().message, sound.error().remedy);
   }
-  const plan_number held = store_.plan() ? store_.plan()->number : 0;
-  if (asked.plan->number <= held) {
-    return {change_status::accepted,
-            store_.revision(),
-            "plan " + std::to_string(held) + " holds; nothing changed",
-            "",
-            {}};
+  if (asked.plan->number <= held_number()) return plan_stays();
+  return take_plan(asked, asked.plan,
+                   delta_between(store_.plan().get(), *asked.plan), touched);
+}
+
+change_result config_state_machine::decide_edited_plan(const change& asked,
+                                                       json& touched) {
+  const plan_edit& edit = *asked.edited_plan;
+  if (edit.delta.number <= held_number()) return plan_stays();
+  if (edit.base != held_number()) {
+    return refusal(change_status::conflict, store_.revision(),
+                   "plan " + std::to_string(held_number()) +
+                       " holds, not plan " + std::to_string(edit.base) +
+                       ", from which plan " +
+                       std::to_string(edit.delta.number) + " was made",
+                   "make the change anew from the plan that holds");
   }
+  result<traffic_plan> next = apply_plan_edit(store_.plan().get(), edit);
+  const result<void> sound =
+      next ? check_plan(*next) : tl::make_unexpected(next.error());
+  if (!sound) {
+    return refusal(change_status::invalid, store_.revision(),
+                   sound.error().message, sound.error().remedy);
+  }
+  return take_plan(asked,
+                   std::make_shared<const traffic_plan>(std::move(*next)),
+                   edit.delta, touched);
+}
+
+plan_number config_state_machine::held_number() const {
+  return store_.plan() ? store_.plan()->number : 0;
+}
+
+change_result config_state_machine::plan_stays() const {
+  return {change_status::accepted,
+          store_.revision(),
+          "plan " + std::to_string(held_number()) + " holds; nothing changed",
+          "",
+          {}};
+}
+
+change_result config_state_machine::take_plan(const change& asked,
+                                              plan_ptr next, plan_delta delta,
+                                              json& touched) {
+  const std::string number = std::to_string(next->number);
   json one;
   one["kind"] = "traffic_plan";
-  one["name"] = std::to_string(asked.plan->number);
+  one["name"] = number;
   touched.append(std::move(one));
-  const std::shared_ptr<const plan_delta> delta =
-      std::make_shared<const plan_delta>(
-          delta_between(store_.plan().get(), *asked.plan));
-  add_to_history({store_.revision() + 1, asked.at, {}, delta, {}, {}});
-  // With the document, which the delta does not hold.
-  store_.set_plan(asked.plan);
+  store_.set_plan(std::move(next));
+  store_.set_revision(store_.revision() + 1);
+  history_.push_back({store_.revision(),
+                      asked.at,
+                      {},
+                      std::make_shared<const plan_delta>(std::move(delta)),
+                      {},
+                      {}});
+  trim_history();
   return {change_status::accepted,
           store_.revision(),
-          "plan " + std::to_string(asked.plan->number) + " is in the log",
+          "plan " + number + " is in the log",
           "",
           {}};
 }
--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "trestlepost/config/route_list.h"
+
 namespace trestlepost::config {
 namespace {
 
@@ -219,8 +221,7 @@
 json to_json(const traffic_plan& value, plan_form form) {
   json out;
   out["number"] = as_number(value.number);
-  json& routes = out["routes"] = json(Json::arrayValue);
-  for (const route& it : value.routes) routes.append(to_json(it));
+  out["routes"] = to_json(value.routes);
   out["services"] = to_json(value.services);
   out["limits"] = to_json(value.limits);
   if (form == plan_form::whole) out["document"] = value.document;
@@ -233,9 +234,7 @@
   }
   traffic_plan out;
   out.number = number_of(value, "number");
-  for (const json& it : member_of(value, "routes")) {
-    out.routes.push_back(route_from(it));
-  }
+  out.routes = routes_from(member_of(value, "routes"));
   out.services = services_from(member_of(value, "services"));
   out.limits = limits_from(member_of(value, "limits"));
   out.document = text_of(value, "document");
--- /dev/null
+++ b/config/test/plan_edit-test.cc
@@ -0,0 +1,134 @@
+// Plans in the log: as edits of the plan before.
+#include "trestlepost/config/plan_edit.h"
+
+#include <gtest/gtest.h>
+
+#include "trestlepost/config/state_machine.h"
+
+namespace trestlepost::config {
+namespace {
+
+traffic_plan plan_of(plan_number number, int routes) {
+  traffic_plan out;
+  out.number = number;
+  out.services.push_back(
+      {"plain", "/health", 50, std::chrono::milliseconds(0), 0, {}});
+  out.document = "{\"version\":" + std::to_string(number) + ",\"routes\":[";
+  for (int n = 0; n < routes; ++n) {
+    route one;
+    one.name = "r-" + std::to_string(n);
+    one.host = "a.example";
+    one.path_prefix = "/" + std::to_string(n) + "/";
+    one.split = {{"plain", 1}};
+    out.routes.push_back(one);
+    out.document += "{\"name\":\"" + one.name + "\",\"host\":\"" + one.host +
+                    "\",\"prefix\":\"" + one.path_prefix + "\"},";
+  }
+  out.document += "0]}";
+  return out;
+}
+
+change edit_of(const traffic_plan* before, const traffic_plan& after) {
+  change out;
+  out.id = "edit-" + std::to_string(before == nullptr ? 0 : before->number) +
+           "-" + std::to_string(after.number);
+  out.edited_plan =
+      std::make_shared<const plan_edit>(make_plan_edit(before, after));
+  return out;
+}
+
+change_result apply(config_state_machine& to, const change& asked) {
+  consensus::entry entry;
+  entry.type = consensus::entry_type::command;
+  entry.data = encode_change(asked);
+  to.apply(entry);
+  return *to.result_of(asked.id);
+}
+
+TEST(plan_edit_test, edits_lead_to_the_same_plan_as_whole_plans) {
+  const traffic_plan first = plan_of(1, 5);
+  const traffic_plan second = plan_of(3, 9);
+  const traffic_plan third = plan_of(4, 2);
+  config_state_machine machine;
+  EXPECT_EQ(apply(machine, edit_of(nullptr, first)).status,
+            change_status::accepted);
+  EXPECT_EQ(apply(machine, edit_of(&first, second)).revision, 2U);
+  EXPECT_EQ(machine.store().plan()->routes, second.routes);
+  EXPECT_EQ(machine.store().plan()->document, second.document);
+  apply(machine, edit_of(&second, third));
+  EXPECT_EQ(machine.store().plan()->number, 4U);
+  EXPECT_EQ(machine.store().plan()->routes, third.routes);
+  EXPECT_EQ(machine.store().plan()->services, third.services);
+  EXPECT_EQ(machine.store().plan()->document, third.document);
+  object_store watcher;
+  ASSERT_TRUE(apply_update(watcher, machine.update_since(0)));
+  EXPECT_EQ(watcher.plan()->routes, third.routes);
+}
+
+TEST(plan_edit_test, an_edit_of_a_plan_that_was_replaced_is_a_conflict) {
+  const traffic_plan first = plan_of(1, 5);
+  const traffic_plan second = plan_of(3, 9);
+  const traffic_plan rival = plan_of(4, 2);
+  config_state_machine machine;
+  apply(machine, edit_of(nullptr, first));
+  apply(machine, edit_of(&first, second));
+  const change_result late = apply(machine, edit_of(&first, rival));
+  EXPECT_EQ(late.status, change_status::conflict);
+  EXPECT_FALSE(late.remedy.empty());
+  EXPECT_EQ(machine.store().plan()->number, 3U);
+  EXPECT_EQ(machine.store().revision(), 2U);
+}
+
+TEST(plan_edit_test, an_edit_to_an_older_plan_changes_nothing) {
+  const traffic_plan first = plan_of(4, 5);
+  const traffic_plan older = plan_of(2, 9);
+  config_state_machine machine;
+  apply(machine, edit_of(nullptr, first));
+  const change_result outcome = apply(machine, edit_of(nullptr, older));
+  EXPECT_EQ(outcome.status, change_status::accepted);
+  EXPECT_EQ(machine.store().plan()->number, 4U);
+  EXPECT_EQ(machine.store().revision(), 1U);
+}
+
+TEST(plan_edit_test, an_edit_to_an_unsound_plan_is_invalid) {
+  const traffic_plan first = plan_of(1, 5);
+  traffic_plan unsound = plan_of(2, 5);
+  unsound.routes[3].split = {{"none", 1}};
+  config_state_machine machine;
+  apply(machine, edit_of(nullptr, first));
+  EXPECT_EQ(apply(machine, edit_of(&first, unsound)).status,
+            change_status::invalid);
+  change spoilt = edit_of(&first, plan_of(2, 6));
+  plan_edit other = *spoilt.edited_plan;
+  other.document = "{=0,1000000;";
+  spoilt.edited_plan = std::make_shared<const plan_edit>(other);
+  spoilt.id = "spoilt";
+  EXPECT_EQ(apply(machine, spoilt).status, change_status::invalid);
+  EXPECT_EQ(machine.store().plan()->number, 1U);
+}
+
+// Guards against entries, and turns of a leader, that grow with the whole plan.
+TEST(plan_edit_test, a_small_change_of_a_large_plan_is_a_small_entry) {
+  constexpr std::size_t most_bytes = 2000;
+  const traffic_plan before = plan_of(1, 6000);
+  traffic_plan after = plan_of(2, 6000);
+  EXPECT_LT(encode_change(edit_of(&before, after)).size(), most_bytes);
+  after.routes[17].attempts = 3;
+  EXPECT_LT(encode_change(edit_of(&before, after)).size(), most_bytes);
+}
+
+TEST(plan_edit_test, a_snapshot_holds_what_the_next_edit_is_made_from) {
+  const traffic_plan first = plan_of(1, 50);
+  const traffic_plan second = plan_of(2, 60);
+  config_state_machine machine;
+  apply(machine, edit_of(nullptr, first));
+  config_state_machine restored;
+  restored.load(machine.save());
+  EXPECT_EQ(apply(restored, edit_of(&first, second)).status,
+            change_status::accepted);
+  EXPECT_EQ(restored.store().plan()->routes, second.routes);
+  EXPECT_EQ(restored.store().plan()->document, second.document);
+}
+
+}  // namespace
+}  // namespace trestlepost::config
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -57,10 +57,14 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
-/// Whether a change that was refused so may be taken a moment later.
-bool may_pass(const error& refusal) {
-  return refusal.kind == error_kind::unavailable ||
-         refusal.kind == error_kind::not_leader;
+/// Whether a change that ended so may be taken a moment later.
+bool worth_retrying(const change_outcome& outcome) {
+  if (!outcome) {
+    const error_kind kind = outcome.error().kind;
+    return kind == error_kind::unavailable || kind == error_kind::not_leader;
+  }
+  // Another plan came before, and this one was made from an older one.
+  return outcome->status == config::change_status::conflict;
 }
 
 error unclear() {
@@ -86,12 +90,17 @@
       std::chrono::duration_cast<milliseconds>(to - from).count());
 }
 
-config::change make_change(const operator_order& order, random_source& random) {
+/// `held`: the plan that an edit is made from, or null.
+config::change make_change(const operator_order& order,
+                           const config::traffic_plan* held,
+                           random_source& random) {
   config::change out;
   out.id = "order-" + make_request_id(random);
   out.operator_name = "operator";
-  out.plan = order.plan;
-  if (!order.plan) {
+  if (order.plan) {
+    out.edited_plan = std::make_shared<const config::plan_edit>(
+        config::make_plan_edit(held, *order.plan));
+  } else {
     out.evacuation = config::zone_evacuation{
         order.availability_zone, order.kind == order_kind::evacuate};
   }
@@ -182,7 +191,7 @@
     co_return surface_->refuse(growing);
   }
   std::optional<change_outcome> outcome = co_await propose(order, deadline);
-  while (outcome && !*outcome && may_pass(outcome->error()) &&
+  while (outcome && worth_retrying(*outcome) &&
          context_.clock.now() + retry_pause < deadline) {
     co_await pause(context_.io);
     outcome = co_await propose(order, deadline);
@@ -193,6 +202,10 @@
   if (decided.status == config::change_status::accepted) {
     co_return surface_->acknowledge(order);
   }
+  if (worth_retrying(*outcome)) {
+    const error raced{error_kind::unavailable, decided.message, ask_again};
+    co_return surface_->refuse(raced);
+  }
   const error invalid{error_kind::bad_input, decided.message, decided.remedy};
   co_return surface_->refuse(invalid);
 }
@@ -201,7 +214,8 @@
     const operator_order& order, monotonic_time deadline) {
   const std::shared_ptr<delivery<change_outcome>> pending =
       std::make_shared<delivery<change_outcome>>(context_.io);
-  control_->propose(make_change(order, context_.random),
+  const config::plan_ptr held = control_->machine().store().plan();
+  control_->propose(make_change(order, held.get(), context_.random),
                     [pending](const result<json>& it) {
                       pending->deliver(it.map(config::change_result_from));
                     });
