Each control node takes plans and shows them, instead of naming the leader

A large plan went to two nodes in whole, the first of which read it and threw it away. The leader confirms by a round of the quorum as before, so a read is still linearizable; a node that hears no leader shows nothing. Calls between control nodes are node/peer_calls.

--- a/base/include/trestlepost/base/json.h
+++ b/base/include/trestlepost/base/json.h
@@ -41,6 +41,10 @@
 double real_of(const json& object, const char* key);
 bool flag_of(const json& object, const char* key);
 
+/// An error as peers tell it.
+json to_json(const error& value);
+error error_from(const json& value);
+
 /// The member `key`, or a shared null value when it is missing.
 const json& member_of(const json& object, const char* key);
 
--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -75,6 +75,19 @@
   return json(Json::Int64(n.count()));
 }
 
+json to_json(const error& value) {
+  json out;
+  out["kind"] = std::string(to_string(value.kind));
+  out["message"] = value.message;
+  out["remedy"] = value.remedy;
+  return out;
+}
+
+error error_from(const json& value) {
+  return {error_kind_from(text_of(value, "kind")), text_of(value, "message"),
+          text_of(value, "remedy")};
+}
+
 const json& member_of(const json& object, const char* key) {
   if (!object.isObject()) return json::nullSingleton();
   return object[key];
--- a/base/test/text_delta-test.cc
+++ b/base/test/text_delta-test.cc
@@ -20,9 +20,10 @@
 
 RC_GTEST_PROP(text_delta_test, a_delta_leads_to_the_text, ()) {
   const auto any_text = [] {
-    const std::vector<std::string> parts = *rc::gen::container<
-        std::vector<std::string>>(rc::gen::element<std::string>(
-        "{\"a\":1}", "{\"b\":2}", ",", "x", "}", "{", "=1,2;", "+3;"));
+    const std::vector<std::string> parts =
+        *rc::gen::container<std::vector<std::string>>(
+            rc::gen::element<std::string>("{\"a\":1}", "{\"b\":2}", ",", "x",
+                                          "}", "{", "=1,2;", "+3;"));
     std::string out;
     for (const std::string& it : parts) out += it;
     return out;
@@ -30,8 +31,7 @@
   const std::string before = any_text();
   const std::string after = any_text();
   const std::string delta = make_text_delta(before, after);
-  const std::optional<std::string> got =
-      apply_text_delta(before, delta, limit);
+  const std::optional<std::string> got = apply_text_delta(before, delta, limit);
   RC_ASSERT(got.has_value());
   RC_ASSERT(*got == after);
 }
--- a/config/test/route_list-test.cc
+++ b/config/test/route_list-test.cc
@@ -65,12 +65,11 @@
 }
 
 TEST(route_list_test, routes_that_are_cut_off_or_like_none_are_left_out) {
-  for (const char* it :
-       {"7", "null", "{}", R"({"like":[{}],"at":7})",
-        R"({"like":[{}],"at":[1,"r","a","/x/"]})",
-        R"({"like":[{}],"at":[0,"r","a"]})",
-        R"({"like":[{}],"at":[0,"r",7,"/x/"]})",
-        R"({"like":[{}],"at":[-1,"r","a","/x/"]})"}) {
+  for (const char* it : {"7", "null", "{}", R"({"like":[{}],"at":7})",
+                         R"({"like":[{}],"at":[1,"r","a","/x/"]})",
+                         R"({"like":[{}],"at":[0,"r","a"]})",
+                         R"({"like":[{}],"at":[0,"r",7,"/x/"]})",
+                         R"({"like":[{}],"at":[-1,"r","a","/x/"]})"}) {
     EXPECT_TRUE(routes_from(*parse_json(it)).empty()) << it;
   }
 }
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -13,6 +13,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr char submit_method[] = "config.submit";
+constexpr char read_method[] = "config.read";
 constexpr milliseconds join_interval{400};
 // After a failed write the log is read again from the disk this often, until
 // the disk takes writes again.
@@ -139,7 +141,23 @@
         growth_.heard(*host_, context_.clock.now(), in->from,
                       text_of(params, "from_address"));
         host_->receive(context_.clock.now(), *in);
+        finish_reads();
       });
+  calls_.start();
+  calls_.handle(submit_method,
+                [this](const json& params, const answer_function& answer) {
+                  result<config::change> asked =
+                      config::decode_change(text_of(params, "change"));
+                  if (asked) {
+                    take_submitted(std::move(*asked), answer);
+                  } else {
+                    answer(tl::make_unexpected(asked.error()));
+                  }
+                });
+  calls_.handle(read_method,
+                [this](const json&, const answer_function& answer) {
+                  confirm_for(answer);
+                });
   peers.add_notification(
       "config.join", [this](const json& params, const transport::rpc_context&) {
         handle_join(params);
@@ -313,6 +331,73 @@
   answer(tl::make_unexpected(proposed.error()));
 }
 
+bool control_service::hears_leader() const {
+  const std::string leader = leader_node();
+  return !leader.empty() && leader != context_.self.name;
+}
+
+void control_service::submit(config::change asked,
+                             const answer_function& answer) {
+  if (!hears_leader()) {
+    take_submitted(std::move(asked), answer);
+    return;
+  }
+  json params;
+  params["change"] = config::encode_change(asked);
+  calls_.call(address_of(leader_node()), submit_method, std::move(params),
+              answer);
+}
+
+void control_service::take_submitted(config::change asked,
+                                     const answer_function& answer) {
+  if (!leads()) {
+    answer(fail(error_kind::unavailable, "no control node leads now",
+                "send the same again"));
+  } else if (!may_acknowledge()) {
+    answer(fail(error_kind::unavailable, "control nodes are still joining",
+                "send the same again"));
+  } else {
+    propose(std::move(asked), answer);
+  }
+}
+
+void control_service::confirm_for(const answer_function& answer) {
+  const result<void> asked = confirm_read([this, answer] {
+    json out;
+    out["index"] = as_number(host_->applied());
+    answer(out);
+  });
+  if (!asked) answer(tl::make_unexpected(asked.error()));
+}
+
+void control_service::read_here(const answer_function& answer) {
+  if (!hears_leader()) {
+    confirm_for(answer);
+    return;
+  }
+  calls_.call(
+      address_of(leader_node()), read_method, json(Json::objectValue),
+      [this, answer](const result<json>& confirmed) {
+        if (!confirmed) {
+          answer(confirmed);
+          return;
+        }
+        waiting_reads_.push_back({number_of(*confirmed, "index"), answer});
+        finish_reads();
+      });
+}
+
+void control_service::finish_reads() {
+  const consensus::log_index applied = host_->applied();
+  std::vector<waiting_read> ready;
+  std::erase_if(waiting_reads_, [applied, &ready](waiting_read& it) {
+    if (it.index > applied) return false;
+    ready.push_back(std::move(it));
+    return true;
+  });
+  for (const waiting_read& it : ready) it.answer(json(Json::objectValue));
+}
+
 result<json> control_service::recover() {
   const std::string group_id = make_request_id(context_.random);
   const result<void> done =
@@ -498,6 +583,8 @@
   host_->tick(now);
   note_lease();
   upkeep_.tick(host_->core());
+  calls_.tick();
+  finish_reads();
   ask_to_join();
   found_ledgers();
   judge_.tick(leads());
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -16,6 +16,7 @@
 #include "group_upkeep.h"
 #include "node_book.h"
 #include "node_context.h"
+#include "peer_calls.h"
 #include "ticket_table.h"
 #include "trestlepost/config/state_machine.h"
 #include "trestlepost/consensus/group_growth.h"
@@ -35,6 +36,11 @@
 
   /// Runs `change` through the log; answers once it is decided.
   void propose(config::change asked, const answer_function& answer);
+  /// The same at any control node: one that does not lead asks the leader.
+  void submit(config::change asked, const answer_function& answer);
+  /// Answers once this node has applied all that was acknowledged before the
+  /// call, whether it leads or not.
+  void read_here(const answer_function& answer);
   /// Founds the group, once.
   void found(answer_function answer);
   /// Goes on from this node's disk alone after the majority was lost.
@@ -83,7 +89,18 @@
     monotonic_time started_at;
   };
 
+  /// A read that waits until this node has applied an entry.
+  struct waiting_read {
+    consensus::log_index index = 0;
+    answer_function answer;
+  };
+
   void register_peer_methods();
+  /// Proposes an operator's change on the leader.
+  void take_submitted(config::change asked, const answer_function& answer);
+  void confirm_for(const answer_function& answer);
+  void finish_reads();
+  bool hears_leader() const;
   /// To the leader, for an asker that may be cut off from it; the answer comes
   /// back the same way.
   void pass_poll_on(const json& params);
@@ -117,6 +134,7 @@
 
   node_context& context_;
   group_upkeep upkeep_;
+  peer_calls calls_{context_};
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
   consensus::group_growth growth_{context_.heard_from};
@@ -127,6 +145,7 @@
   node_book book_;
   std::map<std::string, waiting_change> waiting_;
   std::map<std::string, kept_poll> kept_polls_;  // the last, by address
+  std::vector<waiting_read> waiting_reads_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
   monotonic_time next_restart_;
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -60,14 +60,6 @@
   return out;
 }
 
-json error_to_json(const error& value) {
-  json out;
-  out["kind"] = std::string(to_string(value.kind));
-  out["message"] = value.message;
-  out["remedy"] = value.remedy;
-  return out;
-}
-
 json to_json(const routing::placement& placed) {
   json out;
   json& permitted = out["permitted"] = json(Json::arrayValue);
@@ -287,7 +279,7 @@
                    if (answer) {
                      out["result"] = *answer;
                    } else {
-                     out["error"] = error_to_json(answer.error());
+                     out["error"] = to_json(answer.error());
                    }
                    context_.links.send(reply_to, "operator.answer", out);
                  });
@@ -298,9 +290,7 @@
   relayed_.erase(ticket);
   const json& failed = member_of(params, "error");
   if (failed.isObject()) {
-    tickets_.close(ticket,
-                   fail(error_kind_from(text_of(failed, "kind")),
-                        text_of(failed, "message"), text_of(failed, "remedy")));
+    tickets_.close(ticket, tl::make_unexpected(error_from(failed)));
     return;
   }
   tickets_.close(ticket, member_of(params, "result"));
@@ -460,7 +450,7 @@
   out["entry_region"] = context_.self.region;
   if (!placed) {
     out["verdict"] = "refused";
-    out["refusal"] = error_to_json(placed.error());
+    out["refusal"] = trestlepost::to_json(placed.error());
     return out;
   }
   out["placement"] = to_json(*placed);
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -57,12 +57,15 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
+/// Whether what was refused so may be taken a moment later.
+bool is_passing(const error& refusal) {
+  return refusal.kind == error_kind::unavailable ||
+         refusal.kind == error_kind::not_leader;
+}
+
 /// Whether a change that ended so may be taken a moment later.
 bool worth_retrying(const change_outcome& outcome) {
-  if (!outcome) {
-    const error_kind kind = outcome.error().kind;
-    return kind == error_kind::unavailable || kind == error_kind::not_leader;
-  }
+  if (!outcome) return is_passing(outcome.error());
   // Another plan came before, and this one was made from an older one.
   return outcome->status == config::change_status::conflict;
 }
@@ -146,16 +149,6 @@
     co_return surface_->refuse(order.error());
   }
   const monotonic_time deadline = context_.clock.now() + answer_timeout;
-  co_await regain_lease(deadline);
-  if (!control_->leads()) {
-    const std::string leader = control_->leader_node();
-    const std::string address =
-        leader == context_.self.name ? "" : context_.orders_address(leader);
-    if (!address.empty()) co_return surface_->redirect(address, target);
-    const error none{error_kind::unavailable, "no control node leads now",
-                     ask_again};
-    co_return surface_->refuse(none);
-  }
   http_answer out;
   if (order->kind == order_kind::read_plan) {
     out = co_await read_plan(deadline);
@@ -171,8 +164,8 @@
 }
 
 awaitable<void> order_handler::regain_lease(monotonic_time deadline) {
-  // After a long turn the replies that renew the lease are still in the
-  // sockets.
+  // After a long turn, such as the one that read the order, the replies that
+  // renew the lease are still in the sockets.
   while (control_->is_leader() && !control_->leads() &&
          context_.clock.now() < deadline) {
     co_await pause(context_.io);
@@ -185,11 +178,6 @@
     const result<void> sound = config::check_plan(*order.plan);
     if (!sound) co_return surface_->refuse(sound.error());
   }
-  if (!control_->may_acknowledge()) {
-    const error growing{error_kind::unavailable,
-                        "control nodes are still joining", ask_again};
-    co_return surface_->refuse(growing);
-  }
   std::optional<change_outcome> outcome = co_await propose(order, deadline);
   while (outcome && worth_retrying(*outcome) &&
          context_.clock.now() + retry_pause < deadline) {
@@ -212,26 +200,39 @@
 
 awaitable<std::optional<change_outcome>> order_handler::propose(
     const operator_order& order, monotonic_time deadline) {
+  co_await regain_lease(deadline);
   const std::shared_ptr<delivery<change_outcome>> pending =
       std::make_shared<delivery<change_outcome>>(context_.io);
   const config::plan_ptr held = control_->machine().store().plan();
-  control_->propose(make_change(order, held.get(), context_.random),
-                    [pending](const result<json>& it) {
-                      pending->deliver(it.map(config::change_result_from));
-                    });
+  control_->submit(make_change(order, held.get(), context_.random),
+                   [pending](const result<json>& it) {
+                     pending->deliver(it.map(config::change_result_from));
+                   });
   co_await wait_for<change_outcome>(pending, deadline);
   co_return pending->value;
 }
 
+awaitable<std::optional<result<json>>> order_handler::confirm(
+    monotonic_time deadline) {
+  co_await regain_lease(deadline);
+  const std::shared_ptr<delivery<result<json>>> pending =
+      std::make_shared<delivery<result<json>>>(context_.io);
+  control_->read_here(
+      [pending](const result<json>& it) { pending->deliver(it); });
+  co_await wait_for<result<json>>(pending, deadline);
+  co_return pending->value;
+}
+
 awaitable<http_answer> order_handler::read_plan(monotonic_time deadline) {
-  const std::shared_ptr<delivery<bool>> pending =
-      std::make_shared<delivery<bool>>(context_.io);
-  const result<void> asked =
-      control_->confirm_read([pending] { pending->deliver(true); });
-  if (!asked) co_return surface_->refuse(asked.error());
-  co_await wait_for<bool>(pending, deadline);
+  std::optional<result<json>> confirmed = co_await confirm(deadline);
+  while (confirmed && !*confirmed && is_passing(confirmed->error()) &&
+         context_.clock.now() + retry_pause < deadline) {
+    co_await pause(context_.io);
+    confirmed = co_await confirm(deadline);
+  }
+  if (!confirmed) co_return surface_->refuse(unclear());
+  if (!*confirmed) co_return surface_->refuse(confirmed->error());
   const config::plan_ptr plan = control_->machine().store().plan();
-  if (!pending->value) co_return surface_->refuse(unclear());
   if (plan) co_return surface_->show_plan(*plan);
   const error none{error_kind::unavailable, "there is no plan yet", ask_again};
   co_return surface_->refuse(none);
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -1,6 +1,7 @@
 // Operators' orders by the traffic plan's surface: replaces and shows the
-// plan, evacuates availability zones. Every control node takes them; one that
-// does not lead names the one that does.
+// plan, evacuates availability zones. Every control node takes them, and shows
+// the plan from its own copy: one that does not lead asks the one that does for
+// the decision, or for how far its copy must be.
 #pragma once
 
 #include <memory>
@@ -37,6 +38,9 @@
   /// What became of the order; nothing when that is not known in time.
   transport::awaitable<std::optional<change_outcome>> propose(
       const surface::operator_order& order, monotonic_time deadline);
+  /// Waits until this node has applied all that was acknowledged.
+  transport::awaitable<std::optional<result<json>>> confirm(
+      monotonic_time deadline);
   transport::awaitable<transport::http_answer> read_plan(
       monotonic_time deadline);
 
--- /dev/null
+++ b/node/src/peer_calls.cc
@@ -0,0 +1,74 @@
+#include "peer_calls.h"
+
+#include <utility>
+#include <vector>
+
+namespace trestlepost::node {
+namespace {
+
+constexpr char answer_method[] = "call.answer";
+// Longer than anyone waits for an order.
+constexpr std::chrono::milliseconds call_lifetime{2000};
+
+}  // namespace
+
+void peer_calls::start() {
+  context_.peers.add_notification(
+      answer_method, [this](const json& params, const transport::rpc_context&) {
+        take_answer(params);
+      });
+}
+
+void peer_calls::handle(const std::string& method, call_handler handler) {
+  context_.peers.add_notification(
+      method, [this, handler = std::move(handler)](
+                  const json& params, const transport::rpc_context&) {
+        const std::string reply_to = text_of(params, "reply_to");
+        const std::uint64_t token = number_of(params, "token");
+        handler(params, [this, reply_to, token](const result<json>& answer) {
+          json out;
+          out["token"] = as_number(token);
+          if (answer) {
+            out["result"] = *answer;
+          } else {
+            out["error"] = to_json(answer.error());
+          }
+          context_.links.send(reply_to, answer_method, out);
+        });
+      });
+}
+
+void peer_calls::call(const std::string& address, const std::string& method,
+                      json params, answer_function answer) {
+  const std::uint64_t token = next_token_++;
+  params["token"] = as_number(token);
+  params["reply_to"] = context_.self.peer_address;
+  open_[token] = {std::move(answer), context_.clock.now()};
+  context_.links.send(address, method, params);
+}
+
+void peer_calls::take_answer(const json& params) {
+  const auto found = open_.find(number_of(params, "token"));
+  if (found == open_.end()) return;
+  const answer_function answer = std::move(found->second.answer);
+  open_.erase(found);
+  const json& failed = member_of(params, "error");
+  if (failed.isObject()) {
+    answer(tl::make_unexpected(error_from(failed)));
+  } else {
+    answer(member_of(params, "result"));
+  }
+}
+
+void peer_calls::tick() {
+  const monotonic_time now = context_.clock.now();
+  // Tokens rise with time.
+  while (!open_.empty() && open_.begin()->second.since + call_lifetime < now) {
+    const answer_function answer = std::move(open_.begin()->second.answer);
+    open_.erase(open_.begin());
+    answer(fail(error_kind::outcome_unknown, "the leader did not answer",
+                "send the same again"));
+  }
+}
+
+}  // namespace trestlepost::node
