A plan is acknowledged once the gateways that are heard hold it

What callers saw: gateways that served by a plan whose successor had been acknowledged more than 4 s before. An acknowledgement said that a majority of control nodes had the plan; the gateways were told afterwards, and one that was out of processor time, or a leader that was lost in between, left the rest to chance, while the time in which the plan must be in force ran. Now the leader acknowledges a plan when all watchers that it heard within 1.5 s have confirmed it, 3 s after its decision at the latest. A watcher polls as soon as it has taken a change in, instead of half a second later. A leader of less than a second waits for its watchers first. Evacuations are acknowledged at once as before. One that has stopped holds a plan up for 1.5 s. Ruled out: counting all watchers until they confirm (one that is cut off would stop all changes), and refusing requests at a gateway that only hears of a newer revision (it can't know whether that is acknowledged).

--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -13,9 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds watcher_lifetime{5000};
-// Two polls of a watcher that is content: one that is silent for longer has
+// Three polls of a watcher that is content: one that is silent for longer has
 // stopped, or is cut off.
-constexpr milliseconds heard_lifetime{1000};
+constexpr milliseconds heard_lifetime{1500};
 constexpr char update_method[] = "config.update";
 
 }  // namespace
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -15,6 +15,10 @@
 
 constexpr char submit_method[] = "config.submit";
 constexpr char read_method[] = "config.read";
+// A plan that some watchers do not confirm is acknowledged after this time.
+constexpr milliseconds longest_confirmation{3000};
+// Watchers that lost their leader ask the next one within this time.
+constexpr milliseconds acquaintance_time{1000};
 constexpr milliseconds join_interval{400};
 // After a failed write the log is read again from the disk this often, until
 // the disk takes writes again.
@@ -251,6 +255,7 @@
     watchers_.polled({asker, address, via, number_of(sign, "sequence"),
                       number_of(params, "revision"),
                       flag_of(params, "missed")});
+    acknowledge_confirmed();
     answer["confirmed"] = true;
     answer["update"] =
         make_news(number_of(params, "book_version"), book_.find(asker)->region);
@@ -356,11 +361,50 @@
   } else if (!may_acknowledge()) {
     answer(fail(error_kind::unavailable, "control nodes are still joining",
                 "send the same again"));
+  } else if (asked.edited_plan) {
+    propose(std::move(asked), [this, answer](const result<json>& outcome) {
+      if (outcome) {
+        await_confirmation(*outcome, answer);
+      } else {
+        answer(outcome);
+      }
+    });
   } else {
     propose(std::move(asked), answer);
   }
 }
 
+void control_service::await_confirmation(const json& outcome,
+                                         const answer_function& answer) {
+  const config::change_result decided = config::change_result_from(outcome);
+  if (decided.status != config::change_status::accepted) {
+    answer(outcome);
+    return;
+  }
+  unconfirmed_.push_back(
+      {decided.revision, context_.clock.now(), outcome, answer});
+}
+
+bool control_service::is_confirmed(config::revision_number revision) const {
+  const std::optional<monotonic_time> since = growth_.leading_since();
+  const monotonic_time now = context_.clock.now();
+  // The watchers have to find a new leader first.
+  const bool known = since && *since + acquaintance_time <= now;
+  return known && watchers_.held_by_all() >= revision;
+}
+
+void control_service::acknowledge_confirmed() {
+  const monotonic_time now = context_.clock.now();
+  std::vector<unconfirmed_plan> ready;
+  std::erase_if(unconfirmed_, [this, now, &ready](unconfirmed_plan& it) {
+    const bool late = it.decided_at + longest_confirmation < now;
+    if (!late && !is_confirmed(it.revision)) return false;
+    ready.push_back(std::move(it));
+    return true;
+  });
+  for (const unconfirmed_plan& it : ready) it.answer(it.outcome);
+}
+
 void control_service::confirm_for(const answer_function& answer) {
   const result<void> asked = confirm_read([this, answer] {
     json out;
@@ -585,6 +629,7 @@
   upkeep_.tick(host_->core());
   calls_.tick();
   finish_reads();
+  acknowledge_confirmed();
   ask_to_join();
   found_ledgers();
   judge_.tick(leads());
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -89,6 +89,13 @@
     monotonic_time started_at;
   };
 
+  /// A plan that is decided, and acknowledged once the watchers hold it.
+  struct unconfirmed_plan {
+    config::revision_number revision = 0;
+    monotonic_time decided_at;
+    json outcome;
+    answer_function answer;
+  };
   /// A read that waits until this node has applied an entry.
   struct waiting_read {
     consensus::log_index index = 0;
@@ -98,6 +105,13 @@
   void register_peer_methods();
   /// Proposes an operator's change on the leader.
   void take_submitted(config::change asked, const answer_function& answer);
+  void await_confirmation(const json& outcome, const answer_function& answer);
+  /// Acknowledges the plans that all watchers hold, or that have waited for as
+  /// long as an acknowledgement may.
+  void acknowledge_confirmed();
+  /// Whether all watchers that are heard hold the revision, as far as this
+  /// leader can know.
+  bool is_confirmed(config::revision_number revision) const;
   void confirm_for(const answer_function& answer);
   void finish_reads();
   bool hears_leader() const;
@@ -146,6 +160,7 @@
   std::map<std::string, waiting_change> waiting_;
   std::map<std::string, kept_poll> kept_polls_;  // the last, by address
   std::vector<waiting_read> waiting_reads_;
+  std::vector<unconfirmed_plan> unconfirmed_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
   monotonic_time next_restart_;
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -138,6 +138,8 @@
     }
   }
   context_.store = std::move(next);
+  // Tells the leader, which waits for it before it acknowledges a plan.
+  next_poll_ = context_.clock.now();
   log_event(log_level::info, "configuration-in-force",
             {{"revision", std::to_string(context_.store.revision())}});
   if (on_changed) on_changed();
