A large plan is sent while its read is being confirmed

A control node that hears a leader now writes its copy at once, all but the last 64 bytes, which follow when the leader has confirmed the read and the plan is still the same; else the connection is reset, and the answer is no whole one.

--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -63,6 +63,8 @@
   /// an error when this node does not lead.
   result<void> confirm_read(std::function<void()> ready);
   std::string leader_node() const;
+  /// Whether this node leads, or hears the one that does.
+  bool knows_leader() const { return is_leader() || hears_leader(); }
   /// How often this node sent a configuration, or changes of it, to a watcher.
   std::uint64_t contents_sent() const { return watchers_.contents_sent(); }
   /// Called when all watchers have a revision: the time since its decision.
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -22,6 +22,14 @@
 // Between two looks at a lease that has lapsed, or two tries of a change.
 constexpr milliseconds retry_pause{10};
 
+// A plan from this size on, one window of a connection, is sent while its read
+// is being confirmed: between regions the confirmation takes as long as half a
+// megabyte does.
+constexpr std::size_t least_streamed = 64UL * 1024;
+// Of a plan that is sent so, as many bytes wait for the confirmation.
+constexpr std::size_t held_back = 64;
+constexpr unsigned streamed_status = 200;
+
 constexpr char ask_again[] = "send the same again";
 
 /// A value that a callback delivers later.
@@ -113,21 +121,20 @@
 }  // namespace
 
 awaitable<void> order_handler::handle(transport::http_exchange& exchange) {
-  const std::string method(exchange.method());
   const std::string target(exchange.target());
   const monotonic_time begun = context_.clock.now();
   const result<std::string> body = co_await exchange.read_body();
   const monotonic_time read = context_.clock.now();
-  http_answer out;
+  std::optional<http_answer> out;
   if (body) {
-    out = co_await answer(method, target, *body);
+    out = co_await answer(exchange, *body);
   } else {
     out = surface_->refuse(body.error());
   }
   const monotonic_time answered = context_.clock.now();
-  const unsigned status = out.status;
-  const std::size_t answer_bytes = out.body.size();
-  co_await exchange.respond(std::move(out));
+  const unsigned status = out ? out->status : streamed_status;
+  const std::size_t answer_bytes = out ? out->body.size() : 0;
+  if (out) co_await exchange.respond(std::move(*out));
   log_event(log_level::info, "order-timed",
             {{"target", target},
              {"status", std::to_string(status)},
@@ -138,9 +145,10 @@
              {"write_ms", ms_between(answered, context_.clock.now())}});
 }
 
-awaitable<http_answer> order_handler::answer(const std::string& method,
-                                             const std::string& target,
-                                             const std::string& body) {
+awaitable<std::optional<http_answer>> order_handler::answer(
+    transport::http_exchange& exchange, const std::string& body) {
+  const std::string method(exchange.method());
+  const std::string target(exchange.target());
   const result<operator_order> order =
       surface_->read_order(method, target, body);
   if (!order) {
@@ -151,6 +159,12 @@
   const monotonic_time deadline = context_.clock.now() + answer_timeout;
   http_answer out;
   if (order->kind == order_kind::read_plan) {
+    const config::plan_ptr plan = control_->machine().store().plan();
+    const bool large = plan && plan->document.size() >= least_streamed;
+    if (large && control_->knows_leader()) {
+      co_await stream_plan(exchange, plan, deadline);
+      co_return std::nullopt;
+    }
     out = co_await read_plan(deadline);
   } else {
     out = co_await change(*order, deadline);
@@ -223,6 +237,36 @@
   co_return pending->value;
 }
 
+awaitable<void> order_handler::stream_plan(transport::http_exchange& exchange,
+                                           config::plan_ptr plan,
+                                           monotonic_time deadline) {
+  const std::shared_ptr<delivery<result<json>>> pending =
+      std::make_shared<delivery<result<json>>>(context_.io);
+  control_->read_here(
+      [pending](const result<json>& it) { pending->deliver(it); });
+  http_answer head = surface_->show_plan(*plan);
+  std::string body = std::exchange(head.body, {});
+  const std::size_t size = body.size();
+  const std::string end = body.substr(size - held_back);
+  body.resize(size - held_back);
+  bool sent = co_await exchange.start_sized_stream(std::move(head), size);
+  if (sent) sent = co_await exchange.write_piece(std::move(body));
+  co_await wait_for<result<json>>(pending, deadline);
+  const bool confirmed = pending->value && *pending->value;
+  const bool current = control_->machine().store().plan() == plan;
+  if (sent && confirmed && current) {
+    co_await exchange.write_piece(end);
+    co_await exchange.finish_stream();
+  } else {
+    exchange.abort();
+  }
+  log_event(log_level::info, "plan-streamed",
+            {{"number", std::to_string(plan->number)},
+             {"confirmed", confirmed ? "yes" : "no"},
+             {"current", current ? "yes" : "no"},
+             {"caller", sent ? "stayed" : "left"}});
+}
+
 awaitable<http_answer> order_handler::read_plan(monotonic_time deadline) {
   std::optional<result<json>> confirmed = co_await confirm(deadline);
   while (confirmed && !*confirmed && is_passing(confirmed->error()) &&
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -28,9 +28,9 @@
       transport::http_exchange& exchange) override;
 
  private:
-  transport::awaitable<transport::http_answer> answer(const std::string& method,
-                                                      const std::string& target,
-                                                      const std::string& body);
+  /// The answer to send; nothing when it has been streamed.
+  transport::awaitable<std::optional<transport::http_answer>> answer(
+      transport::http_exchange& exchange, const std::string& body);
   /// Waits while this node leads but is not sure of it.
   transport::awaitable<void> regain_lease(monotonic_time deadline);
   transport::awaitable<transport::http_answer> change(
@@ -38,6 +38,11 @@
   /// What became of the order; nothing when that is not known in time.
   transport::awaitable<std::optional<change_outcome>> propose(
       const surface::operator_order& order, monotonic_time deadline);
+  /// Sends a large plan while the read is being confirmed, and its end once it
+  /// is. Without that the answer stays visibly broken.
+  transport::awaitable<void> stream_plan(transport::http_exchange& exchange,
+                                         config::plan_ptr plan,
+                                         monotonic_time deadline);
   /// Waits until this node has applied all that was acknowledged.
   transport::awaitable<std::optional<result<json>>> confirm(
       monotonic_time deadline);
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -39,6 +39,10 @@
   transport::awaitable<bool> start_stream(transport::http_answer) override {
     co_return true;
   }
+  transport::awaitable<bool> start_sized_stream(transport::http_answer,
+                                                std::size_t) override {
+    co_return true;
+  }
   transport::awaitable<bool> write_piece(std::string) override {
     co_return true;
   }
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -55,6 +55,9 @@
   /// Sends an answer in pieces; without `finish_stream` the caller sees a
   /// broken transfer.
   virtual awaitable<bool> start_stream(http_answer head) = 0;
+  /// The same for a body of `length` bytes, which the pieces make up.
+  virtual awaitable<bool> start_sized_stream(http_answer head,
+                                             std::size_t length) = 0;
   virtual awaitable<bool> write_piece(std::string piece) = 0;
   virtual awaitable<bool> finish_stream() = 0;
 
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -118,6 +118,8 @@
   awaitable<result<std::string>> read_body() override;
   awaitable<bool> respond(http_answer answer) override;
   awaitable<bool> start_stream(http_answer head) override;
+  awaitable<bool> start_sized_stream(http_answer head,
+                                     std::size_t length) override;
   awaitable<bool> write_piece(std::string piece) override;
   awaitable<bool> finish_stream() override;
   void abort() override { break_off(); }
@@ -127,6 +129,7 @@
 
  private:
   awaitable<bool> refuse_head(error_code ec);
+  awaitable<bool> write_stream_head(http::response<http::empty_body> out);
   awaitable<bool> write(asio::const_buffer data);
   awaitable<void> watch(std::uint64_t exchange);
   void break_off();
@@ -141,6 +144,7 @@
   bool watching_ = false;
   bool started_ = false;
   bool whole_ = false;
+  bool chunked_ = false;  // the stream that is being sent
   bool broken_ = false;
   bool gone_ = false;
   bool draining_ = false;
@@ -313,12 +317,31 @@
   co_return true;
 }
 
-awaitable<bool> connection::start_stream(http_answer head) {
-  if (gone_ || started_) co_return false;
-  started_ = true;
+http::response<http::empty_body> make_stream_head(const http_answer& head) {
   http::response<http::empty_body> out;
   static_cast<http::response_header<>&>(out) = make_head(head, 11).base();
+  return out;
+}
+
+awaitable<bool> connection::start_stream(http_answer head) {
+  http::response<http::empty_body> out = make_stream_head(head);
   out.chunked(true);
+  chunked_ = true;
+  co_return co_await write_stream_head(std::move(out));
+}
+
+awaitable<bool> connection::start_sized_stream(http_answer head,
+                                               std::size_t length) {
+  http::response<http::empty_body> out = make_stream_head(head);
+  out.content_length(length);
+  chunked_ = false;
+  co_return co_await write_stream_head(std::move(out));
+}
+
+awaitable<bool> connection::write_stream_head(
+    http::response<http::empty_body> out) {
+  if (gone_ || started_) co_return false;
+  started_ = true;
   out.keep_alive(parser_->get().keep_alive() && !draining_);
   http::response_serializer<http::empty_body> serializer(out);
   error_code ec;
@@ -342,6 +365,7 @@
 
 awaitable<bool> connection::write_piece(std::string piece) {
   if (piece.empty()) co_return !gone_;
+  if (!chunked_) co_return co_await write(asio::buffer(piece));
   char size[32];
   const int n = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
   std::string framed(size, static_cast<std::size_t>(n));
@@ -352,7 +376,8 @@
 
 awaitable<bool> connection::finish_stream() {
   static constexpr std::string_view last = "0\r\n\r\n";
-  const bool sent = co_await write(asio::buffer(last));
+  const bool sent =
+      chunked_ ? co_await write(asio::buffer(last)) : !gone_ && !broken_;
   whole_ = sent && !draining_;
   co_return sent;
 }
