--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -23,7 +23,6 @@
   std::string caller_address;
   std::string forward_address;
   std::string peer_address;
-  std::string orders_address;  // where operators' orders are taken, or empty
   bool control = false;
   bool durable = false;  // has a data folder
 
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -35,9 +35,6 @@
   out["caller_address"] = value.caller_address;
   out["forward_address"] = value.forward_address;
   out["peer_address"] = value.peer_address;
-  if (!value.orders_address.empty()) {
-    out["orders_address"] = value.orders_address;
-  }
   out["control"] = value.control;
   out["durable"] = value.durable;
   return out;
@@ -52,7 +49,6 @@
   out.caller_address = text_of(value, "caller_address");
   out.forward_address = text_of(value, "forward_address");
   out.peer_address = text_of(value, "peer_address");
-  out.orders_address = text_of(value, "orders_address");
   out.control = flag_of(value, "control");
   out.durable = flag_of(value, "durable");
   return out;
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -13,10 +13,10 @@
 
 #include "config_watchers.h"
 #include "crash_judge.h"
+#include "group_orders.h"
 #include "group_upkeep.h"
 #include "node_book.h"
 #include "node_context.h"
-#include "peer_calls.h"
 #include "ticket_table.h"
 #include "trestlepost/config/state_machine.h"
 #include "trestlepost/consensus/group_growth.h"
@@ -36,11 +36,6 @@
 
   /// Runs `change` through the log; answers once it is decided.
   void propose(config::change asked, const answer_function& answer);
-  /// The same at any control node: one that does not lead asks the leader.
-  void submit(config::change asked, const answer_function& answer);
-  /// Answers once this node has applied all that was acknowledged before the
-  /// call, whether it leads or not.
-  void read_here(const answer_function& answer);
   /// Founds the group, once.
   void found(answer_function answer);
   /// Goes on from this node's disk alone after the majority was lost.
@@ -63,8 +58,17 @@
   /// an error when this node does not lead.
   result<void> confirm_read(std::function<void()> ready);
   std::string leader_node() const;
+  /// Where the leader receives, or empty.
+  std::string leader_address() const;
+  /// Whether another node leads, as far as this one knows.
+  bool hears_leader() const;
   /// Whether this node leads, or hears the one that does.
   bool knows_leader() const { return is_leader() || hears_leader(); }
+  /// Whether all watchers that are heard hold the revision, as far as this
+  /// leader can know.
+  bool is_confirmed(config::revision_number revision) const;
+  /// Operators' changes and reads, at any control node.
+  group_orders& orders() { return orders_; }
   /// How often this node sent a configuration, or changes of it, to a watcher.
   std::uint64_t contents_sent() const { return watchers_.contents_sent(); }
   /// Called when all watchers have a revision: the time since its decision.
@@ -91,32 +95,7 @@
     monotonic_time started_at;
   };
 
-  /// A plan that is decided, and acknowledged once the watchers hold it.
-  struct unconfirmed_plan {
-    config::revision_number revision = 0;
-    monotonic_time decided_at;
-    json outcome;
-    answer_function answer;
-  };
-  /// A read that waits until this node has applied an entry.
-  struct waiting_read {
-    consensus::log_index index = 0;
-    answer_function answer;
-  };
-
   void register_peer_methods();
-  /// Proposes an operator's change on the leader.
-  void take_submitted(config::change asked, const answer_function& answer);
-  void await_confirmation(const json& outcome, const answer_function& answer);
-  /// Acknowledges the plans that all watchers hold, or that have waited for as
-  /// long as an acknowledgement may.
-  void acknowledge_confirmed();
-  /// Whether all watchers that are heard hold the revision, as far as this
-  /// leader can know.
-  bool is_confirmed(config::revision_number revision) const;
-  void confirm_for(const answer_function& answer);
-  void finish_reads();
-  bool hears_leader() const;
   /// To the leader, for an asker that may be cut off from it; the answer comes
   /// back the same way.
   void pass_poll_on(const json& params);
@@ -150,7 +129,6 @@
 
   node_context& context_;
   group_upkeep upkeep_;
-  peer_calls calls_{context_};
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
   consensus::group_growth growth_{context_.heard_from};
@@ -158,11 +136,10 @@
   crash_judge judge_{context_, machine_.store(), [this](config::change asked) {
                        propose(std::move(asked), [](const result<json>&) {});
                      }};
+  group_orders orders_{context_, *this};
   node_book book_;
   std::map<std::string, waiting_change> waiting_;
   std::map<std::string, kept_poll> kept_polls_;  // the last, by address
-  std::vector<waiting_read> waiting_reads_;
-  std::vector<unconfirmed_plan> unconfirmed_;
   std::optional<founding> founding_;
   monotonic_time next_join_;
   monotonic_time next_restart_;
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -101,7 +101,6 @@
     out.forward_address = options.advertised_forwards;
   }
   out.peer_address = options.advertised_peers;
-  out.orders_address = options.orders_address;
   out.control = options.control;
   out.durable = !options.data_folder.empty();
   return out;
--- a/node/src/node_context.h
+++ b/node/src/node_context.h
@@ -52,16 +52,6 @@
     return record == nullptr ? "" : record->last.node.peer_address;
   }
 
-  /// Where operators' orders to a node go, or empty.
-  std::string orders_address(const std::string& node) const {
-    const auto it = book.find(node);
-    if (it != book.end() && !it->second.orders_address.empty()) {
-      return it->second.orders_address;
-    }
-    const membership::node_record* record = nodes.find(node);
-    return record == nullptr ? "" : record->last.node.orders_address;
-  }
-
   /// The peers' addresses of all control nodes that this node knows of, its
   /// own among them.
   std::vector<std::string> control_addresses() const {
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -218,10 +218,11 @@
   const std::shared_ptr<delivery<change_outcome>> pending =
       std::make_shared<delivery<change_outcome>>(context_.io);
   const config::plan_ptr held = control_->machine().store().plan();
-  control_->submit(make_change(order, held.get(), context_.random),
-                   [pending](const result<json>& it) {
-                     pending->deliver(it.map(config::change_result_from));
-                   });
+  control_->orders().submit(
+      make_change(order, held.get(), context_.random),
+      [pending](const result<json>& it) {
+        pending->deliver(it.map(config::change_result_from));
+      });
   co_await wait_for<change_outcome>(pending, deadline);
   co_return pending->value;
 }
@@ -231,7 +232,7 @@
   co_await regain_lease(deadline);
   const std::shared_ptr<delivery<result<json>>> pending =
       std::make_shared<delivery<result<json>>>(context_.io);
-  control_->read_here(
+  control_->orders().read_here(
       [pending](const result<json>& it) { pending->deliver(it); });
   co_await wait_for<result<json>>(pending, deadline);
   co_return pending->value;
@@ -242,7 +243,7 @@
                                            monotonic_time deadline) {
   const std::shared_ptr<delivery<result<json>>> pending =
       std::make_shared<delivery<result<json>>>(context_.io);
-  control_->read_here(
+  control_->orders().read_here(
       [pending](const result<json>& it) { pending->deliver(it); });
   http_answer head = surface_->show_plan(*plan);
   std::string body = std::exchange(head.body, {});
--- a/surface/include/trestlepost/surface/operators_surface.h
+++ b/surface/include/trestlepost/surface/operators_surface.h
@@ -34,9 +34,6 @@
       const config::traffic_plan& plan) const = 0;
   /// `bad_input` is final; any other kind means "ask again".
   virtual transport::http_answer refuse(const error& why) const = 0;
-  /// Another node takes orders now.
-  virtual transport::http_answer redirect(const std::string& address,
-                                          std::string_view target) const = 0;
 };
 
 }  // namespace trestlepost::surface
