A fault soak's first piece: real nodes, faults from seeds, operators and callers that go on

support/soak plays seeds on five real nodes of two regions: SIGKILL, SIGSTOP, SIGTERM, SIGHUP and lost disks, in series on control nodes and overlapping on entries, while six callers keep their connections, two operators race with plans, and two readers ask any control node. It checks from outside: reads never older than what was acknowledged, one document under a number, no sound plan refused, run-once at most once, "not run" true, answers that ran, bound requests at home, service back within 15 s.

--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -20,20 +20,19 @@
 
 void group_orders::start() {
   calls_.start();
-  calls_.handle(submit_method, [this](const json& params,
-                                      const answer_function& answer) {
-    result<config::change> asked =
-        config::decode_change(text_of(params, "change"));
-    if (asked) {
-      take(std::move(*asked), answer);
-    } else {
-      answer(tl::make_unexpected(asked.error()));
-    }
-  });
-  calls_.handle(read_method,
-                [this](const json&, const answer_function& answer) {
-                  confirm(answer);
+  calls_.handle(submit_method,
+                [this](const json& params, const answer_function& answer) {
+                  result<config::change> asked =
+                      config::decode_change(text_of(params, "change"));
+                  if (asked) {
+                    take(std::move(*asked), answer);
+                  } else {
+                    answer(tl::make_unexpected(asked.error()));
+                  }
                 });
+  calls_.handle(
+      read_method,
+      [this](const json&, const answer_function& answer) { confirm(answer); });
 }
 
 void group_orders::tick() {
@@ -55,8 +54,8 @@
 
 void group_orders::take(config::change asked, const answer_function& answer) {
   if (!control_.leads()) {
-    answer(fail(error_kind::unavailable, "no control node leads now",
-                ask_again));
+    answer(
+        fail(error_kind::unavailable, "no control node leads now", ask_again));
     return;
   }
   if (!control_.may_acknowledge()) {
@@ -115,16 +114,16 @@
     confirm(answer);
     return;
   }
-  calls_.call(control_.leader_address(), read_method, json(Json::objectValue),
-              [this, answer](const result<json>& confirmed) {
-                if (!confirmed) {
-                  answer(confirmed);
-                  return;
-                }
-                waiting_reads_.push_back(
-                    {number_of(*confirmed, "index"), answer});
-                finish_reads();
-              });
+  calls_.call(
+      control_.leader_address(), read_method, json(Json::objectValue),
+      [this, answer](const result<json>& confirmed) {
+        if (!confirmed) {
+          answer(confirmed);
+          return;
+        }
+        waiting_reads_.push_back({number_of(*confirmed, "index"), answer});
+        finish_reads();
+      });
 }
 
 void group_orders::finish_reads() {
--- /dev/null
+++ b/soak/src/main.cc
@@ -0,0 +1,86 @@
+// trestlepost-soak: plays seeds and says what did not hold.
+#include <CLI/CLI.hpp>
+#include <iomanip>
+#include <iostream>
+
+#include "soak_run.h"
+#include "trestlepost/base/json.h"
+
+namespace {
+
+using trestlepost::json;
+using trestlepost::soak::run_soak;
+using trestlepost::soak::soak_options;
+using trestlepost::soak::soak_result;
+
+constexpr int exit_violations = 1;
+constexpr int exit_bad_usage = 2;
+
+struct seed_range {
+  std::uint64_t first = 1;
+  std::uint64_t last = 1;
+};
+
+/// "7" or "1..50".
+bool read_range(const std::string& text, seed_range& out) {
+  const std::size_t dots = text.find("..");
+  try {
+    out.first = std::stoull(text.substr(0, dots));
+    out.last = dots == std::string::npos ? out.first
+                                         : std::stoull(text.substr(dots + 2));
+  } catch (const std::exception&) {
+    return false;
+  }
+  return out.first <= out.last;
+}
+
+json to_json(std::uint64_t seed, const soak_result& it) {
+  json out;
+  out["seed"] = trestlepost::as_number(seed);
+  out["faults"] = it.faults;
+  out["answered"] = it.answered;
+  out["refused"] = it.refused;
+  out["failed"] = it.failed;
+  out["plans_acknowledged"] = it.acknowledged;
+  out["reads"] = it.reads;
+  out["recovery_ms"] = trestlepost::as_number(it.recovery);
+  json& found = out["violations"] = json(Json::arrayValue);
+  for (const std::string& one : it.found) found.append(one);
+  if (!it.folder.empty()) out["folder"] = it.folder;
+  return out;
+}
+
+void print_row(std::uint64_t seed, const soak_result& it) {
+  std::cout << std::setw(6) << seed << std::setw(8) << it.faults
+            << std::setw(10) << it.answered << std::setw(9) << it.refused
+            << std::setw(8) << it.failed << std::setw(7) << it.acknowledged
+            << std::setw(7) << it.reads << std::setw(10) << it.recovery.count()
+            << "  " << (it.found.empty() ? "held" : "BROKEN") << "\n"
+            << trestlepost::to_text(to_json(seed, it)) << std::endl;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Plays faults on a deployment of real nodes, from seeds"};
+  std::string seeds = "1";
+  unsigned seconds = 20;
+  app.add_option("--seed,--seeds", seeds, "N, or A..B");
+  app.add_option("--seconds", seconds, "how long faults go on, of each seed");
+  CLI11_PARSE(app, argc, argv);
+  seed_range range;
+  if (!read_range(seeds, range)) {
+    std::cerr << "\"" << seeds << "\" is no seed; write N, or A..B\n";
+    return exit_bad_usage;
+  }
+  std::cout << "  seed  faults  answered  refused  failed  plans  reads  "
+               "back, ms\n";
+  bool held = true;
+  for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
+    const soak_result it =
+        run_soak({seed, std::chrono::seconds(seconds)});
+    print_row(seed, it);
+    held = held && it.found.empty();
+  }
+  return held ? 0 : exit_violations;
+}
--- /dev/null
+++ b/soak/src/request_record.cc
@@ -0,0 +1,39 @@
+#include "request_record.h"
+
+#include <algorithm>
+
+namespace trestlepost::soak {
+namespace {
+
+/// Whether the status promises that the request did not run and never will.
+bool promises_not_run(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+void request_record::check(const caller_request_record& it,
+                           const endpoint_list& ran) {
+  const std::string who =
+      "request " + it.id + " (status " + std::to_string(it.status) + ")";
+  if (it.status == 200) {
+    ++answered_;
+    if (ran.empty()) found_.push_back(who + " was answered and never ran");
+  } else if (promises_not_run(it.status)) {
+    ++refused_;
+    if (!ran.empty()) found_.push_back(who + " ran at " + ran.front());
+  } else {
+    ++failed_;
+  }
+  if (it.kind == request_kind::run_once && ran.size() > 1) {
+    found_.push_back(who + " ran at " + ran[0] + " and at " + ran[1]);
+  }
+  if (it.kind != request_kind::bound) return;
+  for (const std::string& endpoint : ran) {
+    const bool home =
+        std::find(home_.begin(), home_.end(), endpoint) != home_.end();
+    if (!home) found_.push_back(who + " left its home for " + endpoint);
+  }
+}
+
+}  // namespace trestlepost::soak
--- /dev/null
+++ b/soak/src/schedule.cc
@@ -0,0 +1,99 @@
+#include "schedule.h"
+
+#include <algorithm>
+#include <random>
+
+namespace trestlepost::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A node that lost its disk is a voter again within this time.
+constexpr milliseconds repair_time{5000};
+constexpr milliseconds shortest_gap{300};
+constexpr milliseconds longest_gap{2500};
+constexpr milliseconds longest_outage{2500};
+
+class fault_drawer {
+ public:
+  explicit fault_drawer(std::uint64_t seed) : engine_(seed) {}
+
+  milliseconds between(milliseconds least, milliseconds most) {
+    std::uniform_int_distribution<std::int64_t> any(least.count(),
+                                                    most.count());
+    return milliseconds(any(engine_));
+  }
+  template <typename T>
+  const T& one_of(const std::vector<T>& all) {
+    std::uniform_int_distribution<std::size_t> any(0, all.size() - 1);
+    return all[any(engine_)];
+  }
+  /// The next fault of one of `nodes`, after `from`.
+  fault draw(const std::vector<std::string>& nodes,
+             const std::vector<fault_kind>& kinds, milliseconds from) {
+    fault out;
+    out.kind = one_of(kinds);
+    out.node = one_of(nodes);
+    out.begin = from + between(shortest_gap, longest_gap);
+    out.end = out.begin;
+    if (out.kind != fault_kind::reload) {
+      out.end += between(shortest_gap, longest_outage);
+    }
+    return out;
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace
+
+std::string to_string(fault_kind kind) {
+  switch (kind) {
+    case fault_kind::kill:
+      return "kill";
+    case fault_kind::freeze:
+      return "freeze";
+    case fault_kind::stop:
+      return "stop";
+    case fault_kind::wipe:
+      return "wipe";
+    case fault_kind::reload:
+      break;
+  }
+  return "reload";
+}
+
+std::vector<fault> draw_schedule(std::uint64_t seed,
+                                 const schedule_options& options) {
+  fault_drawer drawer(seed);
+  std::vector<fault> out;
+  const std::vector<fault_kind> of_control{fault_kind::kill, fault_kind::freeze,
+                                           fault_kind::stop, fault_kind::wipe,
+                                           fault_kind::reload};
+  milliseconds from{0};
+  while (from < options.span) {
+    out.push_back(drawer.draw(options.control_nodes, of_control, from));
+    from = out.back().end;
+    if (out.back().kind == fault_kind::wipe) from += repair_time;
+  }
+  const std::vector<fault_kind> of_entries{fault_kind::kill, fault_kind::freeze,
+                                           fault_kind::stop,
+                                           fault_kind::reload};
+  for (const std::string& it : options.entries) {
+    from = milliseconds(0);
+    while (from < options.span) {
+      out.push_back(drawer.draw({it}, of_entries, from));
+      from = out.back().end;
+    }
+  }
+  std::erase_if(out, [&options](const fault& it) {
+    return it.begin >= options.span;
+  });
+  std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
+    return a.begin < b.begin;
+  });
+  return out;
+}
+
+}  // namespace trestlepost::soak
--- /dev/null
+++ b/soak/test/schedule-test.cc
@@ -0,0 +1,57 @@
+#include "schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace trestlepost::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+const schedule_options options{
+    {"c1", "c2", "c3"}, {"e1", "e2"}, milliseconds(20'000)};
+
+bool same(const fault& a, const fault& b) {
+  return a.kind == b.kind && a.node == b.node && a.begin == b.begin &&
+         a.end == b.end;
+}
+
+TEST(schedule_test, a_seed_repeats_its_schedule) {
+  const std::vector<fault> first = draw_schedule(7, options);
+  const std::vector<fault> again = draw_schedule(7, options);
+  ASSERT_EQ(first.size(), again.size());
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    EXPECT_TRUE(same(first[i], again[i])) << i;
+  }
+}
+
+TEST(schedule_test, one_control_node_is_struck_at_a_time) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    milliseconds free_from{0};
+    for (const fault& it : draw_schedule(seed, options)) {
+      if (it.node.front() != 'c') continue;
+      EXPECT_GE(it.begin, free_from) << seed;
+      free_from = it.end;
+      if (it.kind == fault_kind::wipe) free_from += milliseconds(5000);
+    }
+  }
+}
+
+TEST(schedule_test, all_kinds_strike_and_overlap) {
+  std::set<std::pair<fault_kind, char>> seen;
+  bool overlap = false;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    milliseconds busy_until{0};
+    for (const fault& it : draw_schedule(seed, options)) {
+      seen.insert({it.kind, it.node.front()});
+      overlap = overlap || it.begin < busy_until;
+      busy_until = std::max(busy_until, it.end);
+    }
+  }
+  EXPECT_EQ(seen.size(), 9U);  // entries have no disk to lose
+  EXPECT_TRUE(overlap);
+}
+
+}  // namespace
+}  // namespace trestlepost::soak
