Simulation: plans as edits, and copies that nodes show which do not lead

Every second order is an edit, every second read is shown by another machine once it has applied as much as the leader that confirmed it, on the same schedules of faults as before (neither is drawn). Broken on purpose: a copy that is shown as soon as the read is confirmed is caught by "nothing acknowledged is lost".

--- a/config/test/growth_simulation-test.cc
+++ b/config/test/growth_simulation-test.cc
@@ -90,6 +90,14 @@
   EXPECT_TRUE(is_caught_by(nothing_lost, options));
 }
 
+// A node that does not lead shows its copy once it has applied as much as the
+// leader that confirmed the read.
+TEST(growth_simulation_test, a_copy_that_is_shown_at_once_is_caught) {
+  growth_options options;
+  options.reads = read_mode::copy_at_once;
+  EXPECT_TRUE(is_caught_by(nothing_lost, options));
+}
+
 TEST(growth_simulation_test, a_round_of_the_quorum_suffices_for_reads) {
   growth_options options;
   options.reads = read_mode::round_only;
--- a/config/test/plan_operators.cc
+++ b/config/test/plan_operators.cc
@@ -64,7 +64,14 @@
     return *reachable[random_.below(reachable.size())];
   };
   if (random_.below(3) == 0) {
-    read(draw());
+    control_machine& from = draw();
+    // Not drawn, so that a seed's schedule stays what it was.
+    const bool copy = ++reads_begun_ % 2 == 0;
+    if (copy) {
+      read_copy(from, *reachable[reads_begun_ / 2 % reachable.size()]);
+    } else {
+      read(from);
+    }
     return;
   }
   const plan_ptr first = draw_plan();
@@ -89,7 +96,7 @@
   asked.id = "order-" + std::to_string(next_id_++);
   asked.operator_name = "operator";
   // As the daemon proposes it, and as logs of earlier versions hold it.
-  const bool edits = random_.below(2) == 0;
+  const bool edits = ++sends_ % 2 == 0;
   if (edits) {
     asked.edited_plan = std::make_shared<const plan_edit>(
         make_plan_edit(to.machine().plan().get(), *plan));
@@ -123,10 +130,10 @@
 void plan_operators::read(control_machine& from) {
   const plan_number least = acknowledged_;
   control_machine* source = &from;
-  const bool leased =
-      mode_ == read_mode::shipped || mode_ == read_mode::lease_only;
-  const bool rounds =
-      mode_ == read_mode::shipped || mode_ == read_mode::round_only;
+  const bool shipped =
+      mode_ == read_mode::shipped || mode_ == read_mode::copy_at_once;
+  const bool leased = shipped || mode_ == read_mode::lease_only;
+  const bool rounds = shipped || mode_ == read_mode::round_only;
   const bool sure = leased ? from.leads() : from.host().core().is_leader();
   if (!sure) return;
   if (rounds) {
@@ -136,6 +143,32 @@
   }
 }
 
+void plan_operators::read_copy(control_machine& leader,
+                               const control_machine& at) {
+  if (!leader.host().core().is_leader()) return;
+  const plan_number least = acknowledged_;
+  control_machine* source = &leader;
+  leader.read([this, source, least, &at] {
+    if (mode_ == read_mode::copy_at_once) {
+      if (at.running()) show(at, least);
+      return;
+    }
+    copies_.push_back({&at, source->host().applied(), least});
+    if (at.running()) show_copies(at, at.host().applied());
+  });
+}
+
+void plan_operators::show_copies(const control_machine& at,
+                                 consensus::log_index applied) {
+  std::vector<waiting_copy> ready;
+  std::erase_if(copies_, [&at, applied, &ready](const waiting_copy& it) {
+    if (it.at != &at || it.index > applied) return false;
+    ready.push_back(it);
+    return true;
+  });
+  for (const waiting_copy& it : ready) show(at, it.least);
+}
+
 void plan_operators::show(const control_machine& from, plan_number least) {
   ++reads_;
   const plan_number number = number_in_force(from);
@@ -179,6 +212,7 @@
                    std::to_string(highest_at_[committed.index]));
   }
   observe_in_force(by);
+  show_copies(by, committed.index);
 }
 
 void plan_operators::observe_in_force(const control_machine& by) {
--- a/config/test/plan_operators.h
+++ b/config/test/plan_operators.h
@@ -27,7 +27,15 @@
 
 /// How a read is answered: as shipped, by a leader that holds its lease and a
 /// round of the quorum; by one of both; or by any node that thinks it leads.
-enum class read_mode { shipped, round_only, lease_only, unconfirmed };
+/// `copy_at_once`: another node shows its copy as soon as the leader has
+/// confirmed the read, without waiting until it has applied as much.
+enum class read_mode {
+  shipped,
+  round_only,
+  lease_only,
+  unconfirmed,
+  copy_at_once
+};
 
 /// Sends plans and reads, and reports each property that does not hold.
 class plan_operators {
@@ -40,6 +48,8 @@
   /// Sends a plan with a number above all others.
   void send_newest(control_machine& to);
   void read(control_machine& from);
+  /// `leader` confirms the read, and `at` shows its copy.
+  void read_copy(control_machine& leader, const control_machine& at);
 
   void observe_applied(const control_machine& by,
                        const consensus::entry& committed);
@@ -54,6 +64,14 @@
   std::function<void()> on_acknowledged;
 
  private:
+  /// A copy that is shown once its machine has applied `index`.
+  struct waiting_copy {
+    const control_machine* at = nullptr;
+    consensus::log_index index = 0;
+    plan_number least = 0;
+  };
+
+  void show_copies(const control_machine& at, consensus::log_index applied);
   plan_ptr make_plan(plan_number number, bool valid);
   plan_ptr draw_plan();
   void send(control_machine& to, const plan_ptr& plan);
@@ -73,6 +91,9 @@
   plan_number shown_ = 0;
   std::size_t acknowledgements_ = 0;
   std::size_t reads_ = 0;
+  std::size_t reads_begun_ = 0;
+  std::size_t sends_ = 0;
+  std::vector<waiting_copy> copies_;
   std::map<plan_number, std::string> contents_;
   std::map<consensus::log_index, std::string> log_;
   std::map<consensus::log_index, plan_number> highest_at_;
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -77,8 +77,7 @@
                "back, ms\n";
   bool held = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
-    const soak_result it =
-        run_soak({seed, std::chrono::seconds(seconds)});
+    const soak_result it = run_soak({seed, std::chrono::seconds(seconds)});
     print_row(seed, it);
     held = held && it.found.empty();
   }
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -87,9 +87,8 @@
       from = out.back().end;
     }
   }
-  std::erase_if(out, [&options](const fault& it) {
-    return it.begin >= options.span;
-  });
+  std::erase_if(
+      out, [&options](const fault& it) { return it.begin >= options.span; });
   std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
     return a.begin < b.begin;
   });
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -120,9 +120,9 @@
 awaitable<void> traffic::operate() {
   while (!ended_) {
     const std::uint64_t number = plans_.next_number();
-    const std::string plan = deployment::large_plan(
-        static_cast<unsigned>(number),
-        static_cast<unsigned>(draw(most_extra_routes)));
+    const std::string plan =
+        deployment::large_plan(static_cast<unsigned>(number),
+                               static_cast<unsigned>(draw(most_extra_routes)));
     plans_.sent(number, plan);
     for (bool open = true; open && !ended_;) {
       bench::caller_request asked = deployment_.replace_request(
