Left-overs of the held requests: one tracker, one packed report, a log line

config/hold_tracker tells what was held and released, for gateways and for control nodes, which each compared sets of their own. A report of a crash is written and compressed once for all control nodes. A control node that forgets what it has condemned says so. Orders that are refused for a moment are tried again after 50 ms instead of 10, each time a new edit.

--- a/gateway/include/trestlepost/gateway/crash_watch.h
+++ b/gateway/include/trestlepost/gateway/crash_watch.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "trestlepost/config/hold_tracker.h"
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/routing/crash_blame.h"
@@ -80,8 +81,7 @@
   std::map<std::string, monotonic_time> suspects_;
   /// Until when this gateway holds requests back by itself.
   std::map<std::string, monotonic_time> held_here_;
-  std::set<std::string> held_before_;  // by the configuration
-  config::revision_number noted_revision_ = 0;
+  config::hold_tracker holds_;
   monotonic_time next_cleaning_{};
 };
 
--- a/gateway/src/crash_watch.cc
+++ b/gateway/src/crash_watch.cc
@@ -171,22 +171,14 @@
 }
 
 void crash_watch::note_released() {
-  const config::object_store& store = context_.store;
-  if (store.revision() == noted_revision_) return;
-  noted_revision_ = store.revision();
-  std::set<std::string> held;
-  for (const auto& [fingerprint, it] : store.held_requests()) {
-    held.insert(fingerprint);
-    // From now on a release is an operator's.
-    held_here_.erase(fingerprint);
-  }
-  for (const std::string& it : held_before_) {
-    if (held.contains(it)) continue;
+  const config::hold_changes changes = holds_.update(context_.store);
+  // From now on a release is an operator's.
+  for (const std::string& it : changes.held) held_here_.erase(it);
+  for (const std::string& it : changes.released) {
     blame_.forget(it);
     watched_.erase(it);
     suspects_.erase(it);
   }
-  held_before_ = std::move(held);
 }
 
 void crash_watch::forget_old() {
--- a/node/src/crash_judge.cc
+++ b/node/src/crash_judge.cc
@@ -41,17 +41,9 @@
 }
 
 void crash_judge::note_released() {
-  if (store_.revision() == noted_revision_) return;
-  noted_revision_ = store_.revision();
-  std::set<std::string> held;
-  for (const auto& [fingerprint, it] : store_.held_requests()) {
-    held.insert(fingerprint);
-    condemned_.erase(fingerprint);
-  }
-  for (const std::string& it : held_before_) {
-    if (!held.contains(it)) blame_.forget(it);
-  }
-  held_before_ = std::move(held);
+  const config::hold_changes changes = holds_.update(store_);
+  for (const std::string& it : changes.held) condemned_.erase(it);
+  for (const std::string& it : changes.released) blame_.forget(it);
 }
 
 void crash_judge::tell_gateways(const std::string& method,
@@ -82,7 +74,11 @@
               {{"fingerprint", it.fingerprint},
                {"service", it.service},
                {"evidence", evidence_of(it)}});
-    if (condemned_.size() >= most_condemned) condemned_.clear();
+    if (condemned_.size() >= most_condemned) {
+      log_event(log_level::warn, "condemned-requests-forgotten",
+                {{"requests", std::to_string(condemned_.size())}});
+      condemned_.clear();
+    }
     const std::string fingerprint = it.fingerprint;
     condemned_[fingerprint] = {std::move(it), now};
     out.push_back(fingerprint);
--- a/node/src/crash_judge.h
+++ b/node/src/crash_judge.h
@@ -4,11 +4,11 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 
 #include "node_context.h"
 #include "trestlepost/config/change.h"
+#include "trestlepost/config/hold_tracker.h"
 #include "trestlepost/config/store.h"
 #include "trestlepost/routing/crash_blame.h"
 
@@ -50,8 +50,7 @@
   routing::crash_blame blame_;
   /// Not held yet, as far as this node knows.
   std::map<std::string, condemned> condemned_;
-  std::set<std::string> held_before_;
-  config::revision_number noted_revision_ = 0;
+  config::hold_tracker holds_;
 };
 
 }  // namespace trestlepost::node
--- a/node/src/crash_reporter.cc
+++ b/node/src/crash_reporter.cc
@@ -1,7 +1,5 @@
 #include "crash_reporter.h"
 
-#include <algorithm>
-
 namespace trestlepost::node {
 namespace {
 
@@ -55,8 +53,10 @@
   });
   json params;
   params["reports"] = std::move(reports);
+  const transport::packed_notification packed =
+      transport::pack_notification("crash.report", params);
   for (const std::string& it : context_.control_addresses()) {
-    context_.links.send(it, "crash.report", params);
+    context_.links.send(it, packed);
   }
 }
 
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -19,8 +19,10 @@
 // later helps nobody.
 constexpr milliseconds answer_timeout{900};
 
-// Between two looks at a lease that has lapsed, or two tries of a change.
-constexpr milliseconds retry_pause{10};
+// Between two looks at a lease that has lapsed.
+constexpr milliseconds lease_pause{10};
+// Between two tries of a change or a read.
+constexpr milliseconds retry_pause{50};
 
 // A plan from this size on, one window of a connection, is sent while its read
 // is being confirmed: between regions the confirmation takes as long as half a
@@ -57,9 +59,9 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
-awaitable<void> pause(transport::asio::io_context& io) {
+awaitable<void> pause(transport::asio::io_context& io, milliseconds time) {
   transport::timer timer(io);
-  timer.expires_after(retry_pause);
+  timer.expires_after(time);
   boost::system::error_code ec;
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
@@ -182,7 +184,7 @@
   // renew the lease are still in the sockets.
   while (control_->is_leader() && !control_->leads() &&
          context_.clock.now() < deadline) {
-    co_await pause(context_.io);
+    co_await pause(context_.io, lease_pause);
   }
 }
 
@@ -195,7 +197,7 @@
   std::optional<change_outcome> outcome = co_await propose(order, deadline);
   while (outcome && worth_retrying(*outcome) &&
          context_.clock.now() + retry_pause < deadline) {
-    co_await pause(context_.io);
+    co_await pause(context_.io, retry_pause);
     outcome = co_await propose(order, deadline);
   }
   if (!outcome) co_return surface_->refuse(unclear());
@@ -272,7 +274,7 @@
   std::optional<result<json>> confirmed = co_await confirm(deadline);
   while (confirmed && !*confirmed && is_passing(confirmed->error()) &&
          context_.clock.now() + retry_pause < deadline) {
-    co_await pause(context_.io);
+    co_await pause(context_.io, retry_pause);
     confirmed = co_await confirm(deadline);
   }
   if (!confirmed) co_return surface_->refuse(unclear());
