A plan that is sent again waits no longer than its first copy

A watcher that polls and never takes a plan in kept it from being acknowledged for ever: the bound of 3 s began anew with each copy of the order, and operators send one each 0.9 s. Test: not acknowledged within ten minutes before, 4.5 s now (two copies).

--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -84,8 +84,12 @@
     answer(outcome);
     return;
   }
+  if (decided.revision != newest_revision_) {
+    newest_revision_ = decided.revision;
+    newest_decided_at_ = context_.clock.now();
+  }
   unconfirmed_.push_back(
-      {decided.revision, context_.clock.now(), outcome, answer});
+      {decided.revision, newest_decided_at_, outcome, answer});
 }
 
 void group_orders::acknowledge_confirmed() {
--- a/node/src/group_orders.h
+++ b/node/src/group_orders.h
@@ -57,6 +57,10 @@
   peer_calls calls_;
   std::vector<unconfirmed_plan> unconfirmed_;
   std::vector<waiting_read> waiting_reads_;
+  /// The newest revision that a plan led to, and when: a plan that is sent
+  /// again waits no longer than its first copy.
+  config::revision_number newest_revision_ = 0;
+  monotonic_time newest_decided_at_;
 };
 
 }  // namespace trestlepost::node
