--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -143,7 +143,7 @@
 awaitable<void> traffic::read() {
   while (!ended_) {
     const std::uint64_t least = plans_.newest_acknowledged();
-    const std::string node = control_nodes[draw(control_nodes.size())];
+    const std::string& node = control_nodes[draw(control_nodes.size())];
     bench::caller_request asked = deployment_.read_request(node);
     asked.timeout = order_patience;
     const bench::caller_answer answer =
