Whole lists of endpoints go out once written, and at different times

What callers saw on 300 machines: one gateway of a region served by a plan whose successor all others held 5 s before; its requests were late or failed. Cause: the gateway that reads the platform's list tells the others of its region what changed, written anew for each; every ten seconds, in the same second for all, that is the whole list, 204 endpoints to some 100 gateways, on an eighth of a core. Now news are written and compressed once for all who hold the same version, and each gateway gets the whole list at a moment of its own. Test: 150 whole lists in one second before, 30 at most now. The test of the interval asks for ten seconds between any two whole lists after the second one, which comes sooner.

--- a/node/src/listing_news.cc
+++ b/node/src/listing_news.cc
@@ -44,6 +44,14 @@
   return (a > b ? a - b : b - a) <= span_tolerance;
 }
 
+/// By how much sooner the second whole list comes to this gateway.
+milliseconds time_ahead(const std::string& gateway) {
+  const std::uint64_t score = rendezvous_score("whole-list", gateway);
+  const std::uint64_t interval =
+      static_cast<std::uint64_t>(whole_interval.count());
+  return milliseconds(static_cast<std::int64_t>(score % interval));
+}
+
 /// Whether a gateway that has `a` need not be told `b`.
 bool same(const listed_endpoint& a, const listed_endpoint& b) {
   const bool ends = a.ends_in.has_value() == b.ends_in.has_value() &&
@@ -200,23 +208,33 @@
   });
 }
 
-listing_news listing_writer::next(const std::string& gateway,
-                                  monotonic_time now) {
-  told& last = told_[gateway];
-  const bool whole = last.version == 0 || now >= last.whole_at + whole_interval;
+std::uint64_t listing_writer::tell(const std::string& gateway,
+                                   monotonic_time now) {
+  const auto [known, is_new] = told_.try_emplace(gateway);
+  told& last = known->second;
+  const bool whole = is_new || now >= last.whole_at + whole_interval;
+  const std::uint64_t since = whole ? 0 : last.version;
+  last.version = version_;
+  if (whole) last.whole_at = now;
+  // All begin together: the next whole lists of a hundred gateways would keep
+  // a small VM and its link busy for seconds.
+  if (is_new) last.whole_at -= time_ahead(gateway);
+  return since;
+}
+
+listing_news listing_writer::news_since(std::uint64_t since,
+                                        monotonic_time now) const {
   listing_news out;
   out.reader = reader_;
   out.life = life_;
-  out.since = whole ? 0 : last.version;
+  out.since = since;
   out.version = version_;
   out.covers = covers_;
   for (const auto& [id, it] : entries_) {
-    if (it.version <= out.since) continue;
+    if (it.version <= since) continue;
     if (!it.gone) out.endpoints.push_back(it.dated.as_of(now));
-    if (it.gone && !whole) out.gone.push_back(id);
+    if (it.gone && since > 0) out.gone.push_back(id);
   }
-  last.version = version_;
-  if (whole) last.whole_at = now;
   return out;
 }
 
--- a/node/src/listing_news.h
+++ b/node/src/listing_news.h
@@ -85,9 +85,12 @@
   /// up to `covers`.
   void update(const std::vector<surface::listed_endpoint>& all,
               config::revision_number covers, monotonic_time now);
-  /// What to tell `gateway` now: what changed since it was told last, and
-  /// from time to time all.
-  listing_news next(const std::string& gateway, monotonic_time now);
+  /// After which version the news to `gateway` begin now, which it counts as
+  /// told: after that which it was told last, or 0, for the whole list, from
+  /// time to time. Gateways get the whole list at different times.
+  std::uint64_t tell(const std::string& gateway, monotonic_time now);
+  /// What has changed after version `since`; the same for all who have that.
+  listing_news news_since(std::uint64_t since, monotonic_time now) const;
   /// The next news to `gateway` have the whole list.
   void forget(const std::string& gateway) { told_.erase(gateway); }
   bool empty() const { return version_ == 0; }
--- a/node/src/listing_service.cc
+++ b/node/src/listing_service.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <iterator>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -311,16 +312,29 @@
   return all;
 }
 
+transport::packed_notification listing_service::pack_news(
+    std::uint64_t since) const {
+  return transport::pack_notification(
+      "endpoints.listed",
+      to_json(writer_.news_since(since, context_.clock.now())));
+}
+
 void listing_service::tell(const std::string& gateway,
                            const std::string& address) {
-  context_.links.send(address, "endpoints.listed",
-                      to_json(writer_.next(gateway, context_.clock.now())));
+  const std::uint64_t since = writer_.tell(gateway, context_.clock.now());
+  context_.links.send(address, pack_news(since));
 }
 
 void listing_service::tell_others() {
+  // Written once for all who have the same version.
+  std::map<std::uint64_t, transport::packed_notification> news;
+  const monotonic_time now = context_.clock.now();
   for (const membership::node_record* it :
-       context_.nodes.other_gateways(context_.self, context_.clock.now())) {
-    tell(it->last.node.name, it->last.node.peer_address);
+       context_.nodes.other_gateways(context_.self, now)) {
+    const std::uint64_t since = writer_.tell(it->last.node.name, now);
+    const auto [known, is_new] = news.try_emplace(since);
+    if (is_new) known->second = pack_news(since);
+    context_.links.send(it->last.node.peer_address, known->second);
   }
 }
 
--- a/node/src/listing_service.h
+++ b/node/src/listing_service.h
@@ -65,6 +65,7 @@
   /// Asks `gateway` for the whole list.
   void ask(const std::string& gateway);
   void tell(const std::string& gateway, const std::string& address);
+  transport::packed_notification pack_news(std::uint64_t since) const;
   void tell_others();
   /// Notes that a list came from `reader`, and logs when that is another one
   /// than before.
--- a/node/test/listing_news-test.cc
+++ b/node/test/listing_news-test.cc
@@ -29,16 +29,21 @@
   return out.value_or(listing_news());
 }
 
+listing_news next(listing_writer& writer, const std::string& gateway,
+                  monotonic_time now) {
+  return writer.news_since(writer.tell(gateway, now), now);
+}
+
 TEST(listing_news_test, only_what_changed_is_told) {
   listing_writer writer("r", 7);
   listing_copy copy;
   writer.update({endpoint("a"), endpoint("b"), endpoint("c")}, revision, start);
-  EXPECT_TRUE(copy.take(read_back(writer.next("g", start)), start));
+  EXPECT_TRUE(copy.take(read_back(next(writer, "g", start)), start));
   EXPECT_EQ(copy.all(start).size(), 3U);
   const monotonic_time later = start + milliseconds(1000);
   const std::vector<listed_endpoint> now{endpoint("a"), endpoint("b", true)};
   writer.update(now, revision, later);
-  const listing_news news = read_back(writer.next("g", later));
+  const listing_news news = read_back(next(writer, "g", later));
   EXPECT_EQ(news.endpoints.size(), 1U);
   EXPECT_EQ(news.gone, (std::vector<std::string>{"c"}));
   EXPECT_TRUE(copy.take(news, later));
@@ -52,55 +57,81 @@
   cold.cold_left = milliseconds(3000);
   cold.ends_in = milliseconds(5000);
   writer.update({cold}, revision, start);
-  copy.take(writer.next("g", start), start);
+  copy.take(next(writer, "g", start), start);
   const monotonic_time later = start + milliseconds(1000);
   cold.cold_left = milliseconds(2100);
   cold.ends_in = milliseconds(3900);
   writer.update({cold}, revision, later);
-  EXPECT_TRUE(writer.next("g", later).endpoints.empty());
+  EXPECT_TRUE(next(writer, "g", later).endpoints.empty());
   EXPECT_EQ(copy.all(later)[0].cold_left, milliseconds(2000));
   EXPECT_EQ(copy.all(later)[0].ends_in, milliseconds(4000));
   cold.ends_in = milliseconds(900);
   writer.update({cold}, revision, later);
-  EXPECT_EQ(writer.next("g", later).endpoints.size(), 1U);
+  EXPECT_EQ(next(writer, "g", later).endpoints.size(), 1U);
 }
 
 TEST(listing_news_test, a_lost_message_is_noticed_by_the_next_one) {
   listing_writer writer("r", 7);
   listing_copy copy;
   writer.update({endpoint("a")}, revision, start);
-  copy.take(writer.next("g", start), start);
+  copy.take(next(writer, "g", start), start);
   writer.update({endpoint("a", true)}, revision, start + milliseconds(1000));
-  writer.next("g", start + milliseconds(1000));  // lost
+  next(writer, "g", start + milliseconds(1000));  // lost
   const monotonic_time later = start + milliseconds(2000);
   writer.update({endpoint("a", true)}, revision, later);
-  EXPECT_FALSE(copy.take(writer.next("g", later), later));
+  EXPECT_FALSE(copy.take(next(writer, "g", later), later));
   writer.forget("g");
-  EXPECT_TRUE(copy.take(writer.next("g", later), later));
+  EXPECT_TRUE(copy.take(next(writer, "g", later), later));
   EXPECT_TRUE(copy.all(later)[0].leaving);
 }
 
 TEST(listing_news_test, the_whole_list_comes_every_ten_seconds) {
+  constexpr milliseconds interval{10'000};
   listing_writer writer("r", 7);
   writer.update({endpoint("a")}, revision, start);
-  EXPECT_EQ(writer.next("g", start).since, 0U);
-  EXPECT_GT(writer.next("g", start + milliseconds(9999)).since, 0U);
-  const listing_news whole = writer.next("g", start + milliseconds(10'000));
+  EXPECT_EQ(next(writer, "g", start).since, 0U);
+  // The second one sooner, by as much as differs between gateways.
+  monotonic_time second = start + milliseconds(1);
+  while (next(writer, "g", second).since > 0) second += milliseconds(1);
+  EXPECT_LE(second, start + interval);
+  EXPECT_GT(next(writer, "g", second + interval - milliseconds(1)).since, 0U);
+  const listing_news whole = next(writer, "g", second + interval);
   EXPECT_EQ(whole.since, 0U);
   EXPECT_EQ(whole.endpoints.size(), 1U);
 }
 
+// Guards against a reader of the list that writes all whole lists of a region
+// at once, and stands still for seconds.
+TEST(listing_news_test, gateways_get_the_whole_list_at_different_times) {
+  constexpr int gateways = 150;
+  constexpr int most_at_once = gateways / 5;  // twice the even share
+  listing_writer writer("r", 7);
+  writer.update({endpoint("a")}, revision, start);
+  for (int second = 0; second <= 30; ++second) {
+    const monotonic_time now = start + std::chrono::seconds(second);
+    int whole = 0;
+    std::set<std::uint64_t> messages;
+    for (int n = 0; n < gateways; ++n) {
+      const std::uint64_t since = writer.tell("g" + std::to_string(n), now);
+      if (since == 0) ++whole;
+      messages.insert(since);
+    }
+    if (second > 0) EXPECT_LE(whole, most_at_once) << second;
+    EXPECT_LE(messages.size(), 2U) << second;
+  }
+}
+
 TEST(listing_news_test, a_new_gateway_and_a_new_reader_tell_all) {
   listing_writer writer("r", 7);
   writer.update({endpoint("a")}, revision, start);
-  writer.next("g", start);
-  EXPECT_EQ(writer.next("other", start).since, 0U);
+  next(writer, "g", start);
+  EXPECT_EQ(next(writer, "other", start).since, 0U);
   listing_copy copy;
-  EXPECT_FALSE(copy.take(writer.next("g", start), start));
-  copy.take(writer.next("new", start), start);
+  EXPECT_FALSE(copy.take(next(writer, "g", start), start));
+  copy.take(next(writer, "new", start), start);
   listing_writer restarted("r", 8);
   restarted.update({endpoint("b")}, revision, start);
-  EXPECT_TRUE(copy.take(restarted.next("g", start), start));
+  EXPECT_TRUE(copy.take(next(restarted, "g", start), start));
   ASSERT_EQ(copy.all(start).size(), 1U);
   EXPECT_EQ(copy.all(start)[0].identity.id, "b");
 }
@@ -110,11 +141,11 @@
   listing_copy copy;
   EXPECT_EQ(copy.covers(), 0U);
   writer.update({endpoint("a")}, 5, start);
-  copy.take(read_back(writer.next("g", start)), start);
+  copy.take(read_back(next(writer, "g", start)), start);
   EXPECT_EQ(copy.covers(), 5U);
   // Also when nothing else is new.
   writer.update({endpoint("a")}, 6, start);
-  copy.take(read_back(writer.next("g", start)), start);
+  copy.take(read_back(next(writer, "g", start)), start);
   EXPECT_EQ(copy.covers(), 6U);
 }
 
@@ -122,11 +153,11 @@
   listing_writer writer("r", 7);
   listing_copy copy;
   writer.update({endpoint("a")}, revision, start);
-  copy.take(read_back(writer.next("g", start)), start);
+  copy.take(read_back(next(writer, "g", start)), start);
   listed_endpoint again = endpoint("a");
   again.identity.born = surface::start_time(milliseconds(1764722400123));
   writer.update({again}, revision, start);
-  const listing_news news = read_back(writer.next("g", start));
+  const listing_news news = read_back(next(writer, "g", start));
   EXPECT_EQ(news.gone, (std::vector<std::string>{"a"}));
   EXPECT_TRUE(copy.take(news, start));
   EXPECT_EQ(copy.all(start), (std::vector<listed_endpoint>{again}));
@@ -138,7 +169,7 @@
   EXPECT_TRUE(writer.empty());
   writer.update({}, revision, start);
   EXPECT_FALSE(writer.empty());
-  EXPECT_TRUE(copy.take(read_back(writer.next("g", start)), start));
+  EXPECT_TRUE(copy.take(read_back(next(writer, "g", start)), start));
   EXPECT_TRUE(copy.all(start).empty());
 }
 
@@ -146,9 +177,9 @@
   listing_writer writer("r", 7);
   listing_copy copy;
   writer.update({endpoint("a")}, revision, start);
-  const listing_news first = writer.next("g", start);
+  const listing_news first = next(writer, "g", start);
   writer.update({endpoint("a", true)}, revision, start);
-  const listing_news second = writer.next("g", start);
+  const listing_news second = next(writer, "g", start);
   copy.take(first, start);
   copy.take(second, start);
   EXPECT_TRUE(copy.take(first, start));
@@ -158,7 +189,7 @@
 TEST(listing_news_test, nonsense_is_refused) {
   listing_writer writer("r", 7);
   writer.update({endpoint("a")}, revision, start);
-  const json good = to_json(writer.next("g", start));
+  const json good = to_json(next(writer, "g", start));
   ASSERT_TRUE(listing_news_from(good));
   const auto refused = [&good](const char* key, const json& value) {
     json bad = good;
