Organisations and keys on routes of a traffic plan

The entry alone finds the organisation; the name and the digest travel in the authenticated forward, and the serving gateway checks them against its plan, which may be newer. The endpoint gets the name, never the key nor a name the caller wrote. The organisation's priority precedes the route's, both homes bind, also for copied caches; no common home is refused at once. 401 only while a leader confirms the configuration, else 503. Control nodes keep the document as sent, since operators read it back; nothing else holds a key.

--- a/base/include/trestlepost/base/error.h
+++ b/base/include/trestlepost/base/error.h
@@ -33,6 +33,7 @@
   configuration_behind,
   endpoint_failed,
   request_held,
+  usage_limit_reached,
   too_large,
   storage_failed,
   corrupt,
--- a/base/src/error.cc
+++ b/base/src/error.cc
@@ -11,7 +11,7 @@
   std::string_view name;
 };
 
-constexpr std::array<kind_name, 27> kind_names{{
+constexpr std::array<kind_name, 28> kind_names{{
     {error_kind::bad_input, "bad-input"},
     {error_kind::bad_settings, "bad-settings"},
     {error_kind::unauthorized, "unauthorized"},
@@ -34,6 +34,7 @@
     {error_kind::configuration_behind, "configuration-behind"},
     {error_kind::endpoint_failed, "endpoint-failed"},
     {error_kind::request_held, "request-held"},
+    {error_kind::usage_limit_reached, "usage-limit-reached"},
     {error_kind::too_large, "too-large"},
     {error_kind::storage_failed, "storage-failed"},
     {error_kind::corrupt, "corrupt"},
--- a/config/include/trestlepost/config/plan_delta.h
+++ b/config/include/trestlepost/config/plan_delta.h
@@ -1,5 +1,6 @@
 // Differences between two traffic plans. Successive plans usually differ in a
-// few of thousands of routes, so watchers are sent only the difference.
+// few of thousands of routes or organisations, so watchers are sent only the
+// difference.
 #pragma once
 
 #include <cstddef>
@@ -27,9 +28,16 @@
   /// All services, if any of them changed.
   std::optional<std::vector<planned_service>> services;
   std::optional<request_limits> limits;
-
-  /// The number of routes that are written or removed.
-  std::size_t size() const { return written.size() + removed.size(); }
+  /// Whether the plan requires keys, if that changed.
+  std::optional<bool> requires_key;
+  organisation_list written_organisations;  // added or changed
+  std::vector<std::string> removed_organisations;
+
+  /// The number of routes and organisations that are written or removed.
+  std::size_t size() const {
+    return written.size() + removed.size() + written_organisations.size() +
+           removed_organisations.size();
+  }
 };
 
 /// The difference from `before` to `after`. If `before` is null, all of `after`
--- a/config/include/trestlepost/config/traffic_plan.h
+++ b/config/include/trestlepost/config/traffic_plan.h
@@ -14,6 +14,7 @@
 
 #include "trestlepost/base/error.h"
 #include "trestlepost/base/json.h"
+#include "trestlepost/config/organisation.h"
 
 namespace trestlepost::config {
 
@@ -56,6 +57,8 @@
   bool prefix_affinity = false;
   /// An interrupted stream may be resumed at another endpoint.
   bool resumable = false;
+  /// Callers need no key, even if the plan requires keys.
+  bool open_to_all = false;
   std::vector<weighted_service> split;  // at least one
   /// Regions that may serve, cache and store the requests; empty: all.
   std::vector<std::string> home_regions;
@@ -113,8 +116,11 @@
   std::vector<route> routes;
   std::vector<planned_service> services;
   request_limits limits;
+  /// Callers need the key of one of the organisations.
+  bool requires_key = false;
+  organisation_list organisations;  // sorted by name
   /// The document as the operator sent it, returned on reads. Only control
-  /// nodes keep it.
+  /// nodes keep it, since it contains the keys of organisations.
   std::string document;
 
   const planned_service* find_service(std::string_view name) const;
@@ -137,7 +143,8 @@
 
 /// Validates a plan and returns the first error: an unnamed, duplicate or
 /// unknown service, two routes with the same host and path prefix, weights that
-/// sum to 0, a timeout of 0, a missing host, or a malformed path prefix.
+/// sum to 0, a timeout of 0, a missing host, a malformed path prefix, or an
+/// error of `validate_organisations`.
 result<void> validate_plan(const traffic_plan& value);
 
 }  // namespace trestlepost::config
--- a/config/src/plan_delta.cc
+++ b/config/src/plan_delta.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "trestlepost/config/route_list.h"
@@ -32,6 +33,45 @@
   return {text_of(value, "host"), text_of(value, "path_prefix")};
 }
 
+/// Adds the differences between two lists that are sorted by name.
+void add_organisation_changes(const organisation_list& before,
+                              const organisation_list& after, plan_delta& out) {
+  auto old = before.begin();
+  for (const organisation_ptr& it : after) {
+    while (old != before.end() && (*old)->name < it->name) {
+      out.removed_organisations.push_back((*old++)->name);
+    }
+    const bool known = old != before.end() && (*old)->name == it->name;
+    const bool same = known && (*old == it || **old == *it);
+    if (!same) out.written_organisations.push_back(it);
+    if (known) ++old;
+  }
+  for (; old != before.end(); ++old) {
+    out.removed_organisations.push_back((*old)->name);
+  }
+}
+
+organisation_list apply_organisation_changes(const organisation_list& before,
+                                             const plan_delta& delta) {
+  const bool unchanged = delta.written_organisations.empty() &&
+                         delta.removed_organisations.empty();
+  if (unchanged) return before;
+  std::set<std::string_view> replaced(delta.removed_organisations.begin(),
+                                      delta.removed_organisations.end());
+  for (const organisation_ptr& it : delta.written_organisations) {
+    replaced.insert(it->name);
+  }
+  organisation_list out;
+  out.reserve(before.size() + delta.written_organisations.size());
+  for (const organisation_ptr& it : before) {
+    if (!replaced.contains(it->name)) out.push_back(it);
+  }
+  out.insert(out.end(), delta.written_organisations.begin(),
+             delta.written_organisations.end());
+  sort_by_name(out);
+  return out;
+}
+
 }  // namespace
 
 plan_delta make_plan_delta(const traffic_plan* before,
@@ -49,6 +89,10 @@
   for (const auto& [key, it] : rest) out.removed.push_back(key);
   if (old.services != after.services) out.services = after.services;
   if (old.limits != after.limits) out.limits = after.limits;
+  if (old.requires_key != after.requires_key) {
+    out.requires_key = after.requires_key;
+  }
+  add_organisation_changes(old.organisations, after.organisations, out);
   return out;
 }
 
@@ -62,6 +106,7 @@
     out.routes.reserve(before->routes.size() + delta.written.size());
     out.services = before->services;
     out.limits = before->limits;
+    out.requires_key = before->requires_key;
     for (const route& it : before->routes) {
       const route_key key = key_of(it);
       if (removed.contains(key)) continue;
@@ -76,6 +121,10 @@
   }
   if (delta.services) out.services = *delta.services;
   if (delta.limits) out.limits = *delta.limits;
+  if (delta.requires_key) out.requires_key = *delta.requires_key;
+  const organisation_list none;
+  out.organisations = apply_organisation_changes(
+      before == nullptr ? none : before->organisations, delta);
   return out;
 }
 
@@ -87,6 +136,13 @@
   for (const route_key& it : value.removed) removed.append(to_json(it));
   if (value.services) out["services"] = to_json(*value.services);
   if (value.limits) out["limits"] = to_json(*value.limits);
+  if (value.requires_key) out["requires_key"] = *value.requires_key;
+  if (!value.written_organisations.empty()) {
+    out["written_organisations"] = to_json(value.written_organisations);
+  }
+  for (const std::string& it : value.removed_organisations) {
+    out["removed_organisations"].append(it);
+  }
   return out;
 }
 
@@ -105,6 +161,13 @@
   if (services.isArray()) out.services = services_from(services);
   const json& limits = member_of(value, "limits");
   if (limits.isObject()) out.limits = limits_from(limits);
+  const json& requires_key = member_of(value, "requires_key");
+  if (requires_key.isBool()) out.requires_key = requires_key.asBool();
+  out.written_organisations =
+      organisations_from(member_of(value, "written_organisations"));
+  for (const json& it : member_of(value, "removed_organisations")) {
+    if (it.isString()) out.removed_organisations.push_back(it.asString());
+  }
   return out;
 }
 
--- a/config/src/route_list.cc
+++ b/config/src/route_list.cc
@@ -28,6 +28,7 @@
   hash_combine(out, it.attempts);
   hash_combine(out, it.prefix_affinity);
   hash_combine(out, it.resumable);
+  hash_combine(out, it.open_to_all);
   for (const weighted_service& one : it.split) {
     hash_combine(out, one.service);
     hash_combine(out, one.weight);
@@ -42,8 +43,8 @@
          a.latency_objective == b.latency_objective &&
          a.longest_pause == b.longest_pause && a.priority == b.priority &&
          a.attempts == b.attempts && a.prefix_affinity == b.prefix_affinity &&
-         a.resumable == b.resumable && a.split == b.split &&
-         a.home_regions == b.home_regions;
+         a.resumable == b.resumable && a.open_to_all == b.open_to_all &&
+         a.split == b.split && a.home_regions == b.home_regions;
 }
 
 /// Assigns one index to all routes with the same settings.
--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -153,6 +153,7 @@
   if (value.priority != 0) out["priority"] = value.priority;
   if (value.prefix_affinity) out["prefix_affinity"] = true;
   if (value.resumable) out["resumable"] = true;
+  if (value.open_to_all) out["open_to_all"] = true;
   for (const weighted_service& it : value.split) {
     json one;
     one["service"] = it.service;
@@ -178,6 +179,7 @@
   out.attempts = unsigned_of(value, "attempts");
   out.prefix_affinity = flag_of(value, "prefix_affinity");
   out.resumable = flag_of(value, "resumable");
+  out.open_to_all = flag_of(value, "open_to_all");
   for (const json& it : member_of(value, "split")) {
     out.split.push_back({text_of(it, "service"), unsigned_of(it, "weight")});
   }
@@ -223,6 +225,9 @@
   out["routes"] = to_json(value.routes);
   out["services"] = to_json(value.services);
   out["limits"] = to_json(value.limits);
+  if (value.requires_key) {
+    out["organisations"] = to_json(value.organisations);
+  }
   if (form == plan_form::full) out["document"] = value.document;
   return out;
 }
@@ -236,6 +241,9 @@
   out.routes = routes_from(member_of(value, "routes"));
   out.services = services_from(member_of(value, "services"));
   out.limits = limits_from(member_of(value, "limits"));
+  const json& organisations = member_of(value, "organisations");
+  out.requires_key = organisations.isArray();
+  if (out.requires_key) out.organisations = organisations_from(organisations);
   out.document = text_of(value, "document");
   return out;
 }
@@ -256,7 +264,7 @@
       return invalid("two routes stand at " + it.host + it.path_prefix);
     }
   }
-  return {};
+  return validate_organisations(value.organisations);
 }
 
 }  // namespace trestlepost::config
--- a/gateway/include/trestlepost/gateway/remote_caches.h
+++ b/gateway/include/trestlepost/gateway/remote_caches.h
@@ -2,15 +2,18 @@
 // of a prompt.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "trestlepost/config/traffic_plan.h"
 #include "trestlepost/membership/cached_prefix.h"
 
 namespace trestlepost::gateway {
 
+/// Returns whether a request may be cached in the region.
+using region_filter = std::function<bool(const std::string& region)>;
+
 /// The endpoints of other regions, as listed by the deployment.
 class remote_caches {
  public:
@@ -25,11 +28,10 @@
 
   /// Returns the address of the endpoint most likely to have `section` cached,
   /// or an empty string. It is the one preferred by the gateways of the region
-  /// with the most endpoints, among the regions in which `route` permits
-  /// caching.
+  /// with the most endpoints, among those that pass the filter.
   std::string likely_source(const std::string& service,
                             const membership::prompt_section& section,
-                            const config::route& route) const;
+                            const region_filter& permits) const;
 
  private:
   using endpoints = std::vector<endpoint>;
--- a/gateway/include/trestlepost/gateway/route_forward_handler.h
+++ b/gateway/include/trestlepost/gateway/route_forward_handler.h
@@ -2,6 +2,7 @@
 // all other forwarded requests to the next handler.
 #pragma once
 
+#include "trestlepost/gateway/caller_authentication.h"
 #include "trestlepost/gateway/forward_handler.h"
 #include "trestlepost/gateway/route_message.h"
 #include "trestlepost/gateway/route_service.h"
@@ -13,8 +14,13 @@
  public:
   route_forward_handler(gateway_context& context, route_service& service,
                         const routing::route_table& routes,
+                        const caller_authentication& callers,
                         transport::http_handler& next)
-      : context_(context), service_(service), routes_(routes), next_(next) {}
+      : context_(context),
+        service_(service),
+        routes_(routes),
+        callers_(callers),
+        next_(next) {}
 
   transport::awaitable<void> handle(
       transport::http_exchange& exchange) override;
@@ -29,6 +35,7 @@
   gateway_context& context_;
   route_service& service_;
   const routing::route_table& routes_;
+  const caller_authentication& callers_;
   transport::http_handler& next_;
 };
 
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "trestlepost/gateway/caller_authentication.h"
 #include "trestlepost/gateway/route_forwarder.h"
 #include "trestlepost/gateway/route_service.h"
 #include "trestlepost/routing/route_table.h"
@@ -13,12 +14,14 @@
 class route_handler final : public transport::http_handler {
  public:
   route_handler(gateway_context& context, const surface::surfaces& surfaces,
-                route_service& local, const routing::route_table& routes)
+                route_service& local, const routing::route_table& routes,
+                const caller_authentication& callers)
       : context_(context),
         surfaces_(surfaces),
         local_(local),
         remote_(context, surfaces),
-        routes_(routes) {}
+        routes_(routes),
+        callers_(callers) {}
 
   transport::awaitable<void> handle(
       transport::http_exchange& exchange) override;
@@ -55,6 +58,7 @@
   route_service& local_;
   route_forwarder remote_;
   const routing::route_table& routes_;
+  const caller_authentication& callers_;
   bool accepting_ = true;
 };
 
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -20,6 +20,7 @@
   std::string body;
   config::plan_ptr plan;  // owns the object behind `route`
   const config::route* route = nullptr;
+  config::organisation_ptr organisation;  // of the caller, or null
   std::string service;
   routing::engine_work work;
   monotonic_time arrived;
@@ -32,22 +33,28 @@
   /// Returns the request's fingerprint (see `request_fingerprint.h`), computed
   /// on first use.
   const std::string& fingerprint(std::string_view secret);
+  /// Returns whether the request may be served, cached and stored in `region`.
+  bool permits(const std::string& region) const;
 
  private:
   std::string fingerprint_;
 };
 
-/// Returns the work of an engine for a request with `head`.
-routing::engine_work work_of(const surface::call_head& head,
-                             const config::route& route);
+/// Returns the work of an engine for the request, whose head, route and
+/// organisation are set.
+routing::engine_work work_of(const routed_request& request);
 
 /// Returns the latency objective and the remaining time for an answer that
 /// starts at `now`.
 routing::latency_requirements latency_requirements_of(
     const routed_request& request, monotonic_time now);
 
-/// Returns whether `route` permits `region` to serve, cache and store its
-/// requests.
-bool permits_region(const config::route& route, const std::string& region);
+/// Returns whether a list of home regions permits `region`; an empty list
+/// permits all.
+bool permits_region(const std::vector<std::string>& homes,
+                    const std::string& region);
+
+/// Returns whether no region is a home of both the route and the organisation.
+bool has_no_home(const routed_request& request);
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -133,7 +133,7 @@
                                      current.request.body,
                                      std::string(id),
                                      std::max(remaining, milliseconds(1)),
-                                     current.request.route->priority,
+                                     current.request.work.priority,
                                      resume_after,
                                      current.endpoint.copy_cache_from};
   transport::http_request out = surfaces_.endpoints->encode(in);
--- a/gateway/src/engine_evaluator.cc
+++ b/gateway/src/engine_evaluator.cc
@@ -66,8 +66,10 @@
       available, *shared,
       [](const endpoint_view& it) -> const std::string& { return it.name; });
   if (best_uncached_tokens_ < min_remote_copied_tokens) return;
-  remote_source_address_ =
-      remote.likely_source(request.service, *shared, *request.route);
+  remote_source_address_ = remote.likely_source(
+      request.service, *shared, [&request](const std::string& region) {
+        return request.permits(region);
+      });
 }
 
 void engine_evaluator::find_best_cached(
--- a/gateway/src/remote_caches.cc
+++ b/gateway/src/remote_caches.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "trestlepost/gateway/preferred_endpoint.h"
-#include "trestlepost/gateway/routed_request.h"
 
 namespace trestlepost::gateway {
 
@@ -15,12 +14,12 @@
 
 std::string remote_caches::likely_source(
     const std::string& service, const membership::prompt_section& section,
-    const config::route& route) const {
+    const region_filter& permits) const {
   const auto known = regions_.find(service);
   if (known == regions_.end()) return {};
   const endpoints* largest = nullptr;
   for (const auto& [region, all] : known->second) {
-    if (!permits_region(route, region)) continue;
+    if (!permits(region)) continue;
     if (largest == nullptr || all.size() > largest->size()) largest = &all;
   }
   if (largest == nullptr) return {};
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -59,18 +59,23 @@
       routes_.find(message.head.host, message.head.path());
   if (route == nullptr)
     return configuration_behind_error("this node has no route for the request");
-  if (!permits_region(*route, context_.self.region)) {
-    return fail(error_kind::not_permitted,
-                "route " + route->name + " does not permit region " +
-                    context_.self.region,
-                "send it again after Retry-After");
-  }
+  const result<config::organisation_ptr> organisation =
+      callers_.confirm(message.head, *route);
+  if (!organisation) return tl::make_unexpected(organisation.error());
+  callers_.record(message.head, *organisation);
   routed_request out;
-  out.work = work_of(message.head, *route);
   out.head = std::move(message.head);
   out.body = std::move(body);
   out.plan = plan;
   out.route = route;
+  out.organisation = *organisation;
+  out.work = work_of(out);
+  if (!out.permits(context_.self.region)) {
+    return fail(error_kind::not_permitted,
+                "route " + route->name + " does not permit region " +
+                    context_.self.region + " for this caller",
+                "send it again after Retry-After");
+  }
   out.service = std::move(message.service);
   out.arrived = context_.clock.now();
   out.deadline = out.arrived + message.remaining;
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -81,10 +81,21 @@
                     " matches " + head.host + std::string(head.path()),
                 "check the host and the path");
   }
+  const bool confirmed = context_.state.confirmed_at(context_.clock.now());
+  const result<config::organisation_ptr> organisation =
+      callers_.identify(head, *found, confirmed);
+  if (!organisation) return tl::make_unexpected(organisation.error());
+  callers_.record(head, *organisation);
   routed_request out;
-  out.work = work_of(head, *found);
   out.plan = plan;
   out.route = found;
+  out.organisation = *organisation;
+  if (has_no_home(out)) {
+    return fail(error_kind::not_permitted,
+                "no region is a home of both route " + found->name + " and " +
+                    out.organisation->name,
+                "ask the operator to change the home regions");
+  }
   out.service = routing::choose_service(*found, context_.random);
   out.arrived = arrived;
   const milliseconds time_limit =
@@ -92,6 +103,7 @@
   out.deadline = out.arrived + time_limit;
   out.head = std::move(head);
   out.body = std::move(body);
+  out.work = work_of(out);
   return out;
 }
 
@@ -224,6 +236,7 @@
             complete ? "request-answered" : "request-failed",
             {{"request_id", request.head.request_id},
              {"route", request.route->name},
+             {"organisation", request.head.organisation},
              {"service", request.service},
              {"plan", std::to_string(request.plan->number)},
              {"outcome", name},
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -106,7 +106,7 @@
 
 bool may_serve(const routed_request& request, const std::string& region,
                const std::set<std::string>& exhausted) {
-  return permits_region(*request.route, region) && !exhausted.contains(region);
+  return request.permits(region) && !exhausted.contains(region);
 }
 
 std::optional<valued_decision> evaluate_local_region(
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -9,15 +9,24 @@
 
 const std::string& routed_request::fingerprint(std::string_view secret) {
   if (fingerprint_.empty()) {
-    const request_identity identity{head.passthrough_header("Authorization"),
-                                    head.method, head.host, head.target, body};
+    const std::string_view caller =
+        organisation ? std::string_view(organisation->name)
+                     : head.passthrough_header("Authorization");
+    const request_identity identity{caller, head.method, head.host, head.target,
+                                    body};
     fingerprint_ = fingerprint_of(identity, secret);
   }
   return fingerprint_;
 }
 
-routing::engine_work work_of(const surface::call_head& head,
-                             const config::route& route) {
+bool routed_request::permits(const std::string& region) const {
+  const bool by_route = permits_region(route->home_regions, region);
+  return by_route &&
+         (!organisation || permits_region(organisation->home_regions, region));
+}
+
+routing::engine_work work_of(const routed_request& request) {
+  const surface::call_head& head = request.head;
   routing::engine_work out;
   for (const surface::prompt_part& it : head.prompt.parts) {
     out.sections.push_back({it.id, it.tokens});
@@ -25,7 +34,10 @@
   out.prompt_tokens = head.prompt.prompt_tokens;
   out.output_tokens = head.prompt.expected_output_tokens.value_or(
       head.prompt.most_output_tokens / 2);
-  out.priority = route.priority;
+  out.priority = request.route->priority;
+  if (request.organisation) {
+    out.priority = request.organisation->priority.value_or(out.priority);
+  }
   return out;
 }
 
@@ -36,10 +48,20 @@
               request.deadline - now)};
 }
 
-bool permits_region(const config::route& route, const std::string& region) {
-  const std::vector<std::string>& homes = route.home_regions;
+bool permits_region(const std::vector<std::string>& homes,
+                    const std::string& region) {
   return homes.empty() ||
          std::find(homes.begin(), homes.end(), region) != homes.end();
 }
 
+bool has_no_home(const routed_request& request) {
+  if (!request.organisation) return false;
+  const std::vector<std::string>& homes = request.route->home_regions;
+  const std::vector<std::string>& others = request.organisation->home_regions;
+  if (homes.empty() || others.empty()) return false;
+  return std::none_of(homes.begin(), homes.end(), [&others](const auto& it) {
+    return permits_region(others, it);
+  });
+}
+
 }  // namespace trestlepost::gateway
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -17,8 +17,8 @@
       surfaces_(platform::make_surfaces()),
       pool_(gateway),
       service_(gateway, surfaces_, pool_, crashes, context.options.retries),
-      entry_(gateway, surfaces_, service_, routes_),
-      forwards_(gateway, service_, routes_, others),
+      entry_(gateway, surfaces_, service_, routes_, callers_),
+      forwards_(gateway, service_, routes_, callers_, others),
       endpoint_list_(context, surfaces_.directory.get()),
       orders_(context, control, surfaces_.operators.get()),
       directory_(context, surfaces_.entries.get()),
@@ -45,6 +45,7 @@
   const config::plan_ptr& plan = context_.store.plan();
   if (plan && plan != routes_.plan()) {
     routes_ = routing::route_table(plan);
+    callers_.update(*plan);
     const config::request_limits& limits = plan->limits;
     transport::http_server_options next = entry_server.options();
     next.header_limit = limits.header_bytes;
--- a/node/src/routed_gateway.h
+++ b/node/src/routed_gateway.h
@@ -50,6 +50,7 @@
   node_context& context_;
   surface::surfaces surfaces_;
   routing::route_table routes_;
+  gateway::caller_authentication callers_;
   gateway::endpoint_pool pool_;
   gateway::route_service service_;
   gateway::route_handler entry_;
--- a/surface/include/trestlepost/surface/call_head.h
+++ b/surface/include/trestlepost/surface/call_head.h
@@ -34,6 +34,9 @@
   bool operator==(const prompt_outline&) const = default;
 };
 
+/// How a call names the key of its caller.
+enum class credential_state { missing, malformed, present };
+
 /// Everything that a call contains except its body.
 struct call_head {
   std::string request_id;
@@ -43,6 +46,12 @@
   /// Time for which the caller waits for the response.
   std::optional<std::chrono::milliseconds> caller_timeout;
   prompt_outline prompt;
+  credential_state credential = credential_state::missing;
+  /// Digest of the caller's key (`config::key_digest`), or empty.
+  std::string key_digest;
+  /// The organisation that the caller belongs to, as found by the entry
+  /// gateway; empty if the route needs no key.
+  std::string organisation;
   /// Id of the last event that the caller received of an interrupted stream, or
   /// empty.
   std::string resume_after;
@@ -57,6 +66,7 @@
   /// Returns the value of a header in `passthrough_headers`, or an empty
   /// string.
   std::string_view passthrough_header(std::string_view name) const;
+  void remove_passthrough_header(std::string_view name);
 };
 
 json to_json(const call_head& value);
--- a/surface/src/call_head.cc
+++ b/surface/src/call_head.cc
@@ -74,6 +74,12 @@
   return {};
 }
 
+void call_head::remove_passthrough_header(std::string_view name) {
+  std::erase_if(passthrough_headers, [name](const auto& it) {
+    return boost::beast::iequals(it.first, name);
+  });
+}
+
 json to_json(const call_head& value) {
   json out;
   out["request_id"] = value.request_id;
@@ -82,6 +88,10 @@
   out["target"] = value.target;
   if (value.prompt.known()) out["prompt"] = to_json(value.prompt);
   if (!value.resume_after.empty()) out["resume_after"] = value.resume_after;
+  if (!value.organisation.empty()) {
+    out["organisation"] = value.organisation;
+    out["key_digest"] = value.key_digest;
+  }
   json& headers = out["headers"] = json(Json::arrayValue);
   for (const auto& [name, text] : value.passthrough_headers) {
     headers.append(name);
@@ -98,6 +108,8 @@
   out.target = text_of(value, "target");
   out.prompt = prompt_from(member_of(value, "prompt"));
   out.resume_after = text_of(value, "resume_after");
+  out.organisation = text_of(value, "organisation");
+  out.key_digest = text_of(value, "key_digest");
   result<transport::header_list> headers =
       headers_from(member_of(value, "headers"));
   if (!headers) return tl::make_unexpected(headers.error());
