Usage limits of organisations over all gateways

Kept: gateways count, a collector in the region sums up and tells levels, regions exchange sums. Far from the limit nothing is decided; near it each request is admitted with a probability that settles the level at 0, whatever its size. Without a collector a gateway has an equal part; a region that hears no other has one region's part, and a restarted collector takes over debts, never savings. An amount that did not run is given back. 429 with a Retry-After of one to two times the wait.

First tries that the simulation refuted: a contact time of 1.5 s between regions, collectors that forget debts at a restart, no bound on unreported usage.

--- a/config/src/organisation.cc
+++ b/config/src/organisation.cc
@@ -27,8 +27,7 @@
   usage_limit out;
   out.amount_per_second = real_of(value, "amount_per_second");
   out.burst = real_of(value, "burst");
-  const bool tokens =
-      text_of(value, "unit") == to_string(usage_unit::tokens);
+  const bool tokens = text_of(value, "unit") == to_string(usage_unit::tokens);
   out.unit = tokens ? usage_unit::tokens : usage_unit::requests;
   out.tokens_of_plain_request =
       static_cast<std::uint32_t>(number_of(value, "tokens_of_plain_request"));
--- a/gateway/include/trestlepost/gateway/caller_authentication.h
+++ b/gateway/include/trestlepost/gateway/caller_authentication.h
@@ -31,6 +31,10 @@
   void record(surface::call_head& head,
               const config::organisation_ptr& organisation) const;
 
+  const routing::organisation_table& organisations() const {
+    return organisations_;
+  }
+
  private:
   bool requires_key_ = false;
   routing::organisation_table organisations_;
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -8,6 +8,7 @@
 #include "trestlepost/gateway/route_forwarder.h"
 #include "trestlepost/gateway/route_service.h"
 #include "trestlepost/routing/route_table.h"
+#include "trestlepost/usage/usage_limiter.h"
 
 namespace trestlepost::gateway {
 
@@ -15,13 +16,15 @@
  public:
   route_handler(gateway_context& context, const surface::surfaces& surfaces,
                 route_service& local, const routing::route_table& routes,
-                const caller_authentication& callers)
+                const caller_authentication& callers,
+                usage::usage_limiter& limits)
       : context_(context),
         surfaces_(surfaces),
         local_(local),
         remote_(context, surfaces),
         routes_(routes),
-        callers_(callers) {}
+        callers_(callers),
+        limits_(limits) {}
 
   transport::awaitable<void> handle(
       transport::http_exchange& exchange) override;
@@ -43,10 +46,21 @@
                                     transport::http_exchange& exchange);
   /// Returns whether another region may be tried after `last`.
   bool may_try_other_region(routed_request& request, const attempt& last) const;
+  /// Counts the request towards the limit of its organisation. Returns the
+  /// refusal if it does not fit.
+  std::optional<attempt> check_limit(const routed_request& request);
   /// Handles a request whose head and body were read.
   transport::awaitable<void> answer(surface::call_head head, std::string body,
                                     monotonic_time arrived,
                                     transport::http_exchange& exchange);
+  /// Logs and sends a refusal of a request that was not tried anywhere.
+  transport::awaitable<void> refuse_untried(const attempt& refused,
+                                            const std::string& request_id,
+                                            const std::string& organisation,
+                                            transport::http_exchange& exchange);
+  /// Returns the amount of a request that did not run to its organisation.
+  void return_unused_amount(const routed_request& request,
+                            const attempt& outcome);
   transport::awaitable<void> refuse(const attempt& outcome,
                                     const std::string& request_id,
                                     transport::http_exchange& exchange);
@@ -59,6 +73,7 @@
   route_forwarder remote_;
   const routing::route_table& routes_;
   const caller_authentication& callers_;
+  usage::usage_limiter& limits_;
   bool accepting_ = true;
 };
 
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -44,6 +44,11 @@
 /// organisation are set.
 routing::engine_work work_of(const routed_request& request);
 
+/// Returns the amount that the request counts for in the unit of `limit`: one,
+/// or the tokens that its caller states.
+double usage_of(const routed_request& request,
+                const config::usage_limit& limit);
+
 /// Returns the latency objective and the remaining time for an answer that
 /// starts at `now`.
 routing::latency_requirements latency_requirements_of(
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -125,15 +125,18 @@
         routes_.plan() ? retry_after_wrong_node : retry_after_no_plan;
     const attempt refused =
         failed_attempt(run_state::no, request.error(), retry_after);
-    context_.metrics.request_done(
-        "none", std::string(to_string(refused.cause.kind)), milliseconds(0));
-    log_event(log_level::info, "request-refused",
-              {{"request_id", id}, {"cause", refused.cause.message}});
-    co_await refuse(refused, id, exchange);
+    co_await refuse_untried(refused, id, "", exchange);
+    co_return;
+  }
+  const std::optional<attempt> over_limit = check_limit(*request);
+  if (over_limit) {
+    co_await refuse_untried(*over_limit, id, request->head.organisation,
+                            exchange);
     co_return;
   }
   local_.record_request(request->service);
   attempt outcome = co_await run(*request, exchange);
+  return_unused_amount(*request, outcome);
   local_.release_unused_sends(*request);
   record(*request, outcome);
   if (outcome.delivered || exchange.has_response_started() ||
@@ -148,6 +151,44 @@
   co_await refuse(outcome, id, exchange);
 }
 
+std::optional<attempt> route_handler::check_limit(
+    const routed_request& request) {
+  if (!request.organisation || !request.organisation->limit) {
+    return std::nullopt;
+  }
+  const usage::usage_decision decision = limits_.admit(
+      *request.organisation, usage_of(request, *request.organisation->limit),
+      context_.clock.now());
+  if (decision.admitted) return std::nullopt;
+  return failed_attempt(run_state::no,
+                        {error_kind::usage_limit_reached,
+                         "the usage limit of organisation " +
+                             request.organisation->name + " is reached",
+                         "send it again after Retry-After"},
+                        decision.retry_after);
+}
+
+void route_handler::return_unused_amount(const routed_request& request,
+                                         const attempt& outcome) {
+  const bool counted = request.organisation && request.organisation->limit;
+  if (!counted || outcome.delivered || outcome.ran != run_state::no) return;
+  limits_.give_back(request.organisation->name,
+                    usage_of(request, *request.organisation->limit));
+}
+
+awaitable<void> route_handler::refuse_untried(const attempt& refused,
+                                              const std::string& request_id,
+                                              const std::string& organisation,
+                                              http_exchange& exchange) {
+  context_.metrics.request_done(
+      "none", std::string(to_string(refused.cause.kind)), milliseconds(0));
+  log_event(log_level::info, "request-refused",
+            {{"request_id", request_id},
+             {"organisation", organisation},
+             {"cause", refused.cause.message}});
+  co_await refuse(refused, request_id, exchange);
+}
+
 bool route_handler::may_try_other_region(routed_request& request,
                                          const attempt& last) const {
   if (local_.must_stop_retrying(request, last)) return false;
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -41,6 +41,14 @@
   return out;
 }
 
+double usage_of(const routed_request& request,
+                const config::usage_limit& limit) {
+  if (limit.unit == config::usage_unit::requests) return 1;
+  const surface::prompt_outline& prompt = request.head.prompt;
+  if (!prompt.known()) return limit.tokens_of_plain_request;
+  return static_cast<double>(prompt.prompt_tokens) + prompt.most_output_tokens;
+}
+
 routing::latency_requirements latency_requirements_of(
     const routed_request& request, monotonic_time now) {
   return {request.route->latency_objective,
--- a/gateway/test/caller_authentication-test.cc
+++ b/gateway/test/caller_authentication-test.cc
@@ -46,7 +46,8 @@
 
 TEST(caller_authentication_test, a_key_names_its_organisation) {
   caller_authentication it;
-  it.update(plan_of({organisation_of("a", {"k"}), organisation_of("b", {"l"})}));
+  it.update(
+      plan_of({organisation_of("a", {"k"}), organisation_of("b", {"l"})}));
   call_head head = head_with("l");
   const result<organisation_ptr> found = it.identify(head, {}, true);
   ASSERT_TRUE(found);
@@ -140,9 +141,9 @@
       const int owner = *rc::gen::inRange(0, 4);
       if (owner < 3) owned[owner].push_back(key);
     }
-    history.push_back(plan_of({organisation_of("a", owned[0]),
-                               organisation_of("b", owned[1]),
-                               organisation_of("c", owned[2])}));
+    history.push_back(
+        plan_of({organisation_of("a", owned[0]), organisation_of("b", owned[1]),
+                 organisation_of("c", owned[2])}));
   }
   caller_authentication entry;
   caller_authentication server;
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -15,9 +15,10 @@
                                transport::http_handler& others)
     : context_(context),
       surfaces_(platform::make_surfaces()),
+      usage_(context, callers_.organisations()),
       pool_(gateway),
       service_(gateway, surfaces_, pool_, crashes, context.options.retries),
-      entry_(gateway, surfaces_, service_, routes_, callers_),
+      entry_(gateway, surfaces_, service_, routes_, callers_, usage_.limiter()),
       forwards_(gateway, service_, routes_, callers_, others),
       endpoint_list_(context, surfaces_.directory.get()),
       orders_(context, control, surfaces_.operators.get()),
@@ -31,6 +32,7 @@
         pool_.update_list(all, covered_revision, context_.options.zone_regions);
       };
   endpoint_list_.start();
+  usage_.start();
 }
 
 void routed_gateway::tick() {
@@ -39,6 +41,7 @@
   if (routed && options.gateway) endpoint_list_.tick();
   pool_.tick();
   service_.tick();
+  usage_.tick();
 }
 
 void routed_gateway::apply_plan(transport::http_server& entry_server) {
--- a/node/src/routed_gateway.h
+++ b/node/src/routed_gateway.h
@@ -13,6 +13,7 @@
 #include "trestlepost/gateway/route_service.h"
 #include "trestlepost/membership/endpoint_sums.h"
 #include "trestlepost/surface/surfaces.h"
+#include "usage/usage_service.h"
 
 namespace trestlepost::node {
 
@@ -51,6 +52,7 @@
   surface::surfaces surfaces_;
   routing::route_table routes_;
   gateway::caller_authentication callers_;
+  usage_service usage_;
   gateway::endpoint_pool pool_;
   gateway::route_service service_;
   gateway::route_handler entry_;
--- a/routing/src/organisation_table.cc
+++ b/routing/src/organisation_table.cc
@@ -42,9 +42,11 @@
 }
 
 organisation_ptr organisation_table::find(std::string_view name) const {
-  const auto it = std::lower_bound(
-      all_.begin(), all_.end(), name,
-      [](const organisation_ptr& a, std::string_view b) { return a->name < b; });
+  const auto it =
+      std::lower_bound(all_.begin(), all_.end(), name,
+                       [](const organisation_ptr& a, std::string_view b) {
+                         return a->name < b;
+                       });
   const bool found = it != all_.end() && (*it)->name == name;
   return found ? *it : nullptr;
 }
--- /dev/null
+++ b/usage/test/other_limiters.h
@@ -0,0 +1,54 @@
+// Other ways to limit usage, which the simulation compares with the shared
+// limiter.
+#pragma once
+
+#include "trestlepost/usage/shared_limiter.h"
+
+namespace trestlepost::usage::test {
+
+/// Admits everything.
+class no_limiter final : public usage_limiter {
+ public:
+  usage_decision admit(const config::organisation&, double,
+                       monotonic_time) override {
+    return {};
+  }
+  void give_back(const std::string&, double) override {}
+};
+
+/// Gives each gateway an equal part of the limit, without communication.
+class equal_parts_limiter final : public usage_limiter {
+ public:
+  explicit equal_parts_limiter(std::size_t gateways) : gateways_(gateways) {}
+
+  usage_decision admit(const config::organisation& organisation, double amount,
+                       monotonic_time now) override;
+  void give_back(const std::string&, double) override {}
+
+ private:
+  std::size_t gateways_;
+  std::map<std::string, usage_bucket> buckets_;
+};
+
+/// Gives each gateway a bucket that refills by its part of the demand, with the
+/// data of the same collectors as the shared limiter.
+class demand_parts_limiter final : public shared_limiter {
+ public:
+  using shared_limiter::shared_limiter;
+
+ protected:
+  usage_decision admit_near_limit(organisation_state& state,
+                                  const config::usage_limit& limit,
+                                  double amount, monotonic_time now) override;
+
+ private:
+  struct own_demand {
+    usage_bucket bucket;
+    double asked_before = 0;
+    double demand = 0;
+    monotonic_time updated_at;
+  };
+  std::map<const organisation_state*, own_demand> own_;
+};
+
+}  // namespace trestlepost::usage::test
--- /dev/null
+++ b/usage/test/shared_limiter-test.cc
@@ -0,0 +1,153 @@
+// Tests a gateway's limiter and its collector: what is counted once, what is
+// given back, and what happens when the collector changes.
+#include "trestlepost/usage/shared_limiter.h"
+
+#include <gtest/gtest.h>
+
+#include "trestlepost/usage/usage_collector.h"
+
+namespace trestlepost::usage {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds interval{150};
+
+config::organisation_ptr organisation_with(double rate, double burst) {
+  config::organisation out;
+  out.name = "acme";
+  out.limit =
+      config::usage_limit{rate, burst, config::usage_unit::tokens, 200};
+  return std::make_shared<const config::organisation>(out);
+}
+
+class shared_limiter_test : public testing::Test {
+ protected:
+  shared_limiter_test() { set_limit(1000, 1000); }
+
+  void set_limit(double rate, double burst) {
+    acme_ = organisation_with(rate, burst);
+    table_.update({acme_});
+  }
+
+  /// Lets one interval pass, with a report and its answer.
+  void exchange() {
+    now_ += interval;
+    collector_.tick(table_, 1, now_);
+    limiter_.handle(collector_.handle(limiter_.make_report(now_), now_), now_);
+  }
+
+  void exchange(int n) {
+    for (int i = 0; i < n; ++i) exchange();
+  }
+
+  bool admit(double amount) {
+    return limiter_.admit(*acme_, amount, now_).admitted;
+  }
+
+  double used() { return collector_.sums(now_).counts["acme"].used; }
+
+  seeded_random random_{1};
+  monotonic_time now_{std::chrono::seconds(100)};
+  config::organisation_ptr acme_;
+  routing::organisation_table table_;
+  usage_collector collector_{"c-1", "north"};
+  shared_limiter limiter_{"g-1", random_};
+};
+
+TEST_F(shared_limiter_test, usage_is_counted_once_by_repeated_reports) {
+  exchange(10);
+  EXPECT_TRUE(admit(300));
+  const usage_report lost = limiter_.make_report(now_);
+  const usage_report second = limiter_.make_report(now_);
+  EXPECT_EQ(second.counts, lost.counts);
+  collector_.handle(second, now_);
+  collector_.handle(second, now_);
+  EXPECT_EQ(used(), 300);
+  exchange();
+  EXPECT_EQ(used(), 300);
+  EXPECT_TRUE(limiter_.make_report(now_).counts.empty());
+}
+
+TEST_F(shared_limiter_test, an_amount_given_back_is_not_used) {
+  exchange(10);
+  EXPECT_TRUE(admit(900));
+  exchange();
+  limiter_.give_back("acme", 900);
+  exchange();
+  EXPECT_EQ(used(), 0);
+  EXPECT_TRUE(admit(900));
+}
+
+TEST_F(shared_limiter_test, a_new_collector_counts_only_what_was_not_reported) {
+  exchange(10);
+  EXPECT_TRUE(admit(300));
+  exchange();
+  EXPECT_TRUE(admit(200));
+  limiter_.change_collector();
+  collector_ = usage_collector("c-2", "north");
+  exchange();
+  EXPECT_EQ(used(), 200);
+}
+
+TEST_F(shared_limiter_test, a_restarted_collector_ignores_the_old_session) {
+  exchange(10);
+  EXPECT_TRUE(admit(300));
+  exchange();
+  collector_ = usage_collector("c-1 restarted", "north");
+  exchange();
+  EXPECT_EQ(used(), 0);
+  EXPECT_TRUE(admit(100));
+  exchange(2);
+  EXPECT_EQ(used(), 100);
+}
+
+TEST_F(shared_limiter_test, without_a_collector_it_uses_an_equal_part) {
+  limiter_.set_gateway_count(10);
+  EXPECT_FALSE(admit(50));
+  now_ += std::chrono::seconds(60);
+  EXPECT_TRUE(admit(50));
+  EXPECT_TRUE(admit(50));
+  EXPECT_FALSE(admit(50));
+  const usage_decision refused = limiter_.admit(*acme_, 50, now_);
+  EXPECT_GE(refused.retry_after, milliseconds(500));
+  EXPECT_LE(refused.retry_after, milliseconds(1000));
+}
+
+TEST_F(shared_limiter_test, an_exhausted_limit_refuses_and_names_a_time) {
+  exchange(20);
+  double admitted = 0;
+  for (int i = 0; i < 200; ++i) {
+    for (int n = 0; n < 10; ++n) {
+      if (admit(100)) admitted += 100;
+    }
+    exchange();
+  }
+  // 30 seconds at 1,000 a second, and the burst.
+  EXPECT_NEAR(admitted, 31'000, 1500);
+}
+
+TEST_F(shared_limiter_test, organisations_without_a_limit_are_not_counted) {
+  config::organisation one;
+  one.name = "free";
+  EXPECT_TRUE(limiter_.admit(one, 1e15, now_).admitted);
+  EXPECT_TRUE(limiter_.make_report(now_).counts.empty());
+}
+
+// The region cut off keeps one part of three, and nothing that it had saved.
+TEST_F(shared_limiter_test, a_region_that_hears_no_other_has_its_part) {
+  for (int n = 0; n < 20; ++n) {
+    now_ += interval;
+    collector_.tick(table_, 3, now_);
+    const usage_report report = limiter_.make_report(now_);
+    EXPECT_NEAR(collector_.handle(report, now_).part, 1.0 / 3, 1e-9);
+  }
+  collector_.handle(region_usage{"south", "c-2", {}}, now_);
+  collector_.handle(region_usage{"west", "c-3", {}}, now_);
+  collector_.tick(table_, 3, now_ + interval);
+  const usage_report report = limiter_.make_report(now_);
+  EXPECT_NEAR(collector_.handle(report, now_).part, 1, 1e-9);
+}
+
+}  // namespace
+}  // namespace trestlepost::usage
