--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -37,7 +37,7 @@
 
   void apply(const consensus::entry& committed) override;
   std::string save() const override;
-  void load(std::string_view data) override;
+  result<void> load(std::string_view data) override;
 
   const object_store& store() const { return store_; }
   /// The result of the change with this id, if it is still remembered.
@@ -58,6 +58,8 @@
   std::function<void(const audit_record&)> on_decided;
 
  private:
+  /// Reads a snapshot into this machine, which must be new.
+  result<void> read_snapshot(std::string_view data);
   struct decided_change {
     std::string digest;
     change_result outcome;
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -19,6 +19,13 @@
   return {status, revision, std::move(message), std::move(remedy), {}};
 }
 
+tl::unexpected<error> unreadable_snapshot(const error& cause) {
+  return fail(error_kind::corrupt,
+              "the configuration's snapshot can't be read: " + cause.message,
+              "empty the data folder: the node then returns as a learner and "
+              "copies the state from the others");
+}
+
 }  // namespace
 
 config_state_machine::config_state_machine(state_limits limits)
@@ -401,26 +408,27 @@
   return compress_printable(to_text(out));
 }
 
-void config_state_machine::load(std::string_view data) {
-  store_ = object_store();
-  results_by_id_.clear();
-  result_order_.clear();
-  audit_.clear();
-  history_.clear();
-  ledgers_.clear();
-  next_sequence_ = 1;
-  if (data.empty()) return;
+result<void> config_state_machine::load(std::string_view data) {
+  // Nothing is replaced until all of the snapshot is read.
+  config_state_machine next(limits_);
+  if (!data.empty()) {
+    result<void> read = next.read_snapshot(data);
+    if (!read) return read;
+  }
+  next.on_decided = std::move(on_decided);
+  *this = std::move(next);
+  return {};
+}
+
+result<void> config_state_machine::read_snapshot(std::string_view data) {
   const std::optional<std::string> text =
       decompress_printable(data, max_snapshot_bytes);
   const result<json> parsed = parse_json(text.value_or(""));
-  if (!parsed) {
-    log_event(log_level::error, "snapshot-unreadable",
-              {{"detail", parsed.error().message}});
-    return;
-  }
+  if (!parsed) return unreadable_snapshot(parsed.error());
   result<object_store> store =
       object_store::from_json(member_of(*parsed, "store"));
-  if (store) store_ = std::move(*store);
+  if (!store) return unreadable_snapshot(store.error());
+  store_ = std::move(*store);
   for (const json& it : member_of(*parsed, "changes")) {
     const std::string id = text_of(it, "id");
     results_by_id_[id] = {text_of(it, "digest"),
@@ -432,7 +440,8 @@
   }
   for (const json& it : member_of(*parsed, "history")) {
     result<applied_change> one = applied_change_from(it);
-    if (one) history_.push_back(std::move(*one));
+    if (!one) return unreadable_snapshot(one.error());
+    history_.push_back(std::move(*one));
   }
   // The history must end at the revision of the store. Otherwise it is dropped,
   // and watchers that are behind are sent the whole configuration.
@@ -445,6 +454,7 @@
   }
   next_sequence_ =
       std::max<std::uint64_t>(1, number_of(*parsed, "next_sequence"));
+  return {};
 }
 
 }  // namespace trestlepost::config
--- a/config/test/control_machine.cc
+++ b/config/test/control_machine.cc
@@ -33,9 +33,10 @@
   if (on_applied) on_applied(committed);
 }
 
-void observed_machine::load(std::string_view data) {
-  inner_->load(data);
+result<void> observed_machine::load(std::string_view data) {
+  result<void> loaded = inner_->load(data);
   if (on_loaded) on_loaded();
+  return loaded;
 }
 
 control_machine::control_machine(std::string machine_name,
--- a/config/test/control_machine.h
+++ b/config/test/control_machine.h
@@ -40,7 +40,7 @@
   observed_machine() { reset_state(); }
   void apply(const consensus::entry& committed) override;
   std::string save() const override { return inner_->save(); }
-  void load(std::string_view data) override;
+  result<void> load(std::string_view data) override;
 
   const plan_ptr& plan() const { return inner_->store().plan(); }
 
--- a/config/test/state_machine-test.cc
+++ b/config/test/state_machine-test.cc
@@ -230,6 +230,21 @@
             to_text(it.machine.store().to_json()));
 }
 
+// An empty store would be given to gateways as the configuration.
+TEST(config_state_machine_test, an_unreadable_snapshot_keeps_the_state) {
+  state_machine_fixture it;
+  it.apply(change_of("c1", {region_edit("isola")}));
+  const std::string saved = it.machine.save();
+  for (const std::string& damaged :
+       {saved.substr(0, saved.size() / 2), std::string("text")}) {
+    const result<void> loaded = it.machine.load(damaged);
+    ASSERT_FALSE(loaded);
+    EXPECT_EQ(loaded.error().kind, error_kind::corrupt);
+    EXPECT_FALSE(loaded.error().remedy.empty());
+    EXPECT_EQ(it.machine.save(), saved);
+  }
+}
+
 TEST(config_state_machine_test, snapshot_restores_complete_state) {
   state_machine_fixture it;
   for (int i = 0; i < 20; ++i) {
--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -21,7 +21,7 @@
   virtual ~state_machine() = default;
   virtual void apply(const entry& committed) = 0;
   virtual std::string save() const = 0;
-  virtual void load(std::string_view data) = 0;
+  virtual result<void> load(std::string_view data) = 0;
 };
 
 /// Sends messages to other replicas. Messages may be lost.
@@ -130,6 +130,8 @@
 
   void process_output();
   /// Stores the pending writes and sends the pending messages of the replica.
+  /// Ends the work of this replica until a restart.
+  void stop_after(const error& cause);
   void write_and_send();
   void queue_committed(const output& out);
   void apply_committed();
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -23,7 +23,10 @@
   applied_ = state->base.index;
   applied_term_ = state->base.term;
   last_snapshot_bytes_ = state->base.data.size();
-  if (!state->base.data.empty()) machine_.load(state->base.data);
+  if (!state->base.data.empty()) {
+    const result<void> loaded = machine_.load(state->base.data);
+    if (!loaded) return loaded;
+  }
   replica_ = std::make_unique<replica>(self_, options_.replica,
                                        std::move(*state), random_, now);
   return {};
@@ -36,8 +39,8 @@
   confirmed_reads_.clear();
   to_apply_.clear();
   bytes_since_snapshot_ = 0;
-  machine_.load({});
-  result<void> started = start(now);
+  result<void> started = machine_.load({});
+  if (started) started = start(now);
   if (started) {
     failure_.reset();
   } else {
@@ -310,13 +313,17 @@
   processing_output_ = false;
 }
 
+void group_host::stop_after(const error& cause) {
+  failure_ = cause;
+  log_event(log_level::error, "storage-failed",
+            {{"detail", cause.message}, {"remedy", cause.remedy}});
+}
+
 void group_host::write_and_send() {
   const output out = replica_->take_output();
   const result<void> saved = storage_->save(out.writes);
   if (!saved) {
-    failure_ = saved.error();
-    log_event(log_level::error, "storage-failed",
-              {{"detail", saved.error().message}});
+    stop_after(saved.error());
     return;
   }
   replica_->mark_durable();
@@ -327,7 +334,11 @@
 void group_host::queue_committed(const output& out) {
   if (out.restore) {
     to_apply_.clear();
-    machine_.load(out.restore->data);
+    const result<void> loaded = machine_.load(out.restore->data);
+    if (!loaded) {
+      stop_after(loaded.error());
+      return;
+    }
     applied_ = out.restore->index;
     applied_term_ = out.restore->term;
     last_snapshot_bytes_ = out.restore->data.size();
@@ -385,7 +396,7 @@
   const hard_state hard{replica_->term(), replica_->voted_for(),
                         replica_->group_id()};
   const result<void> saved = storage_->compact(base, hard, replica_->entries());
-  if (!saved) failure_ = saved.error();
+  if (!saved) stop_after(saved.error());
 }
 
 }  // namespace trestlepost::consensus
--- a/consensus/test/file_storage-test.cc
+++ b/consensus/test/file_storage-test.cc
@@ -206,7 +206,10 @@
     seen.push_back(committed.data);
   }
   std::string save() const override { return {}; }
-  void load(std::string_view) override { seen.clear(); }
+  result<void> load(std::string_view) override {
+    seen.clear();
+    return {};
+  }
 
   std::vector<std::string> seen;
 };
--- a/consensus/test/group_formation-test.cc
+++ b/consensus/test/group_formation-test.cc
@@ -17,7 +17,7 @@
  public:
   void apply(const entry&) override {}
   std::string save() const override { return {}; }
-  void load(std::string_view) override {}
+  result<void> load(std::string_view) override { return {}; }
 };
 
 class discarding_sink final : public message_sink {
--- a/consensus/test/group_host-test.cc
+++ b/consensus/test/group_host-test.cc
@@ -21,7 +21,35 @@
  public:
   void apply(const entry& /*committed*/) override {}
   std::string save() const override { return "{}"; }
-  void load(std::string_view /*data*/) override {}
+  result<void> load(std::string_view /*data*/) override { return {}; }
+};
+
+/// A state machine whose snapshots can't be read.
+class damaged_machine final : public state_machine {
+ public:
+  void apply(const entry& /*committed*/) override {}
+  std::string save() const override { return "{}"; }
+  result<void> load(std::string_view data) override {
+    if (data.empty()) return {};
+    return fail(error_kind::corrupt, "unreadable", "empty the folder");
+  }
+};
+
+/// Holds a snapshot and nothing else.
+class one_snapshot_storage final : public storage {
+ public:
+  result<durable_state> load() override {
+    durable_state out;
+    out.base.index = 7;
+    out.base.term = 1;
+    out.base.data = "{}";
+    return out;
+  }
+  result<void> save(const write_batch& /*batch*/) override { return {}; }
+  result<void> compact(const snapshot& /*base*/, const hard_state& /*hard*/,
+                       const std::vector<entry>& /*entries*/) override {
+    return {};
+  }
 };
 
 class group : public message_sink {
@@ -236,5 +264,20 @@
   EXPECT_EQ(it.host("a").core().group_id(), "recovered");
 }
 
+// An empty state machine would decide requests as if nothing had happened yet.
+TEST(group_host_test, a_replica_with_an_unreadable_snapshot_does_not_start) {
+  class no_sink final : public message_sink {
+   public:
+    void send(const message& /*out*/) override {}
+  } sink;
+  seeded_random random(1);
+  damaged_machine machine;
+  auto disk = std::make_unique<one_snapshot_storage>();
+  group_host host({"a", 1}, {}, std::move(disk), machine, sink, random);
+  const result<void> started = host.start(monotonic_time());
+  ASSERT_FALSE(started);
+  EXPECT_EQ(started.error().kind, error_kind::corrupt);
+}
+
 }  // namespace
 }  // namespace trestlepost::consensus::test
--- a/consensus/test/log_replay-test.cc
+++ b/consensus/test/log_replay-test.cc
@@ -28,7 +28,10 @@
     bytes_ += committed.data.size();
   }
   std::string save() const override { return "{}"; }
-  void load(std::string_view /*data*/) override { bytes_ = 0; }
+  result<void> load(std::string_view /*data*/) override {
+    bytes_ = 0;
+    return {};
+  }
 
   std::size_t bytes() const { return bytes_; }
   bool has_all() const { return bytes_ == commands * command_bytes; }
--- a/consensus/test/simulation.cc
+++ b/consensus/test/simulation.cc
@@ -28,12 +28,13 @@
     for (const std::string& it : commands_) out.append(it);
     return to_text(out);
   }
-  void load(std::string_view data) override {
+  result<void> load(std::string_view data) override {
     std::vector<std::string> loaded;
     const result<json> parsed = parse_json(data.empty() ? "[]" : data);
     for (const json& it : *parsed) loaded.push_back(it.asString());
     if (loaded.size() < commands_.size()) regressed = true;
     commands_ = std::move(loaded);
+    return {};
   }
 
   const std::vector<std::string>& commands() const { return commands_; }
--- a/ledger/include/trestlepost/ledger/state_machine.h
+++ b/ledger/include/trestlepost/ledger/state_machine.h
@@ -28,7 +28,7 @@
 
   void apply(const consensus::entry& committed) override;
   std::string save() const override;
-  void load(std::string_view data) override;
+  result<void> load(std::string_view data) override;
 
   std::size_t size() const { return records_.size(); }
   const record* find(const std::string& key) const;
--- a/ledger/src/state_machine.cc
+++ b/ledger/src/state_machine.cc
@@ -171,20 +171,22 @@
   return to_text(out);
 }
 
-void ledger_state_machine::load(std::string_view data) {
-  records_.clear();
-  by_expiry_.clear();
-  if (data.empty()) return;
-  const result<json> parsed = parse_json(data);
+result<void> ledger_state_machine::load(std::string_view data) {
+  const result<json> parsed =
+      data.empty() ? result<json>(json(Json::objectValue)) : parse_json(data);
   if (!parsed || !parsed->isObject()) {
-    log_event(log_level::error, "ledger-snapshot-unreadable");
-    return;
+    return fail(error_kind::corrupt, "the ledger's snapshot can't be read",
+                "empty the ledger's folder: the node then returns as a learner "
+                "and copies the state from the others");
   }
+  records_.clear();
+  by_expiry_.clear();
   for (auto it = parsed->begin(); it != parsed->end(); ++it) {
     const std::string key = it.name();
     records_[key] = record_from(*it);
     by_expiry_.emplace(records_[key].kept_until, key);
   }
+  return {};
 }
 
 }  // namespace trestlepost::ledger
--- a/ledger/test/ledger-test.cc
+++ b/ledger/test/ledger-test.cc
@@ -121,6 +121,22 @@
   EXPECT_EQ(it.last.verdict, claim_verdict::mismatch);
 }
 
+// An empty ledger would grant keys again that have run.
+TEST(ledger_test, an_unreadable_snapshot_is_an_error_and_keeps_the_records) {
+  ledger_harness it;
+  EXPECT_EQ(it.claim("a1"), claim_verdict::granted);
+  const std::string saved = it.machine.save();
+  for (const std::string& damaged :
+       {saved.substr(0, saved.size() / 2), std::string("[]"),
+        std::string("text"), std::string(1, '\0')}) {
+    const result<void> loaded = it.machine.load(damaged);
+    ASSERT_FALSE(loaded);
+    EXPECT_EQ(loaded.error().kind, error_kind::corrupt);
+    EXPECT_FALSE(loaded.error().remedy.empty());
+    EXPECT_EQ(it.claim("a2"), claim_verdict::in_progress);
+  }
+}
+
 TEST(ledger_test, a_snapshot_restores_every_record) {
   ledger_harness it;
   it.claim("a1");
