An unknown ledger command is not taken for a claim

Cause: apply() decided every command but finish and fence as a claim, and skipped an unreadable entry without a log line. Change: both are logged and skipped. Test (failed before): an_unknown_command_is_not_taken_for_a_claim.

--- a/ledger/src/state_machine.cc
+++ b/ledger/src/state_machine.cc
@@ -30,8 +30,15 @@
 
 void ledger_state_machine::apply(const consensus::entry& committed) {
   const result<json> parsed = parse_json(committed.data);
-  if (!parsed) return;
-  const std::string command = text_of(*parsed, "command");
+  const std::string command = parsed ? text_of(*parsed, "command") : "";
+  const bool known =
+      command == "claim" || command == "finish" || command == "fence";
+  if (!known) {
+    log_event(
+        log_level::error, "ledger-command-unreadable",
+        {{"index", std::to_string(committed.index)}, {"command", command}});
+    return;
+  }
   if (command == "finish") {
     finish(finish_from(*parsed));
     return;
--- a/ledger/test/ledger-test.cc
+++ b/ledger/test/ledger-test.cc
@@ -137,6 +137,15 @@
   }
 }
 
+TEST(ledger_test, an_unknown_command_is_not_taken_for_a_claim) {
+  ledger_harness it;
+  json unknown =
+      to_json(claim_command{"k", "d", "a1", start, start + window, window});
+  unknown["command"] = "from-a-newer-version";
+  it.apply(unknown);
+  EXPECT_EQ(it.machine.find("k"), nullptr);
+}
+
 TEST(ledger_test, a_snapshot_restores_every_record) {
   ledger_harness it;
   it.claim("a1");
