Unreadable logs and entries of an unknown type are errors

Causes: a log that could not be read (EIO) counted as an empty one, so that a replica could vote twice in a term; an entry type of a newer version became a no-op, so that replicas would diverge in silence during a rolling upgrade. Change: a failed read is storage-failed with file and remedy; an unknown type is refused in messages and on loading. Tests (failed before): an_unreadable_file_is_not_an_empty_one, an_entry_of_an_unknown_type_is_refused. Both in one commit, since they share file and test file.

--- a/consensus/include/trestlepost/consensus/file_storage.h
+++ b/consensus/include/trestlepost/consensus/file_storage.h
@@ -17,6 +17,8 @@
 class file_operations {
  public:
   virtual ~file_operations() = default;
+  /// See read(2).
+  virtual std::ptrdiff_t read(int fd, char* data, std::size_t n);
   /// See write(2).
   virtual std::ptrdiff_t write(int fd, const char* data, std::size_t n);
   /// See fdatasync(2).
--- a/consensus/include/trestlepost/consensus/types.h
+++ b/consensus/include/trestlepost/consensus/types.h
@@ -39,7 +39,9 @@
 
 using member_list = std::vector<member>;
 
-enum class entry_type { noop, command, membership };
+/// `unknown` stands for a type of a newer version. It is never stored or
+/// applied: a replica that skipped such an entry would diverge from the others.
+enum class entry_type { noop, command, membership, unknown };
 
 /// One entry of the log. `data` is a command, or a member list as JSON.
 struct entry {
--- a/consensus/src/file_storage.cc
+++ b/consensus/src/file_storage.cc
@@ -5,10 +5,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <system_error>
 #include <utility>
 
@@ -68,9 +67,25 @@
   return false;
 }
 
-std::string read_file(const std::filesystem::path& path) {
-  std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+/// Returns the content of a file, or an empty string if there is none. A file
+/// that can't be read is an error: it must not count as an empty one.
+result<std::string> read_file(const std::filesystem::path& path,
+                              file_operations& operations) {
+  const unique_fd fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (!fd.valid() && errno == ENOENT) return std::string();
+  std::string out;
+  std::array<char, 64UL * 1024> buf{};
+  while (fd.valid()) {
+    const std::ptrdiff_t n = operations.read(fd.get(), buf.data(), buf.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) break;
+    if (n == 0) return out;
+    out.append(buf.data(), static_cast<std::size_t>(n));
+  }
+  return fail(error_kind::storage_failed,
+              "cannot read " + path.string() + ": " + std::strerror(errno),
+              "check the disk, then restart this node; if it is lost, empty "
+              "the folder: the node then returns as a learner");
 }
 
 json entry_record(const entry& value) {
@@ -112,6 +127,7 @@
     return true;
   }
   entry added = entry_from(member_of(record, "entry"));
+  if (added.type == entry_type::unknown) return false;
   if (added.index <= state.base.index) return true;
   const log_index last =
       state.entries.empty() ? state.base.index : state.entries.back().index;
@@ -143,6 +159,10 @@
 
 }  // namespace
 
+std::ptrdiff_t file_operations::read(int fd, char* data, std::size_t n) {
+  return ::read(fd, data, n);
+}
+
 std::ptrdiff_t file_operations::write(int fd, const char* data, std::size_t n) {
   return ::write(fd, data, n);
 }
@@ -210,8 +230,9 @@
 result<void> file_storage::load_snapshot(durable_state& state) {
   const std::filesystem::path path = folder_ / snapshot_name;
   if (!std::filesystem::exists(path)) return {};
-  const std::string data = read_file(path);
-  const std::optional<std::string_view> payload = record_at(data, 0);
+  const result<std::string> data = read_file(path, *operations_);
+  if (!data) return tl::make_unexpected(data.error());
+  const std::optional<std::string_view> payload = record_at(*data, 0);
   result<json> parsed =
       payload ? parse_json(*payload)
               : result<json>(fail(error_kind::corrupt, "checksum", ""));
@@ -227,7 +248,9 @@
 
 result<void> file_storage::load_log(durable_state& state) {
   const std::filesystem::path path = folder_ / log_name;
-  const std::string data = read_file(path);
+  const result<std::string> content = read_file(path, *operations_);
+  if (!content) return tl::make_unexpected(content.error());
+  const std::string& data = *content;
   std::size_t at = 0;
   while (at < data.size()) {
     const std::optional<std::string_view> payload = record_at(data, at);
@@ -345,7 +368,10 @@
     const std::filesystem::path& folder, random_source& random) {
   const std::filesystem::path path = folder / incarnation_name;
   if (std::filesystem::exists(path)) {
-    const result<json> parsed = parse_json(read_file(path));
+    file_operations operations;
+    const result<std::string> text = read_file(path, operations);
+    if (!text) return tl::make_unexpected(text.error());
+    const result<json> parsed = parse_json(*text);
     const std::uint64_t n = parsed ? number_of(*parsed, "incarnation") : 0;
     if (n != 0) return n;
     return fail(error_kind::corrupt, path.string() + " is damaged",
--- a/consensus/src/types.cc
+++ b/consensus/src/types.cc
@@ -1,5 +1,6 @@
 #include "trestlepost/consensus/types.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace trestlepost::consensus {
@@ -111,9 +112,8 @@
   out.index = number_of(value, "index");
   out.term = number_of(value, "term");
   const std::uint64_t type = number_of(value, "type");
-  if (type <= static_cast<std::uint64_t>(entry_type::membership)) {
-    out.type = static_cast<entry_type>(type);
-  }
+  const bool known = type < static_cast<std::uint64_t>(entry_type::unknown);
+  out.type = known ? static_cast<entry_type>(type) : entry_type::unknown;
   out.data = text_of(value, "data");
   return out;
 }
@@ -179,6 +179,14 @@
         vote_reply{flag_of(value, "pre_vote"), flag_of(value, "granted")};
   } else if (type == "append_request") {
     append_request body = append_request_from(value);
+    const bool readable = std::none_of(
+        body.entries.begin(), body.entries.end(),
+        [](const entry& it) { return it.type == entry_type::unknown; });
+    if (!readable) {
+      return fail(error_kind::bad_input,
+                  "an append request has an entry of an unknown type",
+                  "run one version of trestlepostd on all nodes");
+    }
     if (!consecutive(body)) {
       return fail(error_kind::bad_input,
                   "the entries of an append request are not consecutive",
--- a/consensus/test/file_storage-test.cc
+++ b/consensus/test/file_storage-test.cc
@@ -129,6 +129,53 @@
 
 enum class disk_fault { full, failed_sync };
 
+/// Fails each read with EIO.
+class unreadable_files final : public file_operations {
+ public:
+  std::ptrdiff_t read(int, char*, std::size_t) override {
+    errno = EIO;
+    return -1;
+  }
+};
+
+// A replica that took its log for an empty one would vote again in terms in
+// which it has voted, and forget committed entries.
+TEST_F(file_storage_test, an_unreadable_file_is_not_an_empty_one) {
+  write_entries(1, 3);
+  file_storage storage(folder_, std::make_shared<unreadable_files>());
+  const result<durable_state> state = storage.load();
+  ASSERT_FALSE(state);
+  EXPECT_EQ(state.error().kind, error_kind::storage_failed);
+  EXPECT_NE(state.error().message.find(log().string()), std::string::npos);
+  EXPECT_FALSE(state.error().remedy.empty());
+  file_storage readable(folder_);
+  EXPECT_EQ(readable.load()->entries.size(), 3U);
+}
+
+TEST_F(file_storage_test, an_entry_of_an_unknown_type_is_refused) {
+  entry newer{1, 1, static_cast<entry_type>(9), "command of a newer version"};
+  const entry read = entry_from(to_json(newer));
+  EXPECT_EQ(read.type, entry_type::unknown);
+  message sent;
+  sent.from = {"a", 1};
+  sent.to = {"b", 2};
+  sent.group_id = "group";
+  sent.body = append_request{0, 0, 0, 0, {newer}};
+  const result<message> received = message_from(to_json(sent));
+  ASSERT_FALSE(received);
+  EXPECT_NE(received.error().message.find("unknown type"), std::string::npos);
+  {
+    file_storage storage(folder_);
+    ASSERT_TRUE(storage.load());
+    write_batch batch;
+    batch.entries.push_back(newer);
+    ASSERT_TRUE(storage.save(batch));
+  }
+  const result<durable_state> state = file_storage(folder_).load();
+  ASSERT_FALSE(state);
+  EXPECT_EQ(state.error().kind, error_kind::corrupt);
+}
+
 class failing_operations final : public file_operations {
  public:
   explicit failing_operations(disk_fault fault) : fault_(fault) {}
--- a/node/src/usage/usage_service.cc
+++ b/node/src/usage/usage_service.cc
@@ -68,18 +68,17 @@
 
 bool usage_service::any_limit() const {
   const config::organisation_list& all = organisations_.all();
-  return std::any_of(all.begin(), all.end(),
-                     [](const config::organisation_ptr& it) {
-                       return it->limit.has_value();
-                     });
+  return std::any_of(
+      all.begin(), all.end(),
+      [](const config::organisation_ptr& it) { return it->limit.has_value(); });
 }
 
 std::size_t usage_service::gateway_count() const {
   const std::vector<const membership::node_record*> all = context_.nodes.all();
-  const auto n = std::count_if(
-      all.begin(), all.end(), [](const membership::node_record* it) {
-        return !it->last.node.forward_address.empty();
-      });
+  const auto n = std::count_if(all.begin(), all.end(),
+                               [](const membership::node_record* it) {
+                                 return !it->last.node.forward_address.empty();
+                               });
   return std::max<std::size_t>(static_cast<std::size_t>(n), 1);
 }
 
--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -44,12 +44,12 @@
 
  protected:
   struct organisation_state {
-    usage_count counted;   // in this session
-    usage_count reported;  // in the last report
-    usage_count known;     // to the collector
-    std::uint64_t sequence = 0;  // of the last report
+    usage_count counted;              // in this session
+    usage_count reported;             // in the last report
+    usage_count known;                // to the collector
+    std::uint64_t sequence = 0;       // of the last report
     std::optional<usage_level> near;  // unless far from the limit
-    usage_bucket alone;  // while there is no collector
+    usage_bucket alone;               // while there is no collector
     monotonic_time changed_at;
   };
 
--- a/usage/include/trestlepost/usage/usage_collector.h
+++ b/usage/include/trestlepost/usage/usage_collector.h
@@ -81,8 +81,8 @@
   std::string region_;
   std::size_t regions_ = 1;
   double part_ = 0;
-  std::map<std::string, source> gateways_;    // by name
-  std::map<std::string, source> collectors_;  // by name
+  std::map<std::string, source> gateways_;     // by name
+  std::map<std::string, source> collectors_;   // by name
   std::map<std::string, limit_state> states_;  // by organisation
   std::set<std::string> near_limit_;           // organisations
   monotonic_time ticked_at_;
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -61,8 +61,8 @@
                                         double amount) const {
   const double unreported = state.counted.used - state.known.used;
   const double max_unreported =
-      part_ * std::max(limit.burst / 2,
-                       limit.amount_per_second * urgent_time.count());
+      part_ *
+      std::max(limit.burst / 2, limit.amount_per_second * urgent_time.count());
   return unreported > 0 && unreported + amount > max_unreported;
 }
 
@@ -75,24 +75,23 @@
   const double demand = std::max(state.near->demand, 1.0);
   const double probability = (rate + level / settling_time.count()) / demand;
   if (draw() < probability) return {};
-  return {false, time_until_available(amount, std::min(level, 0.0), rate,
-                                      draw())};
+  return {false,
+          time_until_available(amount, std::min(level, 0.0), rate, draw())};
 }
 
 usage_decision shared_limiter::admit_alone(organisation_state& state,
                                            const config::usage_limit& limit,
                                            double amount, monotonic_time now) {
-  const double part = 1.0 / static_cast<double>(std::max<std::size_t>(
-                                gateway_count_, 1));
+  const double part =
+      1.0 / static_cast<double>(std::max<std::size_t>(gateway_count_, 1));
   const double rate = limit.amount_per_second * part;
   state.alone.refill(rate, limit.burst * part, now);
   if (state.alone.take(amount)) return {};
-  return {false, time_until_available(amount, state.alone.level(), rate,
-                                      draw())};
+  return {false,
+          time_until_available(amount, state.alone.level(), rate, draw())};
 }
 
-void shared_limiter::give_back(const std::string& organisation,
-                               double amount) {
+void shared_limiter::give_back(const std::string& organisation, double amount) {
   const auto it = states_.find(organisation);
   if (it != states_.end()) it->second.counted.used -= amount;
 }
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -145,8 +145,7 @@
   state.level -= state.level * std::min(1.0, passed / level_decay_time);
   state.level = std::min(state.level, state.burst);
   const double asked = state.new_usage.asked / passed.count();
-  state.demand +=
-      (asked - state.demand) * (passed / (passed + demand_time));
+  state.demand += (asked - state.demand) * (passed / (passed + demand_time));
   state.new_usage = {};
   return state.demand > near_demand * rate ||
          state.level < near_level * state.burst;
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -16,8 +16,7 @@
 config::organisation_ptr organisation_with(double rate, double burst) {
   config::organisation out;
   out.name = "acme";
-  out.limit =
-      config::usage_limit{rate, burst, config::usage_unit::tokens, 200};
+  out.limit = config::usage_limit{rate, burst, config::usage_unit::tokens, 200};
   return std::make_shared<const config::organisation>(out);
 }
 
--- a/usage/test/usage_simulation-test.cc
+++ b/usage/test/usage_simulation-test.cc
@@ -156,8 +156,8 @@
 }
 
 RC_GTEST_PROP(usage_simulation_test, no_window_exceeds_its_limit, ()) {
-  usage_scenario it = scenario_of(*rc::gen::element(12, 68),
-                                  *rc::gen::element(3, 4), 1);
+  usage_scenario it =
+      scenario_of(*rc::gen::element(12, 68), *rc::gen::element(3, 4), 1);
   it.seed = *rc::gen::inRange(1, 1'000'000);
   const double load = *rc::gen::element(0.6, 1.2, 4.0);
   for (simulated_organisation& one : it.organisations) one.load = load;
@@ -193,10 +193,11 @@
         it.way = way;
         it.surge = [](std::size_t, double t) { return t < 9 ? 0.5 : 1; };
         outcomes[way] = simulate(it);
-        std::printf("%d gateways, load %.2f, %s: used %.2f, refused %.3f, "
-                    "%.0f messages/s\n",
-                    gateways, load, name_of(way), outcomes[way].max_use,
-                    outcomes[way].refused, outcomes[way].messages_per_second);
+        std::printf(
+            "%d gateways, load %.2f, %s: used %.2f, refused %.3f, "
+            "%.0f messages/s\n",
+            gateways, load, name_of(way), outcomes[way].max_use,
+            outcomes[way].refused, outcomes[way].messages_per_second);
       }
       const double refused = outcomes[limiting::shared].refused;
       EXPECT_LT(refused, outcomes[limiting::equal_parts].refused);
--- a/usage/test/usage_simulation.cc
+++ b/usage/test/usage_simulation.cc
@@ -102,12 +102,8 @@
   double time() const {
     return seconds(now_.time_since_epoch()).count() - start_time;
   }
-  double uniform() {
-    return std::uniform_real_distribution<double>()(engine_);
-  }
-  bool suspended(int gateway) const {
-    return s_.is_suspended(gateway, time());
-  }
+  double uniform() { return std::uniform_real_distribution<double>()(engine_); }
+  bool suspended(int gateway) const { return s_.is_suspended(gateway, time()); }
 
   void set_limits(double factor) {
     factor_ = factor;
@@ -225,11 +221,11 @@
     }
     for (std::size_t o = 0; o < names_.size(); ++o) {
       const simulated_organisation& it = s_.organisations[o];
-      const double per_second = it.rate * it.load * s_.surge(o, time()) *
-                                sum / s_.regions / mean_tokens;
+      const double per_second = it.rate * it.load * s_.surge(o, time()) * sum /
+                                s_.regions / mean_tokens;
       const seconds passed = step;
-      const int count = std::poisson_distribution<int>(
-          per_second * passed.count())(engine_);
+      const int count =
+          std::poisson_distribution<int>(per_second * passed.count())(engine_);
       for (int n = 0; n < count; ++n) send_request(o, waves, sum);
     }
   }
@@ -292,8 +288,7 @@
       }
     }
     if (allowed > 0) out.refused = lost / allowed;
-    out.messages_per_second =
-        static_cast<double>(message_count_) / s_.length;
+    out.messages_per_second = static_cast<double>(message_count_) / s_.length;
     return out;
   }
 
--- a/usage/test/usage_simulation.h
+++ b/usage/test/usage_simulation.h
@@ -46,8 +46,9 @@
   std::function<bool(int from, int to, double time)> is_cut =
       [](int, int, double) { return false; };
   /// Whether a gateway is suspended.
-  std::function<bool(int gateway, double time)> is_suspended =
-      [](int, double) { return false; };
+  std::function<bool(int gateway, double time)> is_suspended = [](int, double) {
+    return false;
+  };
   /// Time between two restarts of a gateway, one gateway after another; 0: no
   /// restarts.
   double restart_interval = 0;
