An interrupted answer is not recorded as a completed run

Cause: deliver() left the cause empty and the run state at yes, so that the ledger recorded the run as done with an incomplete answer, and the endpoint and the metrics counted a success. Change: the cause is kept, the outcome is unknown, the endpoint counts a failure. Test (failed before): delivery_test.an_interrupted_answer_is_no_completed_run.

--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -20,8 +20,7 @@
   bool delivered = false;
   run_state ran = run_state::no;
   /// Why the caller received no complete answer. Always set unless `delivered`.
-  /// For an answer that was interrupted after its start, set for routed
-  /// requests only.
+  /// Also set for an answer that was interrupted after its start.
   error cause;
   std::chrono::milliseconds retry_after{0};
   std::string endpoint;  // the endpoint tried, or empty
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -76,15 +76,17 @@
     if (ended) break;
     if (streamed || buffered.size() > max_buffered_bytes) {
       out.outcome.delivered = true;
-      out.outcome.ran = run_state::yes;
       const std::function<void()> on_next = [] {};
       const relayed_stream relayed = co_await relay_stream(
           call, exchange, std::move(answer), std::move(buffered), on_next);
       out.outcome.connection_lost =
           relayed.interruption && is_connection_loss(*relayed.interruption);
+      if (relayed.interruption) out.outcome.cause = *relayed.interruption;
       const bool complete =
           !relayed.caller_disconnected && !relayed.interruption;
-      if (complete) co_await exchange.finish_stream();
+      if (!complete) co_return out;
+      out.outcome.ran = run_state::yes;
+      co_await exchange.finish_stream();
       co_return out;
     }
   }
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -234,9 +234,9 @@
     outcome = request.error();
   }
   if (!outcome.delivered) co_await refuse(exchange, outcome, id);
+  const bool complete = outcome.delivered && outcome.cause.message.empty();
   const std::string result_name =
-      outcome.delivered ? "answered"
-                        : std::string(to_string(outcome.cause.kind));
+      complete ? "answered" : std::string(to_string(outcome.cause.kind));
   context_.metrics.request_done(service, result_name,
                                 context_.clock.now() - started);
   log_event(
--- a/gateway/src/local_service.cc
+++ b/gateway/src/local_service.cc
@@ -357,10 +357,15 @@
     }
     co_return delivered;
   }
-  if (!interrupted && crashes_.monitors_any()) {
+  const bool complete = delivered.outcome.cause.message.empty();
+  if (complete && crashes_.monitors_any()) {
     crashes_.run_completed(fingerprint(request));
   }
-  context_.endpoints.request_succeeded(lease->name());
+  if (complete) {
+    context_.endpoints.request_succeeded(lease->name());
+  } else {
+    context_.endpoints.request_failed(lease->name(), context_.clock.now());
+  }
   context_.metrics.served_in(service, context_.self.region);
   admission_.observe_duration(service, context_.clock.now() - started);
   co_return delivered;
