Requests of an organisation keep the order of their routes

Elsewhere nothing changes: without organisations the route's priority stands as before. Test: an_organisation_priority_precedes_the_route (failed before on the order within an organisation).

--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -40,6 +40,12 @@
   std::string fingerprint_;
 };
 
+/// Returns the priority at an endpoint; 0 is the highest. The priority of the
+/// organisation, if any, precedes that of the route, which decides between
+/// requests of organisations with the same one.
+int priority_of(const config::route& route,
+                const config::organisation* organisation);
+
 /// Returns the work of an engine for the request, whose head, route and
 /// organisation are set.
 routing::engine_work work_of(const routed_request& request);
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -19,6 +19,14 @@
   return fingerprint_;
 }
 
+int priority_of(const config::route& route,
+                const config::organisation* organisation) {
+  if (organisation == nullptr) return route.priority;
+  constexpr int route_levels = 3;
+  const int first = organisation->priority.value_or(route.priority);
+  return first * route_levels + std::clamp(route.priority, 0, route_levels - 1);
+}
+
 bool routed_request::permits(const std::string& region) const {
   const bool by_route = permits_region(route->home_regions, region);
   return by_route &&
@@ -34,10 +42,7 @@
   out.prompt_tokens = head.prompt.prompt_tokens;
   out.output_tokens = head.prompt.expected_output_tokens.value_or(
       head.prompt.most_output_tokens / 2);
-  out.priority = request.route->priority;
-  if (request.organisation) {
-    out.priority = request.organisation->priority.value_or(out.priority);
-  }
+  out.priority = priority_of(*request.route, request.organisation.get());
   return out;
 }
 
