--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -58,7 +58,8 @@
     const routed_request& request, monotonic_time now) {
   return {request.route->latency_objective,
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              request.deadline - now)};
+              request.deadline - now),
+          request.on_time};
 }
 
 bool permits_region(const std::vector<std::string>& homes,
