--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -47,8 +47,6 @@
   std::optional<attempt> read_head(active_run& current);
   transport::awaitable<attempt> deliver(active_run& current);
   transport::awaitable<attempt> deliver_buffered(active_run& current);
-  /// Records when the first event of a stream arrived.
-  void record_first_event(active_run& current, monotonic_time at);
   transport::awaitable<attempt> deliver_stream(active_run& current);
   /// Relays a resumable stream, in complete events only.
   transport::awaitable<attempt> deliver_events(active_run& current);
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 
 #include "trestlepost/gateway/endpoint_runner.h"
 #include "trestlepost/routing/retry_budget.h"
@@ -63,12 +62,6 @@
   /// gateways.
   void tick();
 
-  /// Returns what has been learnt about predictions for such requests.
-  routing::on_time_model& on_time_of(const routed_request& request) {
-    return on_time_[{request.service, request.route->latency_objective,
-                     request.work.priority}];
-  }
-
  private:
   routing::retry_budget& retries_of(const std::string& service);
   /// Returns the number of gateways in all regions, including unreachable ones.
@@ -104,10 +97,6 @@
   endpoint_runner runner_;
   const routing::shared_retry_limits& retry_limits_;
   std::map<std::string, routing::retry_budget> retries_;  // by service
-  /// By service, latency objective and priority.
-  std::map<std::tuple<std::string, std::chrono::milliseconds, int>,
-           routing::on_time_model>
-      on_time_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -23,8 +23,6 @@
   config::organisation_ptr organisation;  // of the caller, or null
   std::string service;
   routing::engine_work work;
-  /// What has been learnt about predictions for such requests, or null.
-  routing::on_time_model* on_time = nullptr;
   monotonic_time arrived;
   /// The earlier of the caller's deadline and the route's timeout.
   monotonic_time deadline;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -275,19 +275,6 @@
   co_return out;
 }
 
-void endpoint_runner::record_first_event(active_run& current,
-                                         monotonic_time at) {
-  const routed_request& request = current.request;
-  context_.metrics.first_piece(request.service, at - request.arrived);
-  const std::chrono::duration<double> objective =
-      request.route->latency_objective;
-  if (request.on_time == nullptr || objective.count() <= 0) return;
-  const std::chrono::duration<double> predicted =
-      current.endpoint.expected.first_token;
-  request.on_time->record(predicted / objective,
-                          at - current.started <= objective);
-}
-
 awaitable<attempt> endpoint_runner::deliver_stream(active_run& current) {
   result<std::string> piece = co_await current.call->read_piece();
   if (!piece) {
@@ -299,7 +286,8 @@
   }
   const monotonic_time at = context_.clock.now();
   pool_.engines().record_event(current.ticket, at);
-  record_first_event(current, at);
+  context_.metrics.first_piece(current.request.service,
+                               at - current.request.arrived);
   attempt out;
   out.delivered = true;
   out.ran = run_state::yes;
@@ -383,7 +371,9 @@
   if (begins && text.empty() && !ended)
     co_return !current.exchange.is_disconnected();
   if (begins) {
-    record_first_event(current, context_.clock.now());
+    context_.metrics.first_piece(
+        current.request.service,
+        context_.clock.now() - current.request.arrived);
     http_response head = answer_head(*current.call, *surfaces_.endpoints);
     const bool open = co_await current.exchange.start_stream(std::move(head));
     if (!open) co_return false;
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -99,7 +99,6 @@
         message ? accept(std::move(*message), std::move(*body))
                 : result<routed_request>(tl::make_unexpected(message.error()));
     if (request) {
-      request->on_time = &service_.on_time_of(*request);
       const unsigned before = request->sends.count();
       const std::optional<chosen_endpoint> no_endpoint;
       outcome = co_await service_.serve(*request, no_endpoint, exchange);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -135,7 +135,6 @@
     co_return;
   }
   local_.record_request(request->service);
-  request->on_time = &local_.on_time_of(*request);
   attempt outcome = co_await run(*request, exchange);
   return_unused_amount(*request, outcome);
   local_.release_unused_sends(*request);
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -58,8 +58,7 @@
     const routed_request& request, monotonic_time now) {
   return {request.route->latency_objective,
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              request.deadline - now),
-          request.on_time};
+              request.deadline - now)};
 }
 
 bool permits_region(const std::vector<std::string>& homes,
--- a/routing/include/trestlepost/routing/completion_estimate.h
+++ b/routing/include/trestlepost/routing/completion_estimate.h
@@ -4,8 +4,6 @@
 
 #include <chrono>
 
-#include "trestlepost/routing/on_time_model.h"
-
 namespace trestlepost::routing {
 
 /// Expected course of a request at an endpoint or in a region.
@@ -35,8 +33,6 @@
   std::chrono::milliseconds latency_objective{0};
   /// Time until the caller's deadline.
   std::chrono::milliseconds remaining{0};
-  /// What has been learnt about predictions; null: `on_time_model::prior`.
-  const on_time_model* on_time = nullptr;
 };
 
 /// Returns the value of a request that is worth `value` if accepted, given the
--- a/routing/src/completion_estimate.cc
+++ b/routing/src/completion_estimate.cc
@@ -10,6 +10,8 @@
 // Predictions are inexact, so a limit is not a sharp threshold. The probability
 // of meeting it falls linearly from 1 to 0 between these ratios of predicted
 // time to limit.
+constexpr double on_time_ratio = 0.7;
+constexpr double late_ratio = 1.2;
 constexpr double complete_ratio = 0.7;
 constexpr double incomplete_ratio = 1.3;
 // Value of a late response, as a share of the value of one on time.
@@ -38,15 +40,6 @@
   return std::clamp((bad - share) / (bad - good), 0.0, 1.0);
 }
 
-double on_time_probability(const completion_estimate& at,
-                           const latency_requirements& wanted) {
-  if (wanted.latency_objective.count() <= 0) return 1;
-  const double ratio =
-      seconds(at.first_token) / seconds(wanted.latency_objective);
-  return wanted.on_time != nullptr ? wanted.on_time->probability(ratio)
-                                   : on_time_model::prior(ratio);
-}
-
 }  // namespace
 
 completion_estimate delayed(completion_estimate at,
@@ -69,7 +62,8 @@
 
 double expected_value(const completion_estimate& at,
                       const latency_requirements& wanted) {
-  const double on_time = on_time_probability(at, wanted);
+  const double on_time = probability_within(
+      at.first_token, wanted.latency_objective, on_time_ratio, late_ratio);
   const double complete = probability_within(at.finish, wanted.remaining,
                                              complete_ratio, incomplete_ratio);
   return (late_response_value + (1 - late_response_value) * on_time) * complete;
