--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -67,10 +67,6 @@
   void tick();
 
  private:
-  /// Adds the waits at one endpoint by priority.
-  void add_waits(const membership::endpoint_view& view,
-                 const config::engine_profile& engine,
-                 std::vector<std::chrono::milliseconds>& waits) const;
   /// Returns whether `view` may receive a request of `service` now.
   bool accepts_requests(const membership::endpoint_view& view,
                         const config::planned_service* service) const;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -24,7 +24,8 @@
 // Endpoints queue a few requests themselves. An endpoint whose load exceeds its
 // limit by this factor receives no more requests.
 constexpr double max_load_factor = 3;
-// The lowest priority at an engine: all queued requests precede it.
+// The priority for which advertised waits are computed. All queued requests
+// precede it.
 constexpr int lowest_priority = 9;
 // Among endpoints without engines, load decides between those whose acceptance
 // probability is at least this fraction of the highest.
@@ -256,18 +257,6 @@
               "send it again after Retry-After");
 }
 
-void endpoint_pool::add_waits(const endpoint_view& view,
-                              const config::engine_profile& engine,
-                              std::vector<milliseconds>& waits) const {
-  waits.resize(lowest_priority);
-  for (int priority = 0; priority < lowest_priority; ++priority) {
-    routing::engine_work reference;
-    reference.priority = priority;
-    waits[static_cast<std::size_t>(priority)] +=
-        estimate_completion(view, reference, 0, engine, engines_).wait;
-  }
-}
-
 membership::service_load endpoint_pool::load_of(
     const std::string& service) const {
   membership::service_load out;
@@ -287,7 +276,6 @@
     if (!engine) continue;
     wait +=
         estimate_completion(it, reference, 0, *known->engine, engines_).wait;
-    add_waits(it, *known->engine, out.waits);
     interval += engines_.event_interval(it.name);
   }
   // The mean rather than the minimum, since many gateways act on this value
@@ -295,11 +283,6 @@
   if (out.endpoints > 0) {
     out.wait = wait / out.endpoints;
     out.event_interval = interval / out.endpoints;
-    for (milliseconds& one : out.waits) one /= out.endpoints;
-    // Only the priorities that wait less than the lowest are listed.
-    while (!out.waits.empty() && out.waits.back() >= out.wait) {
-      out.waits.pop_back();
-    }
   }
   return out;
 }
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -30,7 +30,7 @@
 
 std::optional<remote_load> load_in(const gateway_context& context,
                                    const std::string& region,
-                                   const std::string& service, int priority) {
+                                   const std::string& service) {
   std::optional<remote_load> best;
   double in_flight = 0;
   for (const membership::node_record* it :
@@ -40,11 +40,9 @@
                       load != it->last.services.end() &&
                       load->second.endpoints > 0;
     if (open) in_flight += load->second.in_flight;
-    if (!open) continue;
-    const milliseconds wait = load->second.wait_of(priority);
-    if (best && best->wait <= wait) continue;
-    best =
-        remote_load{wait, load->second.event_interval, load->second.endpoints};
+    if (!open || (best && best->wait <= load->second.wait)) continue;
+    best = remote_load{load->second.wait, load->second.event_interval,
+                       load->second.endpoints};
   }
   if (best) best->running = in_flight / best->endpoints;
   return best;
@@ -135,7 +133,7 @@
     const bool other = region != context.self.region;
     if (!other || !may_serve(request, region, exhausted)) continue;
     const std::optional<remote_load> load =
-        load_in(context, region, request.service, request.work.priority);
+        load_in(context, region, request.service);
     if (!load) continue;
     const routing::completion_estimate expected = estimate_remote_completion(
         context, *load, region, remote.unanswered_tokens(region), request,
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -2,7 +2,6 @@
 // digests.
 #pragma once
 
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -37,19 +36,10 @@
   std::uint32_t queued = 0;
   std::uint32_t free_slots = 0;
   std::uint32_t endpoints = 0;  // usable ones
-  /// Expected queueing time of a request that arrives now with the lowest
-  /// priority.
+  /// Expected queueing time of a request that arrives now.
   std::chrono::milliseconds wait{0};
   /// Time between two events of a stream.
   std::chrono::milliseconds event_interval{0};
-  /// The same time by priority, from the highest on; the lower priorities that
-  /// are not listed wait for `wait`.
-  std::vector<std::chrono::milliseconds> waits{};
-
-  std::chrono::milliseconds wait_of(int priority) const {
-    const auto level = static_cast<std::size_t>(std::max(priority, 0));
-    return level < waits.size() ? waits[level] : wait;
-  }
 };
 
 /// Load that an endpoint reported to the node that polls it.
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -22,7 +22,6 @@
   if (!first && sum.endpoints > 0 && sum.wait <= in.wait) return;
   sum.wait = in.wait;
   sum.event_interval = in.event_interval;
-  sum.waits = in.waits;
   sum.endpoints = in.endpoints;
 }
 
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -67,23 +67,11 @@
       one["event_ms"] =
           as_number(static_cast<std::uint64_t>(it.event_interval.count()));
     }
-    for (const std::chrono::milliseconds wait : it.waits) {
-      one["waits_ms"].append(as_number(wait));
-    }
     out[name] = std::move(one);
   }
   return out;
 }
 
-std::vector<std::chrono::milliseconds> waits_from(const json& value) {
-  std::vector<std::chrono::milliseconds> out;
-  if (!value.isArray()) return out;
-  for (const json& it : value) {
-    out.emplace_back(it.isUInt() ? it.asUInt() : 0);
-  }
-  return out;
-}
-
 std::map<std::string, service_load> service_loads_from(const json& value) {
   std::map<std::string, service_load> out;
   if (!value.isObject()) return out;
@@ -94,8 +82,7 @@
                uint32_of(one, "free_slots"),
                uint32_of(one, "endpoints"),
                std::chrono::milliseconds(number_of(one, "wait_ms")),
-               std::chrono::milliseconds(number_of(one, "event_ms")),
-               waits_from(member_of(one, "waits_ms"))};
+               std::chrono::milliseconds(number_of(one, "event_ms"))};
   }
   return out;
 }
