Usage: a starting collector is no contact; silence is that of a region

A gateway that was answered before the collector's first tick took its part of every limit for 0 and refused the second request of each organisation. A region that changed its collector counted as silent, so usage was forgiven. Tests (failed before): a_collector_that_has_just_started_is_no_contact, usage_counts_when_a_region_changes_its_collector.

--- a/usage/include/trestlepost/usage/usage_collector.h
+++ b/usage/include/trestlepost/usage/usage_collector.h
@@ -62,6 +62,9 @@
   usage_count count_change(source& from, const std::string& organisation,
                            const usage_count& now_counted);
   double part(monotonic_time now) const;
+  /// How long no collector of the region has been heard; 0 while in contact.
+  std::chrono::duration<double> silence_of(const std::string& region,
+                                           monotonic_time now) const;
   /// The level of an organisation that had not asked for anything since this
   /// collector began to observe.
   double saved_level(const config::usage_limit& limit,
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -133,7 +133,8 @@
 }
 
 void shared_limiter::handle(const usage_reply& reply, monotonic_time now) {
-  if (reply.session != session_) return;
+  // A collector without its first tick does not know its part yet.
+  if (reply.session != session_ || (reply.known && reply.part <= 0)) return;
   const bool another = !collector_.empty() && collector_ != reply.collector;
   if (!reply.known || another) {
     begin_session();
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -104,9 +104,8 @@
 void usage_collector::handle(const region_usage& sums, monotonic_time now) {
   if (sums.collector == name_) return;
   const bool known = collectors_.contains(sums.collector);
+  const seconds silence = silence_of(sums.region, now);
   source& from = collectors_[sums.collector];
-  const bool was_silent = now >= from.heard_at + region_contact_time;
-  const seconds silence = was_silent ? now - from.heard_at : seconds(0);
   from.region = sums.region;
   from.heard_at = now;
   for (const auto& [name, it] : sums.counts) {
@@ -114,11 +113,22 @@
     if (!known) continue;  // it may have counted for a long time
     // While it was silent, each region had its own part of the limit.
     const double own_part = states_[name].region_rate * silence.count();
-    if (was_silent) change.used = std::max(0.0, change.used - own_part);
+    if (own_part > 0) change.used = std::max(0.0, change.used - own_part);
     add_usage(name, change, false, now);
   }
 }
 
+seconds usage_collector::silence_of(const std::string& region,
+                                    monotonic_time now) const {
+  if (region == region_) return seconds(0);
+  monotonic_time heard_at;
+  for (const auto& [name, it] : collectors_) {
+    if (it.region == region) heard_at = std::max(heard_at, it.heard_at);
+  }
+  const bool silent = now >= heard_at + region_contact_time;
+  return silent ? now - heard_at : seconds(0);
+}
+
 double usage_collector::part(monotonic_time now) const {
   std::set<std::string_view> heard{region_};
   for (const auto& [name, it] : collectors_) {
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -133,6 +133,40 @@
   EXPECT_TRUE(limiter_.make_report(now_).counts.empty());
 }
 
+// A gateway that took a part of 0 for the limit would refuse the second request
+// after each start of a collector.
+TEST_F(shared_limiter_test, a_collector_that_has_just_started_is_no_contact) {
+  const usage_report report = limiter_.make_report(now_);
+  limiter_.handle(collector_.handle(report, now_), now_);
+  EXPECT_FALSE(limiter_.has_collector(now_));
+  exchange();
+  EXPECT_TRUE(limiter_.has_collector(now_));
+}
+
+// Two collectors of one region are heard in turn while gateways change between
+// them; the region was never silent, so nothing is forgiven.
+TEST_F(shared_limiter_test, usage_counts_when_a_region_changes_its_collector) {
+  usage_collector here("c-here", "north");
+  const usage_report report{"g-1", 1, 1, {{"acme", {1, 1}}}, {}};
+  const auto step = [&](const char* collector, double used) {
+    now_ += interval;
+    here.handle(report, now_);
+    here.handle(region_usage{"south", collector, {{"acme", {used, used}}}},
+                now_);
+    here.tick(table_, 2, now_);
+  };
+  step("c-a", 0);
+  step("c-b", 0);
+  for (int n = 0; n < 10; ++n) step("c-b", 0);
+  const auto level = [&] {
+    return here.handle(report, now_).levels.at("acme").level;
+  };
+  set_limit(1000, 100);
+  step("c-b", 0);
+  step("c-a", 900);
+  EXPECT_LT(level(), -500);
+}
+
 // The region cut off keeps one part of three, and nothing that it had saved.
 TEST_F(shared_limiter_test, a_region_that_hears_no_other_has_its_part) {
   for (int n = 0; n < 20; ++n) {
