--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -24,7 +24,7 @@
   applied_term_ = state->base.term;
   last_snapshot_bytes_ = state->base.data.size();
   if (!state->base.data.empty()) {
-    const result<void> loaded = machine_.load(state->base.data);
+    result<void> loaded = machine_.load(state->base.data);
     if (!loaded) return loaded;
   }
   replica_ = std::make_unique<replica>(self_, options_.replica,
