--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -34,8 +34,8 @@
   /// Returns the next report for the collector.
   usage_report make_report(monotonic_time now);
   void handle(const usage_reply& reply, monotonic_time now);
-  /// Sends the next reports to another collector.
-  void change_collector();
+  /// Begins to count for another collector, or for one that has restarted.
+  void begin_session();
 
   /// Whether a collector has answered recently.
   bool has_collector(monotonic_time now) const;
@@ -67,7 +67,6 @@
   monotonic_time heard_at_;
 
  private:
-  void begin_session();
   /// Whether the collector must learn of earlier requests before this one can
   /// be admitted. Bounds what a flood at one gateway uses meanwhile.
   bool exceeds_unreported(const organisation_state& state,
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -109,10 +109,6 @@
   }
 }
 
-void shared_limiter::change_collector() {
-  begin_session();
-}
-
 usage_report shared_limiter::make_report(monotonic_time now) {
   std::erase_if(states_, [now](const auto& it) {
     return now > it.second.changed_at + idle_time;
--- a/usage/src/usage_messages.cc
+++ b/usage/src/usage_messages.cc
@@ -8,57 +8,36 @@
 // Values per organisation in a list: its name and two amounts.
 constexpr Json::ArrayIndex values_per_row = 3;
 
-/// Whole numbers are shorter than fractions and exact enough.
-double rounded(double amount) {
-  return std::round(amount);
-}
-
-void append_row(json& rows, const std::string& name, double first,
-                double second) {
-  rows.append(name);
-  rows.append(rounded(first));
-  rows.append(rounded(second));
-}
-
-bool is_row(const json& rows, Json::ArrayIndex at) {
-  return rows[at].isString() && rows[at + 1].isNumeric() &&
-         rows[at + 2].isNumeric();
-}
-
-json to_json(const usage_counts& value) {
+/// Writes rows of a name and two amounts. Whole numbers are shorter than
+/// fractions and exact enough.
+template <typename T>
+json rows_of(const std::map<std::string, T>& value) {
   json out(Json::arrayValue);
-  for (const auto& [name, it] : value) append_row(out, name, it.asked, it.used);
+  for (const auto& [name, it] : value) {
+    const auto& [first, second] = it;
+    out.append(name);
+    out.append(std::round(first));
+    out.append(std::round(second));
+  }
   return out;
 }
 
-usage_counts counts_from(const json& value) {
-  usage_counts out;
+/// Reads such rows and skips those with a value of a wrong type.
+template <typename T>
+std::map<std::string, T> rows_from(const json& value) {
+  std::map<std::string, T> out;
   if (!value.isArray()) return out;
   for (Json::ArrayIndex i = 0; i + values_per_row <= value.size();
        i += values_per_row) {
-    if (!is_row(value, i)) continue;
+    const bool valid = value[i].isString() && value[i + 1].isNumeric() &&
+                       value[i + 2].isNumeric();
+    if (!valid) continue;
     out[value[i].asString()] = {value[i + 1].asDouble(),
                                 value[i + 2].asDouble()};
   }
   return out;
 }
 
-json to_json(const usage_levels& value) {
-  json out(Json::arrayValue);
-  for (const auto& [name, it] : value) {
-    append_row(out, name, it.level, it.demand);
-  }
-  return out;
-}
-
-usage_levels levels_from(const json& value) {
-  usage_levels out;
-  for (const auto& [name, it] : counts_from(value)) {
-    out[name] = {it.asked, it.used};
-  }
-  return out;
-}
-
 }  // namespace
 
 json to_json(const usage_report& value) {
@@ -66,8 +45,8 @@
   out["gateway"] = value.gateway;
   out["session"] = as_number(value.session);
   out["sequence"] = as_number(value.sequence);
-  out["counts"] = to_json(value.counts);
-  if (!value.levels.empty()) out["levels"] = to_json(value.levels);
+  out["counts"] = rows_of(value.counts);
+  if (!value.levels.empty()) out["levels"] = rows_of(value.levels);
   return out;
 }
 
@@ -76,8 +55,8 @@
   out.gateway = text_of(value, "gateway");
   out.session = number_of(value, "session");
   out.sequence = number_of(value, "sequence");
-  out.counts = counts_from(member_of(value, "counts"));
-  out.levels = levels_from(member_of(value, "levels"));
+  out.counts = rows_from<usage_count>(member_of(value, "counts"));
+  out.levels = rows_from<usage_level>(member_of(value, "levels"));
   return out;
 }
 
@@ -88,7 +67,7 @@
   out["sequence"] = as_number(value.sequence);
   out["known"] = value.known;
   out["part"] = value.part;
-  out["levels"] = to_json(value.levels);
+  out["levels"] = rows_of(value.levels);
   return out;
 }
 
@@ -99,7 +78,7 @@
   out.sequence = number_of(value, "sequence");
   out.known = flag_of(value, "known");
   out.part = real_of(value, "part");
-  out.levels = levels_from(member_of(value, "levels"));
+  out.levels = rows_from<usage_level>(member_of(value, "levels"));
   return out;
 }
 
@@ -107,7 +86,7 @@
   json out;
   out["region"] = value.region;
   out["collector"] = value.collector;
-  out["counts"] = to_json(value.counts);
+  out["counts"] = rows_of(value.counts);
   return out;
 }
 
@@ -115,7 +94,7 @@
   region_usage out;
   out.region = text_of(value, "region");
   out.collector = text_of(value, "collector");
-  out.counts = counts_from(member_of(value, "counts"));
+  out.counts = rows_from<usage_count>(member_of(value, "counts"));
   return out;
 }
 
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -83,7 +83,7 @@
   EXPECT_TRUE(admit(300));
   exchange();
   EXPECT_TRUE(admit(200));
-  limiter_.change_collector();
+  limiter_.begin_session();
   collector_ = usage_collector("c-2", "north");
   exchange();
   EXPECT_EQ(used(), 200);
