--- a/base/include/trestlepost/base/json.h
+++ b/base/include/trestlepost/base/json.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "trestlepost/base/error.h"
 
@@ -40,6 +41,8 @@
 std::uint64_t number_of(const json& object, const char* key);
 double real_of(const json& object, const char* key);
 bool flag_of(const json& object, const char* key);
+/// Returns the strings in an array; other elements are skipped.
+std::vector<std::string> texts_of(const json& object, const char* key);
 
 /// Converts an error to and from the form in which nodes exchange it.
 json to_json(const error& value);
--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -113,4 +113,12 @@
   return value.isBool() && value.asBool();
 }
 
+std::vector<std::string> texts_of(const json& object, const char* key) {
+  std::vector<std::string> out;
+  for (const json& it : member_of(object, key)) {
+    if (it.isString()) out.push_back(it.asString());
+  }
+  return out;
+}
+
 }  // namespace trestlepost
--- a/config/src/organisation.cc
+++ b/config/src/organisation.cc
@@ -40,14 +40,6 @@
   return out;
 }
 
-std::vector<std::string> texts_from(const json& value) {
-  std::vector<std::string> out;
-  for (const json& it : value) {
-    if (it.isString()) out.push_back(it.asString());
-  }
-  return out;
-}
-
 }  // namespace
 
 std::string_view to_string(usage_unit unit) {
@@ -80,10 +72,10 @@
 organisation_ptr organisation_from(const json& value) {
   organisation out;
   out.name = text_of(value, "name");
-  out.key_digests = texts_from(member_of(value, "keys"));
+  out.key_digests = texts_of(value, "keys");
   const json& priority = member_of(value, "priority");
   if (priority.isInt()) out.priority = priority.asInt();
-  out.home_regions = texts_from(member_of(value, "home_regions"));
+  out.home_regions = texts_of(value, "home_regions");
   const json& limit = member_of(value, "limit");
   if (limit.isObject()) out.limit = limit_from(limit);
   return std::make_shared<const organisation>(std::move(out));
--- a/config/src/plan_delta.cc
+++ b/config/src/plan_delta.cc
@@ -165,9 +165,7 @@
   if (requires_key.isBool()) out.requires_key = requires_key.asBool();
   out.written_organisations =
       organisations_from(member_of(value, "written_organisations"));
-  for (const json& it : member_of(value, "removed_organisations")) {
-    if (it.isString()) out.removed_organisations.push_back(it.asString());
-  }
+  out.removed_organisations = texts_of(value, "removed_organisations");
   return out;
 }
 
--- a/config/src/traffic_plan.cc
+++ b/config/src/traffic_plan.cc
@@ -183,9 +183,7 @@
   for (const json& it : member_of(value, "split")) {
     out.split.push_back({text_of(it, "service"), unsigned_of(it, "weight")});
   }
-  for (const json& it : member_of(value, "home_regions")) {
-    if (it.isString()) out.home_regions.push_back(it.asString());
-  }
+  out.home_regions = texts_of(value, "home_regions");
   return out;
 }
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -132,14 +132,6 @@
   return out;
 }
 
-std::vector<std::string> fingerprints_of(const json& params) {
-  std::vector<std::string> out;
-  for (const json& it : member_of(params, "fingerprints")) {
-    if (it.isString()) out.push_back(it.asString());
-  }
-  return out;
-}
-
 gateway::gateway_options gateway_options_of(const settings& options) {
   gateway::gateway_options out;
   out.queue_capacity = options.queue_capacity;
@@ -330,12 +322,12 @@
   peer_dispatcher.add_notification(
       "crash.suspects",
       [this](const json& params, const transport::rpc_context&) {
-        crashes.add_suspects(fingerprints_of(params));
+        crashes.add_suspects(texts_of(params, "fingerprints"));
       });
   peer_dispatcher.add_notification(
       "crash.condemned",
       [this](const json& params, const transport::rpc_context&) {
-        crashes.add_proposed_holds(fingerprints_of(params));
+        crashes.add_proposed_holds(texts_of(params, "fingerprints"));
       });
 }
 
