--- a/usage/test/usage_simulation-test.cc
+++ b/usage/test/usage_simulation-test.cc
@@ -9,6 +9,8 @@
 namespace trestlepost::usage::test {
 namespace {
 
+using namespace std::chrono_literals;
+
 // Limits of the smallest and of large organisations, in tokens a second.
 std::vector<simulated_organisation> mixed_organisations(double load) {
   return {{36'000, 36'000, load},
@@ -46,8 +48,8 @@
 }
 
 /// One region after another has most of the demand.
-double moving_wave(int region, double time) {
-  constexpr double turn = 6;
+double moving_wave(int region, simulated_time time) {
+  constexpr simulated_time turn = 6s;
   const int busy = static_cast<int>(time / turn) % 3;
   return region % 3 == busy ? 2.8 : 0.17;
 }
@@ -99,8 +101,8 @@
     for (std::size_t flooding = 0; flooding < 5; ++flooding) {
       usage_scenario it = scenario_of(gateways, 3, 0.55);
       it.wave = moving_wave;
-      it.surge = [flooding](std::size_t organisation, double time) {
-        return organisation == flooding && time > 10 ? 7.5 : 1;
+      it.surge = [flooding](std::size_t organisation, simulated_time time) {
+        return organisation == flooding && time > 10s ? 7.5 : 1;
       };
       EXPECT_LE(simulate(it).max_use, 1) << gateways << " " << flooding;
     }
@@ -112,16 +114,18 @@
 TEST(usage_simulation_test, a_flood_at_few_gateways_is_limited) {
   usage_scenario it = scenario_of(2, 2, 0.5);
   it.organisations = {{36'000, 36'000, 0.5}, {500'000, 500'000, 0.5}};
-  it.surge = [](std::size_t, double time) { return time > 10 ? 200.0 : 1.0; };
+  it.surge = [](std::size_t, simulated_time time) {
+    return time > 10s ? 200.0 : 1.0;
+  };
   EXPECT_LE(simulate(it).max_use, 1);
 }
 
 TEST(usage_simulation_test, a_lowered_limit_binds_and_a_raised_one_helps) {
   usage_scenario it = scenario_of(68, 3, 1.5);
-  it.length = 40;
-  it.limit_factor = [](double time) {
-    if (time < 10) return 1.0;
-    return time < 25 ? 0.4 : 2.0;
+  it.length = 40s;
+  it.limit_factor = [](simulated_time time) {
+    if (time < 10s) return 1.0;
+    return time < 25s ? 0.4 : 2.0;
   };
   const usage_outcome out = simulate(it);
   EXPECT_LE(out.max_use, 1);
@@ -132,8 +136,8 @@
 TEST(usage_simulation_test, limits_hold_while_a_region_is_cut_off) {
   for (const double load : {0.9, 4.0}) {
     usage_scenario it = scenario_of(68, 3, load);
-    it.is_cut = [](int from, int to, double time) {
-      return (from == 0 || to == 0) && time > 8 && time < 18;
+    it.is_cut = [](int from, int to, simulated_time time) {
+      return (from == 0 || to == 0) && time > 8s && time < 18s;
     };
     const usage_outcome out = simulate(it);
     EXPECT_LE(out.max_use, 1) << load;
@@ -143,14 +147,14 @@
 
 TEST(usage_simulation_test, restarts_and_suspensions_earn_nothing) {
   usage_scenario it = scenario_of(12, 3, 4.0);
-  it.restart_interval = 0.2;
+  it.restart_interval = 200ms;
   EXPECT_LE(simulate(it).max_use, 1);
-  it.restart_interval = 0;
-  it.collectors_restart_at = 9;
+  it.restart_interval = 0s;
+  it.collectors_restart_at = 9s;
   EXPECT_LE(simulate(it).max_use, 1);
-  it.collectors_restart_at = 0;
-  it.is_suspended = [](int gateway, double time) {
-    return gateway % 2 == 0 && time > 6 && time < 10;
+  it.collectors_restart_at = 0s;
+  it.is_suspended = [](int gateway, simulated_time time) {
+    return gateway % 2 == 0 && time > 6s && time < 10s;
   };
   EXPECT_LE(simulate(it).max_use, 1);
 }
@@ -163,18 +167,18 @@
   for (simulated_organisation& one : it.organisations) one.load = load;
   if (*rc::gen::arbitrary<bool>()) it.wave = moving_wave;
   const int cut = *rc::gen::inRange(0, 4);
-  const double begin = *rc::gen::inRange(2, 15);
-  const double length = *rc::gen::inRange(1, 8);
-  it.is_cut = [cut, begin, length](int from, int to, double time) {
+  const simulated_time begin(*rc::gen::inRange(2, 15));
+  const simulated_time length(*rc::gen::inRange(1, 8));
+  it.is_cut = [cut, begin, length](int from, int to, simulated_time time) {
     const bool concerns = from == cut || to == cut;
     return concerns && time > begin && time < begin + length;
   };
-  if (*rc::gen::arbitrary<bool>()) it.restart_interval = 0.5;
+  if (*rc::gen::arbitrary<bool>()) it.restart_interval = 500ms;
   if (*rc::gen::arbitrary<bool>()) {
-    it.collectors_restart_at = *rc::gen::inRange(2, 15);
+    it.collectors_restart_at = simulated_time(*rc::gen::inRange(2, 15));
   }
   if (*rc::gen::arbitrary<bool>()) {
-    it.surge = [begin](std::size_t organisation, double time) {
+    it.surge = [begin](std::size_t organisation, simulated_time time) {
       return organisation % 2 == 0 && time > begin ? 6.0 : 1.0;
     };
   }
@@ -191,7 +195,9 @@
                                  limiting::demand_parts, limiting::shared}) {
         usage_scenario it = scenario_of(gateways, 3, load);
         it.way = way;
-        it.surge = [](std::size_t, double t) { return t < 9 ? 0.5 : 1; };
+        it.surge = [](std::size_t, simulated_time t) {
+          return t < 9s ? 0.5 : 1;
+        };
         outcomes[way] = simulate(it);
         std::printf(
             "%d gateways, load %.2f, %s: used %.2f, refused %.3f, "
--- a/usage/test/usage_simulation.cc
+++ b/usage/test/usage_simulation.cc
@@ -19,8 +19,10 @@
 constexpr milliseconds delay_between_regions{55};
 
 // What the rule allows in each window: a tenth more and a fixed amount.
-constexpr double window = 8;
+constexpr simulated_time window{8};
 constexpr double excess = 0.1;
+// Time after a change of the limit in which windows do not count.
+constexpr simulated_time settling_time{2};
 constexpr double slack = 140'000;
 
 /// Requests by size: a mix of large prompts, small prompts and plain requests.
@@ -53,7 +55,7 @@
 };
 
 struct use {
-  double time;
+  simulated_time time;
   double amount;
 };
 
@@ -75,14 +77,14 @@
   }
 
   usage_outcome run() {
-    double next_restart = s_.restart_interval;
+    simulated_time next_restart = s_.restart_interval;
     int restarted = 0;
-    bool collectors_restarted = s_.collectors_restart_at == 0;
+    bool collectors_restarted = s_.collectors_restart_at.count() == 0;
     while (time() < s_.length) {
       now_ += step;
       const double factor = s_.limit_factor(time());
       if (factor != factor_) set_limits(factor);
-      if (s_.restart_interval > 0 && time() >= next_restart) {
+      if (s_.restart_interval.count() > 0 && time() >= next_restart) {
         start_gateway(restarted++ % s_.gateways);
         next_restart += s_.restart_interval;
       }
@@ -99,9 +101,7 @@
   }
 
  private:
-  double time() const {
-    return seconds(now_.time_since_epoch()).count() - start_time;
-  }
+  simulated_time time() const { return now_ - start_time; }
   double uniform() { return std::uniform_real_distribution<double>()(engine_); }
   bool suspended(int gateway) const { return s_.is_suspended(gateway, time()); }
 
@@ -267,8 +267,8 @@
       }
       const double factor = s_.limit_factor(one.time);
       const bool settled =
-          s_.limit_factor(std::max(0.0, one.time - window - 2)) == factor;
-      const double limit = factor * (it.rate * window + it.burst);
+          s_.limit_factor(one.time - window - settling_time) == factor;
+      const double limit = factor * (it.rate * window.count() + it.burst);
       if (settled) out = std::max(out, sum / (limit * (1 + excess) + slack));
     }
     return out;
@@ -288,15 +288,16 @@
       }
     }
     if (allowed > 0) out.refused = lost / allowed;
-    out.messages_per_second = static_cast<double>(message_count_) / s_.length;
+    out.messages_per_second =
+        static_cast<double>(message_count_) / s_.length.count();
     return out;
   }
 
-  static constexpr double start_time = 1000;
+  static constexpr monotonic_time start_time{std::chrono::seconds(1000)};
 
   const usage_scenario& s_;
   std::mt19937_64 engine_;
-  monotonic_time now_{std::chrono::seconds(1000)};
+  monotonic_time now_ = start_time;
   double factor_ = 1;
   std::vector<std::string> names_;
   config::organisation_list organisations_;
--- a/usage/test/usage_simulation.h
+++ b/usage/test/usage_simulation.h
@@ -25,35 +25,37 @@
   double load = 1;   // demand as a multiple of the rate
 };
 
-/// Times are in seconds since the start of the simulation.
+/// Time since the start of the simulation.
+using simulated_time = std::chrono::duration<double>;
+
 struct usage_scenario {
   std::uint64_t seed = 1;
   limiting way = limiting::shared;
   int regions = 3;
   int gateways = 12;  // in all regions together
-  double length = 24;
+  simulated_time length{24};
   std::vector<simulated_organisation> organisations;
   /// Returns the demand in a region, as a multiple of its mean.
-  std::function<double(int region, double time)> wave = [](int, double) {
-    return 1.0;
-  };
+  std::function<double(int region, simulated_time time)> wave =
+      [](int, simulated_time) { return 1.0; };
   /// Returns the demand of an organisation, as a multiple of its load.
-  std::function<double(std::size_t organisation, double time)> surge =
-      [](std::size_t, double) { return 1.0; };
+  std::function<double(std::size_t organisation, simulated_time time)> surge =
+      [](std::size_t, simulated_time) { return 1.0; };
   /// Returns the limit of all organisations, as a multiple of the stated one.
-  std::function<double(double time)> limit_factor = [](double) { return 1.0; };
+  std::function<double(simulated_time time)> limit_factor = [](simulated_time) {
+    return 1.0;
+  };
   /// Whether messages between two regions are lost.
-  std::function<bool(int from, int to, double time)> is_cut =
-      [](int, int, double) { return false; };
+  std::function<bool(int from, int to, simulated_time time)> is_cut =
+      [](int, int, simulated_time) { return false; };
   /// Whether a gateway is suspended.
-  std::function<bool(int gateway, double time)> is_suspended = [](int, double) {
-    return false;
-  };
+  std::function<bool(int gateway, simulated_time time)> is_suspended =
+      [](int, simulated_time) { return false; };
   /// Time between two restarts of a gateway, one gateway after another; 0: no
   /// restarts.
-  double restart_interval = 0;
+  simulated_time restart_interval{0};
   /// Time at which all collectors restart; 0: never.
-  double collectors_restart_at = 0;
+  simulated_time collectors_restart_at{0};
 };
 
 struct usage_outcome {
