Usage simulation: a fair rate for the buckets refilled by demand

Found on reading the change: that way estimated a gateway's demand from the gaps between its requests, which is biased low, so it refused more than it had to and the comparison was unfair to it.

--- a/usage/test/other_limiters.cc
+++ b/usage/test/other_limiters.cc
@@ -1,6 +1,7 @@
 #include "other_limiters.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace trestlepost::usage::test {
 
@@ -22,13 +23,15 @@
   constexpr seconds demand_time{1.0};
   own_demand& own = own_[&state];
   const seconds passed = now - own.updated_at;
-  const double asked = std::max(state.counted.asked - own.asked_before, 0.0);
-  const double gain = passed / (passed + demand_time);
-  own.demand += (asked / std::max(passed.count(), 0.001) - own.demand) * gain;
+  // A sum that decays exponentially: divided by its time constant it is an
+  // unbiased rate, however long the gaps between requests are.
+  own.asked *= std::exp(-passed / demand_time);
+  own.asked += std::max(state.counted.asked - own.asked_before, 0.0);
   own.asked_before = state.counted.asked;
   own.updated_at = now;
+  const double demand = own.asked / demand_time.count();
   const double share =
-      std::min(1.0, own.demand / std::max(state.near->demand, 1.0));
+      std::min(1.0, demand / std::max(state.near->demand, 1.0));
   own.bucket.refill(limit.amount_per_second * part_ * share,
                     std::max(limit.burst * part_ * share, amount), now);
   return {own.bucket.take(amount), std::chrono::milliseconds(100)};
--- a/usage/test/other_limiters.h
+++ b/usage/test/other_limiters.h
@@ -45,7 +45,7 @@
   struct own_demand {
     usage_bucket bucket;
     double asked_before = 0;
-    double demand = 0;
+    double asked = 0;  // lately
     monotonic_time updated_at;
   };
   std::map<const organisation_state*, own_demand> own_;
