A slow disk no longer costs a leader its lease

What callers saw: control nodes answered orders with 503, "the outcome is not known yet", for up to 3 s.

Cause: the log was synced in the event loop. While other programs write to the disk, a sync takes 0.3 to 0.9 s. A leader sends no heartbeats for so long, and followers answer none, so the lease lapses and an election follows.

Change: each storage writes on a thread of its own. The replica works on during a write; messages that don't depend on it are sent at the next tick. A compaction is a write too, and stores the durable entries only.

Ruled out: a lost update to a gateway (all had the plan within 100 ms of its decision), and an order lost to the 2 s limit of a call.

--- a/consensus/include/trestlepost/consensus/group_host.h
+++ b/consensus/include/trestlepost/consensus/group_host.h
@@ -129,10 +129,18 @@
   };
 
   void process_output();
-  /// Stores the pending writes and sends the pending messages of the replica.
   /// Ends the work of this replica until a restart.
   void stop_after(const error& cause);
+  /// Stores the pending writes of the replica, then sends its pending messages.
   void write_and_send();
+  void handle_written(const result<void>& saved);
+  /// Sends the messages of an output that has been stored, and queues its
+  /// entries.
+  void deliver(const output& stored);
+  /// Sends the messages that need not wait for the write in progress.
+  void send_early();
+  /// Blocks until all pending writes have ended.
+  void finish_writes();
   void queue_committed(const output& out);
   void apply_committed();
   void finish_reads();
@@ -169,6 +177,13 @@
   std::size_t bytes_since_snapshot_ = 0;
   std::size_t last_snapshot_bytes_ = 0;
   bool processing_output_ = false;
+  /// Whether a write is in progress. The replica's output is not taken until it
+  /// has ended.
+  bool writing_ = false;
+  /// Whether messages may be sent before the write in progress has ended.
+  bool allows_early_messages_ = false;
+  /// The output whose writes are in progress.
+  output unstored_;
 };
 
 }  // namespace trestlepost::consensus
--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -39,6 +39,7 @@
   // show that its absence is detected.
   bool skip_log_check = false;
   bool learners_vote = false;
+  bool promise_before_write = false;
 };
 
 /// State that a replica loads from its data folder at startup.
@@ -58,6 +59,7 @@
   bool empty() const {
     return !base && !hard && !truncate_from && entries.empty();
   }
+  bool only_entries() const { return !base && !hard && !truncate_from; }
 };
 
 /// Results of a replica's last calls, for its owner to process.
@@ -100,9 +102,18 @@
   bool has_output() const;
   output take_output();
 
-  /// Confirms that the writes of the last `take_output` are durable.
+  /// Confirms that the writes of the last `take_output` are durable. Until then
+  /// no other output may be taken, but the replica continues to work.
   void mark_durable();
 
+  /// Takes the messages that may be sent before the writes in progress have
+  /// ended: from `taken`, the messages of the output that is being written, and
+  /// from those after it. The writes in progress may contain only entries.
+  std::vector<message> take_early_messages(std::vector<message>& taken);
+
+  /// The entries of the log that are durable.
+  std::vector<entry> durable_entries() const;
+
   /// Replaces the log up to `index` by a snapshot with the state machine's
   /// state `data`. Returns the snapshot to store.
   snapshot compact(log_index index, std::string data);
@@ -135,7 +146,6 @@
   monotonic_time last_leader_message_at() const {
     return last_leader_message_at_;
   }
-  const std::vector<entry>& entries() const { return log_; }
 
  private:
   struct progress {
@@ -224,6 +234,10 @@
   void check_quorum();
   bool is_second_overdue_tick();
   void send(const replica_id& to, message_body body);
+  /// Moves the messages that may be sent before the writes in progress have
+  /// ended from `from` to `out`.
+  void select_early(std::vector<message>& from,
+                    std::vector<message>& out) const;
 
   bool is_voter(const replica_id& id) const;
   bool is_member(const replica_id& id) const;
@@ -247,6 +261,8 @@
   log_index delivered_ = 0;  // last committed index passed to the owner
   log_index durable_ = 0;
   log_index durable_after_write_ = 0;
+  /// What `durable_` will be when the writes in progress have ended.
+  log_index durable_after_taken_ = 0;
 
   role role_ = role::follower;
   std::optional<replica_id> leader_;
@@ -265,6 +281,10 @@
 
   write_batch writes_;
   std::vector<message> messages_;
+  /// Whether `take_early_messages` has examined the messages taken last.
+  bool examined_taken_ = false;
+  /// Number of leading messages that it has examined and left in `messages_`.
+  std::size_t late_messages_ = 0;
   std::optional<snapshot> restore_;
   std::vector<std::uint64_t> reads_ready_;
 };
--- a/consensus/include/trestlepost/consensus/storage.h
+++ b/consensus/include/trestlepost/consensus/storage.h
@@ -1,6 +1,7 @@
 // Interface of a replica's durable storage.
 #pragma once
 
+#include <functional>
 #include <vector>
 
 #include "trestlepost/consensus/replica.h"
@@ -22,6 +23,22 @@
   /// Replaces all stored data by a snapshot and the entries after it.
   virtual result<void> compact(const snapshot& base, const hard_state& hard,
                                const std::vector<entry>& entries) = 0;
+
+  /// Called when a write has ended.
+  using completion = std::function<void(const result<void>&)>;
+
+  /// Like `save`, but may return first. The next write, of either kind, must
+  /// not begin before `done` has been called.
+  virtual void start_save(write_batch batch, completion done) {
+    done(save(batch));
+  }
+  /// Like `compact`, but may return first; see `start_save`.
+  virtual void start_compact(snapshot base, hard_state hard,
+                             std::vector<entry> entries, completion done) {
+    done(compact(base, hard, entries));
+  }
+  /// Blocks until the write that has begun has ended, and calls its completion.
+  virtual void wait() {}
 };
 
 /// Storage for nodes without a disk. Nothing survives a restart, so each start
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -38,6 +38,8 @@
   reads_.clear();
   confirmed_reads_.clear();
   to_apply_.clear();
+  writing_ = false;
+  unstored_ = {};
   bytes_since_snapshot_ = 0;
   result<void> started = machine_.load({});
   if (started) started = start(now);
@@ -54,8 +56,10 @@
   result<void> done = replica_->found(std::move(group_id), std::move(members));
   if (!done) return done;
   process_output();
+  finish_writes();
   if (failure_) return tl::make_unexpected(*failure_);
   tick(now);
+  finish_writes();
   return {};
 }
 
@@ -66,8 +70,10 @@
   result<void> done = replica_->recover_alone(std::move(group_id));
   if (!done) return done;
   process_output();
+  finish_writes();
   if (failure_) return tl::make_unexpected(*failure_);
   tick(now);
+  finish_writes();
   return {};
 }
 
@@ -76,6 +82,9 @@
   replica_->tick(now);
   if (replica_->is_leader()) adjust_members(now);
   process_output();
+  // Not sooner: a write usually ends before the next tick, and then the
+  // messages are sent once and complete.
+  send_early();
 }
 
 void group_host::receive(monotonic_time now, const message& in) {
@@ -306,10 +315,15 @@
 void group_host::process_output() {
   if (processing_output_) return;
   processing_output_ = true;
-  while (!failure_ && replica_->has_output()) write_and_send();
+  // Before the next write begins: under constant load there always is one.
+  compact_if_due();
+  const auto can_write = [this] {
+    return !failure_ && !writing_ && replica_->has_output();
+  };
+  while (can_write()) write_and_send();
   if (!failure_) apply_committed();
   // Writes the output that the state machine has caused in the same iteration.
-  while (!failure_ && replica_->has_output()) write_and_send();
+  while (can_write()) write_and_send();
   processing_output_ = false;
 }
 
@@ -320,15 +334,46 @@
 }
 
 void group_host::write_and_send() {
-  const output out = replica_->take_output();
-  const result<void> saved = storage_->save(out.writes);
+  output out = replica_->take_output();
+  write_batch writes = std::exchange(out.writes, {});
+  if (writes.empty()) {
+    deliver(out);
+    return;
+  }
+  writing_ = true;
+  allows_early_messages_ = writes.only_entries();
+  unstored_ = std::move(out);
+  storage_->start_save(std::move(writes), [this](const result<void>& saved) {
+    handle_written(saved);
+  });
+}
+
+void group_host::handle_written(const result<void>& saved) {
+  writing_ = false;
+  const output stored = std::exchange(unstored_, {});
   if (!saved) {
     stop_after(saved.error());
     return;
   }
+  deliver(stored);
+  process_output();
+}
+
+void group_host::deliver(const output& stored) {
   replica_->mark_durable();
-  for (const message& it : out.messages) sink_.send(it);
-  queue_committed(out);
+  for (const message& it : stored.messages) sink_.send(it);
+  queue_committed(stored);
+}
+
+void group_host::send_early() {
+  if (failure_ || !writing_ || !allows_early_messages_) return;
+  for (const message& it : replica_->take_early_messages(unstored_.messages)) {
+    sink_.send(it);
+  }
+}
+
+void group_host::finish_writes() {
+  while (writing_) storage_->wait();
 }
 
 void group_host::queue_committed(const output& out) {
@@ -382,21 +427,24 @@
 }
 
 void group_host::compact_if_due() {
+  if (failure_ || writing_) return;
   const log_index first = replica_->first_index();
   const bool many_entries = applied_ >= first + options_.snapshot_every;
   const bool many_bytes =
       bytes_since_snapshot_ >=
       std::max(options_.snapshot_bytes, 2 * last_snapshot_bytes_);
   if (!many_entries && !many_bytes) return;
-  // Pending entries would be stored twice: by `compact` and by `save`.
-  if (replica_->has_output()) return;
   bytes_since_snapshot_ = 0;
-  const snapshot base = replica_->compact(applied_, machine_.save());
+  snapshot base = replica_->compact(applied_, machine_.save());
   last_snapshot_bytes_ = base.data.size();
-  const hard_state hard{replica_->term(), replica_->voted_for(),
-                        replica_->group_id()};
-  const result<void> saved = storage_->compact(base, hard, replica_->entries());
-  if (!saved) stop_after(saved.error());
+  hard_state hard{replica_->term(), replica_->voted_for(),
+                  replica_->group_id()};
+  writing_ = true;
+  allows_early_messages_ = true;
+  // Entries that are not durable yet are stored by the next write.
+  storage_->start_compact(
+      std::move(base), std::move(hard), replica_->durable_entries(),
+      [this](const result<void>& saved) { handle_written(saved); });
 }
 
 }  // namespace trestlepost::consensus
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -29,6 +29,7 @@
       last_leader_message_at_(now) {
   durable_ = last_index();
   durable_after_write_ = durable_;
+  durable_after_taken_ = durable_;
   refresh_members();
   set_first_election_deadline();
 }
--- a/consensus/src/replication.cc
+++ b/consensus/src/replication.cc
@@ -1,5 +1,6 @@
 // Replication of entries by a replica: appends, commits, snapshots and reads.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "trestlepost/consensus/replica.h"
@@ -44,6 +45,7 @@
   log_.resize(index - base_.index - 1);
   durable_ = std::min(durable_, index - 1);
   durable_after_write_ = std::min(durable_after_write_, index - 1);
+  durable_after_taken_ = std::min(durable_after_taken_, index - 1);
   std::erase_if(writes_.entries,
                 [index](const entry& it) { return it.index >= index; });
   if (!writes_.truncate_from || *writes_.truncate_from > index) {
@@ -243,6 +245,8 @@
   restore_ = base_;
   commit_ = base_.index;
   delivered_ = base_.index;
+  durable_ = 0;
+  durable_after_taken_ = 0;
   durable_after_write_ = base_.index;
   refresh_members();
   reply_append(in, true, base_.index, body.round);
@@ -319,6 +323,9 @@
   output out;
   out.writes = std::exchange(writes_, {});
   out.messages = std::exchange(messages_, {});
+  examined_taken_ = false;
+  late_messages_ = 0;
+  durable_after_taken_ = durable_after_write_;
   out.restore = std::exchange(restore_, std::nullopt);
   out.reads_ready = std::exchange(reads_ready_, {});
   while (delivered_ < commit_) {
@@ -329,10 +336,54 @@
 }
 
 void replica::mark_durable() {
-  durable_ = durable_after_write_;
+  durable_ = durable_after_taken_;
   advance_commit();
 }
 
+std::vector<message> replica::take_early_messages(std::vector<message>& taken) {
+  std::vector<message> out;
+  if (!std::exchange(examined_taken_, true)) select_early(taken, out);
+  // Messages that depend on a new term, a vote or a truncated log must wait,
+  // and so must all messages after them.
+  if (!writes_.only_entries()) return out;
+  const auto first =
+      messages_.begin() + static_cast<std::ptrdiff_t>(late_messages_);
+  std::vector<message> unseen(std::make_move_iterator(first),
+                              std::make_move_iterator(messages_.end()));
+  messages_.erase(first, messages_.end());
+  select_early(unseen, out);
+  std::move(unseen.begin(), unseen.end(), std::back_inserter(messages_));
+  late_messages_ = messages_.size();
+  return out;
+}
+
+void replica::select_early(std::vector<message>& from,
+                           std::vector<message>& out) const {
+  std::erase_if(from, [this, &out](const message& it) {
+    // A leader may send entries that are not durable here, since it counts
+    // itself only once they are.
+    const bool is_leaders = std::holds_alternative<append_request>(it.body) ||
+                            std::holds_alternative<snapshot_request>(it.body);
+    const append_reply* reply = std::get_if<append_reply>(&it.body);
+    if (reply == nullptr && !is_leaders) return false;
+    out.push_back(it);
+    const bool promises = reply != nullptr && reply->accepted &&
+                          reply->match > durable_ &&
+                          !options_.promise_before_write;
+    // Confirms the leader now, and the new entries once they are durable.
+    if (promises) std::get<append_reply>(out.back().body).match = durable_;
+    return !promises;
+  });
+}
+
+std::vector<entry> replica::durable_entries() const {
+  std::vector<entry> out;
+  for (const entry& it : log_) {
+    if (it.index <= durable_) out.push_back(it);
+  }
+  return out;
+}
+
 snapshot replica::compact(log_index index, std::string data) {
   const log_index end = std::min(index, delivered_);
   if (end <= base_.index) return base_;
--- a/consensus/test/group_host-test.cc
+++ b/consensus/test/group_host-test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <utility>
 
 #include "simulation.h"
 
@@ -85,6 +86,7 @@
   }
 
   group_host& host(const std::string& name) { return *nodes_[name].host; }
+  simulated_disk& disk(const std::string& name) { return nodes_[name].disk; }
   monotonic_time now() const { return now_; }
 
   /// Stops the node and replaces its disk by an empty one. After `start` it
@@ -110,6 +112,21 @@
     }
   }
 
+  void step() {
+    now_ += step_time;
+    for (auto& [name, it] : nodes_) {
+      if (it.host) it.host->tick(now_);
+    }
+    deliver();
+    for (auto& [name, it] : nodes_) {
+      if (!it.host || !it.host->needs_join(now_)) continue;
+      for (auto& [other, to] : nodes_) {
+        if (to.host) to.host->handle_join(now_, id_of(name));
+      }
+    }
+    deliver();
+  }
+
   /// Advances time until `holds` returns true, at most `settling_steps` steps.
   bool run(const std::function<bool()>& holds) {
     for (int i = 0; i < settling_steps; ++i) {
@@ -175,21 +192,6 @@
     }
   }
 
-  void step() {
-    now_ += step_time;
-    for (auto& [name, it] : nodes_) {
-      if (it.host) it.host->tick(now_);
-    }
-    deliver();
-    for (auto& [name, it] : nodes_) {
-      if (!it.host || !it.host->needs_join(now_)) continue;
-      for (auto& [other, to] : nodes_) {
-        if (to.host) to.host->handle_join(now_, id_of(name));
-      }
-    }
-    deliver();
-  }
-
   bool open_;
   seeded_random random_{1};
   monotonic_time now_;
@@ -264,6 +266,65 @@
   EXPECT_EQ(it.host("a").core().group_id(), "recovered");
 }
 
+/// Ends the write in progress on a slow disk.
+void end_write(simulated_disk& it) {
+  it.slow = false;
+  const std::function<void()> write = std::exchange(it.pending_write, nullptr);
+  ASSERT_TRUE(write);
+  write();
+}
+
+// Longer than two election timeouts.
+constexpr int slow_write_steps = 120;
+
+// Writes of seconds occur while other programs use the disk.
+TEST(group_host_test, a_leader_keeps_its_lease_during_a_slow_write) {
+  group it("a");
+  it.disk("a").slow = true;
+  const result<log_index> index = it.host("a").propose(it.now(), "command");
+  ASSERT_TRUE(index);
+  for (int step = 0; step < slow_write_steps; ++step) {
+    it.step();
+    ASSERT_TRUE(it.host("a").holds_lease(it.now())) << step;
+  }
+  // The followers have the entry, so it is committed without the leader's disk.
+  EXPECT_GE(it.host("a").core().commit_index(), *index);
+  EXPECT_GE(it.host("b").applied(), *index);
+  end_write(it.disk("a"));
+  EXPECT_GE(it.host("a").applied(), *index);
+}
+
+TEST(group_host_test, followers_keep_their_leader_during_slow_writes) {
+  group it("a");
+  it.disk("b").slow = true;
+  it.disk("c").slow = true;
+  const result<log_index> index = it.host("a").propose(it.now(), "command");
+  ASSERT_TRUE(index);
+  for (int step = 0; step < slow_write_steps; ++step) {
+    it.step();
+    ASSERT_TRUE(it.host("a").holds_lease(it.now())) << step;
+    ASSERT_LT(it.host("a").core().commit_index(), *index) << step;
+  }
+  end_write(it.disk("b"));
+  EXPECT_TRUE(it.run([&] { return it.host("a").applied() >= *index; }));
+}
+
+// A log that is never compacted while entries arrive would fill the disk.
+TEST(group_host_test, the_log_is_compacted_under_constant_load) {
+  group it("a");
+  const log_index first = it.host("a").core().first_index();
+  it.disk("a").slow = true;
+  constexpr int commands = 2000;  // twice the entries between two snapshots
+  for (int n = 0; n < commands; ++n) {
+    ASSERT_TRUE(it.host("a").propose(it.now(), "command"));
+    it.step();
+    const std::function<void()> write =
+        std::exchange(it.disk("a").pending_write, nullptr);
+    if (write) write();
+  }
+  EXPECT_GT(it.host("a").core().first_index(), first);
+}
+
 // An empty state machine would decide requests as if nothing had happened yet.
 TEST(group_host_test, a_replica_with_an_unreadable_snapshot_does_not_start) {
   class no_sink final : public message_sink {
--- a/consensus/test/simulated_disk.cc
+++ b/consensus/test/simulated_disk.cc
@@ -1,6 +1,7 @@
 #include "simulated_disk.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trestlepost::consensus::test {
 namespace {
@@ -64,4 +65,32 @@
   return {};
 }
 
+void simulated_storage::start(std::function<void()> write) {
+  if (disk_.slow) {
+    disk_.pending_write = std::move(write);
+  } else {
+    write();
+  }
+}
+
+void simulated_storage::start_save(write_batch batch, completion done) {
+  start([this, batch = std::move(batch), done = std::move(done)] {
+    done(save(batch));
+  });
+}
+
+void simulated_storage::start_compact(snapshot base, hard_state hard,
+                                      std::vector<entry> entries,
+                                      completion done) {
+  start([this, base = std::move(base), hard = std::move(hard),
+         entries = std::move(entries),
+         done = std::move(done)] { done(compact(base, hard, entries)); });
+}
+
+void simulated_storage::wait() {
+  const std::function<void()> write =
+      std::exchange(disk_.pending_write, nullptr);
+  if (write) write();
+}
+
 }  // namespace trestlepost::consensus::test
--- a/consensus/test/simulated_disk.h
+++ b/consensus/test/simulated_disk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 #include "trestlepost/consensus/group_host.h"
@@ -19,6 +20,9 @@
   bool skip_sync = false;
   int crash_before_sync = -1;  // number of saves before the crash; -1: never
   int crash_after_sync = -1;
+  /// Whether a started write ends only when `pending_write` is called.
+  bool slow = false;
+  std::function<void()> pending_write;
 };
 
 /// Storage on a simulated disk that can crash its node before or after a sync.
@@ -29,8 +33,15 @@
   result<void> save(const write_batch& batch) override;
   result<void> compact(const snapshot& base, const hard_state& hard,
                        const std::vector<entry>& entries) override;
+  void start_save(write_batch batch, completion done) override;
+  void start_compact(snapshot base, hard_state hard, std::vector<entry> entries,
+                     completion done) override;
+  void wait() override;
 
  private:
+  /// Runs the write now, or later if the disk is slow.
+  void start(std::function<void()> write);
+
   simulated_disk& disk_;
   durable_state buffered_;
 };
--- a/consensus/test/simulation-test.cc
+++ b/consensus/test/simulation-test.cc
@@ -68,6 +68,13 @@
   EXPECT_GT(first_detecting_seed(options), 0U);
 }
 
+TEST(simulation_test, a_promise_of_unwritten_entries_is_detected) {
+  simulation_options options;
+  options.replica.promise_before_write = true;
+  options.lose_disks = false;
+  EXPECT_GT(first_detecting_seed(options), 0U);
+}
+
 TEST(simulation_test, a_learner_that_votes_is_detected) {
   simulation_options options;
   options.replica.learners_vote = true;
--- a/consensus/test/simulation.cc
+++ b/consensus/test/simulation.cc
@@ -59,6 +59,8 @@
   std::unique_ptr<group_host> host;
   int suspended_until = 0;
   int down_until = 0;
+  int slow_until = 0;     // the disk is slow
+  int write_ends_at = 0;  // step at which the write in progress ends
   int clock_percent = 100;
   monotonic_time local_now;
 
@@ -79,11 +81,14 @@
   void found();
   void run_until_crash(node& it, const std::function<void()>& action);
   void crash(node& it);
+  void crash_writing_nodes();
   void step(bool faults);
   void inject_fault();
   void lose_disk();
   void propose();
   void deliver();
+  /// Ends the write in progress on a slow disk when its time has come.
+  void end_writes(node& it);
   void tick_all();
   void check();
   void record_apply(const node& by, const entry& committed);
@@ -164,11 +169,18 @@
 
 void simulation::crash(node& it) {
   it.host.reset();
+  it.disk.pending_write = nullptr;
   it.disk.crash_before_sync = -1;
   it.disk.crash_after_sync = -1;
   it.down_until = step_ + static_cast<int>(random_.below(150));
 }
 
+void simulation::crash_writing_nodes() {
+  for (const std::unique_ptr<node>& it : nodes_) {
+    if (it->host && it->disk.pending_write) crash(*it);
+  }
+}
+
 void simulation::record_apply(const node& by, const entry& committed) {
   const auto [it, added] = applied_.emplace(committed.index, committed.data);
   if (!added && it->second != committed.data) {
@@ -217,6 +229,7 @@
   if (!options_.lose_disks || !is_repaired()) return;
   node& it = *nodes_[random_.below(voter_count)];
   it.host.reset();
+  it.slow_until = 0;
   const std::uint64_t former = it.disk.incarnation;
   it.disk = simulated_disk();
   it.disk.incarnation =
@@ -228,7 +241,7 @@
 void simulation::inject_fault() {
   node& it = *nodes_[random_.below(node_count)];
   const node& other = *nodes_[random_.below(node_count)];
-  switch (random_.below(12)) {
+  switch (random_.below(16)) {
     case 0:
       if (it.host) crash(it);
       break;
@@ -252,6 +265,14 @@
     case 7:
       blocked_links_.clear();
       break;
+    case 8:
+    case 9:
+      it.slow_until = step_ + static_cast<int>(random_.below(200));
+      break;
+    case 10:
+    case 11:
+      crash_writing_nodes();
+      break;
     default:
       lose_disk();
       break;
@@ -289,8 +310,25 @@
   }
 }
 
+void simulation::end_writes(node& it) {
+  it.disk.slow = step_ < it.slow_until;
+  if (!it.disk.pending_write) {
+    it.write_ends_at = 0;
+    return;
+  }
+  if (it.write_ends_at == 0) {
+    it.write_ends_at = step_ + 1 + static_cast<int>(random_.below(60));
+  }
+  if (it.disk.slow && step_ < it.write_ends_at) return;
+  it.write_ends_at = 0;
+  const std::function<void()> write =
+      std::exchange(it.disk.pending_write, nullptr);
+  run_until_crash(it, write);
+}
+
 void simulation::tick_all() {
   for (const std::unique_ptr<node>& it : nodes_) {
+    if (it->host && step_ >= it->suspended_until) end_writes(*it);
     it->local_now += step_time * it->clock_percent / 100;
     if (!it->host && step_ >= it->down_until) start(*it);
     if (!it->host || step_ < it->suspended_until) continue;
@@ -339,6 +377,7 @@
   for (const std::unique_ptr<node>& it : nodes_) {
     it->suspended_until = 0;
     it->down_until = 0;
+    it->slow_until = 0;
     it->disk.crash_before_sync = -1;
     it->disk.crash_after_sync = -1;
   }
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "audit_search.h"
+#include "disk/background_storage.h"
 #include "ledger_voters.h"
 #include "trestlepost/base/log.h"
-#include "trestlepost/consensus/file_storage.h"
 
 namespace trestlepost::node {
 namespace {
@@ -65,8 +65,7 @@
 }
 
 std::unique_ptr<consensus::storage> control_service::open_storage() const {
-  return std::make_unique<consensus::file_storage>(
-      context_.options.data_folder + "/config");
+  return make_background_storage(context_, "config");
 }
 
 void control_service::restart_after_failure() {
--- a/node/src/ledger_service.cc
+++ b/node/src/ledger_service.cc
@@ -4,9 +4,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "disk/background_storage.h"
 #include "ledger_voters.h"
 #include "trestlepost/base/log.h"
-#include "trestlepost/consensus/file_storage.h"
 
 namespace trestlepost::node {
 namespace {
@@ -84,8 +84,7 @@
   options.snapshot_every = context_.options.snapshot_every;
   std::unique_ptr<consensus::storage> storage;
   if (durable) {
-    storage = std::make_unique<consensus::file_storage>(
-        context_.options.data_folder + "/ledger");
+    storage = make_background_storage(context_, "ledger");
   } else {
     storage = std::make_unique<consensus::memory_storage>();
   }
