Copies of the configuration are saved in the background

Cause: a control node synced its copy of the configuration in the event loop, once for each revision.

Change: configuration_saver writes on a thread of its own. A revision is still put into force only after its copy is on disk; revisions that arrive meanwhile are skipped, except for the newest. An answer that the leader confirmed while its revision is being saved confirms this node once it is in force.

--- a/base/src/background_worker.cc
+++ b/base/src/background_worker.cc
@@ -49,8 +49,7 @@
   if (!is_busy()) return;
   {
     std::unique_lock lock(state_->mutex);
-    state_->changed.wait(lock,
-                         [this] { return state_->outcome.has_value(); });
+    state_->changed.wait(lock, [this] { return state_->outcome.has_value(); });
   }
   complete(*state_);
 }
@@ -58,8 +57,7 @@
 void background_worker::run(shared_state& state, const executor& post) {
   std::unique_lock lock(state.mutex);
   while (true) {
-    state.changed.wait(lock,
-                       [&state] { return state.stopping || state.work; });
+    state.changed.wait(lock, [&state] { return state.stopping || state.work; });
     if (state.stopping) return;
     const job work = std::exchange(state.work, nullptr);
     lock.unlock();
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -1,6 +1,7 @@
 #include "watch_client.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "trestlepost/base/log.h"
@@ -25,7 +26,17 @@
 
 void watch_client::start() {
   if (!context_.options.data_folder.empty()) {
-    context_.store = config::load_copy(context_.options.data_folder);
+    const std::string& folder = context_.options.data_folder;
+    context_.store = config::load_copy(folder);
+    saver_ = std::make_unique<configuration_saver>(
+        [&io = context_.io](std::function<void()> it) {
+          transport::asio::post(io, std::move(it));
+        },
+        [folder](const config::object_store& it) {
+          return config::save_copy(folder, it);
+        },
+        [this](const configuration_saver::store_ptr& saved,
+               const result<void>& written) { handle_saved(*saved, written); });
   }
   context_.peers.add_notification(
       "config.update",
@@ -112,37 +123,60 @@
   if (!flag_of(params, "confirmed")) return;
   finder_.confirmed(now);
   read_directory(update);
-  const bool current = context_.store.revision() >= number_of(update, "to");
-  if (current) context_.state.confirm(pending->sent_at, now);
+  confirm(number_of(update, "to"), pending->sent_at);
   pending_polls_.erase(pending);
 }
 
+void watch_client::confirm(config::revision_number leader_revision,
+                           monotonic_time sent_at) {
+  if (context_.store.revision() >= leader_revision) {
+    context_.state.confirm(sent_at, context_.clock.now());
+  } else {
+    unsaved_answer_ = {leader_revision, sent_at};
+  }
+}
+
 void watch_client::apply(const json& value) {
+  const configuration_saver::store_ptr unsaved =
+      saver_ ? saver_->newest() : nullptr;
+  const config::object_store& base = unsaved ? *unsaved : context_.store;
   // Check the cheap fields before decoding the whole update.
-  const bool newer = number_of(value, "to") > context_.store.revision();
+  const bool newer = number_of(value, "to") > base.revision();
   if (!newer || !config::has_content(value)) return;
   const result<config::watch_update> update = config::watch_update_from(value);
   if (!update) {
     request_missed_update(update.error());
     return;
   }
-  config::object_store next = context_.store;
+  config::object_store next = base;
   const result<void> applied = config::apply_update(next, *update);
   if (!applied) {
     request_missed_update(applied.error());
     return;
   }
-  if (!context_.options.data_folder.empty()) {
+  if (saver_) {
     // Saved before it takes effect, so that a restart doesn't return to an
     // older revision.
-    const result<void> saved =
-        config::save_copy(context_.options.data_folder, next);
-    if (!saved) {
-      log_event(log_level::error, "configuration-copy-failed",
-                {{"detail", saved.error().message}});
-    }
+    saver_->save(std::make_shared<const config::object_store>(std::move(next)));
+  } else {
+    set_configuration(next);
   }
-  context_.store = std::move(next);
+}
+
+void watch_client::handle_saved(const config::object_store& saved,
+                                const result<void>& written) {
+  if (!written) {
+    log_event(log_level::error, "configuration-copy-failed",
+              {{"detail", written.error().message}});
+  }
+  set_configuration(saved);
+  const std::optional<unsaved_answer> answer =
+      std::exchange(unsaved_answer_, std::nullopt);
+  if (answer) confirm(answer->revision, answer->poll_sent_at);
+}
+
+void watch_client::set_configuration(const config::object_store& next) {
+  context_.store = next;
   // Reports the revision to the leader, which waits for it before it
   // acknowledges a plan.
   next_poll_ = context_.clock.now();
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -6,8 +6,11 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
+#include "disk/configuration_saver.h"
 #include "leader_finder.h"
 #include "node_context.h"
 #include "poll_schedule.h"
@@ -39,6 +42,11 @@
     std::uint64_t token = 0;
     monotonic_time sent_at;
   };
+  /// An answer that the leader confirmed while its revision was being saved.
+  struct unsaved_answer {
+    config::revision_number revision = 0;
+    monotonic_time poll_sent_at;
+  };
 
   /// The state that decides when and whom this node polls.
   poll_state state_for_poll() const;
@@ -51,6 +59,13 @@
   /// for another watcher.
   void handle_update(const json& params);
   void apply(const json& update);
+  /// Puts a configuration into force.
+  void set_configuration(const config::object_store& next);
+  void handle_saved(const config::object_store& saved,
+                    const result<void>& written);
+  /// Confirms this node's state if it has the leader's revision. `sent_at` is
+  /// when the poll was sent that the leader confirmed.
+  void confirm(config::revision_number leader_revision, monotonic_time sent_at);
   /// Logs that an update could not be applied, and reports it to the leader in
   /// an immediate poll.
   void request_missed_update(const error& cause);
@@ -70,6 +85,9 @@
   /// The receiver of the last poll, and this node's state in it.
   std::string identified_to_;
   std::string identified_state_;
+  /// Null if this node has no data folder.
+  std::unique_ptr<configuration_saver> saver_;
+  std::optional<unsaved_answer> unsaved_answer_;
 };
 
 }  // namespace trestlepost::node
