--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -7,7 +7,6 @@
 #include "trestlepost/gateway/caller_authentication.h"
 #include "trestlepost/gateway/route_forwarder.h"
 #include "trestlepost/gateway/route_service.h"
-#include "trestlepost/gateway/startup_gate.h"
 #include "trestlepost/routing/route_table.h"
 #include "trestlepost/usage/usage_limiter.h"
 
@@ -25,8 +24,7 @@
         remote_(context, surfaces),
         routes_(routes),
         callers_(callers),
-        limits_(limits),
-        startup_(context.io) {}
+        limits_(limits) {}
 
   transport::awaitable<void> handle(
       transport::http_exchange& exchange) override;
@@ -34,14 +32,7 @@
   /// Refuses new requests from now on. Requests in progress are completed.
   void stop_accepting() { accepting_ = false; }
 
-  /// Wakes requests that wait for the plan when it is in force.
-  void tick();
-  /// Wakes requests that wait for endpoints.
-  void handle_new_endpoints() { startup_.wake_all(); }
-
  private:
-  /// Whether this node has a plan and knows that it is current.
-  bool has_current_plan() const;
   /// Assigns the request to a route and a service.
   result<routed_request> route(surface::call_head head, std::string body,
                                monotonic_time arrived) const;
@@ -83,9 +74,7 @@
   const routing::route_table& routes_;
   const caller_authentication& callers_;
   usage::usage_limiter& limits_;
-  startup_gate startup_;
   bool accepting_ = true;
-  bool had_current_plan_ = false;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -2,6 +2,8 @@
 #include "trestlepost/gateway/route_handler.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "trestlepost/base/log.h"
@@ -22,9 +24,7 @@
 // or the confirmation that the plan is current waits up to this long. A refusal
 // would certainly make it late, and most callers retry only once.
 constexpr milliseconds max_startup_wait{1000};
-// A waiting request checks its state at least this often, in case that nothing
-// wakes it.
-constexpr milliseconds startup_check_interval{250};
+constexpr milliseconds startup_check_interval{20};
 
 error unavailable_error(const std::string& what) {
   return {error_kind::unavailable, what, "send it again after Retry-After"};
@@ -32,16 +32,6 @@
 
 }  // namespace
 
-void route_handler::tick() {
-  const bool has_plan = has_current_plan();
-  if (has_plan && !had_current_plan_) startup_.wake_all();
-  had_current_plan_ = has_plan;
-}
-
-bool route_handler::has_current_plan() const {
-  return routes_.plan() && !context_.state.is_behind(context_.clock.now());
-}
-
 awaitable<bool> route_handler::wait_for_startup(monotonic_time arrived,
                                                 http_exchange& exchange) {
   const monotonic_time now = context_.clock.now();
@@ -49,7 +39,11 @@
                      now < arrived + max_startup_wait &&
                      !exchange.is_disconnected();
   if (!waits) co_return false;
-  co_await startup_.wait(startup_check_interval);
+  transport::timer timer(context_.io);
+  timer.expires_after(startup_check_interval);
+  boost::system::error_code ec;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
   co_return !exchange.is_disconnected();
 }
 
@@ -120,7 +114,7 @@
   // After a stall, pending requests and configuration changes are read in
   // arbitrary order. A request may be read before the change that forbids a
   // destination for it.
-  while (!has_current_plan()) {
+  while (!routes_.plan() || context_.state.is_behind(context_.clock.now())) {
     const bool waited = co_await wait_for_startup(arrived, exchange);
     if (!waited) break;
   }
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -30,7 +30,6 @@
       [this](const std::vector<surface::listed_endpoint>& all,
              config::revision_number covered_revision) {
         pool_.update_list(all, covered_revision, context_.options.zone_regions);
-        entry_.handle_new_endpoints();
       };
   endpoint_list_.start();
   usage_.start();
@@ -43,7 +42,6 @@
   pool_.tick();
   service_.tick();
   usage_.tick();
-  entry_.tick();
 }
 
 void routed_gateway::apply_plan(transport::http_server& entry_server) {
