--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -15,7 +15,6 @@
 
 #include "control_service.h"
 #include "crash_reporter.h"
-#include "entry/delayed_accept.h"
 #include "heartbeat_service.h"
 #include "ledger_service.h"
 #include "node_context.h"
@@ -153,10 +152,6 @@
   /// them its reports and receives suspected requests and proposed holds.
   void connect_crash_reports();
   result<void> listen_all();
-  /// Whether callers' requests can be assigned to services.
-  bool has_configuration() const {
-    return routed() ? store.plan() != nullptr : store.revision() > 0;
-  }
   bool routed() const { return options.surface == surface_kind::platform; }
   void reload_if_changed(bool at_once);
   void apply_settings(const settings& next);
@@ -202,7 +197,6 @@
   transport::http_server order_server;
   transport::http_server directory_server;
   transport::http_server readiness_server;
-  delayed_accept caller_accept;
   planned_stop stop;
   prometheus::Family<prometheus::Gauge>& node_gauges;
   prometheus::Histogram& confirm_seconds;
@@ -277,7 +271,6 @@
       order_server(io, routed_services.orders(), {}),
       directory_server(io, routed_services.directory(), {}),
       readiness_server(io, routed_services.readiness(), {}),
-      caller_accept(resources.clock, [this] { entry_server.accept(); }),
       stop(context, {heartbeats, ledger, routed_services.entry(), entry_server,
                      forward_server, operator_server}),
       node_gauges(prometheus::BuildGauge()
@@ -383,22 +376,19 @@
 
 result<void> node::implementation::listen_all() {
   result<void> opened = peer_server.listen(options.peers_address);
-  const auto listen = [&opened](transport::http_server& server,
-                                const std::string& address) {
+  const auto open = [&opened](transport::http_server& server,
+                              const std::string& address) {
     if (opened && !address.empty()) opened = server.listen(address);
   };
-  listen(operator_server, options.operators_address);
+  open(operator_server, options.operators_address);
   if (options.gateway) {
-    if (opened && !options.callers_address.empty()) {
-      opened = entry_server.open(options.callers_address);
-    }
-    caller_accept.start();
-    listen(forward_server, options.forwards_address);
+    open(entry_server, options.callers_address);
+    open(forward_server, options.forwards_address);
   }
   if (routed()) {
-    listen(readiness_server, options.readiness_address);
-    listen(directory_server, options.directory_address);
-    if (control) listen(order_server, options.orders_address);
+    open(readiness_server, options.readiness_address);
+    open(directory_server, options.directory_address);
+    if (control) open(order_server, options.orders_address);
   }
   return opened;
 }
@@ -428,7 +418,6 @@
     crash_reports.tick();
     if (!routed()) probes.tick();
     routed_services.tick();
-    caller_accept.tick(has_configuration());
     endpoints.tick(now);
     local.queue().dispatch_all();
     operators.tick();
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -94,10 +94,6 @@
 
   /// Starts to accept connections at "IP:PORT".
   result<void> listen(const std::string& address);
-  /// Opens "IP:PORT". The kernel queues connections until `accept` is called.
-  result<void> open(const std::string& address);
-  /// Starts to accept connections. Does nothing if no address is open.
-  void accept();
   /// Sets the limits for subsequent requests.
   void set_options(const http_server_options& options);
   const http_server_options& options() const;
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -438,21 +438,11 @@
 }
 
 result<void> http_server::listen(const std::string& address) {
-  result<void> opened = open(address);
-  if (opened) accept();
-  return opened;
-}
-
-result<void> http_server::open(const std::string& address) {
   result<tcp::acceptor> opened = listen_on(state_->context, address);
   if (!opened) return tl::make_unexpected(opened.error());
   state_->acceptor.emplace(std::move(*opened));
-  return {};
-}
-
-void http_server::accept() {
-  if (!state_->acceptor) return;
   asio::co_spawn(state_->context, accept_loop(state_), asio::detached);
+  return {};
 }
 
 void http_server::set_options(const http_server_options& options) {
