No work for callers who left before their request was read

Cause: a gateway reads its oldest connections first. The gateway noticed that the caller had left only after it had chosen an endpoint and begun to connect.

Change: when a request has been read, the server checks whether its caller is still connected; if not, the gateway logs request-abandoned and does nothing else.

Suspected: one connection is accepted in each pass of the event loop, so the queue of connections stays long.

Test: http_test.a_caller_that_left_before_the_request_was_read_is_detected.

--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -49,6 +49,9 @@
   /// Counts the request towards the limit of its organisation. Returns the
   /// refusal if it does not fit.
   std::optional<attempt> check_limit(const routed_request& request);
+  /// Counts and logs a request whose caller had disconnected before it was
+  /// read.
+  void record_abandoned(const std::string& request_id);
   /// Handles a request whose head and body were read.
   transport::awaitable<void> answer(surface::call_head head, std::string body,
                                     monotonic_time arrived,
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -53,6 +53,10 @@
   // The body is read in any case: closing a connection with unread bytes resets
   // it, and the caller may lose the answer.
   result<std::string> body = co_await exchange.read_body();
+  if (exchange.is_disconnected()) {
+    record_abandoned(head ? head->request_id : "");
+    co_return;
+  }
   if (!head || !body) {
     const std::string id = head ? head->request_id : "";
     const error& cause = head ? body.error() : head.error();
@@ -63,6 +67,13 @@
   co_await answer(std::move(*head), std::move(*body), arrived, exchange);
 }
 
+void route_handler::record_abandoned(const std::string& request_id) {
+  // An overloaded node reads its oldest connections first. Any work for callers
+  // who have given up would keep it from ever reading one that is still there.
+  context_.metrics.request_done("none", "abandoned", milliseconds(0));
+  log_event(log_level::info, "request-abandoned", {{"request_id", request_id}});
+}
+
 result<routed_request> route_handler::route(surface::call_head head,
                                             std::string body,
                                             monotonic_time arrived) const {
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -71,7 +71,8 @@
 
   /// Returns whether any part of a response was sent.
   virtual bool has_response_started() const = 0;
-  /// Returns whether the caller has disconnected.
+  /// Returns whether the caller is known to have disconnected. Known at least
+  /// after `read_body` if it happened before.
   virtual bool is_disconnected() const = 0;
   /// Sets the action to call if the caller disconnects before the response is
   /// complete; nullptr removes it.
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -133,6 +133,8 @@
   awaitable<bool> reject_head(error_code ec);
   awaitable<bool> write_stream_head(http::response<http::empty_body> out);
   awaitable<bool> write(asio::const_buffer data);
+  /// Checks without waiting whether the caller has disconnected.
+  void check_for_disconnect();
   /// Waits until the caller disconnects while the request is in progress.
   awaitable<void> watch_for_disconnect(std::uint64_t number);
   void reset_connection();
@@ -192,12 +194,16 @@
   co_await stream_.socket().async_wait(tcp::socket::wait_read,
                                        redirect_error(use_awaitable, ec));
   if (ec || number != request_number_ || !stream_.socket().is_open()) co_return;
+  check_for_disconnect();
+}
+
+void connection::check_for_disconnect() {
   char byte = 0;
   const ssize_t n = ::recv(stream_.socket().native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
   // Data is the next request, which is read after the current one.
-  if (n > 0) co_return;
-  handle_disconnect();
+  const bool is_open = n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+  if (!is_open) handle_disconnect();
 }
 
 void connection::end_exchange() {
@@ -281,7 +287,10 @@
                               redirect_error(use_awaitable, ec));
     stream_.expires_never();
   }
-  if (!ec) co_return std::move(parser_->get().body());
+  if (!ec) {
+    check_for_disconnect();
+    co_return std::move(parser_->get().body());
+  }
   if (ec == http::error::body_limit) {
     co_return fail(error_kind::too_large,
                    "the body is larger than " +
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -24,6 +24,10 @@
   awaitable<void> handle(http_exchange& exchange) override {
     const result<std::string> body = co_await exchange.read_body();
     ++handled;
+    if (exchange.is_disconnected()) {
+      ++abandoned;
+      co_return;
+    }
     if (!body) {
       const http_response refusal =
           problem_response(400, body.error(), "no", std::chrono::seconds(0));
@@ -49,6 +53,7 @@
   }
 
   int handled = 0;
+  int abandoned = 0;
 };
 
 class http_test : public testing::Test {
@@ -127,6 +132,21 @@
   http_client client_;
 };
 
+// The pattern: an overloaded server reads requests later than their callers
+// wait. Work for them would keep it overloaded.
+TEST_F(http_test, a_caller_that_left_before_the_request_was_read_is_detected) {
+  tcp::socket socket(context_);
+  socket.connect(*parse_address(address));
+  asio::write(
+      socket,
+      asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")));
+  socket.close();
+  EXPECT_TRUE(run_until([this] { return handler_.handled == 1; }));
+  EXPECT_EQ(handler_.abandoned, 1);
+  EXPECT_EQ(get("/"), "echo ");
+  EXPECT_EQ(handler_.abandoned, 1);
+}
+
 TEST_F(http_test, responds_and_reuses_connections) {
   EXPECT_EQ(get("/", "a"), "echo a");
   EXPECT_EQ(get("/", "b"), "echo b");
