Storage: writes are passed by reference

clang-tidy refused the parameters of start_save and start_compact, which the default implementations only read.

--- a/consensus/include/trestlepost/consensus/storage.h
+++ b/consensus/include/trestlepost/consensus/storage.h
@@ -29,12 +29,13 @@
 
   /// Like `save`, but may return first. The next write, of either kind, must
   /// not begin before `done` has been called.
-  virtual void start_save(write_batch batch, completion done) {
+  virtual void start_save(const write_batch& batch, const completion& done) {
     done(save(batch));
   }
   /// Like `compact`, but may return first; see `start_save`.
-  virtual void start_compact(snapshot base, hard_state hard,
-                             std::vector<entry> entries, completion done) {
+  virtual void start_compact(const snapshot& base, const hard_state& hard,
+                             const std::vector<entry>& entries,
+                             const completion& done) {
     done(compact(base, hard, entries));
   }
   /// Blocks until the write that has begun has ended, and calls its completion.
--- a/consensus/src/background_storage.cc
+++ b/consensus/src/background_storage.cc
@@ -22,21 +22,19 @@
   return target_->compact(base, hard, entries);
 }
 
-void background_storage::start_save(write_batch batch, completion done) {
-  worker_.start([target = target_.get(),
-                 batch = std::move(batch)] { return target->save(batch); },
-                std::move(done));
+void background_storage::start_save(const write_batch& batch,
+                                    const completion& done) {
+  worker_.start([target = target_.get(), batch] { return target->save(batch); },
+                done);
 }
 
-void background_storage::start_compact(snapshot base, hard_state hard,
-                                       std::vector<entry> entries,
-                                       completion done) {
-  worker_.start(
-      [target = target_.get(), base = std::move(base), hard = std::move(hard),
-       entries = std::move(entries)] {
-        return target->compact(base, hard, entries);
-      },
-      std::move(done));
+void background_storage::start_compact(const snapshot& base,
+                                       const hard_state& hard,
+                                       const std::vector<entry>& entries,
+                                       const completion& done) {
+  worker_.start([target = target_.get(), base, hard,
+                 entries] { return target->compact(base, hard, entries); },
+                done);
 }
 
 void background_storage::wait() {
--- a/consensus/src/group_host.cc
+++ b/consensus/src/group_host.cc
@@ -335,7 +335,7 @@
 
 void group_host::write_and_send() {
   output out = replica_->take_output();
-  write_batch writes = std::exchange(out.writes, {});
+  const write_batch writes = std::exchange(out.writes, {});
   if (writes.empty()) {
     deliver(out);
     return;
@@ -343,9 +343,8 @@
   writing_ = true;
   allows_early_messages_ = writes.only_entries();
   unstored_ = std::move(out);
-  storage_->start_save(std::move(writes), [this](const result<void>& saved) {
-    handle_written(saved);
-  });
+  storage_->start_save(
+      writes, [this](const result<void>& saved) { handle_written(saved); });
 }
 
 void group_host::handle_written(const result<void>& saved) {
@@ -435,15 +434,15 @@
       std::max(options_.snapshot_bytes, 2 * last_snapshot_bytes_);
   if (!many_entries && !many_bytes) return;
   bytes_since_snapshot_ = 0;
-  snapshot base = replica_->compact(applied_, machine_.save());
+  const snapshot base = replica_->compact(applied_, machine_.save());
   last_snapshot_bytes_ = base.data.size();
-  hard_state hard{replica_->term(), replica_->voted_for(),
-                  replica_->group_id()};
+  const hard_state hard{replica_->term(), replica_->voted_for(),
+                        replica_->group_id()};
   writing_ = true;
   allows_early_messages_ = true;
   // Entries that are not durable yet are stored by the next write.
   storage_->start_compact(
-      std::move(base), std::move(hard), replica_->durable_entries(),
+      base, hard, replica_->durable_entries(),
       [this](const result<void>& saved) { handle_written(saved); });
 }
 
--- a/consensus/test/simulated_disk.cc
+++ b/consensus/test/simulated_disk.cc
@@ -73,18 +73,18 @@
   }
 }
 
-void simulated_storage::start_save(write_batch batch, completion done) {
-  start([this, batch = std::move(batch), done = std::move(done)] {
-    done(save(batch));
-  });
+void simulated_storage::start_save(const write_batch& batch,
+                                   const completion& done) {
+  start([this, batch, done] { done(save(batch)); });
 }
 
-void simulated_storage::start_compact(snapshot base, hard_state hard,
-                                      std::vector<entry> entries,
-                                      completion done) {
-  start([this, base = std::move(base), hard = std::move(hard),
-         entries = std::move(entries),
-         done = std::move(done)] { done(compact(base, hard, entries)); });
+void simulated_storage::start_compact(const snapshot& base,
+                                      const hard_state& hard,
+                                      const std::vector<entry>& entries,
+                                      const completion& done) {
+  start([this, base, hard, entries, done] {
+    done(compact(base, hard, entries));
+  });
 }
 
 void simulated_storage::wait() {
--- a/consensus/test/simulated_disk.h
+++ b/consensus/test/simulated_disk.h
@@ -33,9 +33,10 @@
   result<void> save(const write_batch& batch) override;
   result<void> compact(const snapshot& base, const hard_state& hard,
                        const std::vector<entry>& entries) override;
-  void start_save(write_batch batch, completion done) override;
-  void start_compact(snapshot base, hard_state hard, std::vector<entry> entries,
-                     completion done) override;
+  void start_save(const write_batch& batch, const completion& done) override;
+  void start_compact(const snapshot& base, const hard_state& hard,
+                     const std::vector<entry>& entries,
+                     const completion& done) override;
   void wait() override;
 
  private:
