Organisations: one walk through two sorted lists

The delta of a plan and the table of keys walked through the old and the new list in the same way. visit_changes does it for both; the delta still compares by value, the table by address. The property tests of both are unchanged.

--- a/config/include/trestlepost/config/organisation.h
+++ b/config/include/trestlepost/config/organisation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,6 +55,17 @@
 /// Sorts the list by name, as `traffic_plan` requires.
 void sort_by_name(organisation_list& all);
 
+/// Called with the old and the new version of an organisation; one of them is
+/// null if it was added or removed.
+using organisation_visitor = std::function<void(const organisation_ptr& before,
+                                                const organisation_ptr& after)>;
+
+/// Visits the organisations that two lists, which are sorted by name, don't
+/// share. They are compared by address only.
+void visit_changes(const organisation_list& before,
+                   const organisation_list& after,
+                   const organisation_visitor& visit);
+
 json to_json(const organisation& value);
 organisation_ptr organisation_from(const json& value);
 json to_json(const organisation_list& value);
--- a/config/src/organisation.cc
+++ b/config/src/organisation.cc
@@ -57,6 +57,21 @@
             });
 }
 
+void visit_changes(const organisation_list& before,
+                   const organisation_list& after,
+                   const organisation_visitor& visit) {
+  auto old = before.begin();
+  for (const organisation_ptr& it : after) {
+    while (old != before.end() && (*old)->name < it->name) {
+      visit(*old++, nullptr);
+    }
+    const bool known = old != before.end() && (*old)->name == it->name;
+    const organisation_ptr previous = known ? *old++ : nullptr;
+    if (previous != it) visit(previous, it);
+  }
+  while (old != before.end()) visit(*old++, nullptr);
+}
+
 json to_json(const organisation& value) {
   json out;
   out["name"] = value.name;
--- a/config/src/plan_delta.cc
+++ b/config/src/plan_delta.cc
@@ -33,24 +33,6 @@
   return {text_of(value, "host"), text_of(value, "path_prefix")};
 }
 
-/// Adds the differences between two lists that are sorted by name.
-void add_organisation_changes(const organisation_list& before,
-                              const organisation_list& after, plan_delta& out) {
-  auto old = before.begin();
-  for (const organisation_ptr& it : after) {
-    while (old != before.end() && (*old)->name < it->name) {
-      out.removed_organisations.push_back((*old++)->name);
-    }
-    const bool known = old != before.end() && (*old)->name == it->name;
-    const bool same = known && (*old == it || **old == *it);
-    if (!same) out.written_organisations.push_back(it);
-    if (known) ++old;
-  }
-  for (; old != before.end(); ++old) {
-    out.removed_organisations.push_back((*old)->name);
-  }
-}
-
 organisation_list apply_organisation_changes(const organisation_list& before,
                                              const plan_delta& delta) {
   const bool unchanged = delta.written_organisations.empty() &&
@@ -92,7 +74,15 @@
   if (old.requires_key != after.requires_key) {
     out.requires_key = after.requires_key;
   }
-  add_organisation_changes(old.organisations, after.organisations, out);
+  visit_changes(
+      old.organisations, after.organisations,
+      [&out](const organisation_ptr& was, const organisation_ptr& is) {
+        if (!is) {
+          out.removed_organisations.push_back(was->name);
+        } else if (!was || *was != *is) {
+          out.written_organisations.push_back(is);
+        }
+      });
   return out;
 }
 
--- a/routing/src/organisation_table.cc
+++ b/routing/src/organisation_table.cc
@@ -21,18 +21,14 @@
 
 void organisation_table::update(const organisation_list& next) {
   organisation_list added;
-  auto old = all_.begin();
   // All removals precede all additions: a key may move from one organisation to
   // another.
-  for (const organisation_ptr& it : next) {
-    while (old != all_.end() && (*old)->name < it->name) remove(*old++);
-    const bool known = old != all_.end() && (*old)->name == it->name;
-    const bool same = known && *old == it;
-    if (known && !same) remove(*old);
-    if (known) ++old;
-    if (!same) added.push_back(it);
-  }
-  while (old != all_.end()) remove(*old++);
+  config::visit_changes(
+      all_, next,
+      [this, &added](const organisation_ptr& was, const organisation_ptr& is) {
+        if (was) remove(was);
+        if (is) added.push_back(is);
+      });
   for (const organisation_ptr& it : added) add(it);
   all_ = next;
 }
