--- a/base/include/trestlepost/base/random.h
+++ b/base/include/trestlepost/base/random.h
@@ -17,6 +17,8 @@
   /// Returns a number in [0, bound), or 0 if `bound` is 0. It is reduced modulo
   /// `bound`, so it is uniform only for a bound far below 2^64.
   std::uint64_t below(std::uint64_t bound);
+  /// Returns a number in [0, 1), in steps of a millionth.
+  double fraction();
 };
 
 /// Deterministic source for tests and simulated endpoints.
--- a/base/src/random.cc
+++ b/base/src/random.cc
@@ -12,6 +12,11 @@
   return bound == 0 ? 0 : next() % bound;
 }
 
+double random_source::fraction() {
+  constexpr std::uint64_t steps = 1'000'000;
+  return static_cast<double>(below(steps)) / static_cast<double>(steps);
+}
+
 std::uint64_t system_random::next() {
   std::uint64_t n = 0;
   if (RAND_bytes(reinterpret_cast<unsigned char*>(&n), sizeof n) != 1) {
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -149,13 +149,6 @@
   return best;
 }
 
-/// Returns true with probability `share`.
-bool is_selected(double share, random_source& random) {
-  constexpr std::uint64_t resolution = 1'000'000;
-  return static_cast<double>(random.below(resolution)) <
-         share * static_cast<double>(resolution);
-}
-
 }  // namespace
 
 std::optional<region_decision> choose_region(
@@ -180,7 +173,7 @@
   if (!best_remote) return std::move(best_local->decision);
   const double share =
       routing::spill_share(best_local->value, best_remote->value);
-  const bool spills = is_selected(share, context.random);
+  const bool spills = context.random.fraction() < share;
   return std::move(spills ? best_remote->decision : best_local->decision);
 }
 
--- a/node/src/region_peers.cc
+++ b/node/src/region_peers.cc
@@ -41,15 +41,20 @@
   return {out.begin(), out.end()};
 }
 
-std::vector<std::string> relay_addresses(const node_context& context,
-                                         const std::string& region) {
+std::vector<std::string> live_relay_addresses(const node_context& context,
+                                              const std::string& region) {
   std::vector<std::string> out;
   for (const node_record* it :
        context.nodes.relays_of(region, context.clock.now())) {
     out.push_back(it->last.node.peer_address);
   }
+  return out;
+}
+
+std::vector<std::string> relay_addresses(const node_context& context,
+                                         const std::string& region) {
+  std::vector<std::string> out = live_relay_addresses(context, region);
   if (!out.empty()) return out;
-  // No node there is known to be live: try those in the directory.
   for (const auto& [name, it] : context.known_nodes) {
     const bool has_room = out.size() < membership::relays_per_region;
     if (it.region == region && has_room) out.push_back(it.peer_address);
--- a/node/src/region_peers.h
+++ b/node/src/region_peers.h
@@ -26,7 +26,12 @@
 /// The names of all known regions except the own one.
 std::vector<std::string> other_regions(const node_context& context);
 
-/// The peer addresses of the relays of another region.
+/// The peer addresses of the relays of a region that are known to be live.
+std::vector<std::string> live_relay_addresses(const node_context& context,
+                                              const std::string& region);
+
+/// The peer addresses of the relays of a region. If none is known to be live,
+/// of nodes in the directory.
 std::vector<std::string> relay_addresses(const node_context& context,
                                          const std::string& region);
 
--- a/node/src/usage/usage_service.cc
+++ b/node/src/usage/usage_service.cc
@@ -67,11 +67,8 @@
 }
 
 void usage_service::choose_collector(monotonic_time now) {
-  std::vector<std::string> addresses;
-  for (const membership::node_record* it :
-       context_.nodes.relays_of(context_.self.region, now)) {
-    addresses.push_back(it->last.node.peer_address);
-  }
+  const std::vector<std::string> addresses =
+      live_relay_addresses(context_, context_.self.region);
   if (addresses.empty()) return;
   const auto current =
       std::find(addresses.begin(), addresses.end(), collector_address_);
@@ -130,8 +127,7 @@
   const bool collects = now >= next_tick_;
   if ((!reports && !collects) || !organisations_.has_limit()) return;
   if (reports) {
-    limiter_.set_gateway_count(
-        std::max<std::size_t>(context_.nodes.gateway_count(), 1));
+    limiter_.set_gateway_count(context_.nodes.gateway_count());
     send_report(now);
   }
   if (!collects) return;
--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -7,6 +7,7 @@
 // gateway uses an equal part of the limit.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,8 +40,11 @@
 
   /// Whether a collector has answered recently.
   bool has_collector(monotonic_time now) const;
-  /// The number of gateways that share the limits, this one included.
-  void set_gateway_count(std::size_t n) { gateway_count_ = n; }
+  /// Sets the number of gateways that share the limits. 0, before any is known,
+  /// counts as 1: this gateway itself.
+  void set_gateway_count(std::size_t n) {
+    gateway_count_ = std::max<std::size_t>(n, 1);
+  }
 
  protected:
   struct organisation_state {
@@ -60,8 +64,6 @@
   usage_decision admit_alone(organisation_state& state,
                              const config::usage_limit& limit, double amount,
                              monotonic_time now);
-  /// A random number between 0 and 1.
-  double draw();
 
   double part_ = 0;
   monotonic_time heard_at_;
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -22,12 +22,6 @@
 
 }  // namespace
 
-double shared_limiter::draw() {
-  constexpr std::uint64_t resolution = 1'000'000;
-  return static_cast<double>(random_.below(resolution)) /
-         static_cast<double>(resolution);
-}
-
 bool shared_limiter::has_collector(monotonic_time now) const {
   return heard_ && now < heard_at_ + contact_time;
 }
@@ -74,21 +68,20 @@
   const double level = state.near->level - unreported;
   const double demand = std::max(state.near->demand, 1.0);
   const double probability = (rate + level / settling_time.count()) / demand;
-  if (draw() < probability) return {};
-  return {false,
-          time_until_available(amount, std::min(level, 0.0), rate, draw())};
+  if (random_.fraction() < probability) return {};
+  return {false, time_until_available(amount, std::min(level, 0.0), rate,
+                                      random_.fraction())};
 }
 
 usage_decision shared_limiter::admit_alone(organisation_state& state,
                                            const config::usage_limit& limit,
                                            double amount, monotonic_time now) {
-  const double part =
-      1.0 / static_cast<double>(std::max<std::size_t>(gateway_count_, 1));
+  const double part = 1.0 / static_cast<double>(gateway_count_);
   const double rate = limit.amount_per_second * part;
   state.alone.refill(rate, limit.burst * part, now);
   if (state.alone.take(amount)) return {};
-  return {false,
-          time_until_available(amount, state.alone.level(), rate, draw())};
+  return {false, time_until_available(amount, state.alone.level(), rate,
+                                      random_.fraction())};
 }
 
 void shared_limiter::give_back(const std::string& organisation, double amount) {
