Background writes: one executor, one copy less

The function that posts to the event loop was written twice. A node without a data folder copied each new configuration where it used to move it.

--- a/node/src/disk/configuration_saver.h
+++ b/node/src/disk/configuration_saver.h
@@ -2,7 +2,6 @@
 // doesn't stop the event loop.
 #pragma once
 
-#include <filesystem>
 #include <functional>
 #include <memory>
 
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -1,9 +1,9 @@
 #include "watch_client.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <utility>
 
+#include "disk/background_storage.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/config/stored_copy.h"
 
@@ -29,9 +29,7 @@
     const std::string& folder = context_.options.data_folder;
     context_.store = config::load_copy(folder);
     saver_ = std::make_unique<configuration_saver>(
-        [&io = context_.io](std::function<void()> it) {
-          transport::asio::post(io, std::move(it));
-        },
+        event_loop_executor(context_),
         [folder](const config::object_store& it) {
           return config::save_copy(folder, it);
         },
@@ -159,7 +157,7 @@
     // older revision.
     saver_->save(std::make_shared<const config::object_store>(std::move(next)));
   } else {
-    set_configuration(next);
+    set_configuration(std::move(next));
   }
 }
 
@@ -175,8 +173,8 @@
   if (answer) confirm(answer->revision, answer->poll_sent_at);
 }
 
-void watch_client::set_configuration(const config::object_store& next) {
-  context_.store = next;
+void watch_client::set_configuration(config::object_store next) {
+  context_.store = std::move(next);
   // Reports the revision to the leader, which waits for it before it
   // acknowledges a plan.
   next_poll_ = context_.clock.now();
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -60,7 +60,7 @@
   void handle_update(const json& params);
   void apply(const json& update);
   /// Puts a configuration into force.
-  void set_configuration(const config::object_store& next);
+  void set_configuration(config::object_store next);
   void handle_saved(const config::object_store& saved,
                     const result<void>& written);
   /// Confirms this node's state if it has the leader's revision. `sent_at` is
--- a/node/test/configuration_saver-test.cc
+++ b/node/test/configuration_saver-test.cc
@@ -2,16 +2,17 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
-#include <thread>
 #include <vector>
 
 namespace trestlepost::node {
 namespace {
 
-/// A disk whose writes end when the test permits them, and an event loop.
+/// A disk whose writes end when the test permits them.
 class slow_disk {
  public:
   result<void> write(const config::object_store& it) {
@@ -26,21 +27,6 @@
     permitted_ += writes;
     changed_.notify_all();
   }
-  void post(std::function<void()> it) {
-    const std::lock_guard lock(mutex_);
-    queued_.push_back(std::move(it));
-  }
-  void run_until(const std::function<bool()>& condition) {
-    while (!condition()) {
-      std::vector<std::function<void()>> due;
-      {
-        const std::lock_guard lock(mutex_);
-        due.swap(queued_);
-      }
-      for (const std::function<void()>& it : due) it();
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-  }
   const std::vector<config::revision_number>& written() const {
     return written_;
   }
@@ -49,7 +35,6 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   int permitted_ = 0;
-  std::vector<std::function<void()>> queued_;
   std::vector<config::revision_number> written_;
 };
 
@@ -63,9 +48,12 @@
 TEST(configuration_saver_test, saves_only_the_newest_of_waiting_revisions) {
   using revisions = std::vector<config::revision_number>;
   slow_disk disk;
+  boost::asio::io_context io;
   revisions saved;
   configuration_saver it(
-      [&disk](std::function<void()> action) { disk.post(std::move(action)); },
+      [&io](std::function<void()> action) {
+        boost::asio::post(io, std::move(action));
+      },
       [&disk](const config::object_store& store) { return disk.write(store); },
       [&saved](const configuration_saver::store_ptr& store,
                const result<void>& /*written*/) {
@@ -77,7 +65,10 @@
   }
   EXPECT_TRUE(saved.empty());
   disk.permit(2);
-  disk.run_until([&saved] { return saved.size() == 2; });
+  while (saved.size() < 2) {
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(1));
+  }
   EXPECT_EQ(saved, (revisions{1, 4}));
   EXPECT_EQ(disk.written(), (revisions{1, 4}));
   EXPECT_EQ(it.newest(), nullptr);
