--- a/ledger/src/state_machine.cc
+++ b/ledger/src/state_machine.cc
@@ -31,23 +31,19 @@
 void ledger_state_machine::apply(const consensus::entry& committed) {
   const result<json> parsed = parse_json(committed.data);
   const std::string command = parsed ? text_of(*parsed, "command") : "";
-  const bool known =
-      command == "claim" || command == "finish" || command == "fence";
-  if (!known) {
+  std::optional<claim_decision> decided;
+  if (command == "finish") {
+    finish(finish_from(*parsed));
+  } else if (command == "fence") {
+    decided = fence(fence_from(*parsed));
+  } else if (command == "claim") {
+    decided = claim(claim_from(*parsed));
+  } else {
     log_event(
         log_level::error, "ledger-command-unreadable",
         {{"index", std::to_string(committed.index)}, {"command", command}});
-    return;
-  }
-  if (command == "finish") {
-    finish(finish_from(*parsed));
-    return;
   }
-  const std::string key = text_of(*parsed, "key");
-  const claim_decision decided = command == "fence"
-                                     ? fence(fence_from(*parsed))
-                                     : claim(claim_from(*parsed));
-  if (on_decided) on_decided(decided, key);
+  if (decided && on_decided) on_decided(*decided, text_of(*parsed, "key"));
 }
 
 void ledger_state_machine::set_expiry(const std::string& key, record& it,
