Gateways log every 10 s what was used of their retry budgets

An engineer on call could not tell from a log how many repeats endpoints got, whether they were charged, and how much was saved: sends, denied retries and savings were counters only, and a rejected request that another endpoint serves leaves no warning. retry-budget-used tells them by service, as a warning where retries were denied. Repeats are counted where they are sent, so those that nothing paid for show as well.

The budgets move out of route_service into retry_budgets; what is charged, when and to whom does not change.

--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -3,12 +3,11 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <string>
 
 #include "trestlepost/gateway/endpoint_runner.h"
-#include "trestlepost/routing/retry_budget.h"
+#include "trestlepost/gateway/retry_budgets.h"
 
 namespace trestlepost::gateway {
 
@@ -23,7 +22,7 @@
         pool_(pool),
         crashes_(crashes),
         runner_(context, surfaces, pool, crashes_),
-        retry_limits_(retries) {}
+        retries_(context, retries) {}
 
   /// Runs `request` on one endpoint after another, as permitted by its route,
   /// starting with `first` if one is already selected. The first send must
@@ -58,12 +57,11 @@
   bool must_stop_retrying(routed_request& request, const attempt& last) const;
 
   endpoint_pool& pool() { return pool_; }
-  /// Adjusts this gateway's share of the retries to the number of known
-  /// gateways.
-  void tick();
+  void tick() { retries_.tick(); }
 
  private:
-  routing::retry_budget& retries_of(const std::string& service);
+  /// Records whether `sent` reached its endpoint, and whether as a repeat.
+  void record_sent(routed_request& request, const attempt& sent);
   /// Returns the next endpoint to try, or the result of the request if none was
   /// tried before.
   tl::expected<chosen_endpoint, attempt> choose(
@@ -93,8 +91,7 @@
   endpoint_pool& pool_;
   crash_monitor& crashes_;
   endpoint_runner runner_;
-  const routing::shared_retry_limits& retry_limits_;
-  std::map<std::string, routing::retry_budget> retries_;  // by service
+  retry_budgets retries_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -105,20 +105,6 @@
 
 }  // namespace
 
-routing::retry_budget& route_service::retries_of(const std::string& service) {
-  const auto known = retries_.find(service);
-  if (known != retries_.end()) return known->second;
-  const routing::retry_budget fresh(
-      routing::gateway_share(retry_limits_, context_.nodes.gateway_count()));
-  return retries_.emplace(service, fresh).first->second;
-}
-
-void route_service::tick() {
-  const routing::retry_budget_options share =
-      routing::gateway_share(retry_limits_, context_.nodes.gateway_count());
-  for (auto& [service, it] : retries_) it.set_options(share);
-}
-
 std::optional<attempt> route_service::hold_refusal(
     routed_request& request) const {
   if (!crashes_.holds_any()) return std::nullopt;
@@ -142,17 +128,21 @@
 }
 
 void route_service::record_request(const std::string& service) {
-  retries_of(service).add_request();
+  retries_.record_request(service);
 }
 
 bool route_service::charge_send(routed_request& request) {
-  const bool charged = request.sends.charge_next(retries_of(request.service));
-  if (!charged) context_.metrics.retry_denied(request.service);
-  return charged;
+  return retries_.charge_next(request.service, request.sends);
 }
 
 void route_service::release_unused_sends(routed_request& request) {
-  request.sends.refund_unused(retries_of(request.service));
+  retries_.refund_unused(request.service, request.sends);
+}
+
+void route_service::record_sent(routed_request& request, const attempt& sent) {
+  const bool repeat = sent.sends > 0 && request.sends.count() > 0;
+  if (repeat) retries_.record_repeat(request.service);
+  request.sends.record_sent(sent.sends);
 }
 
 tl::expected<chosen_endpoint, attempt> route_service::choose(
@@ -217,7 +207,7 @@
     event_scanner events;
     last =
         co_await runner_.run(request, *chosen, may_abandon, events, exchange);
-    request.sends.record_sent(last->sends);
+    record_sent(request, *last);
     if (last->stream_interrupted) {
       request.avoid.insert(chosen->name);
       attempt interrupted = std::move(*last);
@@ -304,7 +294,7 @@
         request.sends.count() + 1 < request.route->attempts;
     attempt next =
         co_await runner_.run(request, *chosen, may_abandon, events, exchange);
-    request.sends.record_sent(next.sends);
+    record_sent(request, next);
     request.avoid.insert(chosen->name);
     const std::string outcome = outcome_of(next, exchange.is_disconnected());
     record_resumption(request, last, next, last_event, outcome);
--- a/routing/include/trestlepost/routing/charged_sends.h
+++ b/routing/include/trestlepost/routing/charged_sends.h
@@ -19,6 +19,9 @@
   /// Number of endpoints that the request has reached.
   unsigned count() const { return count_; }
 
+  /// Returns whether the next send needs no further charge.
+  bool is_next_paid() const { return next_charged_; }
+
   /// Returns whether the next send may be made. Takes it from `budget` unless
   /// it is already paid for.
   bool charge_next(retry_budget& budget) {
--- a/routing/include/trestlepost/routing/retry_budget.h
+++ b/routing/include/trestlepost/routing/retry_budget.h
@@ -62,6 +62,9 @@
     return true;
   }
 
+  /// Returns the number of unused retries.
+  double saved() const { return saved_; }
+
   /// Returns a retry that was taken but not used.
   void refund() { save(1); }
 
