--- /dev/null
+++ b/soak/src/fault_injection.cc
@@ -0,0 +1,115 @@
+#include "fault_injection.h"
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <optional>
+#include <thread>
+
+namespace trestlepost::soak {
+namespace {
+
+using platform::test::behaviour;
+using platform::test::deployment;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Returns the behaviour of an endpoint under the fault, or nullopt if the fault
+/// is one of a node.
+std::optional<behaviour> behaviour_under(fault_kind kind) {
+  switch (kind) {
+    case fault_kind::refuse:
+      return behaviour::refuse;
+    case fault_kind::overload:
+      return behaviour::overload;
+    case fault_kind::fail:
+      return behaviour::fail;
+    case fault_kind::hang:
+      return behaviour::hang;
+    case fault_kind::pause:
+      return behaviour::pause;
+    case fault_kind::close_streams:
+      return behaviour::close_midway;
+    case fault_kind::silence_streams:
+      return behaviour::hang_midway;
+    default:
+      return std::nullopt;
+  }
+}
+
+void begin_node_fault(deployment& target, const fault& it) {
+  switch (it.kind) {
+    case fault_kind::kill:
+      target.kill(it.target);
+      break;
+    case fault_kind::wipe:
+      target.kill(it.target);
+      target.wipe(it.target);
+      break;
+    case fault_kind::freeze:
+      target.process_of(it.target).signal(SIGSTOP);
+      break;
+    case fault_kind::stop:
+      target.process_of(it.target).signal(SIGTERM);
+      break;
+    default:
+      target.process_of(it.target).signal(SIGHUP);
+  }
+}
+
+void end_node_fault(deployment& target, const fault& it) {
+  switch (it.kind) {
+    case fault_kind::kill:
+    case fault_kind::wipe:
+      target.start(it.target);
+      break;
+    case fault_kind::freeze:
+      target.process_of(it.target).signal(SIGCONT);
+      break;
+    case fault_kind::stop:
+      // The node may not have exited yet.
+      target.kill(it.target);
+      target.start(it.target);
+      break;
+    default:
+      break;
+  }
+}
+
+/// Sets the behaviour of an endpoint to that of the newest fault that strikes it
+/// at the time `at`.
+void update_endpoint(deployment& target, const std::vector<fault>& schedule,
+                     const std::string& endpoint, milliseconds at) {
+  behaviour what = behaviour::serve;
+  for (const fault& it : schedule) {
+    const bool strikes =
+        it.target == endpoint && it.begin <= at && at < it.end;
+    if (strikes) what = behaviour_under(it.kind).value_or(what);
+  }
+  target.set_behaviour(endpoint, what);
+}
+
+}  // namespace
+
+void inject_faults(deployment& target, const std::vector<fault>& schedule) {
+  const steady_clock::time_point start = steady_clock::now();
+  std::multimap<milliseconds, std::function<void()>> actions;
+  for (const fault& it : schedule) {
+    if (behaviour_under(it.kind)) {
+      for (const milliseconds at : {it.begin, it.end}) {
+        actions.emplace(at, [&target, &schedule, &it, at] {
+          update_endpoint(target, schedule, it.target, at);
+        });
+      }
+      continue;
+    }
+    actions.emplace(it.begin, [&target, &it] { begin_node_fault(target, it); });
+    actions.emplace(it.end, [&target, &it] { end_node_fault(target, it); });
+  }
+  for (const auto& [at, action] : actions) {
+    std::this_thread::sleep_until(start + at);
+    action();
+  }
+}
+
+}  // namespace trestlepost::soak
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -43,6 +43,8 @@
   out["failed"] = it.failed;
   out["plans_acknowledged"] = it.acknowledged;
   out["reads"] = it.reads;
+  out["repeats"] = it.repeats;
+  out["retry_share"] = it.retry_share;
   out["recovery_ms"] = trestlepost::as_number(it.recovery);
   json& violations = out["violations"] = json(Json::arrayValue);
   for (const std::string& one : it.violations) violations.append(one);
@@ -55,7 +57,9 @@
             << std::setw(10) << it.answered << std::setw(9) << it.refused
             << std::setw(8) << it.failed << std::setw(7) << it.acknowledged
             << std::setw(7) << it.reads << std::setw(10) << it.recovery.count()
-            << "  " << (it.violations.empty() ? "held" : "BROKEN") << "\n"
+            << std::setw(9) << it.repeats << std::setw(8)
+            << std::setprecision(2) << it.retry_share << "  "
+            << (it.violations.empty() ? "held" : "BROKEN") << "\n"
             << trestlepost::to_text(to_json(seed, it)) << std::endl;
 }
 
@@ -68,6 +72,10 @@
   app.add_option("--seed,--seeds", seeds, "a seed N, or the seeds A..B");
   app.add_option("--seconds", seconds,
                  "duration of the faults of each seed, in seconds");
+  int gateways = 1;
+  app.add_option("--gateways", gateways, "gateways of each region");
+  std::string program = "trestlepostd";
+  app.add_option("--program", program, "the daemon that nodes run");
   CLI11_PARSE(app, argc, argv);
   seed_range range;
   if (!read_range(seeds, range)) {
@@ -75,10 +83,11 @@
     return exit_bad_usage;
   }
   std::cout << "  seed  faults  answered  refused  failed  plans  reads  "
-               "heal, ms\n";
+               "heal, ms  repeats   share\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
-    const soak_result it = run_soak({seed, std::chrono::seconds(seconds)});
+    const soak_result it =
+        run_soak({seed, std::chrono::seconds(seconds), gateways, program});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -12,7 +12,9 @@
 constexpr milliseconds repair_time{5000};
 constexpr milliseconds min_gap{300};
 constexpr milliseconds max_gap{2500};
+constexpr milliseconds max_common_gap{2000};
 constexpr milliseconds max_outage{2500};
+constexpr milliseconds max_rejection_time{6000};
 
 class fault_generator {
  public:
@@ -28,12 +30,12 @@
     std::uniform_int_distribution<std::size_t> any(0, all.size() - 1);
     return all[any(engine_)];
   }
-  /// Returns a random fault of one of `nodes` that begins after `from`.
-  fault make_fault(const std::vector<std::string>& nodes,
+  /// Returns a random fault of one of `targets` that begins after `from`.
+  fault make_fault(const std::vector<std::string>& targets,
                    const std::vector<fault_kind>& kinds, milliseconds from) {
     fault out;
     out.kind = pick(kinds);
-    out.node = pick(nodes);
+    out.target = pick(targets);
     out.begin = from + random_duration(min_gap, max_gap);
     out.end = out.begin;
     if (out.kind != fault_kind::reload) {
@@ -41,6 +43,32 @@
     }
     return out;
   }
+  /// Adds faults of `target`, one after the other.
+  void add_series(std::vector<fault>& out, const std::string& target,
+                  const std::vector<fault_kind>& kinds, milliseconds span) {
+    milliseconds from{0};
+    while (from < span) {
+      out.push_back(make_fault({target}, kinds, from));
+      from = out.back().end;
+    }
+  }
+  /// Adds faults that strike all of `targets` at once, for up to `max_time`.
+  void add_common_series(std::vector<fault>& out,
+                         const std::vector<std::string>& targets,
+                         const std::vector<fault_kind>& kinds,
+                         milliseconds span, milliseconds max_time) {
+    if (targets.empty()) return;
+    milliseconds from = random_duration(min_gap, max_common_gap);
+    while (from < span) {
+      fault it = make_fault(targets, kinds, from);
+      it.end = it.begin + random_duration(min_gap, max_time);
+      for (const std::string& target : targets) {
+        it.target = target;
+        out.push_back(it);
+      }
+      from = it.end + random_duration(min_gap, max_common_gap);
+    }
+  }
 
  private:
   std::mt19937_64 engine_;
@@ -59,9 +87,23 @@
     case fault_kind::wipe:
       return "wipe";
     case fault_kind::reload:
+      return "reload";
+    case fault_kind::refuse:
+      return "refuse";
+    case fault_kind::overload:
+      return "overload";
+    case fault_kind::fail:
+      return "fail";
+    case fault_kind::hang:
+      return "hang";
+    case fault_kind::pause:
+      return "pause";
+    case fault_kind::close_streams:
+      return "close-streams";
+    case fault_kind::silence_streams:
       break;
   }
-  return "reload";
+  return "silence-streams";
 }
 
 std::vector<fault> make_schedule(std::uint64_t seed,
@@ -82,12 +124,27 @@
       fault_kind::kill, fault_kind::freeze, fault_kind::stop,
       fault_kind::reload};
   for (const std::string& it : options.entries) {
-    from = milliseconds(0);
-    while (from < options.span) {
-      out.push_back(generator.make_fault({it}, entry_kinds, from));
-      from = out.back().end;
-    }
+    generator.add_series(out, it, entry_kinds, options.span);
+  }
+  // Half of the seeds only have rejections, which cause the most repeats: after
+  // other faults, gateways stop using the endpoint.
+  const bool rejections_only = generator.pick<int>({0, 1}) == 1;
+  const std::vector<fault_kind> endpoint_kinds =
+      rejections_only
+          ? std::vector<fault_kind>{fault_kind::refuse, fault_kind::overload}
+          : std::vector<fault_kind>{
+                fault_kind::refuse,         fault_kind::overload,
+                fault_kind::fail,           fault_kind::hang,
+                fault_kind::pause,          fault_kind::close_streams,
+                fault_kind::silence_streams};
+  for (const std::string& it : options.endpoints) {
+    generator.add_series(out, it, endpoint_kinds, options.span);
   }
+  generator.add_common_series(
+      out, options.endpoints, endpoint_kinds, options.span,
+      rejections_only ? max_rejection_time : max_outage);
+  generator.add_common_series(out, options.entries, {fault_kind::freeze},
+                              options.span, max_outage);
   std::erase_if(
       out, [&options](const fault& it) { return it.begin >= options.span; });
   std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -14,14 +14,22 @@
   freeze,  // SIGSTOP, then SIGCONT
   stop,    // SIGTERM, then a start
   wipe,    // SIGKILL, the data folder is lost, then a start
-  reload   // SIGHUP
+  reload,  // SIGHUP
+  // Faults of an endpoint; it serves normally at the end.
+  refuse,          // rejects requests without running them
+  overload,        // runs few requests at once, slowly; rejects the others
+  fail,            // answers with a server error
+  hang,            // answers too late
+  pause,           // reads nothing; what was sent arrives at the end
+  close_streams,   // closes connections within streams
+  silence_streams  // stalls within streams
 };
 
 std::string to_string(fault_kind kind);
 
 struct fault {
   fault_kind kind = fault_kind::kill;
-  std::string node;
+  std::string target;  // name of a node, or id of an endpoint
   std::chrono::milliseconds begin{0};
   /// When the fault ends; equal to `begin` for a reload.
   std::chrono::milliseconds end{0};
@@ -30,12 +38,13 @@
 struct schedule_options {
   std::vector<std::string> control_nodes;
   std::vector<std::string> entries;
+  std::vector<std::string> endpoints;
   std::chrono::milliseconds span{0};  // all faults begin within it
 };
 
 /// Returns the faults ordered by `begin`. At most one control node is faulty at
-/// a time, so that a majority remains. Faults of different entries overlap with
-/// those of control nodes and with each other.
+/// a time, so that a majority remains. All other faults overlap; some strike
+/// all endpoints at once, or suspend all entries at once.
 std::vector<fault> make_schedule(std::uint64_t seed,
                                  const schedule_options& options);
 
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -4,12 +4,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <csignal>
 #include <cstdlib>
 #include <random>
 #include <thread>
 
 #include "deployment.h"
+#include "fault_injection.h"
 #include "request_record.h"
 #include "schedule.h"
 #include "trestlepost/transport/http_client.h"
@@ -18,6 +18,7 @@
 namespace {
 
 using platform::test::deployment;
+using platform::test::repeat_window;
 using platform::test::wait_until;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
@@ -25,10 +26,10 @@
 
 const std::vector<std::string> control_nodes{"control-n1", "control-s1",
                                              "control-n2"};
-const std::vector<std::string> entries{"entry-n", "entry-s"};
+const std::vector<std::string> endpoints{"i-n1", "i-n2", "i-s1"};
 const endpoint_names home_endpoints{"i-s1"};
 
-constexpr int callers_per_entry = 3;
+constexpr int callers_per_entry = 12;
 constexpr int operators = 2;
 constexpr int readers = 2;
 constexpr milliseconds caller_pause{15};
@@ -36,8 +37,10 @@
 constexpr milliseconds order_timeout{1000};
 constexpr milliseconds caller_timeout{3000};
 constexpr unsigned max_extra_routes = 400;
+constexpr unsigned min_attempts = 2;  // of the plans' repeatable routes
 // Allowed time from the end of the last fault until all nodes serve.
 constexpr milliseconds max_recovery_time{15'000};
+const platform::test::retry_limits retry_limits{0.2, 10};
 
 /// Callers, operators and readers on one event loop in a separate thread. They
 /// keep their connections open.
@@ -45,7 +48,7 @@
  public:
   traffic(deployment& target, std::uint64_t seed, plan_record& plans)
       : deployment_(target), plans_(plans), engine_(seed) {
-    for (const std::string& entry : entries) {
+    for (const std::string& entry : target.gateways()) {
       for (int n = 0; n < callers_per_entry; ++n) spawn(run_caller(entry));
     }
     for (int n = 0; n < operators; ++n) spawn(run_operator());
@@ -74,7 +77,8 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
 
-  /// Sends requests of random kinds, one at a time.
+  /// Sends requests of random kinds, one at a time, and doesn't wait as
+  /// Retry-After asks.
   awaitable<void> run_caller(std::string entry);
   /// Sends new plans; repeats each until it is acknowledged or invalid.
   awaitable<void> run_operator();
@@ -98,7 +102,7 @@
     it.id = "soak-" + std::to_string(next_id_++);
     std::string method = "GET";
     std::string path = "/get/1";
-    const std::uint64_t kind = random_below(3);
+    const std::uint64_t kind = random_below(6);
     if (kind == 1) {
       it.kind = request_kind::run_once;
       method = "POST";
@@ -106,10 +110,13 @@
     } else if (kind == 2) {
       it.kind = request_kind::home_bound;
       path = "/south/1";
+    } else if (kind == 3) {
+      path = "/live/1";
     }
     bench::caller_request request =
         deployment_.caller_request(entry, method, path, it.id);
     request.timeout = caller_timeout;
+    deployment_.record_request();
     const bench::caller_answer answer =
         co_await bench::send(client_, std::move(request));
     if (answer.complete) it.status = answer.status;
@@ -123,7 +130,8 @@
     const std::uint64_t number = plans_.next_number();
     const std::string plan = deployment::large_plan(
         static_cast<unsigned>(number),
-        static_cast<unsigned>(random_below(max_extra_routes)));
+        static_cast<unsigned>(random_below(max_extra_routes)),
+        min_attempts + static_cast<unsigned>(random_below(2)));
     plans_.record_sent(number, plan);
     for (bool open = true; open && !stopping_;) {
       bench::caller_request request = deployment_.replace_request(
@@ -159,63 +167,8 @@
   }
 }
 
-void begin_fault(deployment& target, const fault& it) {
-  trestlepost::test::process& process = target.process_of(it.node);
-  switch (it.kind) {
-    case fault_kind::kill:
-      target.kill(it.node);
-      break;
-    case fault_kind::wipe:
-      target.kill(it.node);
-      target.wipe(it.node);
-      break;
-    case fault_kind::freeze:
-      process.signal(SIGSTOP);
-      break;
-    case fault_kind::stop:
-      process.signal(SIGTERM);
-      break;
-    case fault_kind::reload:
-      process.signal(SIGHUP);
-      break;
-  }
-}
-
-void end_fault(deployment& target, const fault& it) {
-  switch (it.kind) {
-    case fault_kind::kill:
-    case fault_kind::wipe:
-      target.start(it.node);
-      break;
-    case fault_kind::freeze:
-      target.process_of(it.node).signal(SIGCONT);
-      break;
-    case fault_kind::stop:
-      // The node may not have exited yet.
-      target.kill(it.node);
-      target.start(it.node);
-      break;
-    case fault_kind::reload:
-      break;
-  }
-}
-
-/// Injects the faults of the schedule; returns when all have ended.
-void run_schedule(deployment& target, const std::vector<fault>& schedule) {
-  const steady_clock::time_point start = steady_clock::now();
-  std::multimap<milliseconds, std::function<void()>> actions;
-  for (const fault& it : schedule) {
-    actions.emplace(it.begin, [&target, &it] { begin_fault(target, it); });
-    actions.emplace(it.end, [&target, &it] { end_fault(target, it); });
-  }
-  for (const auto& [at, action] : actions) {
-    std::this_thread::sleep_until(start + at);
-    action();
-  }
-}
-
 bool all_nodes_serve(deployment& target, plan_record& plans) {
-  for (const std::string& it : entries) {
+  for (const std::string& it : target.gateways()) {
     if (target.request(it, "GET", "/get/1", "again-" + it).status != 200) {
       return false;
     }
@@ -244,22 +197,30 @@
   }
 }
 
+void check_repeats(const deployment& target, soak_result& out) {
+  const repeat_window worst = target.worst_window();
+  out.repeats = target.repeated_arrivals();
+  out.retry_share = worst.used_share();
+  if (worst.exceeds_limit()) out.violations.push_back(to_string(worst));
+}
+
 }  // namespace
 
 soak_result run_soak(const soak_options& options) {
   soak_result out;
-  deployment it;
+  deployment it({retry_limits, options.gateways_per_region, options.program});
   it.bring_up();
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
-  const std::vector<fault> schedule =
-      make_schedule(options.seed, {control_nodes, entries, options.span});
+  const std::vector<fault> schedule = make_schedule(
+      options.seed, {control_nodes, it.gateways(), endpoints, options.span});
   {
     traffic load(it, options.seed, plans);
-    run_schedule(it, schedule);
+    inject_faults(it, schedule);
     load.stop();
     check_recovery(it, plans, out);
+    check_repeats(it, out);
     request_record requests(out.violations, home_endpoints);
     for (const request_outcome& one : load.requests()) {
       requests.check(one, it.runs_of(one.id));
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -13,6 +13,8 @@
 struct soak_options {
   std::uint64_t seed = 1;
   std::chrono::milliseconds span{20'000};  // all faults begin within it
+  int gateways_per_region = 1;
+  std::string program = "trestlepostd";  // the daemon that nodes run
 };
 
 struct soak_result {
@@ -22,6 +24,9 @@
   int failed = 0;
   int acknowledged = 0;
   int reads = 0;
+  int repeats = 0;  // arrivals at endpoints after the first of their request
+  /// The largest share of the allowed repeats that was used in a window.
+  double retry_share = 0;
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
   violation_list violations;
@@ -30,7 +35,7 @@
 };
 
 /// Runs the deployment under the faults of the seed and checks the guarantees
-/// for plans, requests and recovery.
+/// for plans, requests, repeats and recovery.
 soak_result run_soak(const soak_options& options);
 
 }  // namespace trestlepost::soak
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 namespace trestlepost::soak {
@@ -12,10 +13,10 @@
 using std::chrono::milliseconds;
 
 const schedule_options options{
-    {"c1", "c2", "c3"}, {"e1", "e2"}, milliseconds(20'000)};
+    {"c1", "c2", "c3"}, {"e1", "e2"}, {"i1", "i2"}, milliseconds(20'000)};
 
 bool same(const fault& a, const fault& b) {
-  return a.kind == b.kind && a.node == b.node && a.begin == b.begin &&
+  return a.kind == b.kind && a.target == b.target && a.begin == b.begin &&
          a.end == b.end;
 }
 
@@ -32,7 +33,7 @@
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     milliseconds free_from{0};
     for (const fault& it : make_schedule(seed, options)) {
-      if (it.node.front() != 'c') continue;
+      if (it.target.front() != 'c') continue;
       EXPECT_GE(it.begin, free_from) << seed;
       free_from = it.end;
       if (it.kind == fault_kind::wipe) free_from += milliseconds(5000);
@@ -46,14 +47,32 @@
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     milliseconds busy_until{0};
     for (const fault& it : make_schedule(seed, options)) {
-      seen.insert({it.kind, it.node.front()});
+      seen.insert({it.kind, it.target.front()});
       overlap = overlap || it.begin < busy_until;
       busy_until = std::max(busy_until, it.end);
     }
   }
-  EXPECT_EQ(seen.size(), 9U);  // 5 for control nodes, 4 for entries: no wipe
+  // 5 for control nodes, 4 for entries, which have no data, 7 for endpoints.
+  EXPECT_EQ(seen.size(), 16U);
   EXPECT_TRUE(overlap);
 }
 
+TEST(schedule_test, some_faults_strike_all_endpoints_or_entries_at_once) {
+  int endpoints = 0;
+  int entries = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::map<std::pair<fault_kind, milliseconds>, std::set<std::string>> struck;
+    for (const fault& it : make_schedule(seed, options)) {
+      struck[{it.kind, it.begin}].insert(it.target);
+    }
+    for (const auto& [what, targets] : struck) {
+      endpoints += targets.contains("i1") && targets.contains("i2") ? 1 : 0;
+      entries += targets.contains("e1") && targets.contains("e2") ? 1 : 0;
+    }
+  }
+  EXPECT_GT(endpoints, 50);
+  EXPECT_GT(entries, 50);
+}
+
 }  // namespace
 }  // namespace trestlepost::soak
