Ledger: a fence is refused when the ledger is full

A fence of a key without a record added one, however many there were, so that keys that move home could fill the memory of the region that they leave. A request that needs the fence is told to come again after a minute, as one is that needs a claim. Found by reading; the test failed before (2 records where 1 is allowed, verdict moved).

--- a/gateway/include/trestlepost/gateway/retry_budgets.h
+++ b/gateway/include/trestlepost/gateway/retry_budgets.h
@@ -24,8 +24,7 @@
   /// false if the budget is exhausted.
   bool charge_next(const std::string& service, routing::charged_sends& sends);
   /// Returns a charge that was not used, when the request has ended.
-  void refund_unused(const std::string& service,
-                     routing::charged_sends& sends);
+  void refund_unused(const std::string& service, routing::charged_sends& sends);
   /// Records that this gateway sent a request to an endpoint after the request
   /// had already reached one. Whether that was charged, here or by the gateway
   /// that forwarded the request, does not matter.
--- a/ledger/include/trestlepost/ledger/state_machine.h
+++ b/ledger/include/trestlepost/ledger/state_machine.h
@@ -13,8 +13,8 @@
 namespace trestlepost::ledger {
 
 struct ledger_limits {
-  /// Maximum number of records. Further claims are refused, since a request
-  /// must not run without a record.
+  /// Maximum number of records. Further claims and fences are refused, since a
+  /// request must not run without a record.
   std::size_t records = 1'000'000;
   // Fault injection: each flag disables a mechanism, for tests that show that
   // the checks detect its absence.
@@ -42,6 +42,7 @@
   claim_decision claim(const claim_command& command);
   claim_decision decide_existing(const claim_command& command, record& found);
   claim_decision fence(const fence_command& command);
+  bool is_full() const { return records_.size() >= limits_.records; }
   void finish(const finish_command& command);
   void expire(wall_time now);
   void set_expiry(const std::string& key, record& it, wall_time until);
--- a/ledger/src/state_machine.cc
+++ b/ledger/src/state_machine.cc
@@ -16,6 +16,14 @@
   return out;
 }
 
+/// Returns the decision on a command that needs a record more than the ledger
+/// may hold.
+claim_decision full_decision(const std::string& attempt) {
+  claim_decision out = decision(attempt, claim_verdict::in_progress);
+  out.retry_after = std::chrono::minutes(1);
+  return out;
+}
+
 std::chrono::milliseconds at_least_one_ms(wall_time::duration n) {
   return std::max(std::chrono::milliseconds(1),
                   std::chrono::duration_cast<std::chrono::milliseconds>(n));
@@ -79,11 +87,7 @@
   expire(command.at);
   const auto found = records_.find(command.key);
   if (found != records_.end()) return decide_existing(command, found->second);
-  if (records_.size() >= limits_.records) {
-    claim_decision out = decision(command.attempt, claim_verdict::in_progress);
-    out.retry_after = std::chrono::minutes(1);
-    return out;
-  }
+  if (is_full()) return full_decision(command.attempt);
   record& added = records_[command.key];
   added.digest = command.digest;
   added.attempt = command.attempt;
@@ -139,6 +143,8 @@
     as_claim.at = command.at;
     return decide_existing(as_claim, found->second);
   }
+  const bool added = found == records_.end();
+  if (added && is_full()) return full_decision(command.attempt);
   record& fenced = records_[command.key];
   fenced.state = record_state::moved;
   set_expiry(command.key, fenced, command.at + command.window);
--- a/ledger/test/ledger-test.cc
+++ b/ledger/test/ledger-test.cc
@@ -121,6 +121,22 @@
   EXPECT_EQ(it.last.verdict, claim_verdict::mismatch);
 }
 
+// Fences are records too: without a limit, keys that move home fill the memory
+// of the region that they leave.
+TEST(ledger_test, a_fence_is_refused_when_the_ledger_is_full) {
+  ledger_limits limits;
+  limits.records = 1;
+  ledger_harness it(limits);
+  it.claim("a1");
+  it.apply(to_json(fence_command{"other", "d", "f1", start, window}));
+  EXPECT_EQ(it.last.verdict, claim_verdict::in_progress);
+  EXPECT_GT(it.last.retry_after, milliseconds(0));
+  EXPECT_EQ(it.machine.size(), 1U);
+  // The key that has a record is still decided by it.
+  it.apply(to_json(fence_command{"k", "x", "f2", start, window}));
+  EXPECT_EQ(it.last.verdict, claim_verdict::mismatch);
+}
+
 // An empty ledger would grant keys again that have run.
 TEST(ledger_test, an_unreadable_snapshot_is_an_error_and_keeps_the_records) {
   ledger_harness it;
--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -14,8 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/// Returns the behaviour of an endpoint under the fault, or nullopt if the fault
-/// is one of a node.
+/// Returns the behaviour of an endpoint under the fault, or nullopt if the
+/// fault is one of a node.
 std::optional<behaviour> behaviour_under(fault_kind kind) {
   switch (kind) {
     case fault_kind::refuse:
@@ -76,14 +76,13 @@
   }
 }
 
-/// Sets the behaviour of an endpoint to that of the newest fault that strikes it
-/// at the time `at`.
+/// Sets the behaviour of an endpoint to that of the newest fault that strikes
+/// it at the time `at`.
 void update_endpoint(deployment& target, const std::vector<fault>& schedule,
                      const std::string& endpoint, milliseconds at) {
   behaviour what = behaviour::serve;
   for (const fault& it : schedule) {
-    const bool strikes =
-        it.target == endpoint && it.begin <= at && at < it.end;
+    const bool strikes = it.target == endpoint && it.begin <= at && at < it.end;
     if (strikes) what = behaviour_under(it.kind).value_or(what);
   }
   target.set_behaviour(endpoint, what);
