Repeats over processes: one of two services rejects

The limits hold for each service. A deployment may have a second service now; callers send four of five requests to it while the endpoints of the first reject everything.

--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -116,7 +116,7 @@
     bench::caller_request request =
         deployment_.caller_request(entry, method, path, it.id);
     request.timeout = caller_timeout;
-    deployment_.record_request();
+    deployment_.record_request(path);
     const bench::caller_answer answer =
         co_await bench::send(client_, std::move(request));
     if (answer.complete) it.status = answer.status;
@@ -208,7 +208,11 @@
 
 soak_result run_soak(const soak_options& options) {
   soak_result out;
-  deployment it({retry_limits, options.gateways_per_region, options.program});
+  platform::test::deployment_options target;
+  target.retries = retry_limits;
+  target.gateways_per_region = options.gateways_per_region;
+  target.program = options.program;
+  deployment it(target);
   it.bring_up();
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
