HTTP: responses without length, on both sides

A server can send a body that ends where the connection closes, and resets the connection if the response is aborted or the process ends before that (linger of 0 until the end). A client tells whether a response states where its body ends. No gateway sends such a response yet.

Tests: a_response_without_length_ends_with_its_connection, an_aborted_response_without_length_is_an_error.

--- a/bench/src/caller.cc
+++ b/bench/src/caller.cc
@@ -35,6 +35,7 @@
   }
   out.sent = true;
   out.status = call->status();
+  out.delimited = call->is_delimited();
   out.headers = call->headers();
   out.region = std::string(call->header("Trestlepost-Region"));
   out.ran = std::string(call->header("Trestlepost-Ran"));
@@ -62,7 +63,9 @@
 
 caller_answer send_and_wait(const caller_request& request) {
   transport::asio::io_context io(1);
-  transport::http_client client(io, {});
+  transport::http_client_options options;
+  options.accept_close_delimited = true;
+  transport::http_client client(io, options);
   caller_answer out;
   const auto task = [&]() -> awaitable<void> {
     out = co_await send(client, request);
--- a/bench/src/caller.h
+++ b/bench/src/caller.h
@@ -24,6 +24,9 @@
 
 struct caller_answer {
   bool complete = false;  // the answer was read to its end
+  /// The answer states where it ends. Otherwise the end of the connection is
+  /// taken for its end.
+  bool delimited = false;
   bool sent = false;      // request bytes may have reached the peer
   unsigned status = 0;
   std::string region;
--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -20,6 +20,7 @@
  public:
   std::deque<std::string> pieces;
   bool interrupted = false;
+  bool delimited = true;
   std::string content_type = "text/event-stream";
 
   transport::awaitable<tl::expected<void, transport::call_failure>> send(
@@ -28,6 +29,7 @@
   }
   void set_deadline(monotonic_time) override {}
   unsigned status() const override { return 200; }
+  bool is_delimited() const override { return delimited; }
   std::string_view header(std::string_view name) const override {
     return name == "Content-Type" ? content_type : std::string_view();
   }
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -49,6 +49,7 @@
   transport::awaitable<bool> finish_stream() override { co_return true; }
   void abort() override {}
   bool has_response_started() const override { return false; }
+  bool is_response_delimited() const override { return false; }
   bool is_disconnected() const override { return false; }
   void on_disconnect(std::function<void()>) override {}
 };
@@ -65,6 +66,7 @@
   }
   void set_deadline(monotonic_time) override {}
   unsigned status() const override { return status_code; }
+  bool is_delimited() const override { return true; }
   std::string_view header(std::string_view name) const override {
     return find_header(all, name);
   }
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -67,6 +67,10 @@
   virtual void set_deadline(monotonic_time deadline) = 0;
 
   virtual unsigned status() const = 0;
+  /// Returns whether the response states where its body ends, by a length or by
+  /// chunks. Otherwise a truncated body looks like a complete one if the
+  /// connection closes in order.
+  virtual bool is_delimited() const = 0;
   /// Returns the header's value, or an empty string.
   virtual std::string_view header(std::string_view name) const = 0;
   /// Returns all headers in the order of arrival.
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -34,6 +34,10 @@
   std::string content_type = "application/json";
   header_list headers;
   std::string body;
+  /// Sends the body without length: it ends where the connection closes. If the
+  /// exchange is aborted or the process ends before that, the connection is
+  /// reset.
+  bool close_delimited = false;
 };
 
 /// One request and its response. Operations return false or an error after the
@@ -56,8 +60,9 @@
   /// Sends a complete response. Returns false if a response has been started.
   virtual awaitable<bool> respond(http_response response) = 0;
 
-  /// Starts a response whose body is sent in pieces, in chunked encoding.
-  /// Without `finish_stream` the caller receives an incomplete response.
+  /// Starts a response whose body is sent in pieces: in chunked encoding, or
+  /// without length if `head` is close-delimited. Without `finish_stream` the
+  /// caller receives an incomplete response.
   virtual awaitable<bool> start_stream(http_response head) = 0;
   /// Like `start_stream`, but with a Content-Length of `length` bytes, the
   /// total size of the pieces.
@@ -71,6 +76,8 @@
 
   /// Returns whether any part of a response was sent.
   virtual bool has_response_started() const = 0;
+  /// Returns whether the response was started and states where its body ends.
+  virtual bool is_response_delimited() const = 0;
   /// Returns whether the caller is known to have disconnected. Known at least
   /// after `read_body` if it happened before.
   virtual bool is_disconnected() const = 0;
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -61,12 +61,16 @@
   return out;
 }
 
+void server_connection::set_reset_on_close(bool reset) {
+  error_code ec;
+  stream_.socket().set_option(asio::socket_base::linger(reset, 0), ec);
+}
+
 void server_connection::reset_connection() {
   unusable_ = true;
+  // A partial response must not be mistaken for a complete one.
+  set_reset_on_close(true);
   error_code ec;
-  // Sends a TCP reset, so that a partial response cannot be mistaken for a
-  // complete one.
-  stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
   stream_.socket().close(ec);
 }
 
@@ -125,6 +129,7 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
   parser_->body_limit(options_.body_limit);
+  framing_ = body_framing::sized;
   response_started_ = false;
   response_complete_ = false;
   error_code ec;
@@ -215,6 +220,9 @@
 
 awaitable<bool> server_connection::respond(http_response response) {
   if (disconnected_ || response_started_) co_return false;
+  if (response.close_delimited && method() != "HEAD") {
+    co_return co_await respond_until_close(std::move(response));
+  }
   response_started_ = true;
   string_response out = make_head(response, 11);
   const bool keeps_open = parser_->is_done() && parser_->get().keep_alive() &&
@@ -238,6 +246,15 @@
   co_return true;
 }
 
+awaitable<bool> server_connection::respond_until_close(http_response response) {
+  std::string body = std::move(response.body);
+  bool open = co_await start_stream(std::move(response));
+  if (open) open = co_await write_piece(std::move(body));
+  if (open) open = co_await finish_stream();
+  if (!open) unusable_ = true;
+  co_return open;
+}
+
 http::response<http::empty_body> make_stream_head(const http_response& head) {
   http::response<http::empty_body> out;
   static_cast<http::response_header<>&>(out) = make_head(head, 11).base();
@@ -246,8 +263,12 @@
 
 awaitable<bool> server_connection::start_stream(http_response head) {
   http::response<http::empty_body> out = make_stream_head(head);
-  out.chunked(true);
-  chunked_response_ = true;
+  framing_ = head.close_delimited ? body_framing::close : body_framing::chunked;
+  if (head.close_delimited) {
+    set_reset_on_close(true);
+  } else {
+    out.chunked(true);
+  }
   co_return co_await write_stream_head(std::move(out));
 }
 
@@ -255,7 +276,7 @@
                                                       std::size_t length) {
   http::response<http::empty_body> out = make_stream_head(head);
   out.content_length(length);
-  chunked_response_ = false;
+  framing_ = body_framing::sized;
   co_return co_await write_stream_head(std::move(out));
 }
 
@@ -263,7 +284,8 @@
     http::response<http::empty_body> out) {
   if (disconnected_ || response_started_) co_return false;
   response_started_ = true;
-  out.keep_alive(parser_->get().keep_alive() && !draining_);
+  out.keep_alive(parser_->get().keep_alive() && !draining_ &&
+                 framing_ != body_framing::close);
   http::response_serializer<http::empty_body> serializer(out);
   error_code ec;
   stream_.expires_after(options_.write_timeout);
@@ -286,7 +308,9 @@
 
 awaitable<bool> server_connection::write_piece(std::string piece) {
   if (piece.empty()) co_return !disconnected_;
-  if (!chunked_response_) co_return co_await write(asio::buffer(piece));
+  if (framing_ != body_framing::chunked) {
+    co_return co_await write(asio::buffer(piece));
+  }
   char size[32];
   const int n = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
   std::string framed(size, static_cast<std::size_t>(n));
@@ -297,10 +321,12 @@
 
 awaitable<bool> server_connection::finish_stream() {
   static constexpr std::string_view final_chunk = "0\r\n\r\n";
-  const bool sent = chunked_response_
+  const bool sent = framing_ == body_framing::chunked
                         ? co_await write(asio::buffer(final_chunk))
                         : !disconnected_ && !unusable_;
-  response_complete_ = sent && !draining_;
+  const bool closes = framing_ == body_framing::close;
+  if (sent && closes) set_reset_on_close(false);
+  response_complete_ = sent && !draining_ && !closes;
   co_return sent;
 }
 
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -16,6 +16,10 @@
 
 namespace trestlepost::transport {
 
+/// How a response states where its body ends. `close`: it ends where the
+/// connection closes.
+enum class body_framing { sized, chunked, close };
+
 /// Connection of a caller. It is owned by its coroutines.
 class server_connection final
     : public http_exchange,
@@ -58,6 +62,9 @@
   awaitable<bool> finish_stream() override;
   void abort() override { reset_connection(); }
   bool has_response_started() const override { return response_started_; }
+  bool is_response_delimited() const override {
+    return response_started_ && framing_ != body_framing::close;
+  }
   bool is_disconnected() const override { return disconnected_; }
   void on_disconnect(std::function<void()> action) override;
 
@@ -66,11 +73,15 @@
   awaitable<bool> reject_head(boost::system::error_code ec);
   awaitable<bool> write_stream_head(
       boost::beast::http::response<boost::beast::http::empty_body> out);
+  awaitable<bool> respond_until_close(http_response response);
   awaitable<bool> write(asio::const_buffer data);
   /// Checks without waiting whether the caller has disconnected.
   void check_for_disconnect();
   /// Waits until the caller disconnects while the request is in progress.
   awaitable<void> watch_for_disconnect(std::uint64_t number);
+  /// Sets whether the connection is reset when it is closed, also by the end of
+  /// the process.
+  void set_reset_on_close(bool reset);
   void reset_connection();
   void handle_disconnect();
 
@@ -85,8 +96,8 @@
   bool watching_for_disconnect_ = false;
   bool response_started_ = false;
   bool response_complete_ = false;  // sent, and the connection may stay open
-  bool chunked_response_ = false;
-  bool unusable_ = false;  // no further request is read
+  body_framing framing_ = body_framing::sized;  // of the current response
+  bool unusable_ = false;                       // no further request is read
   bool disconnected_ = false;
   bool draining_ = false;
   bool first_request_ = true;  // no request has been read yet
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -18,7 +18,7 @@
 const std::string address = loopback_ip() + ":7802";
 
 /// Streams for /stream, aborts a stream for /cut, and echoes the body
-/// otherwise.
+/// otherwise. The response to a target that ends with "?close" has no length.
 class test_handler final : public http_handler {
  public:
   awaitable<void> handle(http_exchange& exchange) override {
@@ -34,13 +34,16 @@
       co_await exchange.respond(refusal);
       co_return;
     }
-    if (exchange.target() == "/stream" || exchange.target() == "/cut") {
+    const std::string_view target = exchange.target();
+    const bool close_delimited = target.ends_with("?close");
+    if (target.starts_with("/stream") || target.starts_with("/cut")) {
       http_response head;
       head.content_type = "text/event-stream";
+      head.close_delimited = close_delimited;
       co_await exchange.start_stream(head);
       co_await exchange.write_piece("one ");
       co_await exchange.write_piece("two");
-      if (exchange.target() == "/cut") {
+      if (target.starts_with("/cut")) {
         exchange.abort();
       } else {
         co_await exchange.finish_stream();
@@ -48,6 +51,7 @@
       co_return;
     }
     http_response response;
+    response.close_delimited = close_delimited;
     response.body = "echo " + *body;
     co_await exchange.respond(response);
   }
@@ -59,7 +63,8 @@
 class http_test : public testing::Test {
  protected:
   http_test()
-      : server_(context_, handler_, make_options()), client_(context_, {}) {
+      : server_(context_, handler_, make_options()),
+        client_(context_, make_client_options()) {
     EXPECT_TRUE(server_.listen(address));
   }
 
@@ -72,6 +77,12 @@
     return out;
   }
 
+  static http_client_options make_client_options() {
+    http_client_options out;
+    out.accept_close_delimited = true;
+    return out;
+  }
+
   template <typename Condition>
   bool run_until(Condition done) {
     for (int i = 0; i < 3000 && !done(); ++i) {
@@ -165,6 +176,26 @@
   const char* expected;
 };
 
+TEST_F(http_test, a_response_without_length_ends_with_its_connection) {
+  for (const char* target : {"/?close", "/stream?close"}) {
+    const std::string request =
+        std::string("GET ") + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    const std::string response = send_raw(request);
+    EXPECT_EQ(response.find("Content-Length"), std::string::npos) << response;
+    EXPECT_EQ(response.find("Transfer-Encoding"), std::string::npos)
+        << response;
+    EXPECT_NE(response.find("Connection: close"), std::string::npos)
+        << response;
+    EXPECT_FALSE(response.ends_with("(open)")) << response;
+  }
+  EXPECT_EQ(get("/?close", "a"), "echo a");
+  EXPECT_EQ(get("/stream?close"), "one two");
+}
+
+TEST_F(http_test, an_aborted_response_without_length_is_an_error) {
+  EXPECT_EQ(get("/cut?close"), "error");
+}
+
 TEST_F(http_test, malformed_requests_get_a_typed_error_and_the_next_is_served) {
   const bad_request cases[] = {
       {"garbage", "\x01\x02garbage\r\n\r\n", "HTTP/1.1 400"},
