--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -27,6 +27,7 @@
   bool open = co_await exchange.start_stream(std::move(head));
   while (open && !piece->empty()) {
     std::string text = std::move(*piece);
+    if (!call.is_delimited()) out.events.push(text);
     open = co_await exchange.write_piece(std::move(text));
     if (!open) break;
     piece = co_await call.read_piece();
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "trestlepost/gateway/event_boundary.h"
 #include "trestlepost/surface/endpoint_codec.h"
 #include "trestlepost/transport/http_client.h"
 
@@ -25,6 +26,8 @@
   bool caller_disconnected = false;
   /// Why the call was interrupted.
   std::optional<error> interruption;
+  /// Where the stream ended, if the answer has no length.
+  event_boundary events;
 };
 
 /// Sends `head`, then `first` and the rest of the stream piece by piece. Calls
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -42,11 +42,9 @@
   return out;
 }
 
-/// Returns whether the end of the answer can be distinguished from a closed
-/// connection.
-bool has_declared_end(const transport::http_call& call) {
-  return !call.header("Transfer-Encoding").empty() ||
-         !call.header("Content-Length").empty();
+std::string position_of(const event_boundary& events) {
+  if (events.is_inside_event()) return "inside an event";
+  return events.has_event() ? "between events" : "before the first event";
 }
 
 }  // namespace
@@ -252,6 +250,7 @@
     co_return interrupted_run(body.error());
   }
   context_.endpoints.request_succeeded(current.endpoint.name);
+  if (!current.call->is_delimited()) log_undelimited_end(current, "body");
   http_response answer = answer_head(*current.call, *surfaces_.endpoints);
   answer.body = std::move(*body);
   attempt out;
@@ -310,11 +309,21 @@
     out.connection_lost = is_connection_loss(out.cause);
     co_return out;
   }
+  if (!current.call->is_delimited())
+    log_undelimited_end(current, position_of(relayed.events));
   context_.endpoints.request_succeeded(current.endpoint.name);
   co_await current.exchange.finish_stream();
   co_return out;
 }
 
+void endpoint_runner::log_undelimited_end(const active_run& current,
+                                          const std::string& position) const {
+  log_event(log_level::info, "undelimited-answer-ended",
+            {{"request_id", current.request.head.request_id},
+             {"endpoint", current.endpoint.name},
+             {"position", position}});
+}
+
 attempt endpoint_runner::continuation_rejected(active_run& current) {
   const unsigned status = current.call->status();
   current.call->cancel();
@@ -333,7 +342,7 @@
     if (!piece) co_return handle_interruption(current, piece.error());
     ended = piece->empty();
     if (ended && current.events.is_incomplete() &&
-        !has_declared_end(*current.call)) {
+        !current.call->is_delimited()) {
       const error cause{error_kind::endpoint_failed,
                         "the connection closed before the stream was complete",
                         "check the endpoint " + current.endpoint.name};
