Streams cut inside an event are not complete, whatever their framing

Callers got 200, a short body and a last chunk when an endpoint crashed while it sent a stream without length: the connection ended in order inside an event, and deliver_stream took that for the end. Only deliver_events, for resumable streams, looked where the stream ended, and not once it had stopped to scan.

answer_reader reads every streamed body now (own and forwarded, resumable or not, the product's own interface): without a declared end, an end inside an event or before the first one is an error. event_boundary knows CR, LF, CR LF, comments, reconnection times, a byte order mark and pieces cut anywhere; a stream with CR LF that lacks the last LF is truncated.

--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -53,9 +53,8 @@
   /// Returns false if the caller disconnected.
   transport::awaitable<bool> relay_events(active_run& current, std::string text,
                                           bool ended);
-  /// Logs where an answer without length has ended.
-  void log_undelimited_end(const active_run& current,
-                           const std::string& position) const;
+  /// Logs an answer without length that has ended in order.
+  void log_undelimited_end(const active_run& current) const;
   /// The endpoint answered a continuation with something other than a stream.
   attempt continuation_rejected(active_run& current);
   /// The stream was interrupted, before or after its first event.
--- a/gateway/include/trestlepost/gateway/event_boundary.h
+++ b/gateway/include/trestlepost/gateway/event_boundary.h
@@ -14,7 +14,10 @@
 
   /// Returns whether the last line is unfinished, or fields since the last
   /// empty line await the next one. A stream that ends here was truncated.
-  bool is_inside_event() const { return !line_start_.empty() || has_fields_; }
+  bool is_inside_event() const {
+    const bool misses_lf = after_cr_ && uses_crlf_;
+    return !line_start_.empty() || has_fields_ || misses_lf;
+  }
   /// Returns whether there was a complete event. Comments and reconnection
   /// times are no events.
   bool has_event() const { return has_event_; }
@@ -25,6 +28,7 @@
   std::string line_start_;  // of the current line, as much as is compared
   bool is_first_line_ = true;
   bool after_cr_ = false;
+  bool uses_crlf_ = false;   // a line has ended with CR LF
   bool has_fields_ = false;  // of the current event
   bool has_event_ = false;
 };
--- /dev/null
+++ b/gateway/src/answer_reader.h
@@ -0,0 +1,38 @@
+// Reads the body of an answer piece by piece and detects where it was truncated
+// although its connection was closed in order.
+#pragma once
+
+#include <string>
+
+#include "trestlepost/gateway/event_boundary.h"
+#include "trestlepost/transport/http_client.h"
+
+namespace trestlepost::gateway {
+
+enum class answer_body {
+  /// Its end can't be checked.
+  opaque,
+  events,
+  /// Events of a stream that the caller resumes; there may be none left.
+  resumed_events
+};
+
+class answer_reader {
+ public:
+  answer_reader(transport::http_call& call, answer_body body)
+      : call_(call), body_(body) {}
+
+  /// Reads the next piece. Returns an empty string at the end of the body, and
+  /// an error if it is truncated: also if the answer has no length and its
+  /// connection was closed inside an event, or before the first one.
+  transport::awaitable<result<std::string>> read_piece();
+
+  transport::http_call& call() { return call_; }
+
+ private:
+  transport::http_call& call_;
+  answer_body body_;
+  event_boundary events_;
+};
+
+}  // namespace trestlepost::gateway
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -5,6 +5,12 @@
 
 namespace trestlepost::gateway {
 
+namespace {
+
+constexpr unsigned ok_status = 200;
+
+}  // namespace
+
 using transport::awaitable;
 using transport::http_call;
 using transport::http_exchange;
@@ -19,7 +25,15 @@
   return out;
 }
 
-awaitable<relayed_stream> relay_stream(http_call& call, http_exchange& exchange,
+answer_body body_of(const routed_request& request, unsigned status) {
+  const bool streamed = request.route->kind == config::route_kind::stream;
+  if (!streamed || status != ok_status) return answer_body::opaque;
+  return request.head.resume_after.empty() ? answer_body::events
+                                           : answer_body::resumed_events;
+}
+
+awaitable<relayed_stream> relay_stream(answer_reader& body,
+                                       http_exchange& exchange,
                                        http_response head, std::string first,
                                        const std::function<void()>& on_next) {
   relayed_stream out;
@@ -27,10 +41,9 @@
   bool open = co_await exchange.start_stream(std::move(head));
   while (open && !piece->empty()) {
     std::string text = std::move(*piece);
-    if (!call.is_delimited()) out.events.push(text);
     open = co_await exchange.write_piece(std::move(text));
     if (!open) break;
-    piece = co_await call.read_piece();
+    piece = co_await body.read_piece();
     // The call is cancelled when the caller disconnects, so a failed read is no
     // interruption in that case.
     open = !exchange.is_disconnected();
@@ -43,7 +56,7 @@
     if (!piece->empty()) on_next();
   }
   if (!open) {
-    call.cancel();
+    body.call().cancel();
     out.caller_disconnected = true;
   }
   co_return out;
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "trestlepost/gateway/event_boundary.h"
+#include "answer_reader.h"
+#include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/surface/endpoint_codec.h"
-#include "trestlepost/transport/http_client.h"
 
 namespace trestlepost::gateway {
 
@@ -20,21 +20,22 @@
 transport::http_response answer_head(const transport::http_call& call,
                                      const surface::endpoint_codec& codec);
 
+/// Returns how the body of an endpoint's answer of this status is read.
+answer_body body_of(const routed_request& request, unsigned status);
+
 /// How a relayed stream ended. If neither member is set, it is complete and the
 /// exchange still has to be finished.
 struct relayed_stream {
   bool caller_disconnected = false;
   /// Why the call was interrupted.
   std::optional<error> interruption;
-  /// Where the stream ended, if the answer has no length.
-  event_boundary events;
 };
 
 /// Sends `head`, then `first` and the rest of the stream piece by piece. Calls
 /// `on_next` at each piece after the first. Cancels the call if the caller
 /// disconnects, and aborts the exchange if the call is interrupted.
 transport::awaitable<relayed_stream> relay_stream(
-    transport::http_call& call, transport::http_exchange& exchange,
+    answer_reader& body, transport::http_exchange& exchange,
     transport::http_response head, std::string first,
     const std::function<void()>& on_next);
 
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -60,10 +60,12 @@
   http_response answer = head_of(call, std::move(headers));
   const std::string content_type(call.header("Content-Type"));
   const bool streamed = content_type.starts_with(event_stream);
+  answer_reader body(call,
+                     streamed ? answer_body::events : answer_body::opaque);
   std::string buffered;
   bool first = true;
   while (true) {
-    result<std::string> piece = co_await call.read_piece();
+    result<std::string> piece = co_await body.read_piece();
     if (!piece) {
       out.outcome.cause = piece.error();
       out.outcome.connection_lost = is_connection_loss(piece.error());
@@ -78,7 +80,7 @@
       out.outcome.delivered = true;
       const std::function<void()> on_next = [] {};
       const relayed_stream relayed = co_await relay_stream(
-          call, exchange, std::move(answer), std::move(buffered), on_next);
+          body, exchange, std::move(answer), std::move(buffered), on_next);
       out.outcome.connection_lost =
           relayed.interruption && is_connection_loss(*relayed.interruption);
       if (relayed.interruption) out.outcome.cause = *relayed.interruption;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -42,11 +42,6 @@
   return out;
 }
 
-std::string position_of(const event_boundary& events) {
-  if (events.is_inside_event()) return "inside an event";
-  return events.has_event() ? "between events" : "before the first event";
-}
-
 }  // namespace
 
 /// The state of one attempt.
@@ -250,7 +245,7 @@
     co_return interrupted_run(body.error());
   }
   context_.endpoints.request_succeeded(current.endpoint.name);
-  if (!current.call->is_delimited()) log_undelimited_end(current, "body");
+  log_undelimited_end(current);
   http_response answer = answer_head(*current.call, *surfaces_.endpoints);
   answer.body = std::move(*body);
   attempt out;
@@ -275,7 +270,8 @@
 }
 
 awaitable<attempt> endpoint_runner::deliver_stream(active_run& current) {
-  result<std::string> piece = co_await current.call->read_piece();
+  answer_reader reader(*current.call, body_of(current.request, ok_status));
+  result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
     if (!current.exchange.is_disconnected()) {
       context_.endpoints.request_failed(current.endpoint.name,
@@ -295,9 +291,8 @@
     pool_.engines().record_event(current.ticket, context_.clock.now());
   };
   std::string first = std::move(*piece);
-  const relayed_stream relayed =
-      co_await relay_stream(*current.call, current.exchange, std::move(head),
-                            std::move(first), on_next);
+  const relayed_stream relayed = co_await relay_stream(
+      reader, current.exchange, std::move(head), std::move(first), on_next);
   if (relayed.caller_disconnected) {
     out.cause = {error_kind::bad_input, "the caller disconnected", ""};
     co_return out;
@@ -309,19 +304,17 @@
     out.connection_lost = is_connection_loss(out.cause);
     co_return out;
   }
-  if (!current.call->is_delimited())
-    log_undelimited_end(current, position_of(relayed.events));
+  log_undelimited_end(current);
   context_.endpoints.request_succeeded(current.endpoint.name);
   co_await current.exchange.finish_stream();
   co_return out;
 }
 
-void endpoint_runner::log_undelimited_end(const active_run& current,
-                                          const std::string& position) const {
+void endpoint_runner::log_undelimited_end(const active_run& current) const {
+  if (current.call->is_delimited()) return;
   log_event(log_level::info, "undelimited-answer-ended",
             {{"request_id", current.request.head.request_id},
-             {"endpoint", current.endpoint.name},
-             {"position", position}});
+             {"endpoint", current.endpoint.name}});
 }
 
 attempt endpoint_runner::continuation_rejected(active_run& current) {
@@ -336,9 +329,14 @@
 }
 
 awaitable<attempt> endpoint_runner::deliver_events(active_run& current) {
+  // A continuation without any event is recognized by the scanner.
+  const answer_body body = current.events.continued()
+                               ? answer_body::resumed_events
+                               : body_of(current.request, ok_status);
+  answer_reader reader(*current.call, body);
   bool ended = false;
   while (!ended) {
-    result<std::string> piece = co_await current.call->read_piece();
+    result<std::string> piece = co_await reader.read_piece();
     if (!piece) co_return handle_interruption(current, piece.error());
     ended = piece->empty();
     if (ended && current.events.is_incomplete() &&
@@ -364,6 +362,7 @@
                {"endpoint", current.endpoint.name},
                {"cause", std::string(to_string(fault))}});
   }
+  log_undelimited_end(current);
   context_.endpoints.request_succeeded(current.endpoint.name);
   co_await current.exchange.finish_stream();
   attempt out;
--- a/gateway/src/event_boundary.cc
+++ b/gateway/src/event_boundary.cc
@@ -15,7 +15,10 @@
   for (const char it : piece) {
     const bool after_cr = after_cr_;
     after_cr_ = it == '\r';
-    if (it == '\n' && after_cr) continue;
+    if (it == '\n' && after_cr) {
+      uses_crlf_ = true;
+      continue;
+    }
     if (it == '\n' || it == '\r') {
       end_line();
     } else if (line_start_.size() < max_compared) {
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -158,7 +158,8 @@
     co_await exchange.respond(std::move(head));
     co_return out;
   }
-  result<std::string> piece = co_await call.read_piece();
+  answer_reader reader(call, body_of(request, call.status()));
+  result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
     out.cause = piece.error();
     co_return out;
@@ -168,7 +169,7 @@
   const std::function<void()> on_next = [] {};
   std::string first = std::move(*piece);
   const relayed_stream relayed = co_await relay_stream(
-      call, exchange, std::move(head), std::move(first), on_next);
+      reader, exchange, std::move(head), std::move(first), on_next);
   if (relayed.caller_disconnected) {
     out.cause = {error_kind::bad_input, "the caller disconnected", ""};
     co_return out;
--- a/gateway/test/event_boundary-test.cc
+++ b/gateway/test/event_boundary-test.cc
@@ -20,7 +20,7 @@
     {"one event", "data: x\n\n", false, true},
     {"CR LF", "data: x\r\n\r\n", false, true},
     {"CR", "data: x\r\r", false, true},
-    {"CR LF whose last LF is missing", "data: x\r\n\r", false, true},
+    {"CR LF whose last LF is missing", "data: x\r\n\r", true, true},
     {"a field without its empty line", "data: x\n\ndata: y\n", true, true},
     {"a field after CR LF", "data: x\r\n", true, false},
     {"part of a field", "data: x\n\nda", true, true},
