Answers without length are passed on without length

A gateway added a last chunk to streams and a length to bodies that came with neither: a truncated answer whose connection ends in order between two events, or in a plain body, became a complete one for good. Now the answer's framing is the endpoint's, over hops too. A chunked stream that is resumed by a continuation without length gets no last chunk; the caller may resume it.

Ruled out: to keep chunks and leave out the last one for all such answers, since complete ones would arrive as broken.

--- a/bench/src/caller.h
+++ b/bench/src/caller.h
@@ -27,7 +27,7 @@
   /// The answer states where it ends. Otherwise the end of the connection is
   /// taken for its end.
   bool delimited = false;
-  bool sent = false;      // request bytes may have reached the peer
+  bool sent = false;  // request bytes may have reached the peer
   unsigned status = 0;
   std::string region;
   std::string ran;
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -20,6 +20,7 @@
                           const surface::endpoint_codec& codec) {
   http_response out;
   out.status = call.status();
+  out.close_delimited = !call.is_delimited();
   out.content_type.clear();
   out.headers = codec.passthrough_headers(call);
   return out;
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -16,7 +16,8 @@
 /// truncated one can be replaced.
 inline constexpr std::size_t max_plain_answer_bytes = 16UL * 1024 * 1024;
 
-/// Returns the answer of `call` without its body.
+/// Returns the answer of `call` without its body. It states where the body ends
+/// only if `call` does.
 transport::http_response answer_head(const transport::http_call& call,
                                      const surface::endpoint_codec& codec);
 
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -339,8 +339,10 @@
     result<std::string> piece = co_await reader.read_piece();
     if (!piece) co_return handle_interruption(current, piece.error());
     ended = piece->empty();
-    if (ended && current.events.is_incomplete() &&
-        !current.call->is_delimited()) {
+    // The caller was promised a declared end, and this continuation has none.
+    const bool misses_end = current.exchange.is_response_delimited() ||
+                            current.events.is_incomplete();
+    if (ended && misses_end && !current.call->is_delimited()) {
       const error cause{error_kind::endpoint_failed,
                         "the connection closed before the stream was complete",
                         "check the endpoint " + current.endpoint.name};
