Ledger: an answer without declared end is not stored, its run is unknown

An answer with neither length nor chunks was recorded as a completed run and, if short, stored: had the endpoint crashed, each later request with its key would have got the truncated answer for good. Now such a run is recorded as unknown and nothing is stored; the caller gets what came, without a length.

Test, failing before: an_answer_without_declared_end_is_no_completed_run.

--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -87,16 +87,17 @@
       const bool complete =
           !relayed.caller_disconnected && !relayed.interruption;
       if (!complete) co_return out;
-      out.outcome.ran = run_state::yes;
+      if (call.is_delimited()) out.outcome.ran = run_state::yes;
       co_await exchange.finish_stream();
       co_return out;
     }
   }
   out.outcome.delivered = true;
-  out.outcome.ran = run_state::yes;
+  if (call.is_delimited()) out.outcome.ran = run_state::yes;
   out.answer.status = answer.status;
   out.answer.content_type = content_type;
-  out.answer.complete = buffered.size() <= ledger::max_stored_answer_bytes;
+  out.answer.complete =
+      call.is_delimited() && buffered.size() <= ledger::max_stored_answer_bytes;
   if (out.answer.complete) out.answer.body = buffered;
   answer.body = std::move(buffered);
   co_await exchange.respond(std::move(answer));
--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -83,6 +83,32 @@
   EXPECT_FALSE(out.answer.complete);
 }
 
+// An answer without declared end may be truncated; replayed from the ledger it
+// would look complete for good.
+TEST(delivery_test, an_answer_without_declared_end_is_no_completed_run) {
+  for (const char* content_type : {"text/event-stream", "text/plain"}) {
+    scripted_call call;
+    call.pieces = {"data: 1\n\n"};
+    call.delimited = false;
+    call.content_type = content_type;
+    const delivery_result out = deliver_all(call);
+    EXPECT_TRUE(out.outcome.delivered);
+    EXPECT_EQ(out.outcome.ran, run_state::unknown) << content_type;
+    EXPECT_FALSE(out.answer.complete) << content_type;
+  }
+}
+
+// The product's own interface must detect truncation as routed streams do.
+TEST(delivery_test, a_stream_cut_inside_an_event_is_interrupted) {
+  scripted_call call;
+  call.pieces = {"data: 1\n\n", "data: 2\n"};
+  call.delimited = false;
+  const delivery_result out = deliver_all(call);
+  EXPECT_TRUE(out.outcome.delivered);
+  EXPECT_EQ(out.outcome.ran, run_state::unknown);
+  EXPECT_EQ(out.outcome.cause.kind, error_kind::endpoint_failed);
+}
+
 TEST(delivery_test, a_complete_answer_is_a_completed_run) {
   for (const char* content_type : {"text/event-stream", "text/plain"}) {
     scripted_call call;
