HTTP/1.0 callers get streams without chunks

A stream for a request of HTTP/1.0 was chunked: the sizes of the chunks became part of the body, and its end that of the connection. Now it has no length and the connection is reset if it is broken off.

Test, failing before: a_stream_for_http_1_0_is_not_chunked.

--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -61,8 +61,8 @@
   virtual awaitable<bool> respond(http_response response) = 0;
 
   /// Starts a response whose body is sent in pieces: in chunked encoding, or
-  /// without length if `head` is close-delimited. Without `finish_stream` the
-  /// caller receives an incomplete response.
+  /// without length if `head` is close-delimited or the request is of HTTP/1.0.
+  /// Without `finish_stream` the caller receives an incomplete response.
   virtual awaitable<bool> start_stream(http_response head) = 0;
   /// Like `start_stream`, but with a Content-Length of `length` bytes, the
   /// total size of the pieces.
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -20,6 +20,7 @@
 using string_response = http::response<http::string_body>;
 
 constexpr char server_header[] = "trestlepost";
+constexpr unsigned http_1_1 = 11;
 
 http::status status_of(unsigned n) {
   return http::int_to_status(n);
@@ -224,7 +225,7 @@
     co_return co_await respond_until_close(std::move(response));
   }
   response_started_ = true;
-  string_response out = make_head(response, 11);
+  string_response out = make_head(response, http_1_1);
   const bool keeps_open = parser_->is_done() && parser_->get().keep_alive() &&
                           !draining_ && !unusable_;
   out.keep_alive(keeps_open);
@@ -257,14 +258,16 @@
 
 http::response<http::empty_body> make_stream_head(const http_response& head) {
   http::response<http::empty_body> out;
-  static_cast<http::response_header<>&>(out) = make_head(head, 11).base();
+  static_cast<http::response_header<>&>(out) = make_head(head, http_1_1).base();
   return out;
 }
 
 awaitable<bool> server_connection::start_stream(http_response head) {
   http::response<http::empty_body> out = make_stream_head(head);
-  framing_ = head.close_delimited ? body_framing::close : body_framing::chunked;
-  if (head.close_delimited) {
+  const bool until_close =
+      head.close_delimited || parser_->get().version() < http_1_1;
+  framing_ = until_close ? body_framing::close : body_framing::chunked;
+  if (until_close) {
     set_reset_on_close(true);
   } else {
     out.chunked(true);
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -192,6 +192,14 @@
   EXPECT_EQ(get("/stream?close"), "one two");
 }
 
+// HTTP/1.0 has no chunks: their sizes became part of the body.
+TEST_F(http_test, a_stream_for_http_1_0_is_not_chunked) {
+  const std::string response =
+      send_raw("GET /stream HTTP/1.0\r\nHost: a.example\r\n\r\n");
+  EXPECT_EQ(response.find("Transfer-Encoding"), std::string::npos) << response;
+  EXPECT_TRUE(response.ends_with("\r\n\r\none two")) << response;
+}
+
 TEST_F(http_test, an_aborted_response_without_length_is_an_error) {
   EXPECT_EQ(get("/cut?close"), "error");
 }
