Streams: a continuation may begin with a reconnection time

A block of "retry:" alone was taken for an event without id: a continuation that begins with one was aborted, and the stream before it lost its resume point.

Test, failing before: a_continuation_may_begin_with_a_reconnection_time.

--- a/gateway/include/trestlepost/gateway/event_scanner.h
+++ b/gateway/include/trestlepost/gateway/event_scanner.h
@@ -87,7 +87,7 @@
   std::size_t line_start_ = 0;       // offset of the current line
   std::size_t search_start_ = 0;     // offset before which there is no line end
   bool inside_event_ = false;        // the last line was not blank
-  bool has_field_ = false;           // the event has more than comments
+  bool has_field_ = false;           // besides comments and reconnection times
   std::optional<std::uint64_t> id_;  // of the current event
   std::string id_text_;
   std::optional<std::uint64_t> last_id_;
--- a/gateway/src/event_scanner.cc
+++ b/gateway/src/event_scanner.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view id_field = "id";
+constexpr std::string_view retry_field = "retry";
 
 /// Parses an id. Only ids that consist of a decimal number can be compared.
 std::optional<std::uint64_t> read_id(std::string_view text) {
@@ -109,9 +110,11 @@
 void event_scanner::parse_field(std::string_view line) {
   inside_event_ = true;
   if (line.front() == ':') return;
-  has_field_ = true;
   const std::size_t colon = line.find(':');
-  if (line.substr(0, colon) != id_field) return;
+  const std::string_view name = line.substr(0, colon);
+  if (name == retry_field) return;
+  has_field_ = true;
+  if (name != id_field) return;
   std::string_view value;
   if (colon != std::string_view::npos) value = line.substr(colon + 1);
   if (value.starts_with(' ')) value.remove_prefix(1);
--- a/gateway/test/event_scanner-test.cc
+++ b/gateway/test/event_scanner-test.cc
@@ -100,6 +100,19 @@
   EXPECT_EQ(scanner.finish().output, "");
 }
 
+// A reconnection time is no event: the continuation was aborted, since it did
+// not begin with an event that has an id.
+TEST(event_scanner_test, a_continuation_may_begin_with_a_reconnection_time) {
+  event_scanner scanner;
+  EXPECT_EQ(scanner.push("id: 1\ndata: x\n\n").fault, stream_fault::none);
+  scanner.start_continuation();
+  const std::string rest = "retry: 100\n\nid: 2\ndata: y\n\n";
+  const scan_result got = scanner.push(rest);
+  EXPECT_EQ(got.fault, stream_fault::none);
+  EXPECT_EQ(got.output, rest);
+  EXPECT_EQ(scanner.resume_point(), "2");
+}
+
 TEST(event_scanner_test, large_pieces_of_small_events_are_not_oversized) {
   event_scanner scanner(8);
   const std::string events = "id: 1\n\nid: 2\n\nid: 3\n\n";
