A gateway that reaches no endpoint hands its requests to others of its region

Callers of gateways that were cut off from all endpoints got 503 or nothing: no request went to another gateway of the own region, and what was forwarded to other regions went preferably to gateways that are cut off too, since these are idle. Each endpoint was found unreachable by itself, by requests that hung.

endpoint_reachability: three endpoints of a service (or all, if fewer) that could not be reached, with none reached since, are a partition. Such a gateway says so in its heartbeats and digests, gets no forwards for the service, hands its own requests to another gateway of the region that reaches endpoints (the same forwarded message, which can't be forwarded again, so no loop), opens a connection to one endpoint at a time until one succeeds, and then ends the ejections of the service. Endpoints that only this gateway could not reach are not excluded at the next one. If no gateway reaches any, requests are refused at once after 1.5 s; within that time the endpoints may merely be silent.

--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -121,4 +121,10 @@
   return out;
 }
 
+json to_json(const std::set<std::string>& texts) {
+  json out(Json::arrayValue);
+  for (const std::string& it : texts) out.append(it);
+  return out;
+}
+
 }  // namespace trestlepost
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -1,4 +1,4 @@
-// Forwards a routed request to a gateway of another permitted region.
+// Forwards a routed request to another gateway of a permitted region.
 #pragma once
 
 #include <map>
@@ -17,11 +17,15 @@
   route_forwarder(gateway_context& context, const surface::surfaces& surfaces)
       : context_(context), surfaces_(surfaces) {}
 
-  /// Makes one attempt in `region`.
+  /// Makes one attempt at a gateway of `region`, which may be the own region.
   transport::awaitable<attempt> serve(const routed_request& request,
                                       const std::string& region,
                                       transport::http_exchange& exchange);
 
+  /// Returns whether another gateway of `region` reaches endpoints of
+  /// `service`.
+  bool reaches(const std::string& region, const std::string& service) const;
+
   /// Returns the probability that the endpoints of `region` accept a request of
   /// `service`, based on recent answers to this gateway.
   double accept_probability(const std::string& region,
@@ -32,7 +36,8 @@
   std::uint32_t unanswered_tokens(const std::string& region) const;
 
  private:
-  /// Returns the less loaded of two random gateways, or null if there is none.
+  /// Returns the less loaded of two random gateways that reach endpoints of
+  /// `service`, or null if there is none.
   const membership::node_record* choose_gateway(const std::string& region,
                                                 const std::string& service);
   transport::http_request make_request(const routed_request& request) const;
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -6,6 +6,7 @@
 
 #include "trestlepost/gateway/caller_authentication.h"
 #include "trestlepost/gateway/route_forwarder.h"
+#include "trestlepost/gateway/route_regions.h"
 #include "trestlepost/gateway/route_service.h"
 #include "trestlepost/routing/route_table.h"
 #include "trestlepost/usage/usage_limiter.h"
@@ -44,6 +45,9 @@
   /// one is permitted.
   transport::awaitable<attempt> run(routed_request& request,
                                     transport::http_exchange& exchange);
+  /// Records in `tried` that the attempt `last` was made as `chosen`.
+  void record_tried(tried_regions& tried, const region_decision& chosen,
+                    const attempt& last) const;
   /// Returns whether another region may be tried after `last`.
   bool may_try_other_region(routed_request& request, const attempt& last) const;
   /// Counts the request towards the limit of its organisation. Returns the
--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -10,19 +10,34 @@
 
 namespace trestlepost::gateway {
 
-/// The region selected for a request and, for the local region, the endpoint.
+/// The region selected for a request and, if this gateway sends it to an
+/// endpoint, the endpoint. Otherwise another gateway of the region serves it.
 struct region_decision {
   std::string region;
-  /// The evaluated endpoint, set for the local region only.
   std::optional<chosen_endpoint> endpoint;
 };
 
+/// The attempts made for a request so far.
+struct tried_regions {
+  bool own_endpoints = false;
+  /// No endpoint of this region could be reached by this gateway.
+  bool own_unreached = false;
+  bool own_gateways = false;     // other gateways of this region
+  std::set<std::string> others;  // other regions
+
+  std::size_t count() const {
+    return (own_endpoints ? 1U : 0U) + (own_gateways ? 1U : 0U) + others.size();
+  }
+};
+
 /// Returns a permitted region for `request`, or nothing if none can serve it
 /// now. It is the local region, or another one with a probability that grows
-/// with the gain in value. Regions in `exhausted` are excluded.
-std::optional<region_decision> choose_region(
-    const gateway_context& context, const endpoint_pool& local_pool,
-    const route_forwarder& remote, const routed_request& request,
-    const std::set<std::string>& exhausted);
+/// with the gain in value. If this gateway reaches no local endpoint, another
+/// gateway of the region serves the request. What was tried is excluded.
+std::optional<region_decision> choose_region(const gateway_context& context,
+                                             const endpoint_pool& local_pool,
+                                             const route_forwarder& remote,
+                                             const routed_request& request,
+                                             const tried_regions& tried);
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -28,6 +28,8 @@
   monotonic_time deadline;
   /// Endpoints that the request was sent to or that refused it.
   std::set<std::string> avoid;
+  /// Endpoints that this gateway could not reach. Another one may reach them.
+  std::set<std::string> unreached;
   routing::charged_sends sends;
 
   /// Returns the request's fingerprint (see `request_fingerprint.h`), computed
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -236,9 +236,10 @@
   std::vector<endpoint_view> available;
   for (endpoint_view& it :
        context_.endpoints.views(request.service, context_.clock.now())) {
-    const bool free =
-        accepts_requests(it, service) && !request.avoid.contains(it.name);
-    if (free) available.push_back(std::move(it));
+    const bool tried =
+        request.avoid.contains(it.name) || request.unreached.contains(it.name);
+    if (!tried && accepts_requests(it, service))
+      available.push_back(std::move(it));
   }
   if (available.empty()) {
     return fail(error_kind::unavailable,
@@ -266,11 +267,12 @@
   reference.priority = lowest_priority;
   milliseconds wait{0};
   milliseconds interval{0};
+  const bool reachable = !context_.endpoints.is_unreachable(service);
   for (const endpoint_view& it :
        context_.endpoints.views(service, context_.clock.now())) {
     out.in_flight += it.own_in_flight;
-    const bool available =
-        accepts_requests(it, known) && it.load < it.limit * max_load_factor;
+    const bool available = reachable && accepts_requests(it, known) &&
+                           it.load < it.limit * max_load_factor;
     if (!available) continue;
     ++out.endpoints;
     if (!engine) continue;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -34,6 +34,11 @@
                   silence_factor * expected.first_token);
 }
 
+/// Returns whether `failure` is no sign that the endpoint is merely slow.
+bool may_be_unreachable(const transport::call_failure& failure) {
+  return !failure.bytes_written || is_connection_loss(failure.cause);
+}
+
 /// Returns the result of an interrupted run that may be repeated from the
 /// start.
 attempt interrupted_run(const error& cause) {
@@ -169,6 +174,9 @@
   // If the request's own deadline passed, the endpoint may merely be slow.
   const bool late = failure.cause.kind == error_kind::deadline &&
                     current.answer_by == current.request.deadline;
+  if (!current.exchange.is_disconnected() && may_be_unreachable(failure)) {
+    context_.endpoints.endpoint_unreached(current.endpoint.name, at);
+  }
   if (failure.refused) {
     context_.endpoints.connection_refused(current.endpoint.name, at);
   } else if (!current.exchange.is_disconnected() &&
@@ -192,6 +200,8 @@
 }
 
 std::optional<attempt> endpoint_runner::read_head(active_run& current) {
+  context_.endpoints.endpoint_reached(current.endpoint.name,
+                                      context_.clock.now());
   pool_.record_answer(current.endpoint.name, current.answer);
   if (!current.answer.not_run && !current.answer.other_endpoint) {
     pool_.record_accepted(current.endpoint.name);
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -98,7 +98,14 @@
     result<routed_request> request =
         message ? accept(std::move(*message), std::move(*body))
                 : result<routed_request>(tl::make_unexpected(message.error()));
-    if (request) {
+    if (request && context_.endpoints.is_unreachable(request->service)) {
+      outcome = failed_attempt(
+          run_state::no,
+          {error_kind::unavailable,
+           "this gateway reaches no endpoint of " + request->service,
+           "use another gateway"},
+          retry_after_wrong_node);
+    } else if (request) {
       const unsigned before = request->sends.count();
       const std::optional<chosen_endpoint> no_endpoint;
       outcome = co_await service_.serve(*request, no_endpoint, exchange);
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -6,6 +6,7 @@
 
 #include "answer_relay.h"
 #include "refusal_message.h"
+#include "trestlepost/base/log.h"
 #include "trestlepost/gateway/forward_message.h"
 #include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_message.h"
@@ -42,19 +43,23 @@
 
 const node_record* route_forwarder::choose_gateway(const std::string& region,
                                                    const std::string& service) {
-  std::vector<const node_record*> candidates;
-  for (const node_record* it :
-       context_.nodes.live_in(region, context_.clock.now())) {
-    const bool accepts = it->last.state == membership::node_states::ready &&
-                         !it->last.node.forward_address.empty();
-    if (accepts) candidates.push_back(it);
-  }
+  const std::vector<const node_record*> candidates =
+      context_.nodes.forward_targets(region, service, context_.self,
+                                     context_.clock.now());
   if (candidates.empty()) return nullptr;
   const node_record* a = candidates[context_.random.below(candidates.size())];
   const node_record* b = candidates[context_.random.below(candidates.size())];
   return gateway_load(*b, service) < gateway_load(*a, service) ? b : a;
 }
 
+bool route_forwarder::reaches(const std::string& region,
+                              const std::string& service) const {
+  return !context_.nodes
+              .forward_targets(region, service, context_.self,
+                               context_.clock.now())
+              .empty();
+}
+
 std::uint32_t route_forwarder::unanswered_tokens(
     const std::string& region) const {
   const auto it = unanswered_.find(region);
@@ -110,6 +115,8 @@
          "send it again after Retry-After"},
         retry_after_wrong_node);
   }
+  // The record may be replaced while the call is in progress.
+  const std::string name = gateway->last.node.name;
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(gateway->last.node.forward_address);
   std::function<void()> on_disconnect = [call] { call->cancel(); };
@@ -134,6 +141,13 @@
     outcome = co_await relay_answer(request, *call, exchange);
   }
   exchange.on_disconnect(nullptr);
+  if (!outcome.delivered && !exchange.is_disconnected()) {
+    log_event(log_level::info, "forward-failed",
+              {{"request_id", request.head.request_id},
+               {"gateway", name},
+               {"ran", std::string(to_string(outcome.ran))},
+               {"cause", outcome.cause.message}});
+  }
   record_acceptance(region, request.service, outcome);
   co_return outcome;
 }
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -208,9 +208,22 @@
   return last.ran == run_state::no || request.route->may_repeat();
 }
 
+void route_handler::record_tried(tried_regions& tried,
+                                 const region_decision& chosen,
+                                 const attempt& last) const {
+  if (chosen.endpoint) {
+    tried.own_endpoints = true;
+    tried.own_unreached = !last.endpoint.empty() && last.sends == 0;
+  } else if (chosen.region == context_.self.region) {
+    tried.own_gateways = true;
+  } else {
+    tried.others.insert(chosen.region);
+  }
+}
+
 awaitable<attempt> route_handler::run(routed_request& request,
                                       http_exchange& exchange) {
-  std::set<std::string> exhausted;
+  tried_regions tried;
   attempt last =
       failed_attempt(run_state::no,
                      unavailable_error("no permitted region can serve " +
@@ -218,16 +231,16 @@
                      retry_after_unavailable);
   bool may_have_run = false;
   std::optional<transport::http_response> last_endpoint_answer;
-  while (exhausted.size() < max_regions) {
+  while (tried.count() < max_regions) {
     std::optional<attempt> refusal = local_.hold_refusal(request);
     if (refusal) {
       if (request.sends.count() == 0) last = std::move(*refusal);
       break;
     }
     const std::optional<region_decision> chosen =
-        choose_region(context_, local_.pool(), remote_, request, exhausted);
+        choose_region(context_, local_.pool(), remote_, request, tried);
     if (!chosen) {
-      const bool untried = exhausted.empty() && request.sends.count() == 0;
+      const bool untried = tried.count() == 0 && request.sends.count() == 0;
       bool waited = false;
       if (untried)
         waited = co_await wait_for_startup(request.arrived, exchange);
@@ -237,7 +250,7 @@
     if (!local_.charge_send(request)) break;
     const std::string& region = chosen->region;
     if (request.sends.count() > 0) local_.record_retry(request, last, region);
-    if (region == context_.self.region) {
+    if (chosen->endpoint) {
       last = co_await local_.serve(request, chosen->endpoint, exchange);
     } else {
       last = co_await remote_.serve(request, region, exchange);
@@ -252,7 +265,7 @@
     may_have_run = may_have_run || last.ran != run_state::no;
     if (last.endpoint_answer) last_endpoint_answer = last.endpoint_answer;
     if (!may_try_other_region(request, last)) break;
-    exhausted.insert(region);
+    record_tried(tried, *chosen, last);
   }
   // An endpoint's own answer is preferred to a refusal by the gateway.
   if (last_endpoint_answer && !last.endpoint_answer)
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -18,6 +18,8 @@
 // Probability that shared prompt sections cached in this region are not cached
 // in the other one.
 constexpr double remote_miss_probability = 0.5;
+// Endpoints may be silent for a second without having failed.
+constexpr milliseconds max_silence{1500};
 
 /// The load of a service in another region, as advertised by its gateways.
 struct remote_load {
@@ -37,6 +39,7 @@
        context.nodes.live_in(region, context.clock.now())) {
     const auto load = it->last.services.find(service);
     const bool open = it->last.state == membership::node_states::ready &&
+                      !it->last.unreachable_services.contains(service) &&
                       load != it->last.services.end() &&
                       load->second.endpoints > 0;
     if (open) in_flight += load->second.in_flight;
@@ -104,11 +107,6 @@
   double value = 0;
 };
 
-bool may_serve(const routed_request& request, const std::string& region,
-               const std::set<std::string>& exhausted) {
-  return request.permits(region) && !exhausted.contains(region);
-}
-
 std::optional<valued_decision> evaluate_local_region(
     const gateway_context& context, const endpoint_pool& local_pool,
     const routed_request& request,
@@ -126,12 +124,13 @@
     const gateway_context& context, const endpoint_pool& local_pool,
     const route_forwarder& remote, const routed_request& request,
     const routing::latency_requirements& requirements,
-    const std::set<std::string>& exhausted) {
+    const std::set<std::string>& tried) {
   std::optional<valued_decision> best;
   const double cost = remote_cost(request.work);
   for (const std::string& region : context.nodes.regions()) {
     const bool other = region != context.self.region;
-    if (!other || !may_serve(request, region, exhausted)) continue;
+    const bool may_serve = request.permits(region) && !tried.contains(region);
+    if (!other || !may_serve) continue;
     const std::optional<remote_load> load =
         load_in(context, region, request.service);
     if (!load) continue;
@@ -149,25 +148,55 @@
   return best;
 }
 
+/// Returns whether this gateway is cut off from the local endpoints, so that
+/// another gateway of the region may do better.
+bool is_cut_off(const gateway_context& context, const routed_request& request,
+                const tried_regions& tried) {
+  return tried.own_unreached ||
+         context.endpoints.is_unreachable(request.service) ||
+         context.endpoints.all_ejected(request.service);
+}
+
+/// Returns whether the endpoints have been unreachable for so long that they
+/// are not worth an attempt.
+bool certainly_unreachable(const gateway_context& context,
+                           const std::string& service) {
+  const std::optional<monotonic_time> since =
+      context.endpoints.unreachable_since(service);
+  return since && context.clock.now() >= *since + max_silence;
+}
+
 }  // namespace
 
-std::optional<region_decision> choose_region(
-    const gateway_context& context, const endpoint_pool& local_pool,
-    const route_forwarder& remote, const routed_request& request,
-    const std::set<std::string>& exhausted) {
+std::optional<region_decision> choose_region(const gateway_context& context,
+                                             const endpoint_pool& local_pool,
+                                             const route_forwarder& remote,
+                                             const routed_request& request,
+                                             const tried_regions& tried) {
   const monotonic_time now = context.clock.now();
+  const std::string& own_region = context.self.region;
+  const bool own_permitted = request.permits(own_region);
+  const bool cut_off = is_cut_off(context, request, tried);
+  const bool by_own_gateways = own_permitted && cut_off &&
+                               !tried.own_gateways &&
+                               remote.reaches(own_region, request.service);
+  if (by_own_gateways) return region_decision{own_region, std::nullopt};
   const routing::latency_requirements requirements =
       latency_requirements_of(request, now);
   std::optional<valued_decision> best_local;
-  if (may_serve(request, context.self.region, exhausted)) {
+  const bool locally = own_permitted && !tried.own_endpoints &&
+                       !certainly_unreachable(context, request.service);
+  if (locally) {
     best_local =
         evaluate_local_region(context, local_pool, request, requirements);
   }
   std::optional<valued_decision> best_remote;
   if (context.state.may_cross_regions(now)) {
     best_remote = evaluate_remote_regions(context, local_pool, remote, request,
-                                          requirements, exhausted);
+                                          requirements, tried.others);
   }
+  // What could not be reached just now is a last resort.
+  if (best_remote && cut_off) best_local.reset();
   if (!best_local && !best_remote) return std::nullopt;
   if (!best_local) return std::move(best_remote->decision);
   if (!best_remote) return std::move(best_local->decision);
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -220,8 +220,12 @@
       co_return std::move(*last);
     }
     may_have_run = may_have_run || last->ran != run_state::no;
-    request.avoid.insert(chosen->name);
-    if (last->sends == 0) ++unsent;
+    if (last->sends == 0) {
+      request.unreached.insert(chosen->name);
+      ++unsent;
+    } else {
+      request.avoid.insert(chosen->name);
+    }
     if (!may_retry(request, *last, unsent)) break;
   }
   if (may_have_run) last->ran = run_state::unknown;
--- /dev/null
+++ b/membership/include/trestlepost/membership/endpoint_reachability.h
@@ -0,0 +1,42 @@
+// Tells a partition from all endpoints of a service from failures of single
+// endpoints.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "trestlepost/base/clock.h"
+
+namespace trestlepost::membership {
+
+/// Tracks which endpoints could not be reached since an endpoint of the same
+/// service was reached last.
+class endpoint_reachability {
+ public:
+  /// An endpoint answered or accepted a connection. Returns whether failures
+  /// were recorded before.
+  bool record_reached(const std::string& service);
+  /// The endpoint did not accept a connection, or one failed before the answer.
+  void record_unreached(const std::string& service, const std::string& endpoint,
+                        monotonic_time now);
+  /// Forgets endpoints that are not in `names`.
+  void retain(const std::set<std::string>& names);
+
+  /// Returns the services with endpoints that could not be reached.
+  std::set<std::string> failing_services() const;
+  /// Returns since when the endpoints of `service`, `endpoints` in number, have
+  /// been unreachable, or nothing if one of them may be reachable.
+  std::optional<monotonic_time> unreachable_since(const std::string& service,
+                                                  std::size_t endpoints) const;
+
+ private:
+  struct failures {
+    monotonic_time first_at;
+    std::set<std::string> endpoints;
+  };
+  std::map<std::string, failures> failures_;  // by service
+};
+
+}  // namespace trestlepost::membership
--- a/membership/include/trestlepost/membership/endpoint_tracker.h
+++ b/membership/include/trestlepost/membership/endpoint_tracker.h
@@ -5,12 +5,14 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/charts/chart.h"
+#include "trestlepost/membership/endpoint_reachability.h"
 
 namespace trestlepost::membership {
 
@@ -85,6 +87,12 @@
   void request_succeeded(const std::string& name);
   void request_failed(const std::string& name, monotonic_time now);
   void connection_refused(const std::string& name, monotonic_time now);
+  /// The endpoint answered or accepted a connection. If no endpoint of its
+  /// service had been reachable, the ejected ones may be tried again.
+  void endpoint_reached(const std::string& name, monotonic_time now);
+  /// No connection to the endpoint could be opened, or one failed before the
+  /// answer.
+  void endpoint_unreached(const std::string& name, monotonic_time now);
   void report(const std::string& name, load_report in);
   /// Updates the endpoints at `address` from the platform's list. Endpoints
   /// that the list does not contain keep their state, because the list lags.
@@ -93,6 +101,17 @@
   void set_others_in_flight(std::map<std::string, std::uint32_t> by_endpoint);
   void tick(monotonic_time now);
 
+  /// Returns since when this gateway has reached no endpoint of `service`.
+  /// Returns nothing if it may reach one, or if there is none.
+  std::optional<monotonic_time> unreachable_since(
+      const std::string& service) const;
+  bool is_unreachable(const std::string& service) const {
+    return unreachable_since(service).has_value();
+  }
+  std::set<std::string> unreachable_services() const;
+  /// Returns whether `service` has endpoints and all of them are ejected.
+  bool all_ejected(const std::string& service) const;
+
   std::vector<endpoint_view> views(const std::string& service,
                                    monotonic_time now) const;
   std::map<std::string, std::uint32_t> own_in_flight() const;
@@ -123,6 +142,7 @@
   charts::chart chart_;
   endpoint_options options_;
   std::map<std::string, record> endpoints_;
+  endpoint_reachability reachability_;
   std::map<std::string, std::uint32_t> others_in_flight_;
   bool any_declared_ = false;
 };
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,9 @@
   std::map<std::string, std::vector<std::uint32_t>> pending_tokens;
   /// Prompt prefixes that endpoints were sent recently.
   std::vector<cached_prefix> cached_prefixes;
+  /// Services of which the gateway reaches no endpoint, although there are some
+  /// in its region.
+  std::set<std::string> unreachable_services;
 };
 
 /// State of a region's nodes that its relay sends to other regions.
@@ -142,6 +146,12 @@
   std::vector<const node_record*> all() const;
   std::vector<const node_record*> live_in(const std::string& region,
                                           monotonic_time now) const;
+  /// The live and ready gateways of `region` other than `self` that accept
+  /// forwarded requests and reach an endpoint of `service`.
+  std::vector<const node_record*> forward_targets(const std::string& region,
+                                                  const std::string& service,
+                                                  const node_info& self,
+                                                  monotonic_time now) const;
   /// The live gateways in the region of `self`, without `self`.
   std::vector<const node_record*> other_gateways(const node_info& self,
                                                  monotonic_time now) const;
--- a/membership/include/trestlepost/membership/region_digest.h
+++ b/membership/include/trestlepost/membership/region_digest.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
   std::uint64_t sequence = 0;  // of the heartbeat with this state
   std::uint64_t revision = 0;
   std::uint32_t load = 0;  // approximate number of requests
+  std::set<std::string> unreachable_services;
 };
 
 /// Load by service name.
--- a/membership/src/digest_writer.cc
+++ b/membership/src/digest_writer.cc
@@ -27,9 +27,11 @@
   const heartbeat& last = record.last;
   const bool returned = it.row.dead && !dead;
   const bool other_node = it.version == 0 || it.row.node != last.node;
-  const bool changed = it.row.dead != dead || it.row.state != last.state ||
-                       it.row.revision != last.revision ||
-                       is_load_change_significant(it.row.load, record.load);
+  const bool changed =
+      it.row.dead != dead || it.row.state != last.state ||
+      it.row.revision != last.revision ||
+      it.row.unreachable_services != last.unreachable_services ||
+      is_load_change_significant(it.row.load, record.load);
   if (!changed && !other_node) return;
   it.version = ++version_;
   if (other_node || returned) it.info_version = it.version;
@@ -39,6 +41,7 @@
   it.row.sequence = last.sequence;
   it.row.revision = last.revision;
   it.row.load = record.load;
+  it.row.unreachable_services = last.unreachable_services;
 }
 
 void digest_writer::update(const node_table& table, milliseconds late_after,
--- a/membership/src/endpoint_tracker.cc
+++ b/membership/src/endpoint_tracker.cc
@@ -58,6 +58,7 @@
   std::erase_if(endpoints_, [&declared_names](const auto& it) {
     return !declared_names.contains(it.first);
   });
+  reachability_.retain(declared_names);
   any_declared_ = any_declared_ || !endpoints_.empty();
 }
 
@@ -141,6 +142,59 @@
   if (it != nullptr) handle(*it, "connection_refused", now);
 }
 
+void endpoint_tracker::endpoint_reached(const std::string& name,
+                                        monotonic_time now) {
+  const record* reached = find(name);
+  if (reached == nullptr) return;
+  const std::string& service = reached->declared.service;
+  const bool was_unreachable = is_unreachable(service);
+  reachability_.record_reached(service);
+  if (!was_unreachable) return;
+  for (auto& [other, it] : endpoints_) {
+    if (it.declared.service != service) continue;
+    it.failures = 0;
+    it.ejections = 0;
+    if (it.state == endpoint_states::ejected) handle(it, "ejection_over", now);
+  }
+}
+
+void endpoint_tracker::endpoint_unreached(const std::string& name,
+                                          monotonic_time now) {
+  const record* it = find(name);
+  if (it == nullptr) return;
+  reachability_.record_unreached(it->declared.service, name, now);
+}
+
+std::optional<monotonic_time> endpoint_tracker::unreachable_since(
+    const std::string& service) const {
+  std::size_t endpoints = 0;
+  for (const auto& [name, it] : endpoints_) {
+    const bool counts =
+        it.declared.service == service && it.state != endpoint_states::leaving;
+    if (counts) ++endpoints;
+  }
+  return reachability_.unreachable_since(service, endpoints);
+}
+
+bool endpoint_tracker::all_ejected(const std::string& service) const {
+  bool any = false;
+  for (const auto& [name, it] : endpoints_) {
+    const bool counts =
+        it.declared.service == service && it.state != endpoint_states::leaving;
+    if (!counts) continue;
+    if (it.state != endpoint_states::ejected) return false;
+    any = true;
+  }
+  return any;
+}
+
+std::set<std::string> endpoint_tracker::unreachable_services() const {
+  std::set<std::string> out = reachability_.failing_services();
+  std::erase_if(out,
+                [this](const std::string& it) { return !is_unreachable(it); });
+  return out;
+}
+
 void endpoint_tracker::report(const std::string& name, load_report in) {
   record* it = find(name);
   if (it == nullptr) return;
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -109,6 +109,9 @@
   if (!value.cached_prefixes.empty()) {
     out["cached"] = to_json(value.cached_prefixes);
   }
+  if (!value.unreachable_services.empty()) {
+    out["unreachable"] = trestlepost::to_json(value.unreachable_services);
+  }
   return out;
 }
 
@@ -141,6 +144,8 @@
     }
   }
   out.cached_prefixes = cached_prefixes_from(member_of(value, "cached"));
+  const std::vector<std::string> unreachable = texts_of(value, "unreachable");
+  out.unreachable_services = {unreachable.begin(), unreachable.end()};
   return out;
 }
 
@@ -217,6 +222,7 @@
   record.last.state = in.state;
   record.last.sequence = in.sequence;
   record.last.revision = in.revision;
+  record.last.unreachable_services = in.unreachable_services;
   record.load = in.load;
   record.updated_by_digest = true;
   record.last_contact_at = std::max(record.last_contact_at, contact_at);
@@ -306,6 +312,19 @@
   return out;
 }
 
+std::vector<const node_record*> node_table::forward_targets(
+    const std::string& region, const std::string& service,
+    const node_info& self, monotonic_time now) const {
+  std::vector<const node_record*> out = live_in(region, now);
+  std::erase_if(out, [&](const node_record* it) {
+    const heartbeat& last = it->last;
+    return last.state != node_states::ready ||
+           last.node.forward_address.empty() || last.node.name == self.name ||
+           last.unreachable_services.contains(service);
+  });
+  return out;
+}
+
 std::vector<const node_record*> node_table::other_gateways(
     const node_info& self, monotonic_time now) const {
   std::vector<const node_record*> out = possible_gateways(self, now);
--- a/membership/src/region_digest.cc
+++ b/membership/src/region_digest.cc
@@ -22,6 +22,8 @@
   out["q"] = as_number(value.sequence);
   out["c"] = as_number(value.revision);
   if (value.load > 0) out["l"] = value.load;
+  if (!value.unreachable_services.empty())
+    out["u"] = trestlepost::to_json(value.unreachable_services);
   return out;
 }
 
@@ -38,6 +40,8 @@
   out.sequence = number_of(value, "q");
   out.revision = number_of(value, "c");
   out.load = static_cast<std::uint32_t>(number_of(value, "l"));
+  const std::vector<std::string> unreachable = texts_of(value, "u");
+  out.unreachable_services = {unreachable.begin(), unreachable.end()};
   return out;
 }
 
--- a/membership/test/endpoint_tracker-test.cc
+++ b/membership/test/endpoint_tracker-test.cc
@@ -114,5 +114,42 @@
   EXPECT_NEAR(view("a").load, 0, 0.01);
 }
 
+// A gateway that is partitioned from all endpoints learned of each by itself.
+TEST_F(endpoint_tracker_test,
+       several_failures_without_success_are_a_partition) {
+  tracker_.endpoint_unreached("a", now_);
+  tracker_.endpoint_unreached("a", now_);
+  tracker_.endpoint_unreached("b", now_);
+  EXPECT_FALSE(tracker_.is_unreachable("s"));
+  tracker_.endpoint_unreached("c", now_ + milliseconds(10));
+  EXPECT_EQ(tracker_.unreachable_since("s"), now_);
+  EXPECT_EQ(tracker_.unreachable_services(), std::set<std::string>{"s"});
+  tracker_.endpoint_reached("d", now_);
+  EXPECT_FALSE(tracker_.is_unreachable("s"));
+}
+
+TEST_F(endpoint_tracker_test, failures_between_successes_are_no_partition) {
+  for (const char* name : {"a", "b", "c", "a", "b", "c"}) {
+    tracker_.endpoint_unreached(name, now_);
+    tracker_.endpoint_reached("d", now_);
+  }
+  tracker_.endpoint_unreached("a", now_);
+  EXPECT_FALSE(tracker_.is_unreachable("s"));
+}
+
+// After a partition, endpoints stayed ejected for up to half a minute.
+TEST_F(endpoint_tracker_test, the_end_of_a_partition_ends_ejections) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    tracker_.endpoint_unreached(name, now_);
+    tracker_.connection_refused(name, now_);
+  }
+  EXPECT_TRUE(tracker_.all_ejected("s"));
+  tracker_.endpoint_reached("a", now_);
+  EXPECT_FALSE(tracker_.all_ejected("s"));
+  for (const char* name : {"a", "b", "c", "d"}) {
+    EXPECT_TRUE(view(name).usable) << name;
+  }
+}
+
 }  // namespace
 }  // namespace trestlepost::membership
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -91,6 +91,30 @@
 // without recent contact may still be sending. If it were omitted, another one
 // would take its place while it still sends; if many gateways are suspended or
 // have just started, each of the others would.
+// Gateways that reach no endpoint are idle; they attracted forwarded requests.
+TEST(node_table_test, gateways_without_endpoints_get_no_forwarded_requests) {
+  node_table table;
+  const monotonic_time start;
+  region_summary summary;
+  summary.region = "golfo";
+  heartbeat cut_off = gateway("v1", "golfo");
+  cut_off.unreachable_services = {"s"};
+  summary.nodes = {cut_off, gateway("v2", "golfo")};
+  table.observe(region_summary_from(to_json(summary)), start);
+  const auto names = [&](const std::string& service, const node_info& self) {
+    std::vector<std::string> out;
+    for (const node_record* it :
+         table.forward_targets("golfo", service, self, start)) {
+      out.push_back(it->last.node.name);
+    }
+    return out;
+  };
+  const node_info elsewhere = gateway("e1", "isola").node;
+  EXPECT_EQ(names("s", elsewhere), std::vector<std::string>{"v2"});
+  EXPECT_EQ(names("t", elsewhere), (std::vector<std::string>{"v1", "v2"}));
+  EXPECT_TRUE(names("s", gateway("v2", "golfo").node).empty());
+}
+
 TEST(node_table_test, a_suspect_gateway_is_a_possible_gateway) {
   node_table table;
   const monotonic_time start;
--- a/membership/test/region_digest-test.cc
+++ b/membership/test/region_digest-test.cc
@@ -90,6 +90,23 @@
   EXPECT_EQ(m.table.live_in("isola", later + milliseconds(1499)).size(), 20U);
 }
 
+TEST(region_digest_test, unreachable_services_are_sent_when_they_change) {
+  relay from("front-1");
+  receiver to;
+  heartbeat beat = make_heartbeat("front-2", 1);
+  from.table.observe(beat, monotonic_time());
+  to.receive(from.make_digest({}, monotonic_time()), monotonic_time());
+  ++beat.sequence;
+  beat.unreachable_services = {"s"};
+  from.table.observe(beat, monotonic_time());
+  const digest_request known = to.reader.request_for("front-1");
+  const region_digest changed = from.make_digest(known, monotonic_time());
+  EXPECT_EQ(changed.rows.size(), 1U);
+  to.receive(changed, monotonic_time());
+  EXPECT_EQ(to.table.find("front-2")->last.unreachable_services,
+            std::set<std::string>{"s"});
+}
+
 TEST(region_digest_test, digest_size_does_not_grow_with_the_region) {
   const auto length = [](int nodes) {
     relay r("r");
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -17,6 +17,7 @@
       surfaces_(platform::make_surfaces()),
       usage_(context, callers_.organisations()),
       pool_(gateway),
+      prober_(gateway),
       service_(gateway, surfaces_, pool_, crashes, context.options.retries),
       entry_(gateway, surfaces_, service_, routes_, callers_, usage_.limiter()),
       forwards_(gateway, service_, routes_, callers_, others),
@@ -40,6 +41,7 @@
   const bool routed = options.surface == surface_kind::platform;
   if (routed && options.gateway) endpoint_list_.tick();
   pool_.tick();
+  prober_.tick();
   service_.tick();
   usage_.tick();
 }
@@ -77,6 +79,7 @@
   for (const std::string& it : pool_.services()) {
     beat.services[it] = pool_.load_of(it);
   }
+  beat.unreachable_services = context_.endpoints.unreachable_services();
   beat.pending_tokens = pool_.engines().own_pending();
   beat.cached_prefixes = pool_.engines().recent_prefixes(context_.clock.now());
 }
--- a/node/src/routed_gateway.h
+++ b/node/src/routed_gateway.h
@@ -8,6 +8,7 @@
 #include "node_context.h"
 #include "order_handler.h"
 #include "trestlepost/gateway/endpoint_pool.h"
+#include "trestlepost/gateway/endpoint_prober.h"
 #include "trestlepost/gateway/route_forward_handler.h"
 #include "trestlepost/gateway/route_handler.h"
 #include "trestlepost/gateway/route_service.h"
@@ -54,6 +55,7 @@
   gateway::caller_authentication callers_;
   usage_service usage_;
   gateway::endpoint_pool pool_;
+  gateway::endpoint_prober prober_;
   gateway::route_service service_;
   gateway::route_handler entry_;
   gateway::route_forward_handler forwards_;
