Soak: answers without length, streams that run once, entries cut off

It gains answers without length, streams that may not be resumed, and partitions of entries from all endpoints, silent or with resets, which overlap with all other faults; a truncated stream that is framed as complete is a violation.

--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -1,11 +1,15 @@
 #include "fault_injection.h"
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <thread>
 
+#include "endpoint_partition.h"
+
 namespace trestlepost::soak {
 namespace {
 
@@ -76,24 +80,76 @@
   }
 }
 
+bool strikes_at(const fault& it, milliseconds at) {
+  return it.begin <= at && at < it.end;
+}
+
 /// Sets the behaviour of an endpoint to that of the newest fault that strikes
 /// it at the time `at`.
 void update_endpoint(deployment& target, const std::vector<fault>& schedule,
                      const std::string& endpoint, milliseconds at) {
   behaviour what = behaviour::serve;
   for (const fault& it : schedule) {
-    const bool strikes = it.target == endpoint && it.begin <= at && at < it.end;
-    if (strikes) what = behaviour_under(it.kind).value_or(what);
+    if (it.target == endpoint && strikes_at(it, at))
+      what = behaviour_under(it.kind).value_or(what);
   }
   target.set_behaviour(endpoint, what);
 }
 
+/// Sets whether the endpoint's answers have a length at the time `at`.
+void update_framing(deployment& target, const std::vector<fault>& schedule,
+                    const std::string& endpoint, milliseconds at) {
+  const bool undelimited =
+      std::any_of(schedule.begin(), schedule.end(), [&](const fault& it) {
+        return it.kind == fault_kind::undelimited && it.target == endpoint &&
+               strikes_at(it, at);
+      });
+  target.set_undelimited(endpoint, undelimited);
+}
+
+/// Partitions the entries that are partitioned from the endpoints at the time
+/// `at`. The fault `newest` begins or ends then.
+void update_partitions(deployment& target,
+                       platform::test::endpoint_partition& partition,
+                       const std::vector<fault>& schedule, const fault& newest,
+                       milliseconds at) {
+  using platform::test::open_connections;
+  std::set<std::string> ips;
+  for (const fault& it : schedule) {
+    const bool partitions = it.kind == fault_kind::partition ||
+                            it.kind == fault_kind::reset_partition;
+    if (partitions && strikes_at(it, at)) ips.insert(target.ip_of(it.target));
+  }
+  const bool resets = newest.kind == fault_kind::reset_partition;
+  partition.begin(ips,
+                  resets ? open_connections::reset : open_connections::silent);
+}
+
 }  // namespace
 
 void inject_faults(deployment& target, const std::vector<fault>& schedule) {
   const steady_clock::time_point start = steady_clock::now();
   std::multimap<milliseconds, std::function<void()>> actions;
+  platform::test::endpoint_partition partition(target.endpoint_ips());
   for (const fault& it : schedule) {
+    if (it.kind == fault_kind::undelimited) {
+      for (const milliseconds at : {it.begin, it.end}) {
+        actions.emplace(at, [&target, &schedule, &it, at] {
+          update_framing(target, schedule, it.target, at);
+        });
+      }
+      continue;
+    }
+    const bool partitions = it.kind == fault_kind::partition ||
+                            it.kind == fault_kind::reset_partition;
+    if (partitions) {
+      for (const milliseconds at : {it.begin, it.end}) {
+        actions.emplace(at, [&target, &partition, &schedule, &it, at] {
+          update_partitions(target, partition, schedule, it, at);
+        });
+      }
+      continue;
+    }
     if (behaviour_under(it.kind)) {
       for (const milliseconds at : {it.begin, it.end}) {
         actions.emplace(at, [&target, &schedule, &it, at] {
--- a/soak/src/request_record.cc
+++ b/soak/src/request_record.cc
@@ -13,6 +13,16 @@
 
 }  // namespace
 
+void request_record::check_stream(const request_outcome& it,
+                                  const std::string& subject) {
+  if (!it.stream || *it.stream == full_stream_) return;
+  // Without a declared end, the caller can only see that no event was cut.
+  const bool between_events =
+      full_stream_.starts_with(*it.stream) && it.stream->ends_with("\n\n");
+  if (!it.delimited && between_events) return;
+  violations_.push_back(subject + " got a truncated stream as complete");
+}
+
 void request_record::check(const request_outcome& it,
                            const endpoint_names& ran) {
   const std::string subject =
@@ -21,6 +31,7 @@
     ++answered_;
     if (ran.empty())
       violations_.push_back(subject + " was answered but did not run");
+    check_stream(it, subject);
   } else if (promises_not_run(it.status)) {
     ++refused_;
     if (!ran.empty()) violations_.push_back(subject + " ran at " + ran.front());
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -101,9 +101,15 @@
     case fault_kind::close_streams:
       return "close-streams";
     case fault_kind::silence_streams:
+      return "silence-streams";
+    case fault_kind::partition:
+      return "partition";
+    case fault_kind::reset_partition:
+      return "reset-partition";
+    case fault_kind::undelimited:
       break;
   }
-  return "silence-streams";
+  return "undelimited";
 }
 
 std::vector<fault> make_schedule(std::uint64_t seed,
@@ -145,6 +151,14 @@
       rejections_only ? max_rejection_time : max_outage);
   generator.add_common_series(out, options.entries, {fault_kind::freeze},
                               options.span, max_outage);
+  for (const std::string& it : options.endpoints) {
+    generator.add_series(out, it, {fault_kind::undelimited}, options.span);
+  }
+  for (const std::string& it : options.entries) {
+    generator.add_series(out, it,
+                         {fault_kind::partition, fault_kind::reset_partition},
+                         options.span);
+  }
   std::erase_if(
       out, [&options](const fault& it) { return it.begin >= options.span; });
   std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -15,14 +15,19 @@
   stop,    // SIGTERM, then a start
   wipe,    // SIGKILL, the data folder is lost, then a start
   reload,  // SIGHUP
+  // Partitions of an entry from all endpoints; its open connections fall silent
+  // or are reset.
+  partition,
+  reset_partition,
   // Faults of an endpoint; it serves normally at the end.
-  refuse,          // rejects requests without running them
-  overload,        // runs few requests at once, slowly; rejects the others
-  fail,            // answers with a server error
-  hang,            // answers too late
-  pause,           // reads nothing; what was sent arrives at the end
-  close_streams,   // closes connections within streams
-  silence_streams  // stalls within streams
+  refuse,           // rejects requests without running them
+  overload,         // runs few requests at once, slowly; rejects the others
+  fail,             // answers with a server error
+  hang,             // answers too late
+  pause,            // reads nothing; what was sent arrives at the end
+  close_streams,    // closes connections within streams
+  silence_streams,  // stalls within streams
+  undelimited       // answers have no length; combines with the other faults
 };
 
 std::string to_string(fault_kind kind);
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -42,6 +42,12 @@
 constexpr milliseconds max_recovery_time{15'000};
 const platform::test::retry_limits retry_limits{0.2, 10};
 
+transport::http_client_options client_options() {
+  transport::http_client_options out;
+  out.accept_close_delimited = true;
+  return out;
+}
+
 /// Callers, operators and readers on one event loop in a separate thread. They
 /// keep their connections open.
 class traffic {
@@ -90,7 +96,7 @@
   std::mt19937_64 engine_;
   std::atomic<bool> stopping_{false};
   transport::asio::io_context io_{1};
-  transport::http_client client_{io_, {}};
+  transport::http_client client_{io_, client_options()};
   std::vector<request_outcome> requests_;
   int next_id_ = 0;
   std::thread thread_;
@@ -112,7 +118,11 @@
       path = "/south/1";
     } else if (kind == 3) {
       path = "/live/1";
+    } else if (kind == 4) {
+      it.kind = request_kind::run_once;
+      path = "/once/1";
     }
+    const bool streamed = kind == 3 || kind == 4;
     bench::caller_request request =
         deployment_.caller_request(entry, method, path, it.id);
     request.timeout = caller_timeout;
@@ -120,6 +130,8 @@
     const bench::caller_answer answer =
         co_await bench::send(client_, std::move(request));
     if (answer.complete) it.status = answer.status;
+    if (answer.complete && streamed) it.stream = answer.body;
+    it.delimited = answer.delimited;
     requests_.push_back(it);
     co_await pause(caller_pause);
   }
@@ -225,7 +237,9 @@
     load.stop();
     check_recovery(it, plans, out);
     check_repeats(it, out);
-    request_record requests(out.violations, home_endpoints);
+    request_record requests(
+        out.violations, home_endpoints,
+        platform::test::events_between(0, platform::test::stream_events));
     for (const request_outcome& one : load.requests()) {
       requests.check(one, it.runs_of(one.id));
     }
--- a/soak/test/request_record-test.cc
+++ b/soak/test/request_record-test.cc
@@ -9,7 +9,7 @@
 int count_violations(request_kind kind, unsigned status,
                      const endpoint_names& ran) {
   violation_list violations;
-  request_record it(violations, {"home"});
+  request_record it(violations, {"home"}, "");
   it.check({"id", kind, status}, ran);
   return static_cast<int>(violations.size());
 }
@@ -42,5 +42,30 @@
   EXPECT_EQ(count_violations(request_kind::home_bound, 0, {"away"}), 1);
 }
 
+TEST(request_record_test,
+     a_truncated_stream_framed_as_complete_is_a_violation) {
+  struct example {
+    std::string stream;
+    bool delimited;
+    std::size_t violations;
+  };
+  const std::string full = "data: 1\n\ndata: 2\n\n";
+  const std::vector<example> table{
+      {full, true, 0},
+      {full, false, 0},
+      {"data: 1\n\n", false, 0},
+      {"data: 1\n\n", true, 1},
+      {"data: 1\n\ndata", false, 1},
+      {"", false, 1},
+  };
+  for (const example& one : table) {
+    violation_list violations;
+    request_record it(violations, {}, full);
+    it.check({"id", request_kind::run_once, 200, one.stream, one.delimited},
+             {"a"});
+    EXPECT_EQ(violations.size(), one.violations) << one.stream;
+  }
+}
+
 }  // namespace
 }  // namespace trestlepost::soak
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -52,8 +52,8 @@
       busy_until = std::max(busy_until, it.end);
     }
   }
-  // 5 for control nodes, 4 for entries, which have no data, 7 for endpoints.
-  EXPECT_EQ(seen.size(), 16U);
+  // 5 for control nodes, 6 for entries, which have no data, 8 for endpoints.
+  EXPECT_EQ(seen.size(), 19U);
   EXPECT_TRUE(overlap);
 }
 
