Endpoints reject no more requests a second than they state

Gateways learned that an endpoint is full from a rejection of each request that they had sent meanwhile.

rejection_limiter: of a service that states a limit, only min(N, gateways) of the region's gateways send to an endpoint, those with the highest rendezvous hash, each with N divided by their number of requests that are open or were rejected within a second. No coordination; all gateways together stay within N.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -18,6 +18,7 @@
 #include "trestlepost/routing/cold_limiter.h"
 #include "trestlepost/routing/endpoint_warmth.h"
 #include "trestlepost/routing/engine_table.h"
+#include "trestlepost/routing/rejection_limiter.h"
 #include "trestlepost/surface/endpoint_codec.h"
 #include "trestlepost/surface/endpoint_directory.h"
 
@@ -55,6 +56,9 @@
   void record_rejected(const std::string& endpoint);
   /// Records a request sent to `endpoint`, which limits the rate if it is cold.
   void record_sent(const std::string& endpoint);
+  /// Records that a request sent to `endpoint` was rejected by it, or had
+  /// another outcome up to the head of the answer.
+  void record_outcome(const std::string& endpoint, bool rejected);
 
   routing::engine_table& engines() { return engines_; }
   const routing::engine_table& engines() const { return engines_; }
@@ -73,6 +77,11 @@
   /// Returns whether this gateway is one of the few that send to a cold
   /// endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
+  /// Returns the number of this region's gateways that precede this one in the
+  /// order that decides which of them send to `endpoint`.
+  std::size_t sender_rank(const std::string& endpoint) const;
+  /// Returns whether `view` bears the rejection of another request.
+  bool bears_rejection(const membership::endpoint_view& view) const;
   const config::planned_service* find_planned(const std::string& service) const;
   /// Applies evacuations, and ends of evacuations, since the last call.
   void update_evacuations();
@@ -114,6 +123,7 @@
   routing::engine_table engines_;
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
+  routing::rejection_limiter rejections_;
   routing::acceptance_estimator acceptance_;  // by endpoint
   std::set<std::string> evacuated_;           // zones, at the last update
 };
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -125,16 +125,28 @@
   // A node that has just started has received heartbeats from few of the other
   // gateways, and does not know what its previous incarnation sent.
   if (context_.state.is_catching_up(now)) return false;
+  return sender_rank(endpoint) < routing::cold_limiter::senders_per_endpoint;
+}
+
+std::size_t endpoint_pool::sender_rank(const std::string& endpoint) const {
   const std::uint64_t own_score =
       rendezvous_score(endpoint, context_.self.name);
   std::size_t higher = 0;
   // Unreachable gateways are included. Otherwise, while many gateways stall,
   // too many of the rest would consider themselves one of the few senders.
   for (const membership::node_record* it :
-       context_.nodes.possible_gateways(context_.self, now)) {
+       context_.nodes.possible_gateways(context_.self, context_.clock.now())) {
     if (rendezvous_score(endpoint, it->last.node.name) > own_score) ++higher;
   }
-  return higher < routing::cold_limiter::senders_per_endpoint;
+  return higher;
+}
+
+bool endpoint_pool::bears_rejection(const endpoint_view& view) const {
+  const monotonic_time now = context_.clock.now();
+  const std::optional<unsigned> limit = rejections_.limit_of(view.service, now);
+  return !limit ||
+         rejections_.may_send(view.name, *limit, sender_rank(view.name),
+                              region_gateway_count(), now);
 }
 
 bool endpoint_pool::may_be_cold(const std::string& endpoint,
@@ -150,7 +162,7 @@
 
 bool endpoint_pool::accepts_requests(
     const endpoint_view& view, const config::planned_service* service) const {
-  if (!view.usable) return false;
+  if (!view.usable || !bears_rejection(view)) return false;
   const auto found = locations_.find(view.name);
   if (found == locations_.end() ||
       context_.store.evacuated_zones().contains(found->second.zone)) {
@@ -302,6 +314,10 @@
     warmth_.record_cold(endpoint, *answer.cold_left,
                         routing::warmth_source::answer, now);
   }
+  const auto found = locations_.find(endpoint);
+  if (found != locations_.end()) {
+    rejections_.record_limit(found->second.service, answer.max_rejections, now);
+  }
   monotonic_time& last = observed_at_[endpoint];
   if (!answer.load || now < last + min_report_interval) return;
   last = now;
@@ -325,7 +341,12 @@
   refresh();
 }
 
+void endpoint_pool::record_outcome(const std::string& endpoint, bool rejected) {
+  rejections_.record_outcome(endpoint, rejected, context_.clock.now());
+}
+
 void endpoint_pool::record_sent(const std::string& endpoint) {
+  rejections_.record_sent(endpoint);
   const auto found = locations_.find(endpoint);
   if (found == locations_.end()) return;
   const monotonic_time now = context_.clock.now();
@@ -339,6 +360,7 @@
 
 void endpoint_pool::tick() {
   cold_.remove_before(context_.clock.now() - cold_send_retention);
+  rejections_.remove_expired(context_.clock.now());
 }
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -85,6 +85,7 @@
   exchange.on_disconnect(std::move(on_disconnect));
   attempt out;
   const send_result sent = co_await send(current);
+  pool_.record_outcome(endpoint.name, sent && current.answer.not_run);
   if (sent) {
     std::optional<attempt> refused = read_head(current);
     if (refused) {
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -51,6 +51,8 @@
   std::optional<endpoint_load> load;
   /// Time for which the endpoint stays cold.
   std::optional<std::chrono::milliseconds> cold_left;
+  /// Rejections per second above which the endpoint fails.
+  std::optional<unsigned> max_rejections;
 };
 
 /// Encodes requests to endpoints and parses the heads of their responses.
