Servers without file descriptors wait before they accept again

Accepting failed again and again without a pause or a log line: 467,541 handlers in 0.3 s, and the event loop did little else.

Test, failing before: a_server_without_descriptors_does_not_spin.

--- a/routing/include/trestlepost/routing/rejection_limiter.h
+++ b/routing/include/trestlepost/routing/rejection_limiter.h
@@ -1,5 +1,5 @@
-// Limits how many requests endpoints reject. Some endpoints fail if they have to
-// reject more than a stated number of requests in a second.
+// Limits how many requests endpoints reject. Some endpoints fail if they have
+// to reject more than a stated number of requests in a second.
 #pragma once
 
 #include <cstddef>
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 
+#include "accept_errors.h"
 #include "server_connection.h"
 
 namespace trestlepost::transport {
@@ -61,9 +62,11 @@
     co_await server->acceptor->async_accept(socket,
                                             redirect_error(use_awaitable, ec));
     if (ec == asio::error::operation_aborted) co_return;
-    if (ec || server->connections >= server->options.max_connections) {
+    if (ec) {
+      co_await wait_after_accept_error(server->context, ec);
       continue;
     }
+    if (server->connections >= server->options.max_connections) continue;
     set_accepted_options(socket);
     ++server->connections;
     std::shared_ptr<server_connection> accepted =
--- a/transport/src/peer_server.cc
+++ b/transport/src/peer_server.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 
+#include "accept_errors.h"
 #include "peer_frame.h"
 #include "trestlepost/base/compression.h"
 #include "trestlepost/base/log.h"
@@ -130,7 +131,10 @@
     co_await server->acceptor->async_accept(socket,
                                             redirect_error(use_awaitable, ec));
     if (ec == asio::error::operation_aborted) co_return;
-    if (ec) continue;
+    if (ec) {
+      co_await wait_after_accept_error(server->context, ec);
+      continue;
+    }
     set_accepted_options(socket);
     asio::co_spawn(server->context, serve(server, std::move(socket)),
                    asio::detached);
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -2,6 +2,7 @@
 // malformed requests.
 #include <gtest/gtest.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -84,8 +85,8 @@
   }
 
   template <typename Condition>
-  bool run_until(Condition done) {
-    for (int i = 0; i < 3000 && !done(); ++i) {
+  bool run_until(Condition done, int rounds = 3000) {
+    for (int i = 0; i < rounds && !done(); ++i) {
       context_.restart();
       context_.run_one_for(std::chrono::milliseconds(2));
     }
@@ -192,6 +193,50 @@
   EXPECT_EQ(get("/stream?close"), "one two");
 }
 
+/// Leaves the process without free file descriptors during its lifetime.
+class no_descriptors {
+ public:
+  no_descriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const int next = ::dup(0);
+    ::close(next);
+    const rlimit none{static_cast<rlim_t>(next), before_.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~no_descriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  no_descriptors(const no_descriptors&) = delete;
+  no_descriptors& operator=(const no_descriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Without free descriptors, accepting failed again and again without a pause:
+// the event loop did nothing else.
+TEST_F(http_test, a_server_without_descriptors_does_not_spin) {
+  tcp::socket socket(context_);
+  socket.open(tcp::v4());
+  run_until([] { return false; }, 10);
+  int handlers = 0;
+  {
+    const no_descriptors none;
+    socket.connect(*parse_address(address));
+    context_.restart();
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+    while (std::chrono::steady_clock::now() < until) {
+      handlers +=
+          static_cast<int>(context_.run_one_for(std::chrono::milliseconds(10)));
+      context_.restart();
+    }
+  }
+  EXPECT_LT(handlers, 50);
+  asio::write(
+      socket,
+      asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")));
+  EXPECT_TRUE(run_until([this] { return handler_.handled == 1; }));
+}
+
 // HTTP/1.0 has no chunks: their sizes became part of the body.
 TEST_F(http_test, a_stream_for_http_1_0_is_not_chunked) {
   const std::string response =
