Refused connections of a gateway that is cut off are no crashes of endpoints

A gateway whose connections to all endpoints are reset and refused took each endpoint for crashed and reported the requests that ran there; on a grown site three innocent requests were held by all gateways within 27 s. Now a refused probe is followed by 80 ms in which other endpoints may tell: if none of the service is reachable and no request ran at all of those that were lost, the runs count as lost connections. A request that crashes several endpoints ran at each of them, and is still counted.

--- a/gateway/include/trestlepost/gateway/crash_monitor.h
+++ b/gateway/include/trestlepost/gateway/crash_monitor.h
@@ -13,6 +13,7 @@
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/routing/crash_attribution.h"
+#include "trestlepost/routing/refusal_correlation.h"
 
 namespace trestlepost::gateway {
 
@@ -26,8 +27,10 @@
 /// Probes the endpoint's address with a new connection when a run ends with a
 /// lost connection. A refused connection means that no process listens there
 /// any more: the endpoint crashed. An accepted one means that the endpoint is
-/// alive. A timeout means a network partition or a power loss. Only a crash
-/// counts against the requests that ran there.
+/// alive. A timeout means a network partition or a power loss. So do refused
+/// connections if no endpoint of the service is reachable and unrelated
+/// requests ran at those that were lost. Only a crash counts against the
+/// requests that ran there.
 ///
 /// Requests are identified by their fingerprints. Those that crash endpoints
 /// are held: they are sent to no endpoint once the configuration lists them, or
@@ -71,6 +74,11 @@
  private:
   /// Probes the endpoint at `at` and evaluates the interrupted runs.
   transport::awaitable<void> probe(run_location at);
+  /// Returns whether this gateway has lost the paths to all endpoints of the
+  /// service, rather than `at` having crashed.
+  transport::awaitable<bool> is_partitioned(
+      const run_location& at, const std::set<std::string>& interrupted);
+  transport::awaitable<void> wait_for(std::chrono::milliseconds time);
   void record_crash(const std::string& fingerprint, const run_location& at);
   /// Marks or holds the requests to which this gateway's own observations
   /// attribute enough crashes.
@@ -90,6 +98,7 @@
   std::map<std::string, monotonic_time> suspects_;
   /// Until when this gateway holds each request on its own decision.
   std::map<std::string, monotonic_time> local_holds_;
+  routing::refusal_correlation refusals_;
   config::hold_tracker holds_;
   monotonic_time next_cleanup_{};
 };
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -22,6 +22,10 @@
 // this time are evaluated together.
 constexpr milliseconds process_exit_time{20};
 
+// Within this time after a refused connection, runs at other endpoints show
+// whether the gateway is partitioned from all of them.
+constexpr milliseconds partition_detection_time{80};
+
 // How long, and for how many requests, the completion of a request involved in
 // a crash is monitored.
 constexpr std::chrono::minutes monitoring_time{10};
@@ -76,25 +80,42 @@
                             transport::asio::detached);
 }
 
-transport::awaitable<void> crash_monitor::probe(run_location at) {
+transport::awaitable<void> crash_monitor::wait_for(milliseconds time) {
   transport::timer timer(context_.io);
-  timer.expires_after(process_exit_time);
+  timer.expires_after(time);
   boost::system::error_code ec;
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+}
+
+transport::awaitable<bool> crash_monitor::is_partitioned(
+    const run_location& at, const std::set<std::string>& interrupted) {
+  const monotonic_time refused_at = context_.clock.now();
+  context_.endpoints.endpoint_unreached(at.endpoint, refused_at);
+  refusals_.record(at.service, at.endpoint, interrupted, refused_at);
+  co_await wait_for(partition_detection_time);
+  co_return context_.endpoints.is_unreachable(at.service) &&
+      refusals_.is_common_loss(at.service, context_.clock.now());
+}
+
+transport::awaitable<void> crash_monitor::probe(run_location at) {
+  co_await wait_for(process_exit_time);
   std::string address = at.address;
   const connect_outcome probed =
       co_await context_.client.try_connect(std::move(address));
   const std::set<std::string> interrupted =
       std::move(interrupted_runs_.extract(at.endpoint).mapped());
-  const std::string outcome(probe_result_name(probed));
+  const bool refused = probed == connect_outcome::refused;
+  const bool crashed = refused && !co_await is_partitioned(at, interrupted);
+  const std::string outcome(refused && !crashed ? "unreachable"
+                                                : probe_result_name(probed));
   context_.metrics.runs_interrupted(at.service, outcome, interrupted.size());
   log_event(log_level::info, "endpoint-runs-interrupted",
             {{"endpoint", at.endpoint},
              {"service", at.service},
              {"runs", std::to_string(interrupted.size())},
              {"endpoint_is", outcome}});
-  if (probed != connect_outcome::refused) co_return;
+  if (!crashed) co_return;
   for (const std::string& it : interrupted) record_crash(it, at);
 }
 
@@ -195,6 +216,7 @@
   erase_expired(monitored_, now);
   erase_expired(suspects_, now);
   erase_expired(local_holds_, now);
+  refusals_.remove_expired(now);
 }
 
 void crash_monitor::tick() {
