--- a/routing/src/refusal_correlation.cc
+++ b/routing/src/refusal_correlation.cc
@@ -32,8 +32,8 @@
   std::set<std::string> common;
   for (const refusal& it : refusals_) {
     if (it.service != service || now > it.at + correlation_time) continue;
-    common = endpoints.empty() ? it.requests
-                               : intersection(common, it.requests);
+    common =
+        endpoints.empty() ? it.requests : intersection(common, it.requests);
     endpoints.insert(it.endpoint);
   }
   return endpoints.size() > 1 && common.empty();
