--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -151,13 +151,15 @@
       rejections_only ? max_rejection_time : max_outage);
   generator.add_common_series(out, options.entries, {fault_kind::freeze},
                               options.span, max_outage);
-  for (const std::string& it : options.endpoints) {
-    generator.add_series(out, it, {fault_kind::undelimited}, options.span);
-  }
-  for (const std::string& it : options.entries) {
-    generator.add_series(out, it,
-                         {fault_kind::partition, fault_kind::reset_partition},
-                         options.span);
+  if (!rejections_only) {
+    for (const std::string& it : options.endpoints) {
+      generator.add_series(out, it, {fault_kind::undelimited}, options.span);
+    }
+    for (const std::string& it : options.entries) {
+      generator.add_series(out, it,
+                           {fault_kind::partition, fault_kind::reset_partition},
+                           options.span);
+    }
   }
   std::erase_if(
       out, [&options](const fault& it) { return it.begin >= options.span; });
