One sleep_for instead of five timers that are waited for

The crash monitor and the servers' accept loops had got their own, beside those of the order handler, the route handler and the planned stop. No behaviour changes, but that the accept loops wait on the clock of the others.

--- a/gateway/include/trestlepost/gateway/crash_monitor.h
+++ b/gateway/include/trestlepost/gateway/crash_monitor.h
@@ -78,7 +78,6 @@
   /// service, rather than `at` having crashed.
   transport::awaitable<bool> is_partitioned(
       const run_location& at, const std::set<std::string>& interrupted);
-  transport::awaitable<void> wait_for(std::chrono::milliseconds time);
   void record_crash(const std::string& fingerprint, const run_location& at);
   /// Marks or holds the requests to which this gateway's own observations
   /// attribute enough crashes.
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "trestlepost/base/log.h"
@@ -80,26 +78,18 @@
                             transport::asio::detached);
 }
 
-transport::awaitable<void> crash_monitor::wait_for(milliseconds time) {
-  transport::timer timer(context_.io);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-}
-
 transport::awaitable<bool> crash_monitor::is_partitioned(
     const run_location& at, const std::set<std::string>& interrupted) {
   const monotonic_time refused_at = context_.clock.now();
   context_.endpoints.endpoint_unreached(at.endpoint, refused_at);
   refusals_.record(at.service, at.endpoint, interrupted, refused_at);
-  co_await wait_for(partition_detection_time);
+  co_await transport::sleep_for(context_.io, partition_detection_time);
   co_return context_.endpoints.is_unreachable(at.service) &&
       refusals_.is_common_loss(at.service, context_.clock.now());
 }
 
 transport::awaitable<void> crash_monitor::probe(run_location at) {
-  co_await wait_for(process_exit_time);
+  co_await transport::sleep_for(context_.io, process_exit_time);
   std::string address = at.address;
   const connect_outcome probed =
       co_await context_.client.try_connect(std::move(address));
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -2,8 +2,6 @@
 #include "trestlepost/gateway/route_handler.h"
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "trestlepost/base/log.h"
@@ -39,11 +37,7 @@
                      now < arrived + max_startup_wait &&
                      !exchange.is_disconnected();
   if (!waits) co_return false;
-  transport::timer timer(context_.io);
-  timer.expires_after(startup_check_interval);
-  boost::system::error_code ec;
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  co_await transport::sleep_for(context_.io, startup_check_interval);
   co_return !exchange.is_disconnected();
 }
 
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -60,14 +60,6 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
-awaitable<void> sleep_for(transport::asio::io_context& io, milliseconds time) {
-  transport::timer timer(io);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-}
-
 /// Whether a request that failed with `refusal` may succeed shortly after.
 bool is_transient(const error& refusal) {
   return refusal.kind == error_kind::unavailable ||
@@ -187,7 +179,7 @@
   // the replies that renew the lease are still unread in the sockets.
   while (control_->is_leader() && !control_->leads() &&
          context_.clock.now() < deadline) {
-    co_await sleep_for(context_.io, lease_check_interval);
+    co_await transport::sleep_for(context_.io, lease_check_interval);
   }
 }
 
@@ -200,7 +192,7 @@
   std::optional<change_outcome> outcome = co_await propose(order, deadline);
   while (outcome && is_retryable(*outcome) &&
          context_.clock.now() + retry_delay < deadline) {
-    co_await sleep_for(context_.io, retry_delay);
+    co_await transport::sleep_for(context_.io, retry_delay);
     outcome = co_await propose(order, deadline);
   }
   if (!outcome) co_return surface_->refuse(unknown_outcome());
@@ -278,7 +270,7 @@
   std::optional<result<json>> confirmed = co_await confirm(deadline);
   while (confirmed && !*confirmed && is_transient(confirmed->error()) &&
          context_.clock.now() + retry_delay < deadline) {
-    co_await sleep_for(context_.io, retry_delay);
+    co_await transport::sleep_for(context_.io, retry_delay);
     confirmed = co_await confirm(deadline);
   }
   if (!confirmed) co_return surface_->refuse(unknown_outcome());
--- a/node/src/planned_stop.cc
+++ b/node/src/planned_stop.cc
@@ -2,8 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "trestlepost/base/log.h"
 
@@ -47,12 +45,8 @@
 awaitable<void> planned_stop::finish() {
   const monotonic_time started = context_.clock.now();
   services_.entry_server.disable_keep_alive();
-  transport::timer timer(context_.io);
   while (!may_end(started)) {
-    timer.expires_after(check_interval);
-    boost::system::error_code ec;
-    co_await timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    co_await transport::sleep_for(context_.io, check_interval);
   }
   log_event(log_level::info, "node-stopped",
             {{"in_progress",
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -25,6 +25,10 @@
 /// the length of the suspension.
 using timer = asio::basic_waitable_timer<boot_clock>;
 
+/// Waits for `time` on `boot_clock`.
+awaitable<void> sleep_for(asio::io_context& context,
+                          std::chrono::milliseconds time);
+
 /// Converts a time for interfaces that only support `steady_clock`. If the
 /// machine is suspended before that time, the result is late by the length of
 /// the suspension.
--- a/transport/src/accept_errors.cc
+++ b/transport/src/accept_errors.cc
@@ -1,9 +1,5 @@
 #include "accept_errors.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::transport {
@@ -16,8 +12,7 @@
 awaitable<void> wait_after_accept_error(asio::io_context& context,
                                         boost::system::error_code ec) {
   log_event(log_level::warn, "accept-failed", {{"detail", ec.message()}});
-  asio::steady_timer retry(context, retry_interval);
-  co_await retry.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  co_await sleep_for(context, retry_interval);
 }
 
 }  // namespace trestlepost::transport
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "loopback_ip.h"
@@ -220,8 +219,8 @@
   socket.open(tcp::v4());
   // UBSan opens a pipe when it first checks a type, which would fail below.
   log_event(log_level::warn, "before-descriptors-are-used-up");
-  asio::steady_timer timer_used_once(context_, std::chrono::milliseconds(1));
-  timer_used_once.async_wait([](const boost::system::error_code&) {});
+  asio::co_spawn(context_, sleep_for(context_, std::chrono::milliseconds(1)),
+                 asio::detached);
   run_until([] { return false; }, 10);
   int handlers = 0;
   {
