Both forwarders choose the gateway by one function

The routed forwarder's choice had been changed to gateways that reach endpoints; the twin of the product's own interface still listed and compared gateways by itself, twice, each time with its own reading of the clock: if the last gateway expired in between, null was dereferenced. Gateways of that interface state no unreachable services, so it chooses as before.

--- a/gateway/include/trestlepost/gateway/forwarder.h
+++ b/gateway/include/trestlepost/gateway/forwarder.h
@@ -21,9 +21,6 @@
                                       transport::http_exchange& exchange);
 
  private:
-  /// Returns a random gateway of `region`, or null if there is none.
-  const membership::node_record* choose_gateway(const std::string& region);
-
   gateway_context& context_;
 };
 
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -36,10 +36,6 @@
   std::uint32_t unanswered_tokens(const std::string& region) const;
 
  private:
-  /// Returns the less loaded of two random gateways that reach endpoints of
-  /// `service`, or null if there is none.
-  const membership::node_record* choose_gateway(const std::string& region,
-                                                const std::string& service);
   transport::http_request make_request(const routed_request& request) const;
   /// Relays the answer of the other gateway to the caller.
   transport::awaitable<attempt> relay_answer(
--- a/gateway/src/forwarder.cc
+++ b/gateway/src/forwarder.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "gateway_choice.h"
 #include "trestlepost/gateway/delivery.h"
 #include "trestlepost/gateway/forward_message.h"
 
@@ -17,12 +18,6 @@
 
 constexpr std::size_t max_refusal_bytes = 64UL * 1024;
 
-std::uint32_t gateway_load(const node_record& it, const std::string& service) {
-  const auto found = it.last.services.find(service);
-  if (found == it.last.services.end()) return 0;
-  return found->second.in_flight + found->second.queued;
-}
-
 forward_message make_message(const incoming_request& request,
                              std::set<std::string> avoid,
                              const gateway_context& context) {
@@ -63,36 +58,20 @@
 
 }  // namespace
 
-const node_record* forwarder::choose_gateway(const std::string& region) {
-  const monotonic_time now = context_.clock.now();
-  std::vector<const node_record*> candidates;
-  for (const node_record* it : context_.nodes.live_in(region, now)) {
-    const bool accepts = it->last.state == membership::node_states::ready &&
-                         !it->last.node.forward_address.empty();
-    if (accepts) candidates.push_back(it);
-  }
-  if (candidates.empty()) return nullptr;
-  return candidates[context_.random.below(candidates.size())];
-}
-
 awaitable<attempt> forwarder::serve(const incoming_request& request,
                                     const std::string& region,
                                     std::set<std::string> avoid,
                                     http_exchange& exchange) {
-  const std::string service = request.service->name;
-  const node_record* first = choose_gateway(region);
-  const node_record* second = choose_gateway(region);
-  if (first == nullptr) {
+  const node_record* gateway =
+      choose_gateway(context_, region, request.service->name);
+  if (gateway == nullptr) {
     co_return failed_attempt(
         run_state::no,
         {error_kind::unavailable, "no gateway of " + region + " is reachable",
          "send it again after Retry-After"},
         std::chrono::seconds(2));
   }
-  const bool second_is_better =
-      gateway_load(*second, service) < gateway_load(*first, service);
-  const std::string address =
-      (second_is_better ? second : first)->last.node.forward_address;
+  const std::string address = gateway->last.node.forward_address;
   const std::string head =
       to_text(to_json(make_message(request, std::move(avoid), context_)));
   transport::http_request out;
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "answer_relay.h"
+#include "gateway_choice.h"
 #include "refusal_message.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/forward_message.h"
@@ -20,11 +21,6 @@
 
 constexpr std::size_t max_refusal_bytes = 64UL * 1024;
 
-std::uint32_t gateway_load(const node_record& it, const std::string& service) {
-  const auto found = it.last.services.find(service);
-  return found == it.last.services.end() ? 0 : found->second.in_flight;
-}
-
 bool is_gateway_header(const std::string& name) {
   return name.starts_with("Trestlepost-");
 }
@@ -41,17 +37,6 @@
 
 }  // namespace
 
-const node_record* route_forwarder::choose_gateway(const std::string& region,
-                                                   const std::string& service) {
-  const std::vector<const node_record*> candidates =
-      context_.nodes.forward_targets(region, service, context_.self,
-                                     context_.clock.now());
-  if (candidates.empty()) return nullptr;
-  const node_record* a = candidates[context_.random.below(candidates.size())];
-  const node_record* b = candidates[context_.random.below(candidates.size())];
-  return gateway_load(*b, service) < gateway_load(*a, service) ? b : a;
-}
-
 bool route_forwarder::reaches(const std::string& region,
                               const std::string& service) const {
   return !context_.nodes
@@ -107,7 +92,8 @@
 awaitable<attempt> route_forwarder::serve(const routed_request& request,
                                           const std::string& region,
                                           transport::http_exchange& exchange) {
-  const node_record* gateway = choose_gateway(region, request.service);
+  const node_record* gateway =
+      choose_gateway(context_, region, request.service);
   if (gateway == nullptr) {
     co_return failed_attempt(
         run_state::no,
