--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -155,7 +155,7 @@
   /// expired.
   void cancel_if_expired(monotonic_time now);
   unsigned status() const override { return parser_->get().result_int(); }
-  bool is_delimited() const override { return is_delimited_; }
+  bool is_delimited() const override { return !parser_->need_eof(); }
   std::string_view header(std::string_view name) const override {
     const auto it = parser_->get().find({name.data(), name.size()});
     if (it == parser_->get().end()) return {};
@@ -188,7 +188,6 @@
   bool deadline_passed_ = false;
   monotonic_time deadline_ = monotonic_time::max();
   bool is_head_request_ = false;  // the request's method is HEAD
-  bool is_delimited_ = true;      // of the current response
 };
 
 void pooled_call::cancel() {
@@ -295,8 +294,7 @@
                                    *parser_, redirect_error(use_awaitable, ec));
   if (cancelled_ && !ec) ec = asio::error::operation_aborted;
   if (ec) co_return tl::make_unexpected(failure("no response from", ec, true));
-  is_delimited_ = parser_->is_done() || !parser_->need_eof();
-  if (!is_delimited_ && !client_->options.accept_close_delimited) {
+  if (!is_delimited() && !client_->options.accept_close_delimited) {
     // The end of the response would look the same as a lost connection.
     co_return tl::make_unexpected(
         failure("cannot accept a response without length from",
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -252,7 +252,6 @@
   bool open = co_await start_stream(std::move(response));
   if (open) open = co_await write_piece(std::move(body));
   if (open) open = co_await finish_stream();
-  if (!open) unusable_ = true;
   co_return open;
 }
 
