Endpoint reachability: nothing is counted while no endpoint has failed

Whether a service is unreachable is asked several times for each request, and each time all endpoints of the region were walked. The same predicate stood twice, and a result that nobody used.

--- a/membership/include/trestlepost/membership/endpoint_reachability.h
+++ b/membership/include/trestlepost/membership/endpoint_reachability.h
@@ -15,9 +15,8 @@
 /// service was reached last.
 class endpoint_reachability {
  public:
-  /// An endpoint answered or accepted a connection. Returns whether failures
-  /// were recorded before.
-  bool record_reached(const std::string& service);
+  /// An endpoint answered or accepted a connection.
+  void record_reached(const std::string& service);
   /// The endpoint did not accept a connection, or one failed before the answer.
   void record_unreached(const std::string& service, const std::string& endpoint,
                         monotonic_time now);
@@ -26,6 +25,9 @@
 
   /// Returns the services with endpoints that could not be reached.
   std::set<std::string> failing_services() const;
+  bool has_failures(const std::string& service) const {
+    return failures_.contains(service);
+  }
   /// Returns since when the endpoints of `service`, `endpoints` in number, have
   /// been unreachable, or nothing if one of them may be reachable.
   std::optional<monotonic_time> unreachable_since(const std::string& service,
--- a/membership/include/trestlepost/membership/endpoint_tracker.h
+++ b/membership/include/trestlepost/membership/endpoint_tracker.h
@@ -131,6 +131,8 @@
     bool listed_leaving = false;
   };
 
+  /// Returns whether the endpoint is one of `service` and not leaving.
+  static bool belongs_to(const record& it, const std::string& service);
   void handle(record& it, const std::string& event, monotonic_time now);
   bool guard_holds(const record& it, const std::string& guard) const;
   bool ejection_allowed(const record& it) const;
--- a/membership/src/endpoint_reachability.cc
+++ b/membership/src/endpoint_reachability.cc
@@ -10,8 +10,8 @@
 
 }  // namespace
 
-bool endpoint_reachability::record_reached(const std::string& service) {
-  return failures_.erase(service) > 0;
+void endpoint_reachability::record_reached(const std::string& service) {
+  failures_.erase(service);
 }
 
 void endpoint_reachability::record_unreached(const std::string& service,
--- a/membership/src/endpoint_tracker.cc
+++ b/membership/src/endpoint_tracker.cc
@@ -167,21 +167,24 @@
 
 std::optional<monotonic_time> endpoint_tracker::unreachable_since(
     const std::string& service) const {
+  // Asked for each request.
+  if (!reachability_.has_failures(service)) return std::nullopt;
   std::size_t endpoints = 0;
   for (const auto& [name, it] : endpoints_) {
-    const bool counts =
-        it.declared.service == service && it.state != endpoint_states::leaving;
-    if (counts) ++endpoints;
+    if (belongs_to(it, service)) ++endpoints;
   }
   return reachability_.unreachable_since(service, endpoints);
 }
 
+bool endpoint_tracker::belongs_to(const record& it,
+                                  const std::string& service) {
+  return it.declared.service == service && it.state != endpoint_states::leaving;
+}
+
 bool endpoint_tracker::all_ejected(const std::string& service) const {
   bool any = false;
   for (const auto& [name, it] : endpoints_) {
-    const bool counts =
-        it.declared.service == service && it.state != endpoint_states::leaving;
-    if (!counts) continue;
+    if (!belongs_to(it, service)) continue;
     if (it.state != endpoint_states::ejected) return false;
     any = true;
   }
