Endpoint pool: a gateway's place among the senders is found in one walk

For an endpoint that states a limit of rejections, rank and number of gateways were collected one after the other, for each endpoint and request.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -77,9 +77,13 @@
   /// Returns whether this gateway is one of the few that send to a cold
   /// endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
-  /// Returns the number of this region's gateways that precede this one in the
-  /// order that decides which of them send to `endpoint`.
-  std::size_t sender_rank(const std::string& endpoint) const;
+  /// The place of this gateway in the order that decides which gateways of the
+  /// region send to an endpoint, from 0, and how many they are.
+  struct sender_position {
+    std::size_t rank = 0;
+    std::size_t gateways = 1;
+  };
+  sender_position sender_position_for(const std::string& endpoint) const;
   /// Returns whether `view` bears the rejection of another request.
   bool bears_rejection(const membership::endpoint_view& view) const;
   const config::planned_service* find_planned(const std::string& service) const;
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -125,28 +125,32 @@
   // A node that has just started has received heartbeats from few of the other
   // gateways, and does not know what its previous incarnation sent.
   if (context_.state.is_catching_up(now)) return false;
-  return sender_rank(endpoint) < routing::cold_limiter::senders_per_endpoint;
+  return sender_position_for(endpoint).rank <
+         routing::cold_limiter::senders_per_endpoint;
 }
 
-std::size_t endpoint_pool::sender_rank(const std::string& endpoint) const {
+endpoint_pool::sender_position endpoint_pool::sender_position_for(
+    const std::string& endpoint) const {
   const std::uint64_t own_score =
       rendezvous_score(endpoint, context_.self.name);
-  std::size_t higher = 0;
   // Unreachable gateways are included. Otherwise, while many gateways stall,
   // too many of the rest would consider themselves one of the few senders.
-  for (const membership::node_record* it :
-       context_.nodes.possible_gateways(context_.self, context_.clock.now())) {
-    if (rendezvous_score(endpoint, it->last.node.name) > own_score) ++higher;
+  const std::vector<const membership::node_record*> others =
+      context_.nodes.possible_gateways(context_.self, context_.clock.now());
+  sender_position out;
+  out.gateways = others.size() + 1;
+  for (const membership::node_record* it : others) {
+    if (rendezvous_score(endpoint, it->last.node.name) > own_score) ++out.rank;
   }
-  return higher;
+  return out;
 }
 
 bool endpoint_pool::bears_rejection(const endpoint_view& view) const {
   const monotonic_time now = context_.clock.now();
   const std::optional<unsigned> limit = rejections_.limit_of(view.service, now);
-  return !limit ||
-         rejections_.may_send(view.name, *limit, sender_rank(view.name),
-                              region_gateway_count(), now);
+  if (!limit) return true;
+  const sender_position own = sender_position_for(view.name);
+  return rejections_.may_send(view.name, *limit, own.rank, own.gateways, now);
 }
 
 bool endpoint_pool::may_be_cold(const std::string& endpoint,
