--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -22,8 +22,7 @@
 // An endpoint is considered hung if it sends nothing for this multiple of the
 // expected time and for the route's latency objective.
 constexpr int silence_factor = 3;
-// HTTP status codes.
-constexpr unsigned ok_status = 200;
+// HTTP status code.
 constexpr unsigned first_server_error = 500;
 
 using send_result = tl::expected<void, transport::call_failure>;
@@ -229,8 +228,7 @@
 
 awaitable<attempt> endpoint_runner::deliver(active_run& current) {
   const bool streamed =
-      current.request.route->kind == config::route_kind::stream &&
-      current.call->status() == ok_status;
+      body_of(current.request, current.call->status()) != answer_body::opaque;
   attempt out;
   if (streamed && current.request.route->resumable) {
     out = co_await deliver_events(current);
@@ -281,7 +279,8 @@
 }
 
 awaitable<attempt> endpoint_runner::deliver_stream(active_run& current) {
-  answer_reader reader(*current.call, body_of(current.request, ok_status));
+  answer_reader reader(*current.call,
+                       body_of(current.request, current.call->status()));
   result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
     if (!current.exchange.is_disconnected()) {
@@ -341,9 +340,10 @@
 
 awaitable<attempt> endpoint_runner::deliver_events(active_run& current) {
   // A continuation without any event is recognized by the scanner.
-  const answer_body body = current.events.continued()
-                               ? answer_body::resumed_events
-                               : body_of(current.request, ok_status);
+  const answer_body body =
+      current.events.continued()
+          ? answer_body::resumed_events
+          : body_of(current.request, current.call->status());
   answer_reader reader(*current.call, body);
   bool ended = false;
   while (!ended) {
