--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -295,8 +295,7 @@
   }
   out["former"] = std::move(replaced_specs);
   if (plan_) out["plan"] = config::to_json(*plan_, form);
-  json& evacuated = out["evacuated_zones"] = json(Json::arrayValue);
-  for (const std::string& it : evacuated_) evacuated.append(it);
+  out["evacuated_zones"] = trestlepost::to_json(evacuated_);
   for (const auto& [zone, revision] : ended_evacuations_) {
     out["zones_given_back"][zone] = json(Json::UInt64(revision));
   }
--- a/gateway/src/forward_message.cc
+++ b/gateway/src/forward_message.cc
@@ -20,8 +20,7 @@
   out["remaining_ms"] =
       as_number(static_cast<std::uint64_t>(value.remaining.count()));
   out["affinity"] = as_number(value.affinity);
-  json& avoid = out["avoid"] = json(Json::arrayValue);
-  for (const std::string& it : value.avoid) avoid.append(it);
+  out["avoid"] = trestlepost::to_json(value.avoid);
   out["revision"] = as_number(value.revision);
   out["sent_at"] =
       as_number(static_cast<std::uint64_t>(to_unix_ms(value.sent_at)));
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -12,8 +12,7 @@
   out["entry_region"] = value.entry_region;
   out["remaining_ms"] =
       as_number(static_cast<std::uint64_t>(value.remaining.count()));
-  json& avoid = out["avoid"] = json(Json::arrayValue);
-  for (const std::string& it : value.avoid) avoid.append(it);
+  out["avoid"] = trestlepost::to_json(value.avoid);
   out["sends"] = value.sends;
   out["plan"] = as_number(value.plan);
   return out;
