--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -1,6 +1,5 @@
 #include "fault_injection.h"
 
-#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <map>
@@ -19,7 +18,7 @@
 using std::chrono::steady_clock;
 
 /// Returns the behaviour of an endpoint under the fault, or nullopt if the
-/// fault is one of a node.
+/// fault does not change it.
 std::optional<behaviour> behaviour_under(fault_kind kind) {
   switch (kind) {
     case fault_kind::refuse:
@@ -41,6 +40,16 @@
   }
 }
 
+bool is_partition(fault_kind kind) {
+  return kind == fault_kind::partition || kind == fault_kind::reset_partition;
+}
+
+/// Returns whether the fault is one of a node's process.
+bool strikes_node(fault_kind kind) {
+  return !behaviour_under(kind) && kind != fault_kind::undelimited &&
+         !is_partition(kind);
+}
+
 void begin_node_fault(deployment& target, const fault& it) {
   switch (it.kind) {
     case fault_kind::kill:
@@ -85,25 +94,17 @@
 }
 
 /// Sets the behaviour of an endpoint to that of the newest fault that strikes
-/// it at the time `at`.
+/// it at the time `at`, and whether its answers have a length.
 void update_endpoint(deployment& target, const std::vector<fault>& schedule,
                      const std::string& endpoint, milliseconds at) {
   behaviour what = behaviour::serve;
+  bool undelimited = false;
   for (const fault& it : schedule) {
-    if (it.target == endpoint && strikes_at(it, at))
-      what = behaviour_under(it.kind).value_or(what);
+    if (it.target != endpoint || !strikes_at(it, at)) continue;
+    what = behaviour_under(it.kind).value_or(what);
+    undelimited = undelimited || it.kind == fault_kind::undelimited;
   }
   target.set_behaviour(endpoint, what);
-}
-
-/// Sets whether the endpoint's answers have a length at the time `at`.
-void update_framing(deployment& target, const std::vector<fault>& schedule,
-                    const std::string& endpoint, milliseconds at) {
-  const bool undelimited =
-      std::any_of(schedule.begin(), schedule.end(), [&](const fault& it) {
-        return it.kind == fault_kind::undelimited && it.target == endpoint &&
-               strikes_at(it, at);
-      });
   target.set_undelimited(endpoint, undelimited);
 }
 
@@ -116,9 +117,8 @@
   using platform::test::open_connections;
   std::set<std::string> ips;
   for (const fault& it : schedule) {
-    const bool partitions = it.kind == fault_kind::partition ||
-                            it.kind == fault_kind::reset_partition;
-    if (partitions && strikes_at(it, at)) ips.insert(target.ip_of(it.target));
+    if (is_partition(it.kind) && strikes_at(it, at))
+      ips.insert(target.ip_of(it.target));
   }
   const bool resets = newest.kind == fault_kind::reset_partition;
   partition.begin(ips,
@@ -132,34 +132,21 @@
   std::multimap<milliseconds, std::function<void()>> actions;
   platform::test::endpoint_partition partition(target.endpoint_ips());
   for (const fault& it : schedule) {
-    if (it.kind == fault_kind::undelimited) {
-      for (const milliseconds at : {it.begin, it.end}) {
-        actions.emplace(at, [&target, &schedule, &it, at] {
-          update_framing(target, schedule, it.target, at);
-        });
-      }
+    if (strikes_node(it.kind)) {
+      actions.emplace(it.begin,
+                      [&target, &it] { begin_node_fault(target, it); });
+      actions.emplace(it.end, [&target, &it] { end_node_fault(target, it); });
       continue;
     }
-    const bool partitions = it.kind == fault_kind::partition ||
-                            it.kind == fault_kind::reset_partition;
-    if (partitions) {
-      for (const milliseconds at : {it.begin, it.end}) {
-        actions.emplace(at, [&target, &partition, &schedule, &it, at] {
+    for (const milliseconds at : {it.begin, it.end}) {
+      actions.emplace(at, [&target, &partition, &schedule, &it, at] {
+        if (is_partition(it.kind)) {
           update_partitions(target, partition, schedule, it, at);
-        });
-      }
-      continue;
-    }
-    if (behaviour_under(it.kind)) {
-      for (const milliseconds at : {it.begin, it.end}) {
-        actions.emplace(at, [&target, &schedule, &it, at] {
+        } else {
           update_endpoint(target, schedule, it.target, at);
-        });
-      }
-      continue;
+        }
+      });
     }
-    actions.emplace(it.begin, [&target, &it] { begin_node_fault(target, it); });
-    actions.emplace(it.end, [&target, &it] { end_node_fault(target, it); });
   }
   for (const auto& [at, action] : actions) {
     std::this_thread::sleep_until(start + at);
