A forward that its gateway can't serve is tried at another of the region

What callers saw: 503 after 0.8 s for a request that was forwarded to a gateway which could not connect to endpoints, though others of its region could. Cause: the failure of one gateway was taken for that of its region, and the endpoints it could not reach were excluded for the next. A gateway whose open connections still work never learns that new ones don't, so it gets forwards. Only refusals of the gateway itself count (isolated, draining, no connection, older plan); overload closes the region as before.

--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -24,6 +24,7 @@
   error cause;
   std::chrono::milliseconds retry_after{0};
   std::string endpoint;  // the endpoint tried, or empty
+  std::string gateway;   // the gateway it was forwarded to, or empty
   unsigned sends = 0;    // endpoints the request was written to
   /// The endpoint's stream was interrupted after the caller received events
   /// from it. The answer is still open and must be continued or aborted.
@@ -39,6 +40,11 @@
 /// gateway.
 bool is_connection_loss(const error& cause);
 
+/// Returns whether the gateway that the request was forwarded to sent it to no
+/// endpoint for reasons of its own, so that another gateway of the same region
+/// may serve it.
+bool is_gateway_failure(const attempt& it);
+
 /// Returns an attempt that ended without an answer.
 attempt failed_attempt(
     run_state ran, error cause,
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "trestlepost/gateway/attempt.h"
@@ -17,14 +18,17 @@
   route_forwarder(gateway_context& context, const surface::surfaces& surfaces)
       : context_(context), surfaces_(surfaces) {}
 
-  /// Makes one attempt at a gateway of `region`, which may be the own region.
+  /// Makes one attempt at a gateway of `region`, which may be the own region,
+  /// but not at one of `excluded`.
   transport::awaitable<attempt> serve(const routed_request& request,
                                       const std::string& region,
+                                      const std::set<std::string>& excluded,
                                       transport::http_exchange& exchange);
 
   /// Returns whether another gateway of `region` reaches endpoints of
-  /// `service`.
-  bool reaches(const std::string& region, const std::string& service) const;
+  /// `service`, apart from those in `excluded`.
+  bool reaches(const std::string& region, const std::string& service,
+               const std::set<std::string>& excluded) const;
 
   /// Returns the probability that the endpoints of `region` accept a request of
   /// `service`, based on recent answers to this gateway.
--- a/gateway/include/trestlepost/gateway/route_regions.h
+++ b/gateway/include/trestlepost/gateway/route_regions.h
@@ -19,15 +19,14 @@
 
 /// The attempts made for a request so far.
 struct tried_regions {
+  std::size_t attempts = 0;
   bool own_endpoints = false;
   /// No endpoint of this region could be reached by this gateway.
   bool own_unreached = false;
   bool own_gateways = false;     // other gateways of this region
   std::set<std::string> others;  // other regions
-
-  std::size_t count() const {
-    return (own_endpoints ? 1U : 0U) + (own_gateways ? 1U : 0U) + others.size();
-  }
+  /// Gateways that could not serve although others of their regions may.
+  std::set<std::string> failed_gateways;
 };
 
 /// Returns a permitted region for `request`, or nothing if none can serve it
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -36,6 +36,21 @@
   return cause.kind != error_kind::deadline;
 }
 
+bool is_gateway_failure(const attempt& it) {
+  const bool unsent = !it.delivered && it.sends == 0 && it.ran == run_state::no;
+  if (it.gateway.empty() || !unsent) return false;
+  switch (it.cause.kind) {
+    case error_kind::isolated:
+    case error_kind::draining:
+    case error_kind::deadline:
+    case error_kind::endpoint_failed:
+    case error_kind::configuration_behind:
+      return true;
+    default:
+      return false;
+  }
+}
+
 attempt failed_attempt(run_state ran, error cause,
                        std::chrono::milliseconds retry_after) {
   attempt out;
--- a/gateway/src/forwarder.cc
+++ b/gateway/src/forwarder.cc
@@ -63,7 +63,7 @@
                                     std::set<std::string> avoid,
                                     http_exchange& exchange) {
   const node_record* gateway =
-      choose_gateway(context_, region, request.service->name);
+      choose_gateway(context_, region, request.service->name, {});
   if (gateway == nullptr) {
     co_return failed_attempt(
         run_state::no,
--- a/gateway/src/gateway_choice.cc
+++ b/gateway/src/gateway_choice.cc
@@ -1,7 +1,5 @@
 #include "gateway_choice.h"
 
-#include <vector>
-
 namespace trestlepost::gateway {
 namespace {
 
@@ -15,12 +13,23 @@
 
 }  // namespace
 
+std::vector<const node_record*> gateway_candidates(
+    const gateway_context& context, const std::string& region,
+    const std::string& service, const std::set<std::string>& excluded) {
+  std::vector<const node_record*> out = context.nodes.forward_targets(
+      region, service, context.self, context.clock.now());
+  std::erase_if(out, [&excluded](const node_record* it) {
+    return excluded.contains(it->last.node.name);
+  });
+  return out;
+}
+
 const node_record* choose_gateway(const gateway_context& context,
                                   const std::string& region,
-                                  const std::string& service) {
+                                  const std::string& service,
+                                  const std::set<std::string>& excluded) {
   const std::vector<const node_record*> candidates =
-      context.nodes.forward_targets(region, service, context.self,
-                                    context.clock.now());
+      gateway_candidates(context, region, service, excluded);
   if (candidates.empty()) return nullptr;
   const node_record* a = candidates[context.random.below(candidates.size())];
   const node_record* b = candidates[context.random.below(candidates.size())];
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -101,7 +101,7 @@
     if (request && context_.endpoints.is_unreachable(request->service)) {
       outcome = failed_attempt(
           run_state::no,
-          {error_kind::unavailable,
+          {error_kind::isolated,
            "this gateway reaches no endpoint of " + request->service,
            "use another gateway"},
           retry_after_wrong_node);
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -38,11 +38,9 @@
 }  // namespace
 
 bool route_forwarder::reaches(const std::string& region,
-                              const std::string& service) const {
-  return !context_.nodes
-              .forward_targets(region, service, context_.self,
-                               context_.clock.now())
-              .empty();
+                              const std::string& service,
+                              const std::set<std::string>& excluded) const {
+  return !gateway_candidates(context_, region, service, excluded).empty();
 }
 
 std::uint32_t route_forwarder::unanswered_tokens(
@@ -91,9 +89,10 @@
 
 awaitable<attempt> route_forwarder::serve(const routed_request& request,
                                           const std::string& region,
+                                          const std::set<std::string>& excluded,
                                           transport::http_exchange& exchange) {
   const node_record* gateway =
-      choose_gateway(context_, region, request.service);
+      choose_gateway(context_, region, request.service, excluded);
   if (gateway == nullptr) {
     co_return failed_attempt(
         run_state::no,
@@ -127,6 +126,7 @@
     outcome = co_await relay_answer(request, *call, exchange);
   }
   exchange.on_disconnect(nullptr);
+  outcome.gateway = name;
   if (!outcome.delivered && !exchange.is_disconnected()) {
     log_event(log_level::info, "forward-failed",
               {{"request_id", request.head.request_id},
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -15,8 +15,8 @@
 using transport::awaitable;
 using transport::http_exchange;
 
-// Maximum number of regions tried for one request.
-constexpr std::size_t max_regions = 3;
+// Maximum number of attempts at regions for one request.
+constexpr std::size_t max_attempts = 3;
 
 // A request that arrives before the node has received its plan, its endpoints
 // or the confirmation that the plan is current waits up to this long. A refusal
@@ -205,7 +205,10 @@
 void route_handler::record_tried(tried_regions& tried,
                                  const region_decision& chosen,
                                  const attempt& last) const {
-  if (chosen.endpoint) {
+  ++tried.attempts;
+  if (is_gateway_failure(last)) {
+    tried.failed_gateways.insert(last.gateway);
+  } else if (chosen.endpoint) {
     tried.own_endpoints = true;
     tried.own_unreached = !last.endpoint.empty() && last.sends == 0;
   } else if (chosen.region == context_.self.region) {
@@ -225,7 +228,7 @@
                      retry_after_unavailable);
   bool may_have_run = false;
   std::optional<transport::http_response> last_endpoint_answer;
-  while (tried.count() < max_regions) {
+  while (tried.attempts < max_attempts) {
     std::optional<attempt> refusal = local_.hold_refusal(request);
     if (refusal) {
       if (request.sends.count() == 0) last = std::move(*refusal);
@@ -234,7 +237,7 @@
     const std::optional<region_decision> chosen =
         choose_region(context_, local_.pool(), remote_, request, tried);
     if (!chosen) {
-      const bool untried = tried.count() == 0 && request.sends.count() == 0;
+      const bool untried = tried.attempts == 0 && request.sends.count() == 0;
       bool waited = false;
       if (untried)
         waited = co_await wait_for_startup(request.arrived, exchange);
@@ -247,9 +250,12 @@
     if (chosen->endpoint) {
       last = co_await local_.serve(request, chosen->endpoint, exchange);
     } else {
-      last = co_await remote_.serve(request, region, exchange);
+      last = co_await remote_.serve(request, region, tried.failed_gateways,
+                                    exchange);
       request.sends.record_sent(last.sends);
-      if (!last.endpoint.empty()) request.avoid.insert(last.endpoint);
+      // What one gateway could not reach may be reached by others.
+      if (last.sends > 0 && !last.endpoint.empty())
+        request.avoid.insert(last.endpoint);
     }
     if (last.delivered || exchange.has_response_started() ||
         exchange.is_disconnected()) {
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -32,13 +32,15 @@
 
 std::optional<remote_load> load_in(const gateway_context& context,
                                    const std::string& region,
-                                   const std::string& service) {
+                                   const std::string& service,
+                                   const std::set<std::string>& excluded) {
   std::optional<remote_load> best;
   double in_flight = 0;
   for (const membership::node_record* it :
        context.nodes.live_in(region, context.clock.now())) {
     const auto load = it->last.services.find(service);
     const bool open = it->last.state == membership::node_states::ready &&
+                      !excluded.contains(it->last.node.name) &&
                       !it->last.unreachable_services.contains(service) &&
                       load != it->last.services.end() &&
                       load->second.endpoints > 0;
@@ -124,15 +126,16 @@
     const gateway_context& context, const endpoint_pool& local_pool,
     const route_forwarder& remote, const routed_request& request,
     const routing::latency_requirements& requirements,
-    const std::set<std::string>& tried) {
+    const tried_regions& tried) {
   std::optional<valued_decision> best;
   const double cost = remote_cost(request.work);
   for (const std::string& region : context.nodes.regions()) {
     const bool other = region != context.self.region;
-    const bool may_serve = request.permits(region) && !tried.contains(region);
+    const bool may_serve =
+        request.permits(region) && !tried.others.contains(region);
     if (!other || !may_serve) continue;
     const std::optional<remote_load> load =
-        load_in(context, region, request.service);
+        load_in(context, region, request.service, tried.failed_gateways);
     if (!load) continue;
     const routing::completion_estimate expected = estimate_remote_completion(
         context, *load, region, remote.unanswered_tokens(region), request,
@@ -177,9 +180,9 @@
   const std::string& own_region = context.self.region;
   const bool own_permitted = request.permits(own_region);
   const bool cut_off = is_cut_off(context, request, tried);
-  const bool by_own_gateways = own_permitted && cut_off &&
-                               !tried.own_gateways &&
-                               remote.reaches(own_region, request.service);
+  const bool by_own_gateways =
+      own_permitted && cut_off && !tried.own_gateways &&
+      remote.reaches(own_region, request.service, tried.failed_gateways);
   if (by_own_gateways) return region_decision{own_region, std::nullopt};
   const routing::latency_requirements requirements =
       latency_requirements_of(request, now);
@@ -193,7 +196,7 @@
   std::optional<valued_decision> best_remote;
   if (context.state.may_cross_regions(now)) {
     best_remote = evaluate_remote_regions(context, local_pool, remote, request,
-                                          requirements, tried.others);
+                                          requirements, tried);
   }
   // What could not be reached just now is a last resort.
   if (best_remote && cut_off) best_local.reset();
