Changes of every kind are refused at another revision than required

An operator who gives if_revision with a plan, an evacuation, a hold or a founding would have had it accepted although the configuration had moved on: only changes of edits were checked (read; no caller of today sets it for others, so no log can hold such a change and replicas of two builds decide alike). The check now comes before the kinds are told apart. every_change_requires_its_revision failed for all four kinds before.

--- a/config/include/trestlepost/config/change.h
+++ b/config/include/trestlepost/config/change.h
@@ -37,8 +37,8 @@
   std::string operator_name;
   wall_time at;
   std::vector<edit> edits;
-  /// If set, a change of `edits` is rejected unless the configuration is at
-  /// this revision. Not checked for other changes.
+  /// If set, the change is rejected unless the configuration is at this
+  /// revision.
   std::optional<revision_number> if_revision;
   std::optional<ledger_founding> founding;
   /// Replaces the traffic plan, unless the plan in force has the same or a
--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -80,7 +80,10 @@
   change_result decide_evacuation(const change& requested, json& changed);
   change_result decide_hold(const change& requested, json& changed);
   void apply_accepted(applied_change accepted);
-  std::optional<change_result> find_conflict(const change& requested) const;
+  std::optional<change_result> find_stale_revision(
+      const change& requested) const;
+  std::optional<change_result> find_conflicting_edit(
+      const change& requested) const;
   std::string last_writer_of(const edit& one) const;
   change_result apply_edits(const change& requested, json& changed);
   void trim_history();
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -54,12 +54,14 @@
 
 change_result config_state_machine::decide(const change& requested,
                                            json& changed) {
+  std::optional<change_result> stale = find_stale_revision(requested);
+  if (stale) return std::move(*stale);
   if (requested.founding) return decide_founding(requested);
   if (requested.plan) return decide_plan(requested, changed);
   if (requested.edited_plan) return decide_edited_plan(requested, changed);
   if (requested.evacuation) return decide_evacuation(requested, changed);
   if (requested.hold) return decide_hold(requested, changed);
-  std::optional<change_result> conflict = find_conflict(requested);
+  std::optional<change_result> conflict = find_conflicting_edit(requested);
   if (conflict) return std::move(*conflict);
   if (requested.edits.empty()) {
     return rejected(change_status::invalid, store_.revision(),
@@ -234,20 +236,26 @@
   return "an earlier change";
 }
 
-std::optional<change_result> config_state_machine::find_conflict(
+std::optional<change_result> config_state_machine::find_stale_revision(
     const change& requested) const {
   const revision_number now = store_.revision();
-  if (requested.if_revision && *requested.if_revision != now) {
-    const std::string winner =
-        audit_.empty() ? "" : " by " + audit_.back().operator_name;
-    return rejected(change_status::conflict, now,
-                    "the configuration is at revision " + std::to_string(now) +
-                        winner + ", not at " +
-                        std::to_string(*requested.if_revision),
-                    "read it again with `trestlepost get`, then apply with "
-                    "--if-revision " +
-                        std::to_string(now));
+  if (!requested.if_revision || *requested.if_revision == now) {
+    return std::nullopt;
   }
+  const std::string winner =
+      audit_.empty() ? "" : " by " + audit_.back().operator_name;
+  return rejected(change_status::conflict, now,
+                  "the configuration is at revision " + std::to_string(now) +
+                      winner + ", not at " +
+                      std::to_string(*requested.if_revision),
+                  "read it again with `trestlepost get`, then apply with "
+                  "--if-revision " +
+                      std::to_string(now));
+}
+
+std::optional<change_result> config_state_machine::find_conflicting_edit(
+    const change& requested) const {
+  const revision_number now = store_.revision();
   for (const edit& it : requested.edits) {
     if (!it.base) continue;
     const stored_spec* stored = store_.find_spec(it.kind, it.name);
--- a/config/test/state_machine-test.cc
+++ b/config/test/state_machine-test.cc
@@ -121,6 +121,27 @@
   EXPECT_TRUE(store.held_requests().contains("1"));
 }
 
+// A change of a plan, an evacuation, a hold or a founding was accepted although
+// the configuration had moved on from the revision that it required.
+TEST(config_state_machine_test, every_change_requires_its_revision) {
+  change plan = change_of("plan", {});
+  plan.plan = std::make_shared<const traffic_plan>(traffic_plan{.number = 1});
+  change evacuation = change_of("evacuation", {});
+  evacuation.evacuation = zone_evacuation{"isola-a", true};
+  change founding = change_of("founding", {});
+  founding.founding = ledger_founding{"isola", "group", {}};
+  for (change it : {plan, evacuation, founding, hold_of("hold", "f", true)}) {
+    state_machine_fixture machine;
+    machine.apply(change_of("first", {region_edit("isola")}));
+    it.if_revision = 0;
+    EXPECT_EQ(machine.apply(it).status, change_status::conflict) << it.id;
+    EXPECT_EQ(machine.machine.store().revision(), 1U);
+    it.id += "-again";
+    it.if_revision = 1;
+    EXPECT_EQ(machine.apply(it).status, change_status::accepted) << it.id;
+  }
+}
+
 TEST(config_state_machine_test, resent_change_returns_first_result) {
   state_machine_fixture it;
   it.apply(change_of("c1", {region_edit("isola")}));
