Digests of edits of plans without documents contain the routes

Two edits with one base and number but different routes had one digest if their plans had no document, so a reused change id would have returned the other edit's result. With documents base and document determine the routes (the control node reads both from one text), and those digests stay as they were: replicas of two builds keep storing the same. edits_of_plans_without_documents_have_own_digests failed before.

--- a/config/include/trestlepost/config/plan_edit.h
+++ b/config/include/trestlepost/config/plan_edit.h
@@ -27,6 +27,9 @@
 result<traffic_plan> apply_plan_edit(const traffic_plan* before,
                                      const plan_edit& edit);
 
+/// Returns whether the new plan has a document, which then identifies it.
+bool has_document(const plan_edit& edit);
+
 json to_json(const plan_edit& value);
 result<plan_edit> plan_edit_from(const json& value);
 
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -212,6 +212,9 @@
     content["base"] = as_number(value.edited_plan->base);
     content["number"] = as_number(value.edited_plan->delta.number);
     content["document"] = sha256_hex(value.edited_plan->document);
+    if (!has_document(*value.edited_plan)) {
+      content["delta"] = to_json(value.edited_plan->delta);
+    }
   }
   if (value.evacuation) content["evacuation"] = to_json(*value.evacuation);
   if (value.hold) content["hold"] = to_json(*value.hold);
--- a/config/src/plan_edit.cc
+++ b/config/src/plan_edit.cc
@@ -48,6 +48,11 @@
   return out;
 }
 
+bool has_document(const plan_edit& edit) {
+  const std::string none = compress_printable(make_text_delta("", ""));
+  return edit.document != none;
+}
+
 json to_json(const plan_edit& value) {
   json out;
   out["base"] = as_number(value.base);
--- a/config/test/plan_edit-test.cc
+++ b/config/test/plan_edit-test.cc
@@ -45,6 +45,17 @@
   return *to.result_of(requested.id);
 }
 
+// A change id that had been used for another edit returned that edit's result
+// as if its own had been applied.
+TEST(plan_edit_test, edits_of_plans_without_documents_have_own_digests) {
+  traffic_plan one = plan_of(1, 1);
+  traffic_plan two = plan_of(1, 2);
+  one.document.clear();
+  two.document.clear();
+  EXPECT_NE(change_digest(edit_of(nullptr, one)),
+            change_digest(edit_of(nullptr, two)));
+}
+
 TEST(plan_edit_test, edits_produce_same_plan_as_whole_plans) {
   const traffic_plan first = plan_of(1, 5);
   const traffic_plan second = plan_of(3, 9);
