Callers may pause reading for longer than five seconds

What callers saw: who did not read for five seconds, with the buffers full, was disconnected and lost the rest of a ready answer, although the stated write timeout is 30 s. The user timeout of callers' connections is now the write timeout.

--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -37,9 +37,17 @@
 /// Parses "IP:PORT".
 result<tcp::endpoint> parse_address(const std::string& text);
 
-/// Sets the options of an accepted connection: TCP_NODELAY, and a TCP user
-/// timeout of 5 s for unacknowledged data. Callers may read slowly.
-void set_accepted_options(tcp::socket& socket);
+/// Sets the options of an accepted connection: TCP_NODELAY and a TCP user
+/// timeout. The system applies it also to a remote process that does not read.
+void set_accepted_options(tcp::socket& socket,
+                          std::chrono::milliseconds tcp_user_timeout);
+
+/// Default TCP user timeout of accepted connections.
+inline constexpr std::chrono::milliseconds accepted_tcp_user_timeout{5000};
+
+/// Returns whether the remote host has acknowledged nothing for 5 s although
+/// data was sent again. A process that does not read is no silent host.
+bool is_host_silent(tcp::socket& socket);
 
 /// Sets the options of a connection that this node opened: TCP_NODELAY,
 /// keep-alive probes every second, and a TCP user timeout. The connection fails
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -18,6 +18,8 @@
 using asio::redirect_error;
 using asio::use_awaitable;
 
+constexpr std::chrono::milliseconds silence_check_interval{1000};
+
 }  // namespace
 
 struct http_server::state {
@@ -29,6 +31,7 @@
   http_server_options options;
   std::optional<tcp::acceptor> acceptor;
   std::set<beast::tcp_stream*> idle;
+  std::set<server_connection*> active;
   std::size_t connections = 0;
   std::size_t in_progress = 0;
   bool draining = false;
@@ -44,8 +47,10 @@
     server->idle.erase(&self->stream());
     if (!has_request) break;
     ++server->in_progress;
+    server->active.insert(self.get());
     self->set_draining(server->draining);
     co_await server->handler.handle(*self);
+    server->active.erase(self.get());
     --server->in_progress;
     self->end_exchange();
     if (!self->keeps_alive(server->draining)) break;
@@ -55,6 +60,15 @@
   self->stream().socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+/// Ends the exchanges of callers whose hosts have failed, so that no endpoint
+/// goes on working for them.
+awaitable<void> silence_check_loop(std::shared_ptr<http_server::state> server) {
+  while (server->acceptor->is_open() || !server->active.empty()) {
+    co_await sleep_for(server->context, silence_check_interval);
+    for (server_connection* it : server->active) it->disconnect_if_silent();
+  }
+}
+
 awaitable<void> accept_loop(std::shared_ptr<http_server::state> server) {
   while (server->acceptor && server->acceptor->is_open()) {
     error_code ec;
@@ -67,7 +81,7 @@
       continue;
     }
     if (server->connections >= server->options.max_connections) continue;
-    set_accepted_options(socket);
+    set_accepted_options(socket, server->options.write_timeout);
     ++server->connections;
     std::shared_ptr<server_connection> accepted =
         std::make_shared<server_connection>(std::move(socket), server->options);
@@ -90,6 +104,7 @@
   if (!opened) return tl::make_unexpected(opened.error());
   state_->acceptor.emplace(std::move(*opened));
   asio::co_spawn(state_->context, accept_loop(state_), asio::detached);
+  asio::co_spawn(state_->context, silence_check_loop(state_), asio::detached);
   return {};
 }
 
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include "trestlepost/base/json.h"
+#include "trestlepost/base/log.h"
 
 namespace trestlepost::transport {
 namespace {
@@ -116,6 +117,14 @@
   if (!is_open) handle_disconnect();
 }
 
+void server_connection::disconnect_if_silent() {
+  const bool open = !disconnected_ && stream_.socket().is_open();
+  if (!open || !is_host_silent(stream_.socket())) return;
+  log_event(log_level::info, "caller-host-silent", {});
+  reset_connection();
+  handle_disconnect();
+}
+
 void server_connection::end_exchange() {
   ++request_number_;
   on_disconnect_ = nullptr;
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -39,6 +39,8 @@
   }
   void set_draining(bool draining) { draining_ = draining; }
   void end_exchange();
+  /// Ends the exchange if the caller's host no longer acknowledges anything.
+  void disconnect_if_silent();
 
   std::string_view method() const override {
     return {parser_->get().method_string().data(),
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -10,9 +10,11 @@
 namespace trestlepost::transport {
 namespace {
 
-// TCP user timeout of accepted connections in milliseconds. Data that is
-// unacknowledged for longer means that the host or the network has failed.
-constexpr int user_timeout_ms = 5000;
+// A host that acknowledges nothing for this time has failed, or its network.
+constexpr std::uint32_t max_unacknowledged_ms = 5000;
+// So many retransmissions without an answer take three seconds or more. They
+// tell a silent host from a connection that has only been idle.
+constexpr std::uint8_t min_retransmissions = 4;
 // Idle time in seconds before the first keep-alive probe, and between probes.
 constexpr int probe_interval_s = 1;
 
@@ -45,9 +47,20 @@
               "write IP:PORT, for example \"127.0.1.1:8000\"");
 }
 
-void set_accepted_options(tcp::socket& socket) {
+void set_accepted_options(tcp::socket& socket,
+                          std::chrono::milliseconds tcp_user_timeout) {
   set_no_delay(socket);
-  set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
+  set_tcp_option(socket, TCP_USER_TIMEOUT,
+                 static_cast<int>(tcp_user_timeout.count()));
+}
+
+bool is_host_silent(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  const bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO,
+                                  &info, &size) == 0;
+  return known && info.tcpi_retransmits >= min_retransmissions &&
+         info.tcpi_last_ack_recv >= max_unacknowledged_ms;
 }
 
 void set_outgoing_options(tcp::socket& socket,
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -1,8 +1,10 @@
 // Tests the HTTP client against the HTTP server, and the server against
 // malformed requests.
 #include <gtest/gtest.h>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,8 +21,13 @@
 
 const std::string address = loopback_ip() + ":7802";
 
-/// Streams for /stream, aborts a stream for /cut, and echoes the body
-/// otherwise. The response to a target that ends with "?close" has no length.
+constexpr std::size_t large_body = 32UL * 1024 * 1024;  // exceeds all buffers
+constexpr std::chrono::milliseconds event_interval{100};
+
+/// Streams for /stream, aborts a stream for /cut, answers a large body for
+/// /large, sends events until the caller leaves for /events, and echoes the
+/// body otherwise. The response to a target that ends with "?close" has no
+/// length.
 class test_handler final : public http_handler {
  public:
   awaitable<void> handle(http_exchange& exchange) override {
@@ -52,14 +59,28 @@
       }
       co_return;
     }
+    if (target == "/events") {
+      exchange.on_disconnect([this] { ++disconnected; });
+      http_response head;
+      bool open = co_await exchange.start_stream(std::move(head));
+      while (open) {
+        std::string event = "event\n";
+        open = co_await exchange.write_piece(std::move(event));
+        co_await sleep_for(*io, event_interval);
+      }
+      co_return;
+    }
     http_response response;
     response.close_delimited = close_delimited;
-    response.body = "echo " + *body;
+    response.body =
+        target == "/large" ? std::string(large_body, 'x') : "echo " + *body;
     co_await exchange.respond(response);
   }
 
+  asio::io_context* io = nullptr;
   int handled = 0;
   int abandoned = 0;
+  int disconnected = 0;
 };
 
 class http_test : public testing::Test {
@@ -67,6 +88,7 @@
   http_test()
       : server_(context_, handler_, make_options()),
         client_(context_, make_client_options()) {
+    handler_.io = &context_;
     EXPECT_TRUE(server_.listen(address));
   }
 
@@ -327,6 +349,57 @@
   return value;
 }
 
+/// Drops everything that arrives at `socket`, as a failed host does.
+void attach_drop_filter(tcp::socket& socket) {
+  sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &drop_all};
+  ASSERT_EQ(::setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                         &program, sizeof program),
+            0);
+}
+
+/// Connects to the server and requests `target`.
+tcp::socket request_on_socket(asio::io_context& io, const std::string& target) {
+  tcp::socket out(io);
+  out.connect(*parse_address(address));
+  const std::string head = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  asio::write(out, asio::buffer(head));
+  return out;
+}
+
+// A caller that paused reading for longer than five seconds was disconnected,
+// and lost the rest of its answer.
+TEST_F(http_test, caller_may_pause_reading) {
+  constexpr std::chrono::milliseconds pause{7000};
+  tcp::socket caller = request_on_socket(context_, "/large");
+  const monotonic_time resumes_at = boot_clock::now() + pause;
+  run_until([&] { return boot_clock::now() >= resumes_at; }, 10'000);
+  std::vector<char> buf(1 << 20);
+  std::size_t n = 0;
+  boost::system::error_code ec;
+  caller.non_blocking(true);
+  const monotonic_time until = boot_clock::now() + pause;
+  while (n < large_body && boot_clock::now() < until) {
+    n += caller.read_some(asio::buffer(buf), ec);
+    if (ec && ec != asio::error::would_block) break;
+    context_.restart();
+    context_.run_one_for(std::chrono::milliseconds(2));
+  }
+  EXPECT_GE(n, large_body) << ec.message();
+}
+
+// An endpoint went on working for a caller whose host had failed.
+TEST_F(http_test, failed_host_of_caller_is_a_disconnect) {
+  tcp::socket caller = request_on_socket(context_, "/events");
+  run_until([&] { return caller.available() > 0; });
+  attach_drop_filter(caller);
+  const monotonic_time until = boot_clock::now() + std::chrono::seconds(10);
+  run_until(
+      [&] { return handler_.disconnected > 0 || boot_clock::now() >= until; },
+      20'000);
+  EXPECT_EQ(handler_.disconnected, 1);
+}
+
 // Checks only the options. That the system closes the connection cannot be
 // tested on loopback, which always acknowledges.
 TEST(socket_options_test, outgoing_connections_have_probes_and_a_user_timeout) {
