trestlepost init is refused where the group is founded from seeds

What operators saw: init ended the control node or gateway it was run against (an operator with the role found; also the node of a relayed call): the first of an empty list of control nodes was read.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -362,12 +362,16 @@
   if (!started) answer(tl::make_unexpected(started.error()));
 }
 
+tl::unexpected<error> founded_from_seeds() {
+  return fail(error_kind::conflict,
+              "this deployment founds its group from the seeds",
+              "set found_at_first_start and start all control nodes");
+}
+
 void control_service::found(answer_function answer) {
   const std::vector<control_node>& all = context_.options.control_nodes;
   if (all.empty()) {
-    answer(fail(error_kind::conflict,
-                "this deployment founds its group from the seeds",
-                "set found_at_first_start and start all control nodes"));
+    answer(founded_from_seeds());
     return;
   }
   if (all.front().name != context_.self.name) {
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -23,6 +23,9 @@
 
 namespace trestlepost::node {
 
+/// The error of founding where no control nodes are listed.
+tl::unexpected<error> founded_from_seeds();
+
 /// Owns this node's replica of the configuration group and the work that the
 /// leader does beyond replication.
 class control_service final : public consensus::message_sink {
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -128,6 +128,8 @@
       [this, name, role, on_founder](
           const json& params, const rpc_context& caller) -> result<json> {
         if (!role_covers(caller.role, role)) return role_refused(role);
+        const bool no_founder = context_.options.control_nodes.empty();
+        if (on_founder && no_founder) return founded_from_seeds();
         const std::string ticket = tickets_.open(
             make_request_id(context_.random), context_.clock.now());
         if (runs_here(on_founder)) {
