Loads of other regions come from the gateways that requests are sent to

The load of a region was summed over its own filter of gateways, the twin of the one that forwards are chosen from. Both use gateway_candidates now, and route_forwarder::reaches, a wrapper of it, is gone. Behaviour stays: nodes without an address for forwards advertise no endpoints.

--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -25,11 +25,6 @@
                                       const std::set<std::string>& excluded,
                                       transport::http_exchange& exchange);
 
-  /// Returns whether another gateway of `region` reaches endpoints of
-  /// `service`, apart from those in `excluded`.
-  bool reaches(const std::string& region, const std::string& service,
-               const std::set<std::string>& excluded) const;
-
   /// Returns the probability that the endpoints of `region` accept a request of
   /// `service`, based on recent answers to this gateway.
   double accept_probability(const std::string& region,
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -37,12 +37,6 @@
 
 }  // namespace
 
-bool route_forwarder::reaches(const std::string& region,
-                              const std::string& service,
-                              const std::set<std::string>& excluded) const {
-  return !gateway_candidates(context_, region, service, excluded).empty();
-}
-
 std::uint32_t route_forwarder::unanswered_tokens(
     const std::string& region) const {
   const auto it = unanswered_.find(region);
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "gateway_choice.h"
 #include "trestlepost/routing/engine_choice.h"
 
 namespace trestlepost::gateway {
@@ -37,13 +38,10 @@
   std::optional<remote_load> best;
   double in_flight = 0;
   for (const membership::node_record* it :
-       context.nodes.live_in(region, context.clock.now())) {
+       gateway_candidates(context, region, service, excluded)) {
     const auto load = it->last.services.find(service);
-    const bool open = it->last.state == membership::node_states::ready &&
-                      !excluded.contains(it->last.node.name) &&
-                      !it->last.unreachable_services.contains(service) &&
-                      load != it->last.services.end() &&
-                      load->second.endpoints > 0;
+    const bool open =
+        load != it->last.services.end() && load->second.endpoints > 0;
     if (open) in_flight += load->second.in_flight;
     if (!open || (best && best->wait <= load->second.wait)) continue;
     best = remote_load{load->second.wait, load->second.event_interval,
@@ -182,7 +180,9 @@
   const bool cut_off = is_cut_off(context, request, tried);
   const bool by_own_gateways =
       own_permitted && cut_off && !tried.own_gateways &&
-      remote.reaches(own_region, request.service, tried.failed_gateways);
+      !gateway_candidates(context, own_region, request.service,
+                          tried.failed_gateways)
+           .empty();
   if (by_own_gateways) return region_decision{own_region, std::nullopt};
   const routing::latency_requirements requirements =
       latency_requirements_of(request, now);
