--- a/bench/src/relay.cc
+++ b/bench/src/relay.cc
@@ -85,13 +85,6 @@
   transport::timer wake;
 };
 
-awaitable<void> sleep_for(transport::asio::io_context& io, milliseconds n) {
-  transport::timer timer(io);
-  timer.expires_after(n);
-  error_code ec;
-  co_await timer.async_wait(redirect_error(use_awaitable, ec));
-}
-
 awaitable<void> read_loop(transport::asio::io_context& io,
                           std::shared_ptr<connection_pair> pair,
                           tcp::socket& from, std::shared_ptr<flow_state> flow,
@@ -107,7 +100,7 @@
     flow->bytes += n;
     flow->wake.cancel();
     while (flow->bytes > max_queued_bytes)
-      co_await sleep_for(io, cut_poll_interval);
+      co_await transport::sleep_for(io, cut_poll_interval);
   }
   flow->ended = true;
   flow->wake.cancel();
@@ -126,7 +119,8 @@
       continue;
     }
     // As in a network partition: nothing is sent and no connection is closed.
-    while (link.cut && to.is_open()) co_await sleep_for(io, cut_poll_interval);
+    while (link.cut && to.is_open())
+      co_await transport::sleep_for(io, cut_poll_interval);
     const monotonic_time now = boot_clock::now();
     if (flow->queue.front().due > now) {
       flow->wake.expires_at(flow->queue.front().due);
@@ -157,8 +151,9 @@
   const std::string to = region_of(at);
   link_state& forward = net.between(from, to);
   link_state& back = net.between(to, from);
-  while (forward.cut || back.cut) co_await sleep_for(io, cut_poll_interval);
-  co_await sleep_for(io, forward.delay + back.delay);
+  while (forward.cut || back.cut)
+    co_await transport::sleep_for(io, cut_poll_interval);
+  co_await transport::sleep_for(io, forward.delay + back.delay);
   co_await pair->target.async_connect(at, redirect_error(use_awaitable, ec));
   if (ec) {
     pair->close();
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <random>
 #include <thread>
@@ -77,12 +76,6 @@
   std::uint64_t random_below(std::uint64_t limit) {
     return std::uniform_int_distribution<std::uint64_t>(0, limit - 1)(engine_);
   }
-  awaitable<void> pause(milliseconds time) {
-    transport::timer timer(io_);
-    timer.expires_after(time);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
-
   /// Sends requests of random kinds, one at a time, and doesn't wait as
   /// Retry-After asks.
   awaitable<void> run_caller(std::string entry);
@@ -133,7 +126,7 @@
     if (answer.complete && streamed) it.stream = answer.body;
     it.delimited = answer.delimited;
     requests_.push_back(it);
-    co_await pause(caller_pause);
+    co_await transport::sleep_for(io_, caller_pause);
   }
 }
 
@@ -157,7 +150,7 @@
       if (answer.complete && answer.status >= 400 && answer.status < 500) {
         plans_.record_invalid(number, answer.body);
       }
-      co_await pause(operator_pause);
+      co_await transport::sleep_for(io_, operator_pause);
     }
   }
 }
@@ -175,7 +168,7 @@
                          deployment::plan_version(answer.body), answer.body,
                          node);
     }
-    co_await pause(operator_pause);
+    co_await transport::sleep_for(io_, operator_pause);
   }
 }
 
