--- a/base/include/trestlepost/base/json.h
+++ b/base/include/trestlepost/base/json.h
@@ -44,6 +44,7 @@
 bool flag_of(const json& object, const char* key);
 /// Returns the strings in an array; other elements are skipped.
 std::vector<std::string> texts_of(const json& object, const char* key);
+std::set<std::string> text_set_of(const json& object, const char* key);
 json to_json(const std::set<std::string>& texts);
 
 /// Converts an error to and from the form in which nodes exchange it.
--- a/base/src/json.cc
+++ b/base/src/json.cc
@@ -121,6 +121,11 @@
   return out;
 }
 
+std::set<std::string> text_set_of(const json& object, const char* key) {
+  const std::vector<std::string> texts = texts_of(object, key);
+  return {texts.begin(), texts.end()};
+}
+
 json to_json(const std::set<std::string>& texts) {
   json out(Json::arrayValue);
   for (const std::string& it : texts) out.append(it);
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -337,9 +337,7 @@
     if (!read) return tl::make_unexpected(read.error());
     out.plan_ = std::make_shared<const traffic_plan>(std::move(*read));
   }
-  for (const std::string& it : texts_of(value, "evacuated_zones")) {
-    out.evacuated_.insert(it);
-  }
+  out.evacuated_ = text_set_of(value, "evacuated_zones");
   const json& ended_evacuations = member_of(value, "zones_given_back");
   if (ended_evacuations.isObject()) {
     for (const std::string& it : ended_evacuations.getMemberNames()) {
--- a/gateway/src/forward_message.cc
+++ b/gateway/src/forward_message.cc
@@ -49,7 +49,7 @@
   out.priority = static_cast<int>(number_of(value, "priority"));
   out.remaining = std::chrono::milliseconds(number_of(value, "remaining_ms"));
   out.affinity = number_of(value, "affinity");
-  for (const std::string& it : texts_of(value, "avoid")) out.avoid.insert(it);
+  out.avoid = text_set_of(value, "avoid");
   out.revision = number_of(value, "revision");
   out.sent_at =
       from_unix_ms(static_cast<std::int64_t>(number_of(value, "sent_at")));
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -29,7 +29,7 @@
   out.service = text_of(*parsed, "service");
   out.entry_region = text_of(*parsed, "entry_region");
   out.remaining = std::chrono::milliseconds(number_of(*parsed, "remaining_ms"));
-  for (const std::string& it : texts_of(*parsed, "avoid")) out.avoid.insert(it);
+  out.avoid = text_set_of(*parsed, "avoid");
   out.sends = static_cast<unsigned>(number_of(*parsed, "sends"));
   out.plan = number_of(*parsed, "plan");
   if (!out.service.empty()) return out;
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -144,8 +144,7 @@
     }
   }
   out.cached_prefixes = cached_prefixes_from(member_of(value, "cached"));
-  const std::vector<std::string> unreachable = texts_of(value, "unreachable");
-  out.unreachable_services = {unreachable.begin(), unreachable.end()};
+  out.unreachable_services = text_set_of(value, "unreachable");
   return out;
 }
 
--- a/membership/src/region_digest.cc
+++ b/membership/src/region_digest.cc
@@ -40,8 +40,7 @@
   out.sequence = number_of(value, "q");
   out.revision = number_of(value, "c");
   out.load = static_cast<std::uint32_t>(number_of(value, "l"));
-  const std::vector<std::string> unreachable = texts_of(value, "u");
-  out.unreachable_services = {unreachable.begin(), unreachable.end()};
+  out.unreachable_services = text_set_of(value, "u");
   return out;
 }
 
