--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -31,9 +31,8 @@
   http_server_options options;
   std::optional<tcp::acceptor> acceptor;
   std::set<beast::tcp_stream*> idle;
-  std::set<server_connection*> active;
+  std::set<server_connection*> active;  // with a request in progress
   std::size_t connections = 0;
-  std::size_t in_progress = 0;
   bool draining = false;
 };
 
@@ -46,12 +45,10 @@
     const bool has_request = co_await self->read_head();
     server->idle.erase(&self->stream());
     if (!has_request) break;
-    ++server->in_progress;
     server->active.insert(self.get());
     self->set_draining(server->draining);
     co_await server->handler.handle(*self);
     server->active.erase(self.get());
-    --server->in_progress;
     self->end_exchange();
     if (!self->keeps_alive(server->draining)) break;
   }
@@ -128,7 +125,7 @@
 }
 
 std::size_t http_server::in_progress() const {
-  return state_->in_progress;
+  return state_->active.size();
 }
 
 }  // namespace trestlepost::transport
