Silent hosts: one constant for five seconds

The user timeout of peers' connections and the test for silent hosts state the same time. As the default it leaves the other callers as they were.

--- a/bench/src/relay.cc
+++ b/bench/src/relay.cc
@@ -159,10 +159,8 @@
     pair->close();
     co_return;
   }
-  transport::set_accepted_options(pair->source,
-                                  transport::accepted_tcp_user_timeout);
-  transport::set_accepted_options(pair->target,
-                                  transport::accepted_tcp_user_timeout);
+  transport::set_accepted_options(pair->source);
+  transport::set_accepted_options(pair->target);
   const std::shared_ptr<flow_state> out = std::make_shared<flow_state>(io);
   const std::shared_ptr<flow_state> in = std::make_shared<flow_state>(io);
   using boost::asio::co_spawn;
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -37,16 +37,19 @@
 /// Parses "IP:PORT".
 result<tcp::endpoint> parse_address(const std::string& text);
 
+/// A caller's host that acknowledges nothing for this time has failed, or its
+/// network.
+inline constexpr std::chrono::milliseconds max_host_silence{5000};
+
 /// Sets the options of an accepted connection: TCP_NODELAY and a TCP user
 /// timeout. The system applies it also to a remote process that does not read.
-void set_accepted_options(tcp::socket& socket,
-                          std::chrono::milliseconds tcp_user_timeout);
-
-/// Default TCP user timeout of accepted connections.
-inline constexpr std::chrono::milliseconds accepted_tcp_user_timeout{5000};
+void set_accepted_options(
+    tcp::socket& socket,
+    std::chrono::milliseconds tcp_user_timeout = max_host_silence);
 
-/// Returns whether the remote host has acknowledged nothing for 5 s although
-/// data was sent again. A process that does not read is no silent host.
+/// Returns whether the remote host has acknowledged nothing for
+/// `max_host_silence` although data was sent again. A process that does not
+/// read is no silent host.
 bool is_host_silent(tcp::socket& socket);
 
 /// Sets the options of a connection that this node opened: TCP_NODELAY,
--- a/transport/src/peer_server.cc
+++ b/transport/src/peer_server.cc
@@ -135,7 +135,7 @@
       co_await wait_after_accept_error(server->context, ec);
       continue;
     }
-    set_accepted_options(socket, accepted_tcp_user_timeout);
+    set_accepted_options(socket);
     asio::co_spawn(server->context, serve(server, std::move(socket)),
                    asio::detached);
   }
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -10,8 +10,6 @@
 namespace trestlepost::transport {
 namespace {
 
-// A host that acknowledges nothing for this time has failed, or its network.
-constexpr std::uint32_t max_unacknowledged_ms = 5000;
 // So many retransmissions without an answer take three seconds or more. They
 // tell a silent host from a connection that has only been idle.
 constexpr std::uint8_t min_retransmissions = 4;
@@ -59,8 +57,9 @@
   socklen_t size = sizeof info;
   const bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO,
                                   &info, &size) == 0;
+  const std::chrono::milliseconds silence(info.tcpi_last_ack_recv);
   return known && info.tcpi_retransmits >= min_retransmissions &&
-         info.tcpi_last_ack_recv >= max_unacknowledged_ms;
+         silence >= max_host_silence;
 }
 
 void set_outgoing_options(tcp::socket& socket,
