Retry budgets: what a gateway saves depends on its own requests alone

Cause (one that the model shows; the record's is not known): a gateway saved a third of the slack divided by the gateways that it knew. More than three groups that do not know each other saved more than the slack.

Now: nine tenths of the ratio are earned; a gateway saves at most a tenth of the ratio of its callers' requests in the last ten seconds, at least one retry. All gateways together use the ratio of the larger of two adjacent windows, and one retry each, whatever they know of each other. The slack is left for those and for late arrivals. The simulation also moves callers between regions; the faults put in are still found. saved_retries_do_not_depend_on_known_gateways guards it.

Not covered: more gateways than the slack, each with one saved retry.

--- a/gateway/include/trestlepost/gateway/retry_budgets.h
+++ b/gateway/include/trestlepost/gateway/retry_budgets.h
@@ -29,13 +29,13 @@
   /// had already reached one. Whether that was charged, here or by the gateway
   /// that forwarded the request, does not matter.
   void record_repeat(const std::string& service);
-  /// Adjusts this gateway's share to the number of known gateways, and logs
-  /// what was used since the last report.
+  /// Applies changed limits, and logs regularly what was used since the last
+  /// report.
   void tick();
 
  private:
   struct service_budget {
-    routing::retry_budget budget;
+    routing::shared_retry_budget budget;
     // Since the last report.
     std::uint64_t requests = 0;
     std::uint64_t charged = 0;
--- a/gateway/src/retry_budgets.cc
+++ b/gateway/src/retry_budgets.cc
@@ -13,15 +13,13 @@
     const std::string& service) {
   const auto known = budgets_.find(service);
   if (known != budgets_.end()) return known->second;
-  service_budget fresh;
-  fresh.budget = routing::retry_budget(
-      routing::gateway_share(limits_, context_.nodes.gateway_count()));
+  const service_budget fresh{routing::shared_retry_budget(limits_)};
   return budgets_.emplace(service, fresh).first->second;
 }
 
 void retry_budgets::record_request(const std::string& service) {
   service_budget& it = budget_of(service);
-  it.budget.add_request();
+  it.budget.add_request(context_.clock.now());
   ++it.requests;
 }
 
@@ -29,7 +27,7 @@
                                 routing::charged_sends& sends) {
   service_budget& it = budget_of(service);
   if (sends.is_next_paid()) return true;
-  if (!sends.charge_next(it.budget)) {
+  if (!sends.charge_next(it.budget.at(context_.clock.now()))) {
     ++it.denied;
     context_.metrics.retry_denied(service);
     return false;
@@ -40,7 +38,7 @@
 
 void retry_budgets::refund_unused(const std::string& service,
                                   routing::charged_sends& sends) {
-  sends.refund_unused(budget_of(service).budget);
+  sends.refund_unused(budget_of(service).budget.at(context_.clock.now()));
 }
 
 void retry_budgets::record_repeat(const std::string& service) {
@@ -48,9 +46,7 @@
 }
 
 void retry_budgets::tick() {
-  const routing::retry_budget_options share =
-      routing::gateway_share(limits_, context_.nodes.gateway_count());
-  for (auto& [service, it] : budgets_) it.budget.set_options(share);
+  for (auto& [service, it] : budgets_) it.budget.set_limits(limits_);
   const monotonic_time now = context_.clock.now();
   if (now < reported_at_ + report_interval) return;
   reported_at_ = now;
@@ -67,8 +63,7 @@
                {"charged", std::to_string(used.charged)},
                {"denied", std::to_string(used.denied)},
                {"repeats", std::to_string(used.repeats)},
-               {"saved", std::to_string(used.budget.saved())},
-               {"gateways", std::to_string(context_.nodes.gateway_count())}});
+               {"saved", std::to_string(used.budget.saved())}});
   }
   used.requests = used.charged = used.denied = used.repeats = 0;
 }
--- a/routing/include/trestlepost/routing/retry_budget.h
+++ b/routing/include/trestlepost/routing/retry_budget.h
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "trestlepost/base/clock.h"
+#include "trestlepost/routing/recent_count.h"
+
 namespace trestlepost::routing {
 
 /// Retry limits for all gateways of a deployment together.
@@ -20,22 +23,20 @@
   double max_saved = 10;
 };
 
-/// Returns the limits of one of `gateways` gateways, which do not coordinate.
-/// Only the gateway that receives a request from its caller earns budget for
-/// it, so most of the ratio can be used regardless of how many other gateways
-/// are known. The rest allows for requests that are read slightly later than
-/// they were sent. One third of the slack is used, because each of three
-/// partitioned regions may count only its own gateways.
+/// Returns the limits of a gateway that received `recent_requests` from its
+/// callers within the last ten seconds. What gateways save depends on their own
+/// requests alone, so they need not know each other: all of them together may
+/// use the ratio of their requests, and one retry each.
 inline retry_budget_options gateway_share(const shared_retry_limits& limits,
-                                          std::size_t gateways) {
-  constexpr double used_of_ratio = 0.9;
-  constexpr double used_of_slack = 1.0 / 3;
-  const double part = limits.slack * used_of_slack /
-                      static_cast<double>(std::max<std::size_t>(1, gateways));
+                                          std::size_t recent_requests) {
+  constexpr double earned_of_ratio = 0.9;
+  constexpr double saved_of_ratio = 1 - earned_of_ratio;
+  const double saved =
+      limits.ratio * saved_of_ratio * static_cast<double>(recent_requests);
   retry_budget_options out;
-  out.ratio = limits.ratio * used_of_ratio;
+  out.ratio = limits.ratio * earned_of_ratio;
   // Below 1 a gateway could never retry.
-  out.max_saved = std::max(1.0, part);
+  out.max_saved = std::max(std::min(1.0, limits.slack), saved);
   return out;
 }
 
@@ -75,4 +76,37 @@
   double saved_ = 0;
 };
 
+/// Retry budget of one gateway within limits that all gateways share.
+class shared_retry_budget {
+ public:
+  explicit shared_retry_budget(const shared_retry_limits& limits)
+      : limits_(limits), budget_(gateway_share(limits, 0)) {}
+
+  void set_limits(const shared_retry_limits& limits) { limits_ = limits; }
+
+  /// Records a request of a caller.
+  void add_request(monotonic_time now) {
+    recent_.add(now);
+    update(now);
+    budget_.add_request();
+  }
+
+  /// Returns the budget as of `now`.
+  retry_budget& at(monotonic_time now) {
+    update(now);
+    return budget_;
+  }
+
+  double saved() const { return budget_.saved(); }
+
+ private:
+  void update(monotonic_time now) {
+    budget_.set_options(gateway_share(limits_, recent_.count(now)));
+  }
+
+  shared_retry_limits limits_;
+  recent_count recent_;
+  retry_budget budget_;
+};
+
 }  // namespace trestlepost::routing
--- a/routing/test/choice-test.cc
+++ b/routing/test/choice-test.cc
@@ -161,14 +161,15 @@
 
 TEST(retry_budget_test, gateways_together_stay_within_shared_limits) {
   const shared_retry_limits limits{0.2, 54};
+  const monotonic_time now{std::chrono::seconds(1000)};
   for (const std::size_t gateways : {1U, 7U, 61U, 300U}) {
     constexpr int requests = 50;  // per gateway, in one window
     int retries = 0;
     for (std::size_t i = 0; i < gateways; ++i) {
-      retry_budget budget(gateway_share(limits, gateways));
+      shared_retry_budget budget(limits);
       for (int n = 0; n < requests; ++n) {
-        budget.add_request();
-        while (budget.try_take()) ++retries;
+        budget.add_request(now);
+        while (budget.at(now).try_take()) ++retries;
       }
     }
     EXPECT_LE(retries, limits.ratio * requests * gateways + limits.slack)
@@ -177,11 +178,13 @@
 }
 
 TEST(retry_budget_test, a_smaller_share_drops_saved_retries_above_it) {
-  retry_budget budget(gateway_share({0.2, 100}, 1));
-  for (int n = 0; n < 100; ++n) budget.add_request();
-  budget.set_options(gateway_share({0.2, 100}, 50));
-  EXPECT_TRUE(budget.try_take());
-  EXPECT_FALSE(budget.try_take());
+  shared_retry_budget budget({0.2, 100});
+  const monotonic_time now{std::chrono::seconds(1000)};
+  for (int n = 0; n < 1000; ++n) budget.add_request(now);
+  EXPECT_GT(budget.at(now).saved(), 1);
+  const monotonic_time later = now + std::chrono::seconds(10);
+  EXPECT_TRUE(budget.at(later).try_take());
+  EXPECT_FALSE(budget.at(later).try_take());
 }
 
 TEST(retry_budget_test,
--- a/routing/test/retry_limits-test.cc
+++ b/routing/test/retry_limits-test.cc
@@ -9,7 +9,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <vector>
@@ -25,12 +24,16 @@
 constexpr shared_retry_limits limits{0.2, 54};
 constexpr int gateways = 12;
 
+constexpr std::chrono::seconds window{10};
+constexpr monotonic_time start{std::chrono::seconds(1000)};
+
 /// Records `requests` requests and takes all available retries after each.
-int take_available(retry_budget& budget, int requests) {
+int take_available(shared_retry_budget& budget, int requests,
+                   monotonic_time now) {
   int out = 0;
   for (int n = 0; n < requests; ++n) {
-    budget.add_request();
-    while (budget.try_take()) ++out;
+    budget.add_request(now);
+    while (budget.at(now).try_take()) ++out;
   }
   return out;
 }
@@ -40,9 +43,9 @@
   constexpr int requests = 5;  // per start, all within one window
   int retries = 0;
   for (int gateway = 0; gateway < gateways; ++gateway) {
-    for (int start = 0; start < starts; ++start) {
-      retry_budget budget(gateway_share(limits, gateways));
-      retries += take_available(budget, requests);
+    for (int n = 0; n < starts; ++n) {
+      shared_retry_budget budget(limits);
+      retries += take_available(budget, requests, start);
     }
   }
   const int request_count = gateways * starts * requests;
@@ -53,12 +56,36 @@
   constexpr int requests = 20;
   int retries = 0;
   for (int gateway = 0; gateway < gateways; ++gateway) {
-    retry_budget budget(gateway_share(limits, 1));
-    retries += take_available(budget, requests);
+    shared_retry_budget budget(limits);
+    retries += take_available(budget, requests, start);
   }
   EXPECT_LE(retries, limits.ratio * gateways * requests + limits.slack);
 }
 
+// Gateways that each knew no others saved the whole slack each, and used it
+// when an outage began.
+TEST(retry_limits_test, saved_retries_do_not_depend_on_known_gateways) {
+  for (const int requests : {10, 60, 170, 500}) {
+    int retries = 0;
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+      shared_retry_budget budget(limits);
+      for (int n = 0; n < requests; ++n) budget.add_request(start);
+      retries += take_available(budget, requests, start + window);
+    }
+    EXPECT_LE(retries, limits.ratio * gateways * requests + limits.slack)
+        << requests;
+  }
+}
+
+// Callers that moved to other gateways would otherwise leave retries behind
+// that add to those of the new gateways.
+TEST(retry_limits_test, saved_retries_expire_with_their_requests) {
+  shared_retry_budget budget(limits);
+  for (int n = 0; n < 1000; ++n) budget.add_request(start);
+  EXPECT_GT(budget.at(start).saved(), 1);
+  EXPECT_LE(budget.at(start + window).saved(), 1);
+}
+
 TEST(charged_sends_test, the_first_send_is_free_and_later_ones_are_charged) {
   retry_budget budget({1, 10});
   for (int n = 0; n < 2; ++n) budget.add_request();
@@ -107,32 +134,30 @@
 enum class injected_fault { none, free_after_forwarding, starts_full };
 
 /// Gateways in three regions. At times all endpoints reject everything, regions
-/// have no endpoint with a free slot, gateways restart without knowing any
-/// other, or regions are partitioned and count only their own gateways. Each
-/// request tries its own region first and then the others, as its route
-/// permits.
+/// have no endpoint with a free slot, gateways restart, callers move to another
+/// region, or regions are partitioned. Each request tries its own region first
+/// and then the others, as its route permits.
 class simulated_gateways {
  public:
   simulated_gateways(std::uint64_t seed, injected_fault fault)
       : random_(seed), fault_(fault) {
-    for (retry_budget& it : budgets_) it = make_budget(all);
+    budgets_.assign(all, make_budget());
   }
 
   void run() {
     for (int n = 0; n < requests; ++n) {
       now_ += std::chrono::milliseconds(random_.below(2 * mean_gap_ms + 1));
       if (random_.below(400) == 0) rejecting_ = !rejecting_;
-      if (random_.below(600) == 0) set_partitioned(!partitioned_);
+      if (random_.below(600) == 0) partitioned_ = !partitioned_;
       if (random_.below(300) == 0) full_regions_ = random_.below(regions + 1);
       if (random_.below(150) == 0) restart(random_.below(all));
-      if (random_.below(40) == 0) update_known_gateways();
-      serve(random_.below(all));
+      if (random_.below(300) == 0) callers_at_ = random_.below(regions);
+      serve(random_entry());
     }
   }
 
   /// Returns by how much the repeats within any ten seconds exceed the limit.
   double max_excess() const {
-    constexpr std::chrono::seconds window{10};
     double out = -limits.slack;
     for (const monotonic_time end : repeats_at_) {
       const monotonic_time from = end - window;
@@ -165,29 +190,25 @@
     return static_cast<std::size_t>(last - first);
   }
 
-  retry_budget make_budget(std::size_t known) const {
-    retry_budget out(gateway_share(limits, known));
+  shared_retry_budget make_budget() const {
+    shared_retry_budget out(limits);
     if (fault_ != injected_fault::starts_full) return out;
-    for (int n = 0; n < 1000; ++n) out.add_request();
+    for (int n = 0; n < 1000; ++n) out.add_request(now_);
     return out;
   }
 
-  void restart(std::size_t gateway) { budgets_[gateway] = make_budget(1); }
-
-  void update_known_gateways() {
-    const std::size_t known = partitioned_ ? in_region : all;
-    for (retry_budget& it : budgets_)
-      it.set_options(gateway_share(limits, known));
-  }
+  void restart(std::size_t gateway) { budgets_[gateway] = make_budget(); }
 
-  void set_partitioned(bool partitioned) {
-    partitioned_ = partitioned;
-    update_known_gateways();
+  /// Callers send mostly to one region, which changes.
+  std::size_t random_entry() {
+    const bool elsewhere = random_.below(4) == 0;
+    const std::size_t region = elsewhere ? random_.below(regions) : callers_at_;
+    return region * in_region + random_.below(in_region);
   }
 
   void serve(std::size_t entry) {
     requests_at_.push_back(now_);
-    budgets_[entry].add_request();
+    budgets_[entry].add_request(now_);
     charged_sends sends;
     const std::size_t home = entry / in_region;
     for (std::size_t n = 0; n < regions; ++n) {
@@ -195,7 +216,7 @@
       if (region != home && partitioned_) break;
       const bool is_free =
           fault_ == injected_fault::free_after_forwarding && n > 0;
-      if (!is_free && !sends.charge_next(budgets_[entry])) break;
+      if (!is_free && !sends.charge_next(budgets_[entry].at(now_))) break;
       const std::size_t gateway =
           n == 0 ? entry : region * in_region + random_.below(in_region);
       const unsigned before = sends.count();
@@ -203,12 +224,12 @@
       const bool served = sends.count() > before && !rejecting_;
       if (served || sends.count() >= attempts) break;
     }
-    sends.refund_unused(budgets_[entry]);
+    sends.refund_unused(budgets_[entry].at(now_));
   }
 
   /// Returns how many endpoints the request reaches in the gateway's region.
   unsigned serve_in_region(std::size_t gateway, unsigned before) {
-    retry_budget& budget = budgets_[gateway];
+    retry_budget& budget = budgets_[gateway].at(now_);
     // The first regions in order are full, so most requests pass through them.
     if (gateway / in_region < full_regions_) return 0;
     charged_sends sends(before);
@@ -223,10 +244,11 @@
   seeded_random random_;
   injected_fault fault_;
   monotonic_time now_{std::chrono::seconds(1000)};
-  std::array<retry_budget, all> budgets_;
+  std::vector<shared_retry_budget> budgets_;  // by gateway
   bool rejecting_ = false;
   bool partitioned_ = false;
   std::size_t full_regions_ = 0;  // number of regions
+  std::size_t callers_at_ = 0;    // region
   std::vector<monotonic_time> requests_at_;
   std::vector<monotonic_time> repeats_at_;
 };
