A refusal without its number of sends counts one

A gateway that forwards a request and loses the body of the refusal read it as an empty one, which said that the request had been sent to no endpoint: the next send of the request was free, though the other gateway may have sent it. Found by reading every place that says that nothing was sent, for the report of repeats beyond the limit; no run shows that it caused that report.

a_refusal_without_sends_counts_one failed before (0 sends for an empty object, one without the member, an array; only unreadable text counted one).

--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -35,17 +35,20 @@
 
 attempt read_refusal(const std::string& body) {
   const result<json> parsed = parse_json(body);
-  const json value = parsed ? *parsed : json(Json::objectValue);
+  const json value =
+      parsed && parsed->isObject() ? *parsed : json(Json::objectValue);
   attempt out = failed_attempt(
       run_state_from(text_of(value, "ran")),
       {error_kind_from(text_of(value, "kind")), text_of(value, "detail"),
        text_of(value, "remedy")},
       std::chrono::milliseconds(number_of(value, "retry_after_ms")));
   out.endpoint = text_of(value, "endpoint");
-  // If the body can't be parsed, the request may have been sent to an endpoint.
+  // Without this member the request may have been sent to an endpoint.
   // Counting no send could exceed the number of attempts that the route
   // permits.
-  out.sends = parsed ? static_cast<unsigned>(number_of(value, "sends")) : 1;
+  out.sends = value.isMember("sends")
+                  ? static_cast<unsigned>(number_of(value, "sends"))
+                  : 1;
   return out;
 }
 
