Gateways together keep to the request limits that endpoints state

Endpoints in need state in all answers how many requests a second they take from all gateways together (Server-Limit). They got each gateway's usual share.

Cause: nothing read the statement (hypothesis 1). Hypotheses 2 and 3 are about a limit that is kept, and fall with it.

Class: a bound on what all gateways do together, of which each learns by itself. Now each gateway learns what endpoints state by its own answers and by the other gateways' heartbeats or digests, with the age of the answer. The first gateways by rendezvous hash share seven tenths of the limit; they are as many as may each save a request; who has just learned of a limit, has started or has become a sender saves nothing. If nothing is heard of an endpoint, other senders take over, so that a limit whose senders have no callers ends too. An unreadable statement is logged and changes nothing. Choice, retries, continuations and forwards of other regions all ask the same limiter, since all go through endpoint_pool. Who is refused because all endpoints are limited gets a Retry-After of its own, spaced by the limits.

Where others have room all callers are served, as before.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -13,6 +13,7 @@
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/endpoint_incarnations.h"
 #include "trestlepost/gateway/remote_caches.h"
+#include "trestlepost/gateway/request_limits.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/acceptance_estimator.h"
 #include "trestlepost/routing/cold_limiter.h"
@@ -28,7 +29,8 @@
 /// reported load, cache state and warmth.
 class endpoint_pool {
  public:
-  explicit endpoint_pool(gateway_context& context) : context_(context) {}
+  explicit endpoint_pool(gateway_context& context)
+      : context_(context), limits_(context) {}
 
   /// Replaces the list of endpoints by the deployment's full list, which
   /// reflects the configuration up to revision `covers`. `zones` maps
@@ -60,6 +62,19 @@
   /// another outcome up to the head of the answer.
   void record_outcome(const std::string& endpoint, bool rejected);
 
+  /// Exchange what endpoints state about their request limits with the other
+  /// gateways of the region.
+  membership::request_limits own_limit_statements() const {
+    return limits_.own_statements();
+  }
+  void record_limit_reports(const membership::request_limits& reports) {
+    limits_.record_reports(reports);
+  }
+  /// If each endpoint of `service` that is usable states a request limit,
+  /// returns after which time a caller that is refused now should return.
+  std::optional<std::chrono::milliseconds> schedule_return(
+      const std::string& service);
+
   routing::engine_table& engines() { return engines_; }
   const routing::engine_table& engines() const { return engines_; }
   const std::vector<surface::listed_endpoint>& listed() const {
@@ -77,13 +92,6 @@
   /// Returns whether this gateway is one of the few that send to a cold
   /// endpoint.
   bool is_cold_sender(const std::string& endpoint) const;
-  /// The place of this gateway in the order that decides which gateways of the
-  /// region send to an endpoint, from 0, and how many they are.
-  struct sender_position {
-    std::size_t rank = 0;
-    std::size_t gateways = 1;
-  };
-  sender_position sender_position_for(const std::string& endpoint) const;
   /// Returns whether `view` bears the rejection of another request.
   bool bears_rejection(const membership::endpoint_view& view) const;
   const config::planned_service* find_planned(const std::string& service) const;
@@ -108,10 +116,6 @@
   /// highest.
   std::vector<membership::endpoint_view> likely_to_accept(
       const std::vector<membership::endpoint_view>& available) const;
-  /// Returns the number of gateways in the local region, including this one
-  /// and unreachable ones that may still serve their callers.
-  unsigned region_gateway_count() const;
-
   /// The zone and the service of an endpoint.
   struct location {
     std::string zone;
@@ -128,6 +132,7 @@
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
   routing::rejection_limiter rejections_;
+  request_limits limits_;
   routing::acceptance_estimator acceptance_;  // by endpoint
   std::set<std::string> evacuated_;           // zones, at the last update
 };
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -2,6 +2,7 @@
 // never forwards, so a request from another region can't be forwarded again.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -56,6 +57,10 @@
   /// crashes.
   bool must_stop_retrying(routed_request& request, const attempt& last) const;
 
+  /// Returns after which time a caller should return for which no endpoint of
+  /// `service` accepts requests. Must be called once for each refused caller.
+  std::chrono::milliseconds retry_after(const std::string& service);
+
   endpoint_pool& pool() { return pool_; }
   void tick() { retries_.tick(); }
 
@@ -64,8 +69,7 @@
   void record_sent(routed_request& request, const attempt& sent);
   /// Returns the next endpoint to try, or the result of the request if none was
   /// tried before.
-  tl::expected<chosen_endpoint, attempt> choose(
-      const routed_request& request) const;
+  tl::expected<chosen_endpoint, attempt> choose(const routed_request& request);
   /// Returns `chosen`, or a refusal if the request would wait too long there or
   /// would delay the endpoint's other answers by more than its own value.
   tl::expected<chosen_endpoint, attempt> check_value(
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -5,9 +5,9 @@
 #include <set>
 #include <utility>
 
-#include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/engine_evaluator.h"
+#include "trestlepost/gateway/sender_position.h"
 #include "trestlepost/routing/endpoint_choice.h"
 #include "trestlepost/routing/engine_choice.h"
 
@@ -102,6 +102,9 @@
       [this](const std::string& it) { return locations_.contains(it); }, now);
   acceptance_.retain(
       [this](const std::string& it) { return locations_.contains(it); });
+  std::vector<std::string> names;
+  for (const auto& [name, it] : locations_) names.push_back(name);
+  limits_.retain(names);
   std::erase_if(observed_at_, [this](const auto& it) {
     return !locations_.contains(it.first);
   });
@@ -113,43 +116,20 @@
   return plan ? plan->find_service(service) : nullptr;
 }
 
-unsigned endpoint_pool::region_gateway_count() const {
-  const std::size_t others =
-      context_.nodes.possible_gateways(context_.self, context_.clock.now())
-          .size();
-  return static_cast<unsigned>(others + 1);
-}
-
 bool endpoint_pool::is_cold_sender(const std::string& endpoint) const {
   const monotonic_time now = context_.clock.now();
   // A node that has just started has received heartbeats from few of the other
   // gateways, and does not know what its previous incarnation sent.
   if (context_.state.is_catching_up(now)) return false;
-  return sender_position_for(endpoint).rank <
+  return sender_position_of(context_, endpoint).rank <
          routing::cold_limiter::senders_per_endpoint;
 }
 
-endpoint_pool::sender_position endpoint_pool::sender_position_for(
-    const std::string& endpoint) const {
-  const std::uint64_t own_score =
-      rendezvous_score(endpoint, context_.self.name);
-  // Unreachable gateways are included. Otherwise, while many gateways stall,
-  // too many of the rest would consider themselves one of the few senders.
-  const std::vector<const membership::node_record*> others =
-      context_.nodes.possible_gateways(context_.self, context_.clock.now());
-  sender_position out;
-  out.gateways = others.size() + 1;
-  for (const membership::node_record* it : others) {
-    if (rendezvous_score(endpoint, it->last.node.name) > own_score) ++out.rank;
-  }
-  return out;
-}
-
 bool endpoint_pool::bears_rejection(const endpoint_view& view) const {
   const monotonic_time now = context_.clock.now();
   const std::optional<unsigned> limit = rejections_.limit_of(view.service, now);
   if (!limit) return true;
-  const sender_position own = sender_position_for(view.name);
+  const routing::sender_position own = sender_position_of(context_, view.name);
   return rejections_.may_send(view.name, *limit, own.rank, own.gateways, now);
 }
 
@@ -166,7 +146,8 @@
 
 bool endpoint_pool::accepts_requests(
     const endpoint_view& view, const config::planned_service* service) const {
-  if (!view.usable || !bears_rejection(view)) return false;
+  if (!view.usable || !limits_.may_send(view.name) || !bears_rejection(view))
+    return false;
   const auto found = locations_.find(view.name);
   if (found == locations_.end() ||
       context_.store.evacuated_zones().contains(found->second.zone)) {
@@ -232,7 +213,8 @@
     const std::vector<endpoint_view>& all) const {
   const std::vector<endpoint_view> available = likely_to_accept(all);
   const std::optional<endpoint_view> free = routing::choose_endpoint(
-      available, {0, {}, region_gateway_count()}, context_.random);
+      available, {0, {}, static_cast<unsigned>(region_gateway_count(context_))},
+      context_.random);
   if (free) return make_chosen(*free);
   const auto least =
       std::min_element(available.begin(), available.end(),
@@ -274,6 +256,23 @@
               "send it again after Retry-After");
 }
 
+std::optional<milliseconds> endpoint_pool::schedule_return(
+    const std::string& service) {
+  std::vector<std::string> limited;
+  for (const endpoint_view& it :
+       context_.endpoints.views(service, context_.clock.now())) {
+    const auto found = locations_.find(it.name);
+    const bool evacuated =
+        found == locations_.end() ||
+        context_.store.evacuated_zones().contains(found->second.zone);
+    if (!it.usable || evacuated) continue;
+    if (!limits_.is_limited(it.name)) return std::nullopt;
+    limited.push_back(it.name);
+  }
+  if (limited.empty()) return std::nullopt;
+  return limits_.schedule_return(service, limited);
+}
+
 membership::service_load endpoint_pool::load_of(
     const std::string& service) const {
   membership::service_load out;
@@ -322,6 +321,7 @@
   if (found != locations_.end()) {
     rejections_.record_limit(found->second.service, answer.max_rejections, now);
   }
+  limits_.record_answer(endpoint, answer);
   monotonic_time& last = observed_at_[endpoint];
   if (!answer.load || now < last + min_report_interval) return;
   last = now;
@@ -351,6 +351,7 @@
 
 void endpoint_pool::record_sent(const std::string& endpoint) {
   rejections_.record_sent(endpoint);
+  limits_.record_sent(endpoint);
   const auto found = locations_.find(endpoint);
   if (found == locations_.end()) return;
   const monotonic_time now = context_.clock.now();
@@ -359,12 +360,13 @@
   cold_.record_sent(endpoint, now);
   log_event(log_level::info, "cold-endpoint-used",
             {{"endpoint", endpoint},
-             {"gateways", std::to_string(region_gateway_count())}});
+             {"gateways", std::to_string(region_gateway_count(context_))}});
 }
 
 void endpoint_pool::tick() {
   cold_.remove_before(context_.clock.now() - cold_send_retention);
   rejections_.remove_expired(context_.clock.now());
+  limits_.tick();
 }
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -242,6 +242,8 @@
       if (untried)
         waited = co_await wait_for_startup(request.arrived, exchange);
       if (waited) continue;
+      if (untried && request.permits(context_.self.region))
+        last.retry_after = local_.retry_after(request.service);
       break;
     }
     if (!local_.charge_send(request)) break;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -55,10 +55,6 @@
                        request.arrived + first_event_timeout(*request.route);
 }
 
-attempt unavailable_refusal(const error& cause) {
-  return failed_attempt(run_state::no, cause, retry_after_unavailable);
-}
-
 attempt long_wait_refusal(const chosen_endpoint& chosen) {
   const milliseconds wait = chosen.expected.wait;
   return failed_attempt(
@@ -145,10 +141,17 @@
   request.sends.record_sent(sent.sends);
 }
 
+milliseconds route_service::retry_after(const std::string& service) {
+  return pool_.schedule_return(service).value_or(retry_after_unavailable);
+}
+
 tl::expected<chosen_endpoint, attempt> route_service::choose(
-    const routed_request& request) const {
+    const routed_request& request) {
   const result<chosen_endpoint> chosen = pool_.choose(request);
-  if (!chosen) return tl::make_unexpected(unavailable_refusal(chosen.error()));
+  if (!chosen) {
+    return tl::make_unexpected(failed_attempt(run_state::no, chosen.error(),
+                                              retry_after(request.service)));
+  }
   return check_value(request, *chosen);
 }
 
--- a/membership/include/trestlepost/membership/endpoint_sums.h
+++ b/membership/include/trestlepost/membership/endpoint_sums.h
@@ -22,6 +22,8 @@
   std::map<std::string, std::vector<std::uint32_t>> pending;
   /// Prompt prefixes that endpoints were sent recently.
   std::vector<cached_prefix> cached_prefixes;
+  /// The last statement of each endpoint to any of the nodes.
+  trestlepost::membership::request_limits request_limits;
 
   bool operator==(const endpoint_sums&) const = default;
 };
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -13,6 +13,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/membership/cached_prefix.h"
+#include "trestlepost/membership/request_limit.h"
 
 namespace trestlepost::membership {
 
@@ -65,6 +66,8 @@
   /// Services of which the gateway reaches no endpoint, although there are some
   /// in its region.
   std::set<std::string> unreachable_services;
+  /// What endpoints stated to the gateway.
+  trestlepost::membership::request_limits request_limits;
 };
 
 /// State of a region's nodes that its relay sends to other regions.
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -84,7 +84,11 @@
   endpoint_sums out;
   for (const node_record* it : table.all()) {
     const bool here = it->last.node.region == region;
-    if (here && table.has_fresh_load(*it, now)) add(out, it->last);
+    if (!here || !table.has_fresh_load(*it, now)) continue;
+    add(out, it->last);
+    merge(out.request_limits, it->last.request_limits,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - *it->load_received_at));
   }
   return out;
 }
@@ -139,6 +143,7 @@
   if (!value.cached_prefixes.empty()) {
     out["c"] = to_json(value.cached_prefixes);
   }
+  if (!value.request_limits.empty()) out["l"] = to_json(value.request_limits);
   return out;
 }
 
@@ -154,6 +159,7 @@
   }
   out.pending = pending_from(member_of(value, "p"));
   out.cached_prefixes = cached_prefixes_from(member_of(value, "c"));
+  out.request_limits = request_limits_from(member_of(value, "l"));
   return out;
 }
 
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -37,6 +37,13 @@
   unsigned slots = 0;
 };
 
+/// The requests per second that an endpoint states to take from all gateways
+/// together.
+struct stated_request_limit {
+  std::optional<double> per_second;  // empty: no limit is stated
+  bool is_invalid = false;
+};
+
 /// The parsed head of an endpoint's response.
 struct endpoint_answer {
   /// The endpoint guarantees that it has not run the request and will not run
@@ -53,6 +60,7 @@
   std::optional<std::chrono::milliseconds> cold_left;
   /// Rejections per second above which the endpoint fails.
   std::optional<unsigned> max_rejections;
+  stated_request_limit request_limit;
 };
 
 /// Encodes requests to endpoints and parses the heads of their responses.
