Limited endpoints: the more urgent requests come first

Where all endpoints of a service state a limit, requests took what became free in the order of their arrival. Endpoints without limit are not concerned. Retry-After of a limited refusal takes the request, whose priority it records.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -70,10 +70,10 @@
   void record_limit_reports(const membership::request_limits& reports) {
     limits_.record_reports(reports);
   }
-  /// If each endpoint of `service` that is usable states a request limit,
-  /// returns after which time a caller that is refused now should return.
+  /// If each usable endpoint for `request`, which is refused, states a request
+  /// limit, returns after which time its caller should return.
   std::optional<std::chrono::milliseconds> schedule_return(
-      const std::string& service);
+      const routed_request& request);
 
   routing::engine_table& engines() { return engines_; }
   const routing::engine_table& engines() const { return engines_; }
--- a/gateway/include/trestlepost/gateway/request_limits.h
+++ b/gateway/include/trestlepost/gateway/request_limits.h
@@ -10,6 +10,7 @@
 
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/routing/request_limiter.h"
+#include "trestlepost/routing/urgency_share.h"
 #include "trestlepost/surface/endpoint_codec.h"
 
 namespace trestlepost::gateway {
@@ -34,11 +35,16 @@
   bool may_send(const std::string& endpoint) const;
   void record_sent(const std::string& endpoint);
 
-  /// Returns after which time one caller that is refused now should return, if
-  /// `service` can use only `endpoints`, all of which have limits. Callers are
-  /// spread over time according to the limits.
+  /// Returns whether a request of `service` may use a limited endpoint, or
+  /// leaves it to more urgent ones.
+  bool admits(const std::string& service, int priority) const;
+
+  /// Records that a request is refused for which `service` can use only
+  /// `endpoints`, all of which have limits. Returns after which time its caller
+  /// should return. Callers are spread over time according to the limits.
   std::chrono::milliseconds schedule_return(
-      const std::string& service, const std::vector<std::string>& endpoints);
+      const std::string& service, int priority,
+      const std::vector<std::string>& endpoints);
 
   /// Forgets all endpoints but these.
   void retain(const std::vector<std::string>& endpoints);
@@ -51,7 +57,8 @@
 
   gateway_context& context_;
   routing::request_limiter limiter_;
-  std::map<std::string, monotonic_time> next_return_;  // by service
+  std::map<std::string, monotonic_time> next_return_;      // by service
+  std::map<std::string, routing::urgency_share> refused_;  // by service
   monotonic_time positions_at_{};
 };
 
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -57,9 +57,9 @@
   /// crashes.
   bool must_stop_retrying(routed_request& request, const attempt& last) const;
 
-  /// Returns after which time a caller should return for which no endpoint of
-  /// `service` accepts requests. Must be called once for each refused caller.
-  std::chrono::milliseconds retry_after(const std::string& service);
+  /// Returns after which time the caller should return if no endpoint accepts
+  /// `request`. Must be called once for each refused request.
+  std::chrono::milliseconds retry_after(const routed_request& request);
 
   endpoint_pool& pool() { return pool_; }
   void tick() { retries_.tick(); }
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -232,11 +232,13 @@
     const routed_request& request) const {
   const config::planned_service* service = find_planned(request.service);
   std::vector<endpoint_view> available;
+  const bool admitted = limits_.admits(request.service, request.work.priority);
   for (endpoint_view& it :
        context_.endpoints.views(request.service, context_.clock.now())) {
     const bool tried =
         request.avoid.contains(it.name) || request.unreached.contains(it.name);
-    if (!tried && accepts_requests(it, service))
+    const bool yields = !admitted && limits_.is_limited(it.name);
+    if (!tried && !yields && accepts_requests(it, service))
       available.push_back(std::move(it));
   }
   if (available.empty()) {
@@ -257,10 +259,10 @@
 }
 
 std::optional<milliseconds> endpoint_pool::schedule_return(
-    const std::string& service) {
+    const routed_request& request) {
   std::vector<std::string> limited;
   for (const endpoint_view& it :
-       context_.endpoints.views(service, context_.clock.now())) {
+       context_.endpoints.views(request.service, context_.clock.now())) {
     const auto found = locations_.find(it.name);
     const bool evacuated =
         found == locations_.end() ||
@@ -270,7 +272,8 @@
     limited.push_back(it.name);
   }
   if (limited.empty()) return std::nullopt;
-  return limits_.schedule_return(service, limited);
+  return limits_.schedule_return(request.service, request.work.priority,
+                                 limited);
 }
 
 membership::service_load endpoint_pool::load_of(
--- a/gateway/src/request_limits.cc
+++ b/gateway/src/request_limits.cc
@@ -75,8 +75,16 @@
   limiter_.record_sent(endpoint, context_.clock.now());
 }
 
+bool request_limits::admits(const std::string& service, int priority) const {
+  const auto it = refused_.find(service);
+  return it == refused_.end() ||
+         it->second.admits(priority, context_.random, context_.clock.now());
+}
+
 milliseconds request_limits::schedule_return(
-    const std::string& service, const std::vector<std::string>& endpoints) {
+    const std::string& service, int priority,
+    const std::vector<std::string>& endpoints) {
+  refused_[service].record_refused(priority, context_.clock.now());
   double per_second = 0;
   for (const std::string& it : endpoints)
     per_second += limiter_.limit_of(it).value_or(0);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -243,7 +243,7 @@
         waited = co_await wait_for_startup(request.arrived, exchange);
       if (waited) continue;
       if (untried && request.permits(context_.self.region))
-        last.retry_after = local_.retry_after(request.service);
+        last.retry_after = local_.retry_after(request);
       break;
     }
     if (!local_.charge_send(request)) break;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -141,16 +141,16 @@
   request.sends.record_sent(sent.sends);
 }
 
-milliseconds route_service::retry_after(const std::string& service) {
-  return pool_.schedule_return(service).value_or(retry_after_unavailable);
+milliseconds route_service::retry_after(const routed_request& request) {
+  return pool_.schedule_return(request).value_or(retry_after_unavailable);
 }
 
 tl::expected<chosen_endpoint, attempt> route_service::choose(
     const routed_request& request) {
   const result<chosen_endpoint> chosen = pool_.choose(request);
   if (!chosen) {
-    return tl::make_unexpected(failed_attempt(run_state::no, chosen.error(),
-                                              retry_after(request.service)));
+    return tl::make_unexpected(
+        failed_attempt(run_state::no, chosen.error(), retry_after(request)));
   }
   return check_value(request, *chosen);
 }
