Tests record what arrives under stated request limits, by gateway

The soak's endpoints state limits in the half of the seeds that has all faults; the schedules before are unchanged in those seeds and in the others.

--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -47,7 +47,7 @@
 /// Returns whether the fault is one of a node's process.
 bool strikes_node(fault_kind kind) {
   return !behaviour_under(kind) && kind != fault_kind::undelimited &&
-         !is_partition(kind);
+         kind != fault_kind::limit && !is_partition(kind);
 }
 
 void begin_node_fault(deployment& target, const fault& it) {
@@ -93,19 +93,28 @@
   return it.begin <= at && at < it.end;
 }
 
+/// Returns the limit that an endpoint states under the fault.
+std::string limit_under(const fault& it) {
+  const std::vector<std::string> limits{"0.4", "1", "2.5", "12"};
+  return limits[static_cast<std::size_t>(it.begin.count()) % limits.size()];
+}
+
 /// Sets the behaviour of an endpoint to that of the newest fault that strikes
-/// it at the time `at`, and whether its answers have a length.
+/// it at the time `at`, whether its answers have a length, and its limit.
 void update_endpoint(deployment& target, const std::vector<fault>& schedule,
                      const std::string& endpoint, milliseconds at) {
   behaviour what = behaviour::serve;
   bool undelimited = false;
+  std::optional<std::string> limit;
   for (const fault& it : schedule) {
     if (it.target != endpoint || !strikes_at(it, at)) continue;
     what = behaviour_under(it.kind).value_or(what);
     undelimited = undelimited || it.kind == fault_kind::undelimited;
+    if (it.kind == fault_kind::limit) limit = limit_under(it);
   }
   target.set_behaviour(endpoint, what);
   target.set_undelimited(endpoint, undelimited);
+  target.set_request_limit(endpoint, limit);
 }
 
 /// Partitions the entries that are partitioned from the endpoints at the time
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -45,6 +45,7 @@
   out["reads"] = it.reads;
   out["repeats"] = it.repeats;
   out["retry_share"] = it.retry_share;
+  out["limit_share"] = it.limit_share;
   out["recovery_ms"] = trestlepost::as_number(it.recovery);
   json& violations = out["violations"] = json(Json::arrayValue);
   for (const std::string& one : it.violations) violations.append(one);
@@ -58,7 +59,8 @@
             << std::setw(8) << it.failed << std::setw(7) << it.acknowledged
             << std::setw(7) << it.reads << std::setw(10) << it.recovery.count()
             << std::setw(9) << it.repeats << std::setw(8)
-            << std::setprecision(2) << it.retry_share << "  "
+            << std::setprecision(2) << it.retry_share << std::setw(8)
+            << it.limit_share << "  "
             << (it.violations.empty() ? "held" : "BROKEN") << "\n"
             << trestlepost::to_text(to_json(seed, it)) << std::endl;
 }
@@ -83,7 +85,7 @@
     return exit_bad_usage;
   }
   std::cout << "  seed  faults  answered  refused  failed  plans  reads  "
-               "heal, ms  repeats   share\n";
+               "heal, ms  repeats   share   limit\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
     const soak_result it =
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds max_common_gap{2000};
 constexpr milliseconds max_outage{2500};
 constexpr milliseconds max_rejection_time{6000};
+constexpr milliseconds max_limit_time{9000};
 
 class fault_generator {
  public:
@@ -106,6 +107,8 @@
       return "partition";
     case fault_kind::reset_partition:
       return "reset-partition";
+    case fault_kind::limit:
+      return "limit";
     case fault_kind::undelimited:
       break;
   }
@@ -161,6 +164,14 @@
                            options.span);
     }
   }
+  // Seeds of rejections have no limits: the fewer requests arrive, the fewer
+  // repeats there are.
+  if (!rejections_only) {
+    for (const std::string& it : options.endpoints) {
+      generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
+                                  max_limit_time);
+    }
+  }
   std::erase_if(
       out, [&options](const fault& it) { return it.begin >= options.span; });
   std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -27,6 +27,7 @@
   pause,            // reads nothing; what was sent arrives at the end
   close_streams,    // closes connections within streams
   silence_streams,  // stalls within streams
+  limit,            // states a request limit
   undelimited       // answers have no length; combines with the other faults
 };
 
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -209,6 +209,12 @@
   if (worst.exceeds_limit()) out.violations.push_back(to_string(worst));
 }
 
+void check_limits(const deployment& target, soak_result& out) {
+  const platform::test::limit_window worst = target.worst_limit_window();
+  out.limit_share = worst.used_share();
+  if (worst.exceeds_limit()) out.violations.push_back(to_string(worst));
+}
+
 }  // namespace
 
 soak_result run_soak(const soak_options& options) {
@@ -230,6 +236,7 @@
     load.stop();
     check_recovery(it, plans, out);
     check_repeats(it, out);
+    check_limits(it, out);
     request_record requests(
         out.violations, home_endpoints,
         platform::test::events_between(0, platform::test::stream_events));
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -27,6 +27,8 @@
   int repeats = 0;  // arrivals at endpoints after the first of their request
   /// The largest share of the allowed repeats that was used in a window.
   double retry_share = 0;
+  /// The largest share of a stated request limit that was used in a window.
+  double limit_share = 0;
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
   violation_list violations;
@@ -35,7 +37,7 @@
 };
 
 /// Runs the deployment under the faults of the seed and checks the guarantees
-/// for plans, requests, repeats and recovery.
+/// for plans, requests, repeats, request limits and recovery.
 soak_result run_soak(const soak_options& options);
 
 }  // namespace trestlepost::soak
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -30,6 +30,7 @@
     return find_header(all, name);
   }
   transport::header_list headers() const override { return all; }
+  std::string peer_ip() const override { return ""; }
   transport::awaitable<result<std::string>> read_body() override {
     co_return std::string();
   }
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -53,6 +53,10 @@
   /// Returns all headers in the order of arrival.
   virtual header_list headers() const = 0;
 
+  /// Returns the IP address of the caller's end of the connection, or an empty
+  /// string once it is closed.
+  virtual std::string peer_ip() const = 0;
+
   /// Reads the complete body. Returns an error if it is too large, too slow or
   /// malformed.
   virtual awaitable<result<std::string>> read_body() = 0;
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -135,6 +135,12 @@
   watching_for_disconnect_ = false;
 }
 
+std::string server_connection::peer_ip() const {
+  error_code ec;
+  const tcp::endpoint peer = stream_.socket().remote_endpoint(ec);
+  return ec ? "" : peer.address().to_string();
+}
+
 awaitable<bool> server_connection::read_head() {
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -55,6 +55,7 @@
     return {it->value().data(), it->value().size()};
   }
   header_list headers() const override { return list_headers(parser_->get()); }
+  std::string peer_ip() const override;
   awaitable<result<std::string>> read_body() override;
   awaitable<bool> respond(http_response response) override;
   awaitable<bool> start_stream(http_response head) override;
