--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -76,6 +76,9 @@
                  "duration of the faults of each seed, in seconds");
   int gateways = 1;
   app.add_option("--gateways", gateways, "gateways of each region");
+  bool limits = false;
+  app.add_flag("--limits", limits,
+               "endpoints state request limits most of the time");
   std::string program = "trestlepostd";
   app.add_option("--program", program, "the daemon that nodes run");
   CLI11_PARSE(app, argc, argv);
@@ -88,8 +91,8 @@
                "heal, ms  repeats   share   limit\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
-    const soak_result it =
-        run_soak({seed, std::chrono::seconds(seconds), gateways, program});
+    const soak_result it = run_soak(
+        {seed, std::chrono::seconds(seconds), gateways, limits, program});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds max_common_gap{2000};
 constexpr milliseconds max_outage{2500};
 constexpr milliseconds max_rejection_time{6000};
+constexpr milliseconds min_limit_time{5000};
 constexpr milliseconds max_limit_time{9000};
 
 class fault_generator {
@@ -53,16 +54,18 @@
       from = out.back().end;
     }
   }
-  /// Adds faults that strike all of `targets` at once, for up to `max_time`.
+  /// Adds faults that strike all of `targets` at once, each for a time between
+  /// `min_time` and `max_time`.
   void add_common_series(std::vector<fault>& out,
                          const std::vector<std::string>& targets,
                          const std::vector<fault_kind>& kinds,
-                         milliseconds span, milliseconds max_time) {
+                         milliseconds span, milliseconds max_time,
+                         milliseconds min_time = min_gap) {
     if (targets.empty()) return;
     milliseconds from = random_duration(min_gap, max_common_gap);
     while (from < span) {
       fault it = make_fault(targets, kinds, from);
-      it.end = it.begin + random_duration(min_gap, max_time);
+      it.end = it.begin + random_duration(min_time, max_time);
       for (const std::string& target : targets) {
         it.target = target;
         out.push_back(it);
@@ -115,6 +118,40 @@
   return "undelimited";
 }
 
+namespace {
+
+/// Adds faults of entries and endpoints under which limits are in force.
+void add_limit_faults(fault_generator& generator, std::vector<fault>& out,
+                      const schedule_options& options) {
+  for (const std::string& it : options.endpoints) {
+    generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
+                                max_limit_time, min_limit_time);
+    generator.add_series(
+        out, it, {fault_kind::refuse, fault_kind::overload, fault_kind::pause},
+        options.span);
+  }
+  for (const std::string& it : options.entries) {
+    generator.add_series(out, it, {fault_kind::freeze, fault_kind::reload},
+                         options.span);
+  }
+  milliseconds from{0};
+  while (from < options.span) {
+    out.push_back(generator.make_fault(
+        options.entries, {fault_kind::kill, fault_kind::stop}, from));
+    from = out.back().end;
+  }
+}
+
+std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
+  std::erase_if(all, [span](const fault& it) { return it.begin >= span; });
+  std::stable_sort(all.begin(), all.end(), [](const fault& a, const fault& b) {
+    return a.begin < b.begin;
+  });
+  return all;
+}
+
+}  // namespace
+
 std::vector<fault> make_schedule(std::uint64_t seed,
                                  const schedule_options& options) {
   fault_generator generator(seed);
@@ -129,6 +166,10 @@
     from = out.back().end;
     if (out.back().kind == fault_kind::wipe) from += repair_time;
   }
+  if (options.limits) {
+    add_limit_faults(generator, out, options);
+    return sorted(std::move(out), options.span);
+  }
   const std::vector<fault_kind> entry_kinds{
       fault_kind::kill, fault_kind::freeze, fault_kind::stop,
       fault_kind::reload};
@@ -172,12 +213,7 @@
                                   max_limit_time);
     }
   }
-  std::erase_if(
-      out, [&options](const fault& it) { return it.begin >= options.span; });
-  std::stable_sort(out.begin(), out.end(), [](const fault& a, const fault& b) {
-    return a.begin < b.begin;
-  });
-  return out;
+  return sorted(std::move(out), options.span);
 }
 
 }  // namespace trestlepost::soak
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -46,6 +46,9 @@
   std::vector<std::string> entries;
   std::vector<std::string> endpoints;
   std::chrono::milliseconds span{0};  // all faults begin within it
+  /// Endpoints state request limits most of the time. Entries are killed one at
+  /// a time, since one that has restarted must be told the limits again.
+  bool limits = false;
 };
 
 /// Returns the faults ordered by `begin`. At most one control node is faulty at
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -229,7 +229,8 @@
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
   const std::vector<fault> schedule = make_schedule(
-      options.seed, {control_nodes, it.gateways(), endpoints, options.span});
+      options.seed,
+      {control_nodes, it.gateways(), endpoints, options.span, options.limits});
   {
     traffic load(it, options.seed, plans);
     inject_faults(it, schedule);
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -14,6 +14,7 @@
   std::uint64_t seed = 1;
   std::chrono::milliseconds span{20'000};  // all faults begin within it
   int gateways_per_region = 1;
+  bool limits = false;  // endpoints state request limits most of the time
   std::string program = "trestlepostd";  // the daemon that nodes run
 };
 
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -12,8 +12,11 @@
 
 using std::chrono::milliseconds;
 
-const schedule_options options{
-    {"c1", "c2", "c3"}, {"e1", "e2"}, {"i1", "i2"}, milliseconds(20'000)};
+const schedule_options options{{"c1", "c2", "c3"},
+                               {"e1", "e2"},
+                               {"i1", "i2"},
+                               milliseconds(20'000),
+                               false};
 
 bool same(const fault& a, const fault& b) {
   return a.kind == b.kind && a.target == b.target && a.begin == b.begin &&
@@ -57,6 +60,19 @@
   EXPECT_TRUE(overlap);
 }
 
+TEST(schedule_test, limits_are_in_force_most_of_the_time) {
+  schedule_options with_limits = options;
+  with_limits.limits = true;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    milliseconds limited{0};
+    for (const fault& it : make_schedule(seed, with_limits)) {
+      if (it.kind == fault_kind::limit && it.target == "i1")
+        limited += it.end - it.begin;
+    }
+    EXPECT_GT(limited, options.span / 2) << seed;
+  }
+}
+
 TEST(schedule_test, some_faults_strike_all_endpoints_or_entries_at_once) {
   int endpoints = 0;
   int entries = 0;
