--- a/ctl/src/client.cc
+++ b/ctl/src/client.cc
@@ -1,7 +1,9 @@
 #include "client.h"
 
 #include <algorithm>
-#include <boost/asio/connect.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -26,25 +28,53 @@
           "use --node IP:PORT with the operators' address of a running node"};
 }
 
+/// Connects to `node`, writes the request and reads the answer. Fails if the
+/// node makes no progress for `timeout`.
+transport::awaitable<boost::system::error_code> exchange(
+    boost::beast::tcp_stream& stream, tcp::endpoint node,
+    http::request<http::string_body>& request,
+    http::response_parser<http::string_body>& answer,
+    std::chrono::milliseconds timeout) {
+  boost::system::error_code ec;
+  stream.expires_after(timeout);
+  co_await stream.async_connect(
+      node, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  if (ec) co_return ec;
+  co_await http::async_write(
+      stream, request,
+      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  boost::beast::flat_buffer buffer;
+  while (!ec && !answer.is_done()) {
+    stream.expires_after(timeout);
+    co_await http::async_read_some(
+        stream, buffer, answer,
+        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  }
+  co_return ec;
+}
+
 result<std::string> post(const std::string& address, const std::string& token,
-                         const std::string& body) {
+                         const std::string& body,
+                         std::chrono::milliseconds timeout) {
   const result<tcp::endpoint> at = transport::parse_address(address);
   if (!at) return tl::make_unexpected(at.error());
   boost::asio::io_context io;
   boost::beast::tcp_stream stream(io);
   boost::system::error_code ec;
-  stream.connect(*at, ec);
   http::request<http::string_body> request(http::verb::post, "/rpc", 11);
   request.set(http::field::host, address);
   request.set(http::field::content_type, "application/json");
   request.set(http::field::authorization, "Bearer " + token);
   request.body() = body;
   request.prepare_payload();
-  if (!ec) http::write(stream, request, ec);
-  boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(max_answer_bytes);
-  if (!ec) http::read(stream, buffer, parser, ec);
+  transport::awaitable<boost::system::error_code> task =
+      exchange(stream, *at, request, parser, timeout);
+  boost::asio::co_spawn(io, std::move(task),
+                        [&ec](const std::exception_ptr&,
+                              boost::system::error_code done) { ec = done; });
+  io.run();
   if (ec) return tl::make_unexpected(unreachable(address, ec.message()));
   const http::response<http::string_body>& answer = parser.get();
   if (answer.result() == http::status::ok) return answer.body();
@@ -63,7 +93,8 @@
                              const std::string& method, const json& params) {
   const result<std::string> text =
       post(address, options_.token,
-           transport::make_rpc_request(method, params, next_id_++));
+           transport::make_rpc_request(method, params, next_id_++),
+           options_.node_timeout);
   if (!text) return tl::make_unexpected(text.error());
   return transport::parse_rpc_response(*text);
 }
--- a/ctl/src/client.h
+++ b/ctl/src/client.h
@@ -13,6 +13,8 @@
   std::vector<std::string> nodes;  // operators' addresses, tried in order
   std::string token;
   std::chrono::milliseconds timeout{25'000};  // for the result of a ticket
+  /// For the connection to a node, and for each step of the exchange with it.
+  std::chrono::milliseconds node_timeout{5000};
 };
 
 class client {
--- a/tests/test/cli-test.cc
+++ b/tests/test/cli-test.cc
@@ -1,10 +1,12 @@
 // Tests exit codes and output of the command line client and the daemon.
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <thread>
 
 #include "cluster.h"
 
@@ -91,6 +93,27 @@
   EXPECT_EQ(ctl(it, {"status"}, "stretto-2").status, 4);
 }
 
+// A suspended node accepts connections and never answers: the client waited for
+// it forever instead of asking the next node.
+TEST(cli_test, a_suspended_node_is_passed_over) {
+  cluster it;
+  it.bring_up();
+  ::setenv("TRESTLEPOST_TOKEN", "operator-token", 1);
+  it.freeze_node("isola-2");
+  constexpr std::chrono::seconds suspension{15};
+  std::thread resumer([&it, suspension] {
+    std::this_thread::sleep_for(suspension);
+    it.thaw_node("isola-2");
+  });
+  const std::chrono::steady_clock::time_point begin =
+      std::chrono::steady_clock::now();
+  const program_result out =
+      ctl(it, {"--node", it.address("golfo-2", 7002), "status"}, "isola-2");
+  EXPECT_EQ(out.status, 0) << out.output;
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, suspension * 2 / 3);
+  resumer.join();
+}
+
 TEST(cli_test, the_daemon_rejects_invalid_settings_at_start) {
   cluster it;
   it.bring_up();
