Request limits: one name for each of three things

membership::limit_statement is what an endpoint stated, gateway::endpoint_limits applies the limits, config::request_limits is what it was before. The time of return is computed in std::chrono types.

--- a/gateway/include/trestlepost/gateway/request_limits.h
+++ b/gateway/include/trestlepost/gateway/endpoint_limits.h
@@ -17,16 +17,16 @@
 
 /// Applies the limits to this gateway, and schedules the return of callers that
 /// were refused because of them.
-class request_limits {
+class endpoint_limits {
  public:
-  explicit request_limits(gateway_context& context) : context_(context) {}
+  explicit endpoint_limits(gateway_context& context) : context_(context) {}
 
   void record_answer(const std::string& endpoint,
                      const surface::endpoint_answer& answer);
   /// Records what endpoints stated to the other gateways of the region.
-  void record_reports(const membership::request_limits& reports);
+  void record_reports(const membership::limit_statements& reports);
   /// What endpoints stated to this gateway, for the others.
-  membership::request_limits own_statements() const;
+  membership::limit_statements own_statements() const;
 
   bool is_limited(const std::string& endpoint) const {
     return limiter_.limit_of(endpoint).has_value();
--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -12,8 +12,8 @@
 #include "trestlepost/gateway/chosen_endpoint.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/endpoint_incarnations.h"
+#include "trestlepost/gateway/endpoint_limits.h"
 #include "trestlepost/gateway/remote_caches.h"
-#include "trestlepost/gateway/request_limits.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/routing/acceptance_estimator.h"
 #include "trestlepost/routing/cold_limiter.h"
@@ -64,10 +64,10 @@
 
   /// Exchange what endpoints state about their request limits with the other
   /// gateways of the region.
-  membership::request_limits own_limit_statements() const {
+  membership::limit_statements own_limit_statements() const {
     return limits_.own_statements();
   }
-  void record_limit_reports(const membership::request_limits& reports) {
+  void record_limit_reports(const membership::limit_statements& reports) {
     limits_.record_reports(reports);
   }
   /// If each usable endpoint for `request`, which is refused, states a request
@@ -132,7 +132,7 @@
   routing::endpoint_warmth warmth_;
   routing::cold_limiter cold_;
   routing::rejection_limiter rejections_;
-  request_limits limits_;
+  endpoint_limits limits_;
   routing::acceptance_estimator acceptance_;  // by endpoint
   std::set<std::string> evacuated_;           // zones, at the last update
 };
--- a/gateway/src/request_limits.cc
+++ b/gateway/src/endpoint_limits.cc
@@ -1,4 +1,4 @@
-#include "trestlepost/gateway/request_limits.h"
+#include "trestlepost/gateway/endpoint_limits.h"
 
 #include <algorithm>
 
@@ -14,12 +14,11 @@
 // Callers for whom there is no room within this time are told to return in the
 // same time after it.
 constexpr milliseconds max_scheduled_return{30'000};
-constexpr double ms_per_second = 1000;
 
 }  // namespace
 
-void request_limits::record_answer(const std::string& endpoint,
-                                   const surface::endpoint_answer& answer) {
+void endpoint_limits::record_answer(const std::string& endpoint,
+                                    const surface::endpoint_answer& answer) {
   if (answer.other_endpoint) return;
   if (answer.request_limit.is_invalid) {
     log_event(log_level::warn, "invalid-request-limit",
@@ -33,7 +32,8 @@
   if (changed) limit_changed(endpoint, "answer");
 }
 
-void request_limits::record_reports(const membership::request_limits& reports) {
+void endpoint_limits::record_reports(
+    const membership::limit_statements& reports) {
   const monotonic_time now = context_.clock.now();
   for (const auto& [endpoint, it] : reports) {
     const bool changed =
@@ -42,8 +42,8 @@
   }
 }
 
-void request_limits::limit_changed(const std::string& endpoint,
-                                   const std::string& source) {
+void endpoint_limits::limit_changed(const std::string& endpoint,
+                                    const std::string& source) {
   update_position(endpoint);
   const std::optional<double> limit = limiter_.limit_of(endpoint);
   log_event(log_level::info,
@@ -54,16 +54,16 @@
              {"gateways", std::to_string(region_gateway_count(context_))}});
 }
 
-void request_limits::update_position(const std::string& endpoint) {
+void endpoint_limits::update_position(const std::string& endpoint) {
   limiter_.set_position(endpoint, sender_position_of(context_, endpoint),
                         context_.clock.now());
 }
 
-membership::request_limits request_limits::own_statements() const {
+membership::limit_statements endpoint_limits::own_statements() const {
   return limiter_.own_statements(context_.clock.now());
 }
 
-bool request_limits::may_send(const std::string& endpoint) const {
+bool endpoint_limits::may_send(const std::string& endpoint) const {
   if (!is_limited(endpoint)) return true;
   const monotonic_time now = context_.clock.now();
   // A node that has just started knows few of the other gateways.
@@ -71,17 +71,17 @@
          limiter_.may_send(endpoint, now);
 }
 
-void request_limits::record_sent(const std::string& endpoint) {
+void endpoint_limits::record_sent(const std::string& endpoint) {
   limiter_.record_sent(endpoint, context_.clock.now());
 }
 
-bool request_limits::admits(const std::string& service, int priority) const {
+bool endpoint_limits::admits(const std::string& service, int priority) const {
   const auto it = refused_.find(service);
   return it == refused_.end() ||
          it->second.admits(priority, context_.random, context_.clock.now());
 }
 
-milliseconds request_limits::schedule_return(
+milliseconds endpoint_limits::schedule_return(
     const std::string& service, int priority,
     const std::vector<std::string>& endpoints) {
   refused_[service].record_refused(priority, context_.clock.now());
@@ -95,23 +95,23 @@
       milliseconds(context_.random.below(max_scheduled_return.count()));
   if (per_second <= 0) return beyond;
   // Callers return to any gateway of the region.
-  const double interval_ms =
-      ms_per_second * static_cast<double>(region_gateway_count(context_)) /
-      per_second;
-  const milliseconds interval(static_cast<milliseconds::rep>(std::min<double>(
-      interval_ms, static_cast<double>(max_scheduled_return.count()))));
+  const std::chrono::duration<double> interval(
+      static_cast<double>(region_gateway_count(context_)) / per_second);
+  if (interval > max_scheduled_return) return beyond;
   monotonic_time& next = next_return_[service];
-  const monotonic_time at = std::max(next, now) + interval;
+  const monotonic_time at =
+      std::max(next, now) +
+      std::chrono::duration_cast<std::chrono::nanoseconds>(interval);
   if (at > now + max_scheduled_return) return beyond;
   next = at;
   return std::chrono::ceil<milliseconds>(at - now);
 }
 
-void request_limits::retain(const std::vector<std::string>& endpoints) {
+void endpoint_limits::retain(const std::vector<std::string>& endpoints) {
   limiter_.retain(endpoints, context_.clock.now());
 }
 
-void request_limits::tick() {
+void endpoint_limits::tick() {
   const monotonic_time now = context_.clock.now();
   if (now < positions_at_ + position_interval) return;
   positions_at_ = now;
--- a/membership/include/trestlepost/membership/endpoint_sums.h
+++ b/membership/include/trestlepost/membership/endpoint_sums.h
@@ -23,7 +23,7 @@
   /// Prompt prefixes that endpoints were sent recently.
   std::vector<cached_prefix> cached_prefixes;
   /// The last statement of each endpoint to any of the nodes.
-  trestlepost::membership::request_limits request_limits;
+  trestlepost::membership::limit_statements limit_statements;
 
   bool operator==(const endpoint_sums&) const = default;
 };
--- a/membership/include/trestlepost/membership/request_limit.h
+++ b/membership/include/trestlepost/membership/limit_statement.h
@@ -12,26 +12,26 @@
 namespace trestlepost::membership {
 
 /// What an answer of an endpoint stated.
-struct request_limit {
+struct limit_statement {
   /// Requests per second from all gateways together; empty if the answer stated
   /// no limit.
   std::optional<double> per_second;
   /// Time since the answer.
   std::chrono::milliseconds age{0};
 
-  bool operator==(const request_limit&) const = default;
+  bool operator==(const limit_statement&) const = default;
 };
 
 /// The last statement of each endpoint, by endpoint.
-using request_limits = std::map<std::string, request_limit>;
+using limit_statements = std::map<std::string, limit_statement>;
 
 /// Adds those statements of `from` that are the latest ones. `from` was
 /// received `received_ago`.
-void merge(request_limits& into, const request_limits& from,
+void merge(limit_statements& into, const limit_statements& from,
            std::chrono::milliseconds received_ago);
 
-json to_json(const request_limits& value);
+json to_json(const limit_statements& value);
 /// Entries that can't be decoded are skipped.
-request_limits request_limits_from(const json& value);
+limit_statements limit_statements_from(const json& value);
 
 }  // namespace trestlepost::membership
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -13,7 +13,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/membership/cached_prefix.h"
-#include "trestlepost/membership/request_limit.h"
+#include "trestlepost/membership/limit_statement.h"
 
 namespace trestlepost::membership {
 
@@ -67,7 +67,7 @@
   /// in its region.
   std::set<std::string> unreachable_services;
   /// What endpoints stated to the gateway.
-  trestlepost::membership::request_limits request_limits;
+  trestlepost::membership::limit_statements limit_statements;
 };
 
 /// State of a region's nodes that its relay sends to other regions.
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -86,7 +86,7 @@
     const bool here = it->last.node.region == region;
     if (!here || !table.has_fresh_load(*it, now)) continue;
     add(out, it->last);
-    merge(out.request_limits, it->last.request_limits,
+    merge(out.limit_statements, it->last.limit_statements,
           std::chrono::duration_cast<std::chrono::milliseconds>(
               now - *it->load_received_at));
   }
@@ -143,7 +143,8 @@
   if (!value.cached_prefixes.empty()) {
     out["c"] = to_json(value.cached_prefixes);
   }
-  if (!value.request_limits.empty()) out["l"] = to_json(value.request_limits);
+  if (!value.limit_statements.empty())
+    out["l"] = to_json(value.limit_statements);
   return out;
 }
 
@@ -159,7 +160,7 @@
   }
   out.pending = pending_from(member_of(value, "p"));
   out.cached_prefixes = cached_prefixes_from(member_of(value, "c"));
-  out.request_limits = request_limits_from(member_of(value, "l"));
+  out.limit_statements = limit_statements_from(member_of(value, "l"));
   return out;
 }
 
--- a/membership/src/request_limit.cc
+++ b/membership/src/limit_statement.cc
@@ -1,4 +1,4 @@
-#include "trestlepost/membership/request_limit.h"
+#include "trestlepost/membership/limit_statement.h"
 
 #include <cmath>
 
@@ -15,17 +15,17 @@
 
 }  // namespace
 
-void merge(request_limits& into, const request_limits& from,
+void merge(limit_statements& into, const limit_statements& from,
            milliseconds received_ago) {
   for (const auto& [endpoint, it] : from) {
-    const request_limit aged{it.per_second, it.age + received_ago};
+    const limit_statement aged{it.per_second, it.age + received_ago};
     const auto known = into.find(endpoint);
     if (known == into.end() || aged.age < known->second.age)
       into[endpoint] = aged;
   }
 }
 
-json to_json(const request_limits& value) {
+json to_json(const limit_statements& value) {
   json out(Json::objectValue);
   for (const auto& [endpoint, it] : value) {
     json& one = out[endpoint] = json(Json::arrayValue);
@@ -35,15 +35,15 @@
   return out;
 }
 
-request_limits request_limits_from(const json& value) {
-  request_limits out;
+limit_statements limit_statements_from(const json& value) {
+  limit_statements out;
   if (!value.isObject()) return out;
   for (const std::string& endpoint : value.getMemberNames()) {
     const json& one = value[endpoint];
     const bool valid =
         one.isArray() && one.size() == 2 && is_limit(one[0]) && one[1].isUInt();
     if (!valid) continue;
-    request_limit& it = out[endpoint];
+    limit_statement& it = out[endpoint];
     if (!one[0].isNull()) it.per_second = one[0].asDouble();
     it.age = milliseconds(one[1].asUInt());
   }
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -109,8 +109,8 @@
   if (!value.cached_prefixes.empty()) {
     out["cached"] = to_json(value.cached_prefixes);
   }
-  if (!value.request_limits.empty())
-    out["limits"] = to_json(value.request_limits);
+  if (!value.limit_statements.empty())
+    out["limits"] = to_json(value.limit_statements);
   if (!value.unreachable_services.empty()) {
     out["unreachable"] = trestlepost::to_json(value.unreachable_services);
   }
@@ -147,7 +147,7 @@
   }
   out.cached_prefixes = cached_prefixes_from(member_of(value, "cached"));
   out.unreachable_services = text_set_of(value, "unreachable");
-  out.request_limits = request_limits_from(member_of(value, "limits"));
+  out.limit_statements = limit_statements_from(member_of(value, "limits"));
   return out;
 }
 
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -162,7 +162,7 @@
     reduced.reports.clear();
     reduced.pending_tokens.clear();
     reduced.cached_prefixes.clear();
-    reduced.request_limits.clear();
+    reduced.limit_statements.clear();
     summary.nodes.push_back(std::move(reduced));
   }
   json params;
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -70,7 +70,7 @@
 void routed_gateway::apply_region_sums(
     const membership::endpoint_sums& others) {
   pool_.engines().set_peer_pending(others.pending);
-  pool_.record_limit_reports(others.request_limits);
+  pool_.record_limit_reports(others.limit_statements);
   for (const membership::cached_prefix& it : others.cached_prefixes) {
     pool_.engines().add_cached_prefix(it);
   }
@@ -81,7 +81,7 @@
     beat.services[it] = pool_.load_of(it);
   }
   beat.unreachable_services = context_.endpoints.unreachable_services();
-  beat.request_limits = pool_.own_limit_statements();
+  beat.limit_statements = pool_.own_limit_statements();
   beat.pending_tokens = pool_.engines().own_pending();
   beat.cached_prefixes = pool_.engines().recent_prefixes(context_.clock.now());
 }
--- a/routing/include/trestlepost/routing/request_limiter.h
+++ b/routing/include/trestlepost/routing/request_limiter.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "trestlepost/base/clock.h"
-#include "trestlepost/membership/request_limit.h"
+#include "trestlepost/membership/limit_statement.h"
 
 namespace trestlepost::routing {
 
@@ -52,7 +52,7 @@
   void record_sent(const std::string& endpoint, monotonic_time now);
 
   /// Returns what recent answers stated to this gateway itself.
-  membership::request_limits own_statements(monotonic_time now) const;
+  membership::limit_statements own_statements(monotonic_time now) const;
 
   /// Removes what is known of endpoints other than `endpoints`, and of those
   /// whose limits ended long ago.
--- a/routing/src/request_limiter.cc
+++ b/routing/src/request_limiter.cc
@@ -135,9 +135,9 @@
   it->second.saved_at = now;
 }
 
-membership::request_limits request_limiter::own_statements(
+membership::limit_statements request_limiter::own_statements(
     monotonic_time now) const {
-  membership::request_limits out;
+  membership::limit_statements out;
   for (const auto& [endpoint, it] : states_) {
     if (!it.own) continue;
     out[endpoint] = {it.own->per_second,
--- a/routing/test/request_limiter-test.cc
+++ b/routing/test/request_limiter-test.cc
@@ -97,7 +97,7 @@
   limiter.record_report("e", 1.0, start, start);
   EXPECT_TRUE(limiter.own_statements(start).empty());
   limiter.record_answer("e", 2.0, start);
-  const membership::request_limits expected{{"e", {2.0, milliseconds(300)}}};
+  const membership::limit_statements expected{{"e", {2.0, milliseconds(300)}}};
   EXPECT_EQ(limiter.own_statements(start + milliseconds(300)), expected);
 }
 
