--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -172,11 +172,12 @@
   }
 }
 
-bool all_nodes_serve(deployment& target, plan_record& plans) {
+/// `attempt` must differ between calls: a request whose id has already arrived
+/// counts as a repeat.
+bool all_nodes_serve(deployment& target, plan_record& plans, int attempt) {
   for (const std::string& it : target.gateways()) {
-    if (target.request(it, "GET", "/get/1", "again-" + it).status != 200) {
-      return false;
-    }
+    const std::string id = "again-" + std::to_string(attempt) + "-" + it;
+    if (target.request(it, "GET", "/get/1", id).status != 200) return false;
   }
   for (const std::string& it : control_nodes) {
     const std::uint64_t acknowledged_number = plans.newest_acknowledged();
@@ -191,8 +192,9 @@
 
 void check_recovery(deployment& target, plan_record& plans, soak_result& out) {
   const steady_clock::time_point faults_ended_at = steady_clock::now();
+  int attempts = 0;
   const bool recovered =
-      wait_until([&] { return all_nodes_serve(target, plans); });
+      wait_until([&] { return all_nodes_serve(target, plans, ++attempts); });
   out.recovery = std::chrono::duration_cast<milliseconds>(steady_clock::now() -
                                                           faults_ended_at);
   if (!recovered || out.recovery > max_recovery_time) {
