--- a/node/src/main.cc
+++ b/node/src/main.cc
@@ -10,6 +10,15 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_failed_start = 3;
 
+/// By default SIGHUP ends a process that has no handler yet. It is held back
+/// until the node can reload its settings.
+void block_hangup(bool block) {
+  sigset_t hangup;
+  sigemptyset(&hangup);
+  sigaddset(&hangup, SIGHUP);
+  pthread_sigmask(block ? SIG_BLOCK : SIG_UNBLOCK, &hangup, nullptr);
+}
+
 int report(const trestlepost::error& cause, int code) {
   std::cerr << "trestlepostd: " << cause.message << "\n"
             << "remedy: " << cause.remedy << "\n";
@@ -19,6 +28,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  block_hangup(true);
   CLI::App app{"A node of trestlepost, the multi-region inference gateway"};
   std::string file;
   bool check_only = false;
@@ -41,6 +51,7 @@
   trestlepost::node::node node(*options, file);
   const trestlepost::result<void> started = node.start();
   if (!started) return report(started.error(), exit_failed_start);
+  block_hangup(false);
   node.run();
   return 0;
 }
--- a/tests/test/cli-test.cc
+++ b/tests/test/cli-test.cc
@@ -1,7 +1,9 @@
 // Tests exit codes and output of the command line client and the daemon.
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -135,5 +137,22 @@
             0);
 }
 
+// A daemon that was told to reload its settings while it read them ended.
+TEST(cli_test, a_hangup_during_the_start_does_not_end_the_daemon) {
+  cluster it;
+  const std::string fifo = it.folder() + "/fifo.jsonc";
+  ASSERT_EQ(::mkfifo(fifo.c_str(), 0600), 0);
+  process daemon({std::string(TRESTLEPOST_BIN) + "/trestlepostd", "--check",
+                  "--settings", "fifo.jsonc"},
+                 it.folder(), it.folder() + "/daemon.log");
+  // Opens once the daemon has begun to read.
+  std::ofstream settings(fifo);
+  daemon.signal(SIGHUP);
+  std::ifstream text(it.folder() + "/isola-2.jsonc");
+  settings << text.rdbuf();
+  settings.close();
+  EXPECT_EQ(daemon.wait(), 0);
+}
+
 }  // namespace
 }  // namespace trestlepost::test
