Soak: a process is reloaded once it has begun

Between exec and main the default action of SIGHUP ends a process, whatever the daemon does. Service managers reload only what has started. The soak waits until the process blocks or handles the signal, a second at most; what the daemon does from the first line of main on is still struck, and tested by a_hangup_during_the_start_does_not_end_the_daemon.

--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -66,6 +66,8 @@
       target.process_of(it.target).signal(SIGTERM);
       break;
     default:
+      // A service manager reloads no process that has not begun.
+      target.process_of(it.target).wait_until_prepared_for(SIGHUP);
       target.process_of(it.target).signal(SIGHUP);
   }
 }
--- a/tests/test/process.cc
+++ b/tests/test/process.cc
@@ -5,10 +5,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 extern char** environ;
@@ -79,6 +82,34 @@
   if (id_ > 0) ::kill(id_, number);
 }
 
+namespace {
+
+/// Returns whether the process still has to prepare for the signal: it runs and
+/// neither blocks nor handles it.
+bool is_unprepared(pid_t id, int number) {
+  std::ifstream status("/proc/" + std::to_string(id) + "/status");
+  const std::uint64_t bit = std::uint64_t{1} << (number - 1);
+  bool out = false;
+  std::string name;
+  std::string value;
+  while (status >> name && std::getline(status, value)) {
+    if (name == "State:") out = value.find('Z') == std::string::npos;
+    const bool signals = name == "SigBlk:" || name == "SigCgt:";
+    if (signals && (std::stoull(value, nullptr, 16) & bit) != 0) return false;
+  }
+  return out;
+}
+
+}  // namespace
+
+void process::wait_until_prepared_for(int number) const {
+  const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  while (is_unprepared(id_, number) && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 void process::kill() {
   if (id_ <= 0) return;
   signal(SIGKILL);
--- a/tests/test/process.h
+++ b/tests/test/process.h
@@ -21,6 +21,10 @@
   ~process();
 
   void signal(int number) const;
+  /// Waits until the process blocks or handles the signal, for one second at
+  /// most: until its main function has begun, the signal's default action
+  /// applies.
+  void wait_until_prepared_for(int number) const;
   /// Sends SIGKILL and reaps the process.
   void kill();
   /// Waits for the exit; returns the status, or 128 plus the signal's number.
