--- a/routing/include/trestlepost/routing/retry_budget.h
+++ b/routing/include/trestlepost/routing/retry_budget.h
@@ -31,15 +31,16 @@
 /// they were sent.
 ///
 /// A gateway saves its part of one third of the slack, because each of three
-/// partitioned regions may count only its own gateways. It saves no more than
-/// the unused rest of the ratio, so that any number of gateways that don't know
-/// each other stay within the limits.
+/// partitioned regions may count only its own gateways. Beyond a few retries it
+/// saves no more than the unused rest of the ratio, since it may not know that
+/// there are others.
 inline retry_budget_options gateway_share(const shared_retry_limits& limits,
                                           std::size_t gateways,
                                           std::size_t recent_requests) {
   constexpr double earned_of_ratio = 0.9;
   constexpr double saved_of_ratio = 1 - earned_of_ratio;
   constexpr double saved_of_slack = 1.0 / 3;
+  constexpr double always_saved = 4;
   const double part = limits.slack * saved_of_slack /
                       static_cast<double>(std::max<std::size_t>(1, gateways));
   const double unearned =
@@ -47,7 +48,8 @@
   retry_budget_options out;
   out.ratio = limits.ratio * earned_of_ratio;
   // Below 1 a gateway could never retry.
-  out.max_saved = std::max(1.0, std::min(part, unearned));
+  out.max_saved =
+      std::max(1.0, std::min(part, std::max(always_saved, unearned)));
   return out;
 }
 
