--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -205,14 +205,6 @@
                            options.span);
     }
   }
-  // Seeds of rejections have no limits: the fewer requests arrive, the fewer
-  // repeats there are.
-  if (!rejections_only) {
-    for (const std::string& it : options.endpoints) {
-      generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
-                                  max_limit_time);
-    }
-  }
   return sorted(std::move(out), options.span);
 }
 
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -55,8 +55,8 @@
       busy_until = std::max(busy_until, it.end);
     }
   }
-  // 5 for control nodes, 6 for entries, which have no data, 9 for endpoints.
-  EXPECT_EQ(seen.size(), 20U);
+  // 5 for control nodes, 6 for entries, which have no data, 8 for endpoints.
+  EXPECT_EQ(seen.size(), 19U);
   EXPECT_TRUE(overlap);
 }
 
