Request limits forget endpoints by a predicate, as their siblings do

The endpoint pool copied the names of all endpoints at each change of its list, and the limiter searched them one by one; warmth and acceptance were told by a predicate already. No change of behaviour.

--- a/gateway/include/trestlepost/gateway/endpoint_limits.h
+++ b/gateway/include/trestlepost/gateway/endpoint_limits.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,8 +47,8 @@
       const std::string& service, int priority,
       const std::vector<std::string>& endpoints);
 
-  /// Forgets all endpoints but these.
-  void retain(const std::vector<std::string>& endpoints);
+  /// Forgets endpoints for which `known` returns false.
+  void retain(const std::function<bool(const std::string&)>& known);
   void tick();
 
  private:
--- a/gateway/src/endpoint_limits.cc
+++ b/gateway/src/endpoint_limits.cc
@@ -107,8 +107,9 @@
   return std::chrono::ceil<milliseconds>(at - now);
 }
 
-void endpoint_limits::retain(const std::vector<std::string>& endpoints) {
-  limiter_.retain(endpoints, context_.clock.now());
+void endpoint_limits::retain(
+    const std::function<bool(const std::string&)>& known) {
+  limiter_.retain(known, context_.clock.now());
 }
 
 void endpoint_limits::tick() {
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -102,9 +102,8 @@
       [this](const std::string& it) { return locations_.contains(it); }, now);
   acceptance_.retain(
       [this](const std::string& it) { return locations_.contains(it); });
-  std::vector<std::string> names;
-  for (const auto& [name, it] : locations_) names.push_back(name);
-  limits_.retain(names);
+  limits_.retain(
+      [this](const std::string& it) { return locations_.contains(it); });
   std::erase_if(observed_at_, [this](const auto& it) {
     return !locations_.contains(it.first);
   });
--- a/routing/include/trestlepost/routing/request_limiter.h
+++ b/routing/include/trestlepost/routing/request_limiter.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,9 +55,10 @@
   /// Returns what recent answers stated to this gateway itself.
   membership::limit_statements own_statements(monotonic_time now) const;
 
-  /// Removes what is known of endpoints other than `endpoints`, and of those
-  /// whose limits ended long ago.
-  void retain(const std::vector<std::string>& endpoints, monotonic_time now);
+  /// Removes what is known of endpoints for which `known` returns false, and of
+  /// those whose limits ended long ago.
+  void retain(const std::function<bool(const std::string&)>& known,
+              monotonic_time now);
 
  private:
   struct statement {
--- a/routing/src/request_limiter.cc
+++ b/routing/src/request_limiter.cc
@@ -1,7 +1,6 @@
 #include "trestlepost/routing/request_limiter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace trestlepost::routing {
 namespace {
@@ -147,13 +146,12 @@
   return out;
 }
 
-void request_limiter::retain(const std::vector<std::string>& endpoints,
-                             monotonic_time now) {
-  std::erase_if(states_, [&endpoints, now](const auto& it) {
+void request_limiter::retain(
+    const std::function<bool(const std::string&)>& known, monotonic_time now) {
+  std::erase_if(states_, [&known, now](const auto& it) {
     const statement& last = it.second.last;
     const bool ended = !last.per_second && now >= last.at + end_retention;
-    return ended || std::find(endpoints.begin(), endpoints.end(), it.first) ==
-                        endpoints.end();
+    return ended || !known(it.first);
   });
 }
 
--- a/routing/test/request_limiter-test.cc
+++ b/routing/test/request_limiter-test.cc
@@ -70,7 +70,8 @@
 TEST(request_limiter_test, silence_does_not_end_a_limit) {
   request_limiter limiter;
   limiter.record_answer("e", 1.0, start);
-  limiter.retain({"e"}, start + std::chrono::hours(1));
+  limiter.retain([](const std::string& it) { return it == "e"; },
+                 start + std::chrono::hours(1));
   EXPECT_EQ(limiter.limit_of("e"), 1.0);
 }
 
