Endpoint pool: which endpoints are in use is decided in one function

Choosing an endpoint and scheduling the return of refused callers each asked whether it is usable, listed and outside evacuated zones. No change of behaviour.

--- a/gateway/include/trestlepost/gateway/endpoint_pool.h
+++ b/gateway/include/trestlepost/gateway/endpoint_pool.h
@@ -122,6 +122,10 @@
     std::string service;
   };
 
+  /// Returns the location of `view` if it is usable, listed and not evacuated,
+  /// or null.
+  const location* find_in_use(const membership::endpoint_view& view) const;
+
   gateway_context& context_;
   endpoint_incarnations incarnations_;
   std::vector<surface::listed_endpoint> listed_;  // in the local region
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -143,17 +143,25 @@
   return possibly_stale || warmth_.may_be_cold(endpoint, zone, warmup, now);
 }
 
+const endpoint_pool::location* endpoint_pool::find_in_use(
+    const endpoint_view& view) const {
+  if (!view.usable) return nullptr;
+  const auto found = locations_.find(view.name);
+  const bool in_use =
+      found != locations_.end() &&
+      !context_.store.evacuated_zones().contains(found->second.zone);
+  return in_use ? &found->second : nullptr;
+}
+
 bool endpoint_pool::accepts_requests(
     const endpoint_view& view, const config::planned_service* service) const {
-  if (!view.usable || !limits_.may_send(view.name) || !bears_rejection(view))
-    return false;
-  const auto found = locations_.find(view.name);
-  if (found == locations_.end() ||
-      context_.store.evacuated_zones().contains(found->second.zone)) {
+  const location* place = find_in_use(view);
+  if (place == nullptr || !limits_.may_send(view.name) ||
+      !bears_rejection(view)) {
     return false;
   }
   const monotonic_time now = context_.clock.now();
-  if (!may_be_cold(view.name, found->second.zone, service, now)) return true;
+  if (!may_be_cold(view.name, place->zone, service, now)) return true;
   const double cold_rate =
       service == nullptr ? 0 : service->cold_requests_per_second;
   if (cold_rate <= 0) return true;
@@ -262,11 +270,7 @@
   std::vector<std::string> limited;
   for (const endpoint_view& it :
        context_.endpoints.views(request.service, context_.clock.now())) {
-    const auto found = locations_.find(it.name);
-    const bool evacuated =
-        found == locations_.end() ||
-        context_.store.evacuated_zones().contains(found->second.zone);
-    if (!it.usable || evacuated) continue;
+    if (find_in_use(it) == nullptr) continue;
     if (!limits_.is_limited(it.name)) return std::nullopt;
     limited.push_back(it.name);
   }
