--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -78,6 +78,36 @@
   std::mt19937_64 engine_;
 };
 
+/// Adds faults of entries and endpoints under which limits are in force.
+void add_limit_faults(fault_generator& generator, std::vector<fault>& out,
+                      const schedule_options& options) {
+  for (const std::string& it : options.endpoints) {
+    generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
+                                max_limit_time, min_limit_time);
+    generator.add_series(
+        out, it, {fault_kind::refuse, fault_kind::overload, fault_kind::pause},
+        options.span);
+  }
+  for (const std::string& it : options.entries) {
+    generator.add_series(out, it, {fault_kind::freeze, fault_kind::reload},
+                         options.span);
+  }
+  milliseconds from{0};
+  while (from < options.span) {
+    out.push_back(generator.make_fault(
+        options.entries, {fault_kind::kill, fault_kind::stop}, from));
+    from = out.back().end;
+  }
+}
+
+std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
+  std::erase_if(all, [span](const fault& it) { return it.begin >= span; });
+  std::stable_sort(all.begin(), all.end(), [](const fault& a, const fault& b) {
+    return a.begin < b.begin;
+  });
+  return all;
+}
+
 }  // namespace
 
 std::string to_string(fault_kind kind) {
@@ -118,40 +148,6 @@
   return "undelimited";
 }
 
-namespace {
-
-/// Adds faults of entries and endpoints under which limits are in force.
-void add_limit_faults(fault_generator& generator, std::vector<fault>& out,
-                      const schedule_options& options) {
-  for (const std::string& it : options.endpoints) {
-    generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
-                                max_limit_time, min_limit_time);
-    generator.add_series(
-        out, it, {fault_kind::refuse, fault_kind::overload, fault_kind::pause},
-        options.span);
-  }
-  for (const std::string& it : options.entries) {
-    generator.add_series(out, it, {fault_kind::freeze, fault_kind::reload},
-                         options.span);
-  }
-  milliseconds from{0};
-  while (from < options.span) {
-    out.push_back(generator.make_fault(
-        options.entries, {fault_kind::kill, fault_kind::stop}, from));
-    from = out.back().end;
-  }
-}
-
-std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
-  std::erase_if(all, [span](const fault& it) { return it.begin >= span; });
-  std::stable_sort(all.begin(), all.end(), [](const fault& a, const fault& b) {
-    return a.begin < b.begin;
-  });
-  return all;
-}
-
-}  // namespace
-
 std::vector<fault> make_schedule(std::uint64_t seed,
                                  const schedule_options& options) {
   fault_generator generator(seed);
