The rank by rendezvous hash is computed in one function

Which gateways send to a limited or cold endpoint and which nodes poll it counted the nodes before their own in the same way. No change of behaviour.

--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -104,6 +104,11 @@
   bool updated_by_digest = false;  // the last update came from a digest
 };
 
+/// Returns how many of `nodes`, apart from `self`, precede the node `self` in
+/// the order by rendezvous hash for `key`.
+std::size_t rendezvous_rank(const std::string& key, const std::string& self,
+                            const std::vector<const node_record*>& nodes);
+
 /// Times without contact after which a node's reachability changes.
 struct suspicion_options {
   std::chrono::milliseconds suspect_after{1500};
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "trestlepost/base/hash.h"
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/membership/region_digest.h"
 #include "trestlepost/membership/relay_selector.h"
@@ -173,6 +174,17 @@
   return out;
 }
 
+std::size_t rendezvous_rank(const std::string& key, const std::string& self,
+                            const std::vector<const node_record*>& nodes) {
+  const std::uint64_t own_score = rendezvous_score(key, self);
+  const auto precedes = [&key, &self, own_score](const node_record* it) {
+    const std::string& name = it->last.node.name;
+    return name != self && rendezvous_score(key, name) > own_score;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(nodes.begin(), nodes.end(), precedes));
+}
+
 void node_table::observe(const heartbeat& in, monotonic_time now) {
   if (in.node.name.empty()) return;
   const auto known = nodes_.find(in.node.name);
--- a/node/src/probe_service.cc
+++ b/node/src/probe_service.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
-#include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::node {
@@ -20,16 +19,10 @@
 }  // namespace
 
 bool probe_service::is_prober_of(const std::string& endpoint) const {
-  const std::uint64_t own = rendezvous_score(endpoint, context_.self.name);
-  std::size_t preceding = 0;
-  for (const membership::node_record* it :
-       context_.nodes.live_in(context_.self.region, context_.clock.now())) {
-    const std::string& name = it->last.node.name;
-    if (name != context_.self.name && rendezvous_score(endpoint, name) > own) {
-      ++preceding;
-    }
-  }
-  return preceding < probers_per_endpoint;
+  const std::vector<const membership::node_record*> live =
+      context_.nodes.live_in(context_.self.region, context_.clock.now());
+  return membership::rendezvous_rank(endpoint, context_.self.name, live) <
+         probers_per_endpoint;
 }
 
 awaitable<void> probe_service::read_load(std::string endpoint,
