Answers' heads are read without a copy of all headers

The request limit asked for all headers of each answer to find those of one name. http_call::header_values returns the values of one name, several of which still make the limit invalid.

--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -33,6 +33,9 @@
   std::string_view header(std::string_view name) const override {
     return name == "Content-Type" ? content_type : std::string_view();
   }
+  std::vector<std::string_view> header_values(std::string_view) const override {
+    return {};
+  }
   transport::header_list headers() const override {
     return {{"Content-Type", content_type}};
   }
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -71,6 +71,14 @@
   std::string_view header(std::string_view name) const override {
     return find_header(all, name);
   }
+  std::vector<std::string_view> header_values(
+      std::string_view name) const override {
+    std::vector<std::string_view> out;
+    for (const auto& [key, value] : all) {
+      if (boost::beast::iequals(key, name)) out.emplace_back(value);
+    }
+    return out;
+  }
   transport::header_list headers() const override { return all; }
   transport::awaitable<tl::expected<void, transport::call_failure>>
   read_next_response() override {
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/transport/http_server.h"
@@ -73,6 +74,9 @@
   virtual bool is_delimited() const = 0;
   /// Returns the header's value, or an empty string.
   virtual std::string_view header(std::string_view name) const = 0;
+  /// Returns the values of all headers with this name, in the order of arrival.
+  virtual std::vector<std::string_view> header_values(
+      std::string_view name) const = 0;
   /// Returns all headers in the order of arrival.
   virtual header_list headers() const = 0;
 
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -161,6 +161,14 @@
     if (it == parser_->get().end()) return {};
     return {it->value().data(), it->value().size()};
   }
+  std::vector<std::string_view> header_values(
+      std::string_view name) const override {
+    std::vector<std::string_view> out;
+    const auto found = parser_->get().equal_range({name.data(), name.size()});
+    for (auto it = found.first; it != found.second; ++it)
+      out.emplace_back(it->value().data(), it->value().size());
+    return out;
+  }
   header_list headers() const override { return list_headers(parser_->get()); }
   awaitable<tl::expected<void, call_failure>> read_next_response() override;
   awaitable<result<std::string>> read_piece() override;
