--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -98,6 +98,13 @@
         options.entries, {fault_kind::kill, fault_kind::stop}, from));
     from = out.back().end;
   }
+  from = milliseconds(0);
+  while (from < options.span) {
+    out.push_back(generator.make_fault(
+        options.entries, {fault_kind::partition, fault_kind::reset_partition},
+        from));
+    from = out.back().end;
+  }
 }
 
 std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
