Relays: nodes that know only each other join the rest of their region

Evidence: the gateways at fault knew 3 of the region's 10 gateways, the others 9 (request-limit-set names the number), and two of them changed the reader of the endpoint list every 50 ms between one reader of each part.

Cause: a node chose its relays only among nodes that it had heard of, as soon as there were two. While all start at once, a few may hear of each other first, through those that still send to each peer. They then are each other's relays, ask nobody else, and nobody else sends to them. A partition within a region that lasts longer than 5 s, after which nodes count as dead, has the same effect: each half has relays of its own, and no node sends to the other half again.

Change: nodes that were never heard of, or count as dead, and that would be relays if they answered, get heartbeats beside the chosen relays. Those that do not answer are left out for 5 s, as before; a stopped relay costs each node four heartbeats in 5 s.

Ruled out: the leader's directory (one leader, all nodes listed).

--- a/membership/include/trestlepost/membership/relay_selector.h
+++ b/membership/include/trestlepost/membership/relay_selector.h
@@ -20,6 +20,8 @@
   bool leaving = false;
   /// A control node; it serves no callers.
   bool control = false;
+  /// Not heard of, or not for so long that it counts as dead.
+  bool silent = false;
 };
 
 /// Returns the relays, first one first: the control node with the highest
@@ -32,11 +34,18 @@
 /// Chooses the relays of this node and tracks which of them respond.
 class relay_selector {
  public:
-  /// Candidates without a response for `unresponsive_after` are ranked last.
+  /// Silent candidates are chosen only if there are too few others. Candidates
+  /// without a response for `unresponsive_after` are ranked last.
   std::vector<std::string> choose(const std::string& region,
                                   std::vector<relay_candidate> candidates,
                                   std::chrono::milliseconds unresponsive_after,
                                   monotonic_time now) const;
+  /// Returns the silent candidates that would be relays if they responded.
+  /// They get heartbeats too: nodes that have heard only of each other, after a
+  /// start or a partition, would otherwise never join the rest of their region.
+  std::vector<std::string> missing_relays(
+      const std::string& region, std::vector<relay_candidate> candidates,
+      std::chrono::milliseconds unresponsive_after, monotonic_time now) const;
   /// Records that a heartbeat was sent to `name`.
   void heartbeat_sent(const std::string& name, monotonic_time now);
   /// Records that a digest of `name` was received.
--- a/membership/src/relay_selector.cc
+++ b/membership/src/relay_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -54,6 +55,13 @@
 std::vector<std::string> relay_selector::choose(
     const std::string& region, std::vector<relay_candidate> candidates,
     std::chrono::milliseconds unresponsive_after, monotonic_time now) const {
+  const auto heard_of = static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(),
+                    [](const relay_candidate& it) { return !it.silent; }));
+  if (heard_of >= relays_per_region) {
+    std::erase_if(candidates,
+                  [](const relay_candidate& it) { return it.silent; });
+  }
   for (relay_candidate& it : candidates) {
     it.leaving =
         it.leaving || is_unresponsive(it.name, unresponsive_after, now);
@@ -61,6 +69,22 @@
   return rank_relays(region, std::move(candidates));
 }
 
+std::vector<std::string> relay_selector::missing_relays(
+    const std::string& region, std::vector<relay_candidate> candidates,
+    std::chrono::milliseconds unresponsive_after, monotonic_time now) const {
+  std::erase_if(candidates, [&](const relay_candidate& it) {
+    return is_unresponsive(it.name, unresponsive_after, now);
+  });
+  std::set<std::string> silent;
+  for (const relay_candidate& it : candidates) {
+    if (it.silent) silent.insert(it.name);
+  }
+  std::vector<std::string> out = rank_relays(region, std::move(candidates));
+  std::erase_if(
+      out, [&silent](const std::string& it) { return !silent.contains(it); });
+  return out;
+}
+
 void relay_selector::heartbeat_sent(const std::string& name,
                                     monotonic_time now) {
   const auto it = unanswered_since_.emplace(name, now).first;
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -1,6 +1,7 @@
 #include "digest_service.h"
 
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "region_peers.h"
@@ -82,13 +83,11 @@
   if (apply_digest(params) && on_digest) on_digest();
 }
 
-std::vector<std::string> digest_service::relays() const {
+std::vector<membership::relay_candidate> digest_service::relay_candidates()
+    const {
   const monotonic_time now = context_.clock.now();
-  const std::map<std::string, std::string> peer_addresses =
-      peers_in_region(context_);
-  std::vector<membership::relay_candidate> reachable;
-  std::vector<membership::relay_candidate> all;
-  for (const auto& [name, address] : peer_addresses) {
+  std::vector<membership::relay_candidate> out;
+  for (const auto& [name, address] : peers_in_region(context_)) {
     const node_record* it = context_.nodes.find(name);
     const bool leaving =
         it != nullptr && it->last.state == membership::node_states::draining;
@@ -96,14 +95,26 @@
     const bool control = it != nullptr ? it->last.node.control
                                        : entry != context_.known_nodes.end() &&
                                              entry->second.control;
-    all.push_back({name, leaving, control});
-    const bool known = it != nullptr && context_.nodes.state_of(*it, now) !=
-                                            membership::peer_state::dead;
-    if (known) reachable.push_back({name, leaving, control});
+    const bool silent = it == nullptr || context_.nodes.state_of(*it, now) ==
+                                             membership::peer_state::dead;
+    out.push_back({name, leaving, control, silent});
   }
-  const bool enough = reachable.size() >= membership::relays_per_region;
-  return relay_selector_.choose(context_.self.region, enough ? reachable : all,
-                                relay_timeout_heartbeats * interval(), now);
+  return out;
+}
+
+milliseconds digest_service::relay_timeout() const {
+  return relay_timeout_heartbeats * interval();
+}
+
+std::vector<std::string> digest_service::relays() const {
+  return relay_selector_.choose(context_.self.region, relay_candidates(),
+                                relay_timeout(), context_.clock.now());
+}
+
+std::vector<std::string> digest_service::missing_relays() const {
+  return relay_selector_.missing_relays(context_.self.region,
+                                        relay_candidates(), relay_timeout(),
+                                        context_.clock.now());
 }
 
 void digest_service::send_to_relays(const json& heartbeat) {
@@ -113,7 +124,9 @@
   std::vector<std::string> chosen = relays();
   const bool to_second_relay = relay_heartbeats_++ % second_relay_period == 0;
   if (!to_second_relay && !chosen.empty()) chosen.resize(1);
-  for (const std::string& name : chosen) {
+  std::set<std::string> receivers(chosen.begin(), chosen.end());
+  for (std::string& it : missing_relays()) receivers.insert(std::move(it));
+  for (const std::string& name : receivers) {
     json params = heartbeat;
     params["ask"] = membership::to_json(reader_.request_for(name));
     relay_selector_.heartbeat_sent(name, now);
--- a/node/src/digest_service.h
+++ b/node/src/digest_service.h
@@ -26,8 +26,8 @@
   void start();
   /// The time between two heartbeats of this node.
   std::chrono::milliseconds interval() const;
-  /// Sends a heartbeat to the relays, with the version of the last digest
-  /// received from each.
+  /// Sends a heartbeat to the relays and to those that are missing, with the
+  /// version of the last digest received from each.
   void send_to_relays(const json& heartbeat);
   /// Records the digest request in a heartbeat, if it has one.
   void record_digest_request(const json& heartbeat,
@@ -63,8 +63,13 @@
   void handle_digest(const json& params);
   /// Applies a digest; false when it had nothing new.
   bool apply_digest(const json& params);
-  /// The names of the relays that this node sends its heartbeats to.
+  /// The other nodes of this region.
+  std::vector<membership::relay_candidate> relay_candidates() const;
+  /// The names of the relays of this node.
   std::vector<std::string> relays() const;
+  std::vector<std::string> missing_relays() const;
+  /// Time without an answer after which a relay is skipped.
+  std::chrono::milliseconds relay_timeout() const;
   shared_content collect_shared_content() const;
   void update_writer();
   void send_digest(const std::string& name, const requester& it,
