Relays: outdated loads of another region are not passed on

What callers saw: all gateways of a region of more than eight nodes refused for 2 to 5 s after a start what another region had room for.

The first relay of the region got digests of the other region that named endpoints, every 300 ms; the gateways knew all nodes there as ready and heard of 175 to 350 ms before, but without any load.

Cause: a relay put into its digests what it knew of other regions' loads, also if another relay of its own region had told it. Of what is told, a node takes one report in 250 ms. The relays got each other's digests every 100 to 300 ms, each with the empty loads of before, so the reports of the region itself came too early to be taken, over and over. It is not a matter of the start alone: any change of loads may be late in this way.

Change: relays pass on only loads that a node of the other region reported to themselves lately (other_region_services), as rows already are; such a report is always taken.

Also looked at: sums, reports and limits in digests come from heartbeats that the relay itself received, or carry their age.

--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -141,9 +141,13 @@
   void record_contact(const std::string& name, monotonic_time contact_at,
                       bool first_hand);
   /// Sets the service loads of another region at each of its ready gateways.
+  /// `first_hand`: a relay of that region reports them.
   void set_region_services(const std::string& region,
                            const std::map<std::string, service_load>& loads,
-                           monotonic_time now);
+                           bool first_hand, monotonic_time now);
+  /// Returns whether a node of `region` has reported service loads lately.
+  bool has_first_hand_services(const std::string& region,
+                               monotonic_time now) const;
   void remove_expired(monotonic_time now);
 
   const suspicion_options& options() const { return options_; }
@@ -182,7 +186,9 @@
  private:
   suspicion_options options_;
   std::map<std::string, node_record> nodes_;
+  // By region.
   std::map<std::string, monotonic_time> services_set_at_;
+  std::map<std::string, monotonic_time> first_hand_services_at_;
 };
 
 /// Number of relays of a region.
--- a/membership/src/digest_reader.cc
+++ b/membership/src/digest_reader.cc
@@ -52,7 +52,7 @@
                          in.region != self.region);
   }
   for (const auto& [region, loads] : in.services) {
-    table.set_region_services(region, loads, now);
+    table.set_region_services(region, loads, in.region == region, now);
   }
   return digest_outcome::applied;
 }
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -125,6 +125,17 @@
   return out;
 }
 
+std::map<std::string, std::map<std::string, service_load>>
+other_region_services(const node_table& table, const std::string& own_region,
+                      monotonic_time now) {
+  std::map<std::string, std::map<std::string, service_load>> out;
+  for (const std::string& it : table.regions()) {
+    if (it == own_region || !table.has_first_hand_services(it, now)) continue;
+    out[it] = service_means(table, it, now);
+  }
+  return out;
+}
+
 json to_json(const endpoint_sums& value) {
   json out;
   out["m"] = value.nodes;
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -255,12 +255,13 @@
 
 void node_table::set_region_services(
     const std::string& region, const std::map<std::string, service_load>& loads,
-    monotonic_time now) {
+    bool first_hand, monotonic_time now) {
   const auto last = services_set_at_.find(region);
   const bool recent = last != services_set_at_.end() &&
                       now < last->second + min_services_interval;
-  if (recent) return;
+  if (recent && !first_hand) return;
   services_set_at_[region] = now;
+  if (first_hand) first_hand_services_at_[region] = now;
   for (auto& [name, it] : nodes_) {
     const bool is_ready_gateway = it.last.node.region == region &&
                                   it.last.state == node_states::ready &&
@@ -275,6 +276,19 @@
          now < *record.load_received_at + options_.suspect_after;
 }
 
+bool node_table::has_first_hand_services(const std::string& region,
+                                         monotonic_time now) const {
+  const auto reported = first_hand_services_at_.find(region);
+  if (reported != first_hand_services_at_.end() &&
+      now < reported->second + options_.suspect_after) {
+    return true;
+  }
+  const std::vector<const node_record*> nodes = live_in(region, now);
+  return std::any_of(
+      nodes.begin(), nodes.end(),
+      [this, now](const node_record* it) { return has_fresh_load(*it, now); });
+}
+
 void node_table::observe(const region_summary& in, monotonic_time now) {
   for (const heartbeat& it : in.nodes) {
     if (it.node.region == in.region) observe(it, now);
--- a/membership/test/relay_simulation-test.cc
+++ b/membership/test/relay_simulation-test.cc
@@ -20,17 +20,21 @@
 constexpr milliseconds relay_timeout = 4 * interval;
 constexpr milliseconds late_after = 3 * interval;
 constexpr char region[] = "isola";
+constexpr char other_region[] = "golfo";
+// In intervals: relays report loads to other regions in this period.
+constexpr std::uint64_t remote_period = 3;
 
-heartbeat make_beat(const std::string& name, std::uint64_t sequence) {
-  heartbeat out = test::make_heartbeat(name, region, sequence);
+heartbeat make_beat(const std::string& name, std::uint64_t sequence,
+                    const std::string& in = region) {
+  heartbeat out = test::make_heartbeat(name, in, sequence);
   out.node.control = name == "control";
   if (!out.node.control) out.node.forward_address = "127.0.0.1:2";
   return out;
 }
 
 struct node {
-  explicit node(const std::string& name)
-      : self(make_beat(name, 0).node), writer(self, 7) {}
+  explicit node(const std::string& name, const std::string& in = region)
+      : self(make_beat(name, 0, in).node), writer(self, 7) {}
 
   node_info self;
   node_table table;
@@ -57,9 +61,22 @@
       ++sequence_;
       for (auto& [name, it] : nodes_) send_heartbeats(it);
       for (auto& [name, it] : nodes_) send_digests(it);
+      if (sequence_ % remote_period == 0) send_remote_loads();
     }
   }
 
+  /// Sets the loads that the relays of another region report to the relays of
+  /// this one.
+  void set_remote_loads(const service_loads& loads) { remote_loads_ = loads; }
+  /// Returns the load of the service at the other region, as `name` knows it.
+  service_load remote_load_of(const std::string& name,
+                              const std::string& service) const {
+    const node_record* it = nodes_.at(name).table.find(remote_.self.name);
+    if (it == nullptr) return {};
+    const auto found = it->last.services.find(service);
+    return found == it->last.services.end() ? service_load{} : found->second;
+  }
+
   /// Lets `to` hear of the nodes in `from` once.
   void introduce(const std::set<std::string>& from, const std::string& to) {
     for (const std::string& it : from) {
@@ -113,18 +130,36 @@
     }
   }
 
+  void send_remote_loads() {
+    remote_.table.observe(make_beat(remote_.self.name, sequence_, other_region),
+                          now_);
+    remote_.writer.update(remote_.table, late_after, now_);
+    region_digest out = remote_.writer.make_digest({}, other_region);
+    out.services[other_region] = remote_loads_;
+    std::vector<relay_candidate> all;
+    for (const auto& [name, it] : nodes_)
+      all.push_back({name, false, it.self.control, false});
+    for (const std::string& name : rank_relays(region, std::move(all))) {
+      node& receiver = nodes_.at(name);
+      receiver.reader.apply(out, receiver.self, receiver.table, now_);
+    }
+  }
+
   void send_digests(node& it) {
     it.writer.update(it.table, late_after, now_);
     for (const auto& [name, request] : it.requesters) {
       node& receiver = nodes_.at(name);
-      receiver.reader.apply(it.writer.make_digest(request, std::nullopt),
-                            receiver.self, receiver.table, now_);
+      region_digest out = it.writer.make_digest(request, std::nullopt);
+      out.services = other_region_services(it.table, region, now_);
+      receiver.reader.apply(out, receiver.self, receiver.table, now_);
       receiver.selector.digest_received(it.self.name);
     }
     it.requesters.clear();
   }
 
   std::map<std::string, node> nodes_;  // by name
+  node remote_{"remote", other_region};
+  service_loads remote_loads_;
   std::uint64_t sequence_ = 0;
   monotonic_time now_{std::chrono::seconds(1000)};
 };
@@ -172,5 +207,21 @@
   }
 }
 
+// The relays of a region told each other what they had heard of another region
+// before, in place of what it reported since.
+TEST(relay_simulation_test, loads_of_another_region_arrive_when_they_change) {
+  simulated_region it;
+  it.run(std::chrono::seconds(1));
+  for (const std::uint32_t endpoints : {1U, 7U, 0U, 3U}) {
+    service_load load;
+    load.endpoints = endpoints;
+    it.set_remote_loads({{"chat", load}});
+    it.run(2 * remote_period * interval);
+    for (const std::string& name : it.names()) {
+      EXPECT_EQ(it.remote_load_of(name, "chat").endpoints, endpoints) << name;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace trestlepost::membership
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -153,9 +153,7 @@
     out.reports.insert(it->last.reports.begin(), it->last.reports.end());
   }
   if (digest_round_ % rounds_per_service_loads != 0) return out;
-  for (const std::string& it : other_regions(context_)) {
-    out.services[it] = membership::service_means(context_.nodes, it, now);
-  }
+  out.services = membership::other_region_services(context_.nodes, region, now);
   return out;
 }
 
