Requests in flight are counted while an endpoint's address changes

Found by reading: the record of an endpoint was replaced when its address changed, with the count of this gateway's requests at 0. Ends of requests to the earlier address then reduced the count of new ones, so that the gateway took the endpoint for idle and sent it more than its limit. The same after an endpoint was missing in one list.

The counts are now kept beside the records until the requests end.

Test: requests_are_counted_while_the_address_changes; before, 1 instead of 3.

--- a/membership/include/trestlepost/membership/endpoint_tracker.h
+++ b/membership/include/trestlepost/membership/endpoint_tracker.h
@@ -122,7 +122,6 @@
     declared_endpoint declared;
     std::string state;
     double limit = 1;
-    unsigned in_flight = 0;
     unsigned failures = 0;
     unsigned ejections = 0;
     monotonic_time ramp_started_at;
@@ -139,12 +138,16 @@
   double ramp_share(const record& it, monotonic_time now) const;
   void adapt_limit(record& it);
   endpoint_view view_of(const record& it, monotonic_time now) const;
+  unsigned in_flight_at(const std::string& name) const;
   record* find(const std::string& name);
 
   charts::chart chart_;
   endpoint_options options_;
   std::map<std::string, record> endpoints_;
   endpoint_reachability reachability_;
+  /// This gateway's requests by endpoint. They last longer than records, which
+  /// are replaced when the address of an endpoint changes.
+  std::map<std::string, unsigned> in_flight_;
   std::map<std::string, std::uint32_t> others_in_flight_;
   bool any_declared_ = false;
 };
--- a/membership/src/endpoint_tracker.cc
+++ b/membership/src/endpoint_tracker.cc
@@ -45,7 +45,6 @@
       // After the start of this node no endpoint is known to have just
       // returned, so they start at their full limit.
       fresh.ramp_started_at = any_declared_ ? now : now - options_.ramp;
-      fresh.in_flight = same ? found->second.in_flight : 0;
       endpoints_[it.name] = std::move(fresh);
     }
     record& one = endpoints_[it.name];
@@ -112,13 +111,12 @@
 }
 
 void endpoint_tracker::request_started(const std::string& name) {
-  record* it = find(name);
-  if (it != nullptr) ++it->in_flight;
+  ++in_flight_[name];
 }
 
 void endpoint_tracker::request_ended(const std::string& name) {
-  record* it = find(name);
-  if (it != nullptr && it->in_flight > 0) --it->in_flight;
+  const auto it = in_flight_.find(name);
+  if (it != in_flight_.end() && --it->second == 0) in_flight_.erase(it);
 }
 
 void endpoint_tracker::request_succeeded(const std::string& name) {
@@ -201,7 +199,7 @@
 void endpoint_tracker::report(const std::string& name, load_report in) {
   record* it = find(name);
   if (it == nullptr) return;
-  in.own_in_flight_at_report = it->in_flight;
+  in.own_in_flight_at_report = in_flight_at(name);
   it->last_report = in;
   adapt_limit(*it);
 }
@@ -209,7 +207,8 @@
 void endpoint_tracker::adapt_limit(record& it) {
   const double max_limit = max_limit_per_slot * it.declared.slots;
   const bool congested = it.last_report.waiting > it.declared.slots / 4;
-  const bool near_limit = it.in_flight >= limit_increase_load * it.limit;
+  const bool near_limit =
+      in_flight_at(it.declared.name) >= limit_increase_load * it.limit;
   if (congested) {
     it.limit = std::max(1.0, it.limit * limit_decrease_factor);
   } else if (near_limit || it.limit < it.declared.slots) {
@@ -267,7 +266,7 @@
   out.usable = it.state == endpoint_states::joining ||
                it.state == endpoint_states::serving;
   out.limit = std::max(1.0, it.limit * ramp_share(it, now));
-  out.own_in_flight = it.in_flight;
+  out.own_in_flight = in_flight_at(it.declared.name);
   const auto others = others_in_flight_.find(it.declared.name);
   out.others_in_flight = others == others_in_flight_.end() ? 0 : others->second;
   // Reported load loses weight with age. The requests in flight from gateways
@@ -305,10 +304,15 @@
 
 std::map<std::string, std::uint32_t> endpoint_tracker::own_in_flight() const {
   std::map<std::string, std::uint32_t> out;
-  for (const auto& [name, it] : endpoints_) {
-    if (it.in_flight > 0) out[name] = it.in_flight;
+  for (const auto& [name, requests] : in_flight_) {
+    if (endpoints_.contains(name)) out[name] = requests;
   }
   return out;
 }
 
+unsigned endpoint_tracker::in_flight_at(const std::string& name) const {
+  const auto it = in_flight_.find(name);
+  return it == in_flight_.end() ? 0 : it->second;
+}
+
 }  // namespace trestlepost::membership
--- a/membership/test/endpoint_tracker-test.cc
+++ b/membership/test/endpoint_tracker-test.cc
@@ -51,6 +51,23 @@
   EXPECT_FALSE(view("a").usable);
 }
 
+// The ends of requests to an earlier address reduced the count of those to the
+// present one.
+TEST_F(endpoint_tracker_test, requests_are_counted_while_the_address_changes) {
+  for (int n = 0; n < 2; ++n) tracker_.request_started("a");
+  tracker_.declare({{"a", "s", "a:2", 8, false}}, now_);
+  for (int n = 0; n < 3; ++n) tracker_.request_started("a");
+  EXPECT_EQ(view("a").own_in_flight, 5U);
+  for (int n = 0; n < 2; ++n) tracker_.request_ended("a");
+  EXPECT_EQ(view("a").own_in_flight, 3U);
+  tracker_.declare({}, now_);
+  EXPECT_TRUE(tracker_.own_in_flight().empty());
+  tracker_.declare({{"a", "s", "a:2", 8, false}}, now_);
+  EXPECT_EQ(view("a").own_in_flight, 3U);
+  for (int n = 0; n < 3; ++n) tracker_.request_ended("a");
+  EXPECT_EQ(view("a").own_in_flight, 0U);
+}
+
 TEST_F(endpoint_tracker_test, a_drain_overrides_the_platforms_list) {
   declare(true);
   tracker_.platform_listed("a:1", true, now_);
