Gateways notice that endpoints accept connections but answer nothing

What callers saw: where a device between a gateway and its endpoints accepts connections and passes nothing on, all requests of a bound route at that gateway failed (80 of 80), and 234 of 320 at four gateways of six on a route that other regions may serve.

Cause: whether endpoints are reachable was concluded from connections alone. A request that was written and not answered said nothing about it, and the probe that ends the state opened a connection only.

Change: a request without an answer for as long as makes an endpoint count as hung (the route's objective, or three times the expected time) counts as unreached, unless another endpoint of the service has answered since it was sent. A probe opens a new connection and then asks for an answer, by a request that runs nothing and takes no slot (endpoint_codec::probe_request).

--- a/gateway/include/trestlepost/gateway/endpoint_prober.h
+++ b/gateway/include/trestlepost/gateway/endpoint_prober.h
@@ -8,14 +8,17 @@
 
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/membership/endpoint_tracker.h"
+#include "trestlepost/surface/endpoint_codec.h"
 
 namespace trestlepost::gateway {
 
 /// Opens a connection to one endpoint after the other of each service of which
-/// no endpoint is reachable.
+/// no endpoint is reachable, and sends a request that only asks for an answer.
 class endpoint_prober {
  public:
-  explicit endpoint_prober(gateway_context& context) : context_(context) {}
+  endpoint_prober(gateway_context& context,
+                  const surface::endpoint_codec& endpoints)
+      : context_(context), codec_(endpoints) {}
 
   void tick();
 
@@ -29,8 +32,10 @@
   void start_probe(const std::string& service, service_probes& probes);
   transport::awaitable<void> probe(std::string service,
                                    membership::endpoint_view endpoint);
+  transport::awaitable<bool> answers(std::string address);
 
   gateway_context& context_;
+  const surface::endpoint_codec& codec_;
   std::map<std::string, service_probes> probes_;  // by service
 };
 
--- a/gateway/src/endpoint_prober.cc
+++ b/gateway/src/endpoint_prober.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <memory>
 #include <set>
 #include <utility>
 #include <vector>
@@ -15,6 +16,8 @@
 using transport::connect_outcome;
 
 constexpr milliseconds probe_interval{400};
+constexpr milliseconds probe_timeout{1000};
+constexpr std::size_t max_report_bytes = 64UL * 1024;
 
 }  // namespace
 
@@ -63,15 +66,29 @@
 
 transport::awaitable<void> endpoint_prober::probe(
     std::string service, membership::endpoint_view endpoint) {
-  const connect_outcome outcome =
-      co_await context_.client.try_connect(endpoint.address);
+  const bool answered = co_await answers(endpoint.address);
   probes_[service].in_progress = false;
   const monotonic_time now = context_.clock.now();
-  if (outcome == connect_outcome::opened) {
+  if (answered) {
     context_.endpoints.endpoint_reached(endpoint.name, now);
   } else {
     context_.endpoints.endpoint_unreached(endpoint.name, now);
   }
 }
 
+transport::awaitable<bool> endpoint_prober::answers(std::string address) {
+  // A new connection: earlier ones may work while no new ones open.
+  const connect_outcome outcome = co_await context_.client.try_connect(address);
+  if (outcome != connect_outcome::opened) co_return false;
+  const std::shared_ptr<transport::http_call> call =
+      context_.client.call(address);
+  transport::http_request request = codec_.probe_request();
+  const monotonic_time answer_by = context_.clock.now() + probe_timeout;
+  const tl::expected<void, transport::call_failure> sent =
+      co_await call->send(std::move(request), answer_by);
+  if (!sent) co_return false;
+  const result<std::string> body = co_await call->read_rest(max_report_bytes);
+  co_return body.has_value();
+}
+
 }  // namespace trestlepost::gateway
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -174,8 +174,13 @@
   // If the request's own deadline passed, the endpoint may merely be slow.
   const bool late = failure.cause.kind == error_kind::deadline &&
                     current.answer_by == current.request.deadline;
+  const milliseconds silence =
+      max_silence(current.request, current.endpoint.expected);
   if (!current.exchange.is_disconnected() && may_be_unreachable(failure)) {
     context_.endpoints.endpoint_unreached(current.endpoint.name, at);
+  } else if (failure.bytes_written && at >= current.started + silence) {
+    context_.endpoints.endpoint_unanswered(current.endpoint.name,
+                                           current.started, at);
   }
   if (failure.refused) {
     context_.endpoints.connection_refused(current.endpoint.name, at);
--- a/membership/include/trestlepost/membership/endpoint_reachability.h
+++ b/membership/include/trestlepost/membership/endpoint_reachability.h
@@ -15,13 +15,19 @@
 /// service was reached last.
 class endpoint_reachability {
  public:
-  /// An endpoint answered or accepted a connection.
-  void record_reached(const std::string& service);
+  /// An endpoint answered.
+  void record_reached(const std::string& service, monotonic_time now);
   /// The endpoint did not accept a connection, or one failed before the answer.
   void record_unreached(const std::string& service, const std::string& endpoint,
                         monotonic_time now);
-  /// Forgets endpoints that are not in `names`.
-  void retain(const std::set<std::string>& names);
+  /// The endpoint has not answered a request that was sent at `sent_at`. This
+  /// counts as unreached unless another one of the service has answered since.
+  void record_unanswered(const std::string& service,
+                         const std::string& endpoint, monotonic_time sent_at,
+                         monotonic_time now);
+  /// Forgets endpoints and services that are not in `names` and `services`.
+  void retain(const std::set<std::string>& names,
+              const std::set<std::string>& services);
 
   /// Returns the services with endpoints that could not be reached.
   std::set<std::string> failing_services() const;
@@ -38,7 +44,9 @@
     monotonic_time first_at;
     std::set<std::string> endpoints;
   };
-  std::map<std::string, failures> failures_;  // by service
+  // By service.
+  std::map<std::string, failures> failures_;
+  std::map<std::string, monotonic_time> reached_at_;
 };
 
 }  // namespace trestlepost::membership
--- a/membership/include/trestlepost/membership/endpoint_tracker.h
+++ b/membership/include/trestlepost/membership/endpoint_tracker.h
@@ -87,12 +87,16 @@
   void request_succeeded(const std::string& name);
   void request_failed(const std::string& name, monotonic_time now);
   void connection_refused(const std::string& name, monotonic_time now);
-  /// The endpoint answered or accepted a connection. If no endpoint of its
-  /// service had been reachable, the ejected ones may be tried again.
+  /// The endpoint answered. If no endpoint of its service had been reachable,
+  /// the ejected ones may be tried again.
   void endpoint_reached(const std::string& name, monotonic_time now);
   /// No connection to the endpoint could be opened, or one failed before the
   /// answer.
   void endpoint_unreached(const std::string& name, monotonic_time now);
+  /// The endpoint has left a request unanswered that was sent at `sent_at`, for
+  /// longer than an endpoint usually takes.
+  void endpoint_unanswered(const std::string& name, monotonic_time sent_at,
+                           monotonic_time now);
   void report(const std::string& name, load_report in);
   /// Updates the endpoints at `address` from the platform's list. Endpoints
   /// that the list does not contain keep their state, because the list lags.
--- a/membership/src/endpoint_reachability.cc
+++ b/membership/src/endpoint_reachability.cc
@@ -10,8 +10,10 @@
 
 }  // namespace
 
-void endpoint_reachability::record_reached(const std::string& service) {
+void endpoint_reachability::record_reached(const std::string& service,
+                                           monotonic_time now) {
   failures_.erase(service);
+  reached_at_[service] = now;
 }
 
 void endpoint_reachability::record_unreached(const std::string& service,
@@ -22,7 +24,18 @@
   it.endpoints.insert(endpoint);
 }
 
-void endpoint_reachability::retain(const std::set<std::string>& names) {
+void endpoint_reachability::record_unanswered(const std::string& service,
+                                              const std::string& endpoint,
+                                              monotonic_time sent_at,
+                                              monotonic_time now) {
+  const auto reached = reached_at_.find(service);
+  const bool answered_since =
+      reached != reached_at_.end() && reached->second >= sent_at;
+  if (!answered_since) record_unreached(service, endpoint, now);
+}
+
+void endpoint_reachability::retain(const std::set<std::string>& names,
+                                   const std::set<std::string>& services) {
   for (auto& [service, it] : failures_) {
     std::erase_if(it.endpoints, [&names](const std::string& endpoint) {
       return !names.contains(endpoint);
@@ -30,6 +43,9 @@
   }
   std::erase_if(failures_,
                 [](const auto& it) { return it.second.endpoints.empty(); });
+  std::erase_if(reached_at_, [&services](const auto& it) {
+    return !services.contains(it.first);
+  });
 }
 
 std::set<std::string> endpoint_reachability::failing_services() const {
--- a/membership/src/endpoint_tracker.cc
+++ b/membership/src/endpoint_tracker.cc
@@ -32,8 +32,10 @@
 void endpoint_tracker::declare(const std::vector<declared_endpoint>& endpoints,
                                monotonic_time now) {
   std::set<std::string> declared_names;
+  std::set<std::string> services;
   for (const declared_endpoint& it : endpoints) {
     declared_names.insert(it.name);
+    services.insert(it.service);
     const auto found = endpoints_.find(it.name);
     const bool same = found != endpoints_.end() &&
                       found->second.declared.address == it.address;
@@ -57,7 +59,7 @@
   std::erase_if(endpoints_, [&declared_names](const auto& it) {
     return !declared_names.contains(it.first);
   });
-  reachability_.retain(declared_names);
+  reachability_.retain(declared_names, services);
   any_declared_ = any_declared_ || !endpoints_.empty();
 }
 
@@ -146,7 +148,7 @@
   if (reached == nullptr) return;
   const std::string& service = reached->declared.service;
   const bool was_unreachable = is_unreachable(service);
-  reachability_.record_reached(service);
+  reachability_.record_reached(service, now);
   if (!was_unreachable) return;
   for (auto& [other, it] : endpoints_) {
     if (it.declared.service != service) continue;
@@ -163,6 +165,14 @@
   reachability_.record_unreached(it->declared.service, name, now);
 }
 
+void endpoint_tracker::endpoint_unanswered(const std::string& name,
+                                           monotonic_time sent_at,
+                                           monotonic_time now) {
+  const record* it = find(name);
+  if (it == nullptr) return;
+  reachability_.record_unanswered(it->declared.service, name, sent_at, now);
+}
+
 std::optional<monotonic_time> endpoint_tracker::unreachable_since(
     const std::string& service) const {
   // Asked for each request.
--- a/membership/test/endpoint_tracker-test.cc
+++ b/membership/test/endpoint_tracker-test.cc
@@ -154,6 +154,30 @@
   EXPECT_FALSE(tracker_.is_unreachable("s"));
 }
 
+// A gateway whose connections opened while nothing was answered went on to send
+// requests to its endpoints.
+TEST_F(endpoint_tracker_test, requests_without_any_answer_are_a_partition) {
+  tracker_.endpoint_reached("d", now_);
+  const monotonic_time sent_at = now_ + milliseconds(1);
+  now_ += milliseconds(1000);
+  for (const char* name : {"a", "b", "c"}) {
+    EXPECT_FALSE(tracker_.is_unreachable("s"));
+    tracker_.endpoint_unanswered(name, sent_at, now_);
+  }
+  EXPECT_EQ(tracker_.unreachable_since("s"), now_);
+  tracker_.endpoint_reached("a", now_);
+  EXPECT_FALSE(tracker_.is_unreachable("s"));
+}
+
+TEST_F(endpoint_tracker_test, slow_answers_between_others_are_no_partition) {
+  const monotonic_time sent_at = now_;
+  now_ += milliseconds(1000);
+  tracker_.endpoint_reached("d", now_ - milliseconds(1));
+  for (const char* name : {"a", "b", "c", "d"})
+    tracker_.endpoint_unanswered(name, sent_at, now_);
+  EXPECT_FALSE(tracker_.is_unreachable("s"));
+}
+
 // After a partition, endpoints stayed ejected for up to half a minute.
 TEST_F(endpoint_tracker_test, the_end_of_a_partition_ends_ejections) {
   for (const char* name : {"a", "b", "c", "d"}) {
--- a/own/include/trestlepost/own/codecs.h
+++ b/own/include/trestlepost/own/codecs.h
@@ -39,6 +39,7 @@
       const surface::endpoint_attempt& in) const override;
   surface::endpoint_answer read_head(
       const transport::http_call& call) const override;
+  transport::http_request probe_request() const override;
   transport::header_list passthrough_headers(
       const transport::http_call& call) const override;
 
--- a/own/src/endpoint_codec.cc
+++ b/own/src/endpoint_codec.cc
@@ -32,6 +32,13 @@
   return out;
 }
 
+transport::http_request endpoint_codec::probe_request() const {
+  transport::http_request out;
+  out.method = "GET";
+  out.target = "/load";
+  return out;
+}
+
 transport::header_list endpoint_codec::passthrough_headers(
     const transport::http_call& call) const {
   const std::string_view type = call.header(headers::content_type);
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -72,6 +72,10 @@
 
   virtual endpoint_answer read_head(const transport::http_call& call) const = 0;
 
+  /// Returns a request that runs nothing and that an endpoint answers at once,
+  /// however busy it is.
+  virtual transport::http_request probe_request() const = 0;
+
   /// Returns the response headers that are passed to the caller unchanged.
   virtual transport::header_list passthrough_headers(
       const transport::http_call& call) const = 0;
