A configuration copy that can't be decoded is logged

Found by reading: a copy with a valid checksum whose store could not be decoded was ignored without configuration-copy-damaged, as if there were none: an operator of a node that restarts while it is partitioned could not see why it serves nothing. read_copy returns the error, load_copy logs it with its remedy.

Test: stored_copy_test, a_copy_that_cannot_be_decoded_is_an_error.

--- a/config/include/trestlepost/config/stored_copy.h
+++ b/config/include/trestlepost/config/stored_copy.h
@@ -13,7 +13,11 @@
 result<void> save_copy(const std::filesystem::path& folder,
                        const object_store& store);
 
-/// Reads the copy. Returns an empty store if there is none or it is damaged.
+/// Reads the copy. Returns an empty store if there is none, and an error if it
+/// is damaged or another version has written it.
+result<object_store> read_copy(const std::filesystem::path& folder);
+
+/// As `read_copy`, but logs an error and returns an empty store.
 object_store load_copy(const std::filesystem::path& folder);
 
 }  // namespace trestlepost::config
