Requests count as unanswered while they wait

What callers saw: at a gateway whose endpoints accept connections and answer nothing, 73 of 600 first attempts on a run-once route failed in the first five seconds (19 of 600 where requests may be repeated).

Cause: a request that may run once is not abandoned, so it counted against reachability only when its caller left or its deadline passed.

Change: unanswered_requests reports a request to the tracker when its answer is overdue, whether or not it goes on to wait. What becomes of the request itself does not change.

--- a/config/test/stored_copy-test.cc
+++ b/config/test/stored_copy-test.cc
@@ -48,8 +48,8 @@
   EXPECT_FALSE(read.error().remedy.empty());
 }
 
-// A copy whose checksum was valid but whose content could not be decoded counted
-// as none, without a log line.
+// A copy whose checksum was valid but whose content could not be decoded
+// counted as none, without a log line.
 TEST_F(stored_copy_test, a_copy_that_cannot_be_decoded_is_an_error) {
   for (const char* store :
        {"no JSON", R"({"objects":[{"kind":"nothing","name":"x"}]})"}) {
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -9,6 +9,7 @@
 #include "trestlepost/gateway/crash_monitor.h"
 #include "trestlepost/gateway/endpoint_pool.h"
 #include "trestlepost/gateway/event_scanner.h"
+#include "trestlepost/gateway/unanswered_requests.h"
 #include "trestlepost/surface/surfaces.h"
 
 namespace trestlepost::gateway {
@@ -21,7 +22,8 @@
       : context_(context),
         surfaces_(surfaces),
         pool_(pool),
-        crashes_(crashes) {}
+        crashes_(crashes),
+        unanswered_(context.endpoints) {}
 
   /// With `may_abandon`, abandons an endpoint that sends nothing for much
   /// longer than expected, so that another one can be tried. `events` is new,
@@ -30,6 +32,7 @@
                                     const chosen_endpoint& endpoint,
                                     bool may_abandon, event_scanner& events,
                                     transport::http_exchange& exchange);
+  void tick() { unanswered_.tick(context_.clock.now()); }
 
  private:
   struct active_run;
@@ -67,6 +70,7 @@
   const surface::surfaces& surfaces_;
   endpoint_pool& pool_;
   crash_monitor& crashes_;
+  unanswered_requests unanswered_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -62,7 +62,10 @@
   std::chrono::milliseconds retry_after(const routed_request& request);
 
   endpoint_pool& pool() { return pool_; }
-  void tick() { retries_.tick(); }
+  void tick() {
+    retries_.tick();
+    runner_.tick();
+  }
 
  private:
   /// Records whether `sent` reached its endpoint, and whether as a repeat.
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -70,8 +70,8 @@
                      context_.client.call(endpoint.address)};
   current.started = context_.clock.now();
   current.answer_by = request.deadline;
+  const milliseconds silence = max_silence(request, endpoint.expected);
   if (may_abandon) {
-    const milliseconds silence = max_silence(request, endpoint.expected);
     current.answer_by = std::min(request.deadline, current.started + silence);
   }
   context_.endpoints.request_started(endpoint.name);
@@ -83,7 +83,10 @@
   };
   exchange.on_disconnect(std::move(on_disconnect));
   attempt out;
+  const unanswered_requests::key waiting = unanswered_.begin(
+      endpoint.name, current.started, current.started + silence);
   const send_result sent = co_await send(current);
+  unanswered_.end(waiting, sent.has_value(), context_.clock.now());
   pool_.record_outcome(endpoint.name, sent && current.answer.not_run);
   if (sent) {
     std::optional<attempt> refused = read_head(current);
@@ -174,13 +177,8 @@
   // If the request's own deadline passed, the endpoint may merely be slow.
   const bool late = failure.cause.kind == error_kind::deadline &&
                     current.answer_by == current.request.deadline;
-  const milliseconds silence =
-      max_silence(current.request, current.endpoint.expected);
   if (!current.exchange.is_disconnected() && may_be_unreachable(failure)) {
     context_.endpoints.endpoint_unreached(current.endpoint.name, at);
-  } else if (failure.bytes_written && at >= current.started + silence) {
-    context_.endpoints.endpoint_unanswered(current.endpoint.name,
-                                           current.started, at);
   }
   if (failure.refused) {
     context_.endpoints.connection_refused(current.endpoint.name, at);
