Soak: faults one after the other are made in one place

Two loops of the limits' schedule and the one for control nodes differed in their targets and kinds only.

--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -74,6 +74,18 @@
     }
   }
 
+  /// Adds faults one after the other, each of one of `targets`.
+  void add_sequence(std::vector<fault>& out,
+                    const std::vector<std::string>& targets,
+                    const std::vector<fault_kind>& kinds, milliseconds span) {
+    milliseconds from{0};
+    while (from < span) {
+      out.push_back(make_fault(targets, kinds, from));
+      from = out.back().end;
+      if (out.back().kind == fault_kind::wipe) from += repair_time;
+    }
+  }
+
  private:
   std::mt19937_64 engine_;
 };
@@ -92,19 +104,11 @@
     generator.add_series(out, it, {fault_kind::freeze, fault_kind::reload},
                          options.span);
   }
-  milliseconds from{0};
-  while (from < options.span) {
-    out.push_back(generator.make_fault(
-        options.entries, {fault_kind::kill, fault_kind::stop}, from));
-    from = out.back().end;
-  }
-  from = milliseconds(0);
-  while (from < options.span) {
-    out.push_back(generator.make_fault(
-        options.entries, {fault_kind::partition, fault_kind::reset_partition},
-        from));
-    from = out.back().end;
-  }
+  generator.add_sequence(out, options.entries,
+                         {fault_kind::kill, fault_kind::stop}, options.span);
+  generator.add_sequence(out, options.entries,
+                         {fault_kind::partition, fault_kind::reset_partition},
+                         options.span);
 }
 
 std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
@@ -162,13 +166,8 @@
   const std::vector<fault_kind> control_kinds{
       fault_kind::kill, fault_kind::freeze, fault_kind::stop, fault_kind::wipe,
       fault_kind::reload};
-  milliseconds from{0};
-  while (from < options.span) {
-    out.push_back(
-        generator.make_fault(options.control_nodes, control_kinds, from));
-    from = out.back().end;
-    if (out.back().kind == fault_kind::wipe) from += repair_time;
-  }
+  generator.add_sequence(out, options.control_nodes, control_kinds,
+                         options.span);
   if (options.limits) {
     add_limit_faults(generator, out, options);
     return sorted(std::move(out), options.span);
