--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -111,21 +111,22 @@
                                 relay_timeout(), context_.clock.now());
 }
 
-std::vector<std::string> digest_service::missing_relays() const {
-  return relay_selector_.missing_relays(context_.self.region,
-                                        relay_candidates(), relay_timeout(),
-                                        context_.clock.now());
-}
-
 void digest_service::send_to_relays(const json& heartbeat) {
   const monotonic_time now = context_.clock.now();
   const std::map<std::string, std::string> peer_addresses =
       peers_in_region(context_);
-  std::vector<std::string> chosen = relays();
+  const std::string& region = context_.self.region;
+  const std::vector<membership::relay_candidate> candidates =
+      relay_candidates();
+  const milliseconds timeout = relay_timeout();
+  std::vector<std::string> chosen =
+      relay_selector_.choose(region, candidates, timeout, now);
   const bool to_second_relay = relay_heartbeats_++ % second_relay_period == 0;
   if (!to_second_relay && !chosen.empty()) chosen.resize(1);
   std::set<std::string> receivers(chosen.begin(), chosen.end());
-  for (std::string& it : missing_relays()) receivers.insert(std::move(it));
+  for (std::string& it :
+       relay_selector_.missing_relays(region, candidates, timeout, now))
+    receivers.insert(std::move(it));
   for (const std::string& name : receivers) {
     json params = heartbeat;
     params["ask"] = membership::to_json(reader_.request_for(name));
--- a/node/src/digest_service.h
+++ b/node/src/digest_service.h
@@ -67,7 +67,6 @@
   std::vector<membership::relay_candidate> relay_candidates() const;
   /// The names of the relays of this node.
   std::vector<std::string> relays() const;
-  std::vector<std::string> missing_relays() const;
   /// Time without an answer after which a relay is skipped.
   std::chrono::milliseconds relay_timeout() const;
   shared_content collect_shared_content() const;
