--- a/membership/include/trestlepost/membership/endpoint_sums.h
+++ b/membership/include/trestlepost/membership/endpoint_sums.h
@@ -45,17 +45,15 @@
 /// Mean load of each service over the ready gateways of `region`. `wait`,
 /// `event_interval` and `endpoints` are those of the gateway with the shortest
 /// wait, because a request is sent to the best gateway.
-std::map<std::string, service_load> service_means(const node_table& table,
-                                                  const std::string& region,
-                                                  monotonic_time now);
+service_loads service_means(const node_table& table, const std::string& region,
+                            monotonic_time now);
 
 /// Returns the means of other regions that were reported by nodes of these
 /// regions. Means that other nodes of `own_region` reported are omitted: two
 /// relays could otherwise keep outdated loads alive by reporting them to each
 /// other.
-std::map<std::string, std::map<std::string, service_load>>
-other_region_services(const node_table& table, const std::string& own_region,
-                      monotonic_time now);
+std::map<std::string, service_loads> other_region_services(
+    const node_table& table, const std::string& own_region, monotonic_time now);
 
 json to_json(const endpoint_sums& value);
 /// Values that are not numbers count as 0.
--- a/membership/include/trestlepost/membership/node_table.h
+++ b/membership/include/trestlepost/membership/node_table.h
@@ -44,6 +44,9 @@
   std::chrono::milliseconds event_interval{0};
 };
 
+/// Load by service name.
+using service_loads = std::map<std::string, service_load>;
+
 /// Load that an endpoint reported to the node that polls it.
 struct reported_load {
   std::uint32_t running = 0;
@@ -57,7 +60,7 @@
   std::string state;  // of the node chart
   std::uint64_t revision = 0;
   std::map<std::string, std::uint32_t> endpoint_in_flight;
-  std::map<std::string, service_load> services;
+  service_loads services;
   std::map<std::string, reported_load> reports;
   /// Prompt tokens waiting for prefill at each endpoint, by priority.
   std::map<std::string, std::vector<std::uint32_t>> pending_tokens;
@@ -80,8 +83,8 @@
 
 json to_json(const node_info& value);
 node_info node_info_from(const json& value);
-json to_json(const std::map<std::string, service_load>& value);
-std::map<std::string, service_load> service_loads_from(const json& value);
+json to_json(const service_loads& value);
+service_loads service_loads_from(const json& value);
 json to_json(const heartbeat& value);
 heartbeat heartbeat_from(const json& value);
 json to_json(const region_summary& value);
@@ -143,8 +146,8 @@
   /// Sets the service loads of another region at each of its ready gateways.
   /// `first_hand`: a relay of that region reports them.
   void set_region_services(const std::string& region,
-                           const std::map<std::string, service_load>& loads,
-                           bool first_hand, monotonic_time now);
+                           const service_loads& loads, bool first_hand,
+                           monotonic_time now);
   /// Returns whether a node of `region` has reported service loads lately.
   bool has_first_hand_services(const std::string& region,
                                monotonic_time now) const;
--- a/membership/include/trestlepost/membership/region_digest.h
+++ b/membership/include/trestlepost/membership/region_digest.h
@@ -41,9 +41,6 @@
   std::set<std::string> unreachable_services;
 };
 
-/// Load by service name.
-using service_loads = std::map<std::string, service_load>;
-
 /// A message of a relay to one receiver.
 struct region_digest {
   std::string relay;
--- a/membership/src/endpoint_sums.cc
+++ b/membership/src/endpoint_sums.cc
@@ -102,10 +102,9 @@
   return sums;
 }
 
-std::map<std::string, service_load> service_means(const node_table& table,
-                                                  const std::string& region,
-                                                  monotonic_time now) {
-  std::map<std::string, service_load> out;
+service_loads service_means(const node_table& table, const std::string& region,
+                            monotonic_time now) {
+  service_loads out;
   std::uint32_t nodes = 0;
   for (const node_record* it : table.live_in(region, now)) {
     const bool is_ready_gateway = it->last.state == node_states::ready &&
@@ -125,10 +124,10 @@
   return out;
 }
 
-std::map<std::string, std::map<std::string, service_load>>
-other_region_services(const node_table& table, const std::string& own_region,
-                      monotonic_time now) {
-  std::map<std::string, std::map<std::string, service_load>> out;
+std::map<std::string, service_loads> other_region_services(
+    const node_table& table, const std::string& own_region,
+    monotonic_time now) {
+  std::map<std::string, service_loads> out;
   for (const std::string& it : table.regions()) {
     if (it == own_region || !table.has_first_hand_services(it, now)) continue;
     out[it] = service_means(table, it, now);
--- a/membership/src/node_table.cc
+++ b/membership/src/node_table.cc
@@ -55,7 +55,7 @@
   return out;
 }
 
-json to_json(const std::map<std::string, service_load>& value) {
+json to_json(const service_loads& value) {
   json out(Json::objectValue);
   for (const auto& [name, it] : value) {
     json one;
@@ -73,8 +73,8 @@
   return out;
 }
 
-std::map<std::string, service_load> service_loads_from(const json& value) {
-  std::map<std::string, service_load> out;
+service_loads service_loads_from(const json& value) {
+  service_loads out;
   if (!value.isObject()) return out;
   for (const std::string& it : value.getMemberNames()) {
     const json& one = value[it];
@@ -253,9 +253,9 @@
       std::max(record.first_hand_at.value_or(contact_at), contact_at);
 }
 
-void node_table::set_region_services(
-    const std::string& region, const std::map<std::string, service_load>& loads,
-    bool first_hand, monotonic_time now) {
+void node_table::set_region_services(const std::string& region,
+                                     const service_loads& loads,
+                                     bool first_hand, monotonic_time now) {
   const auto last = services_set_at_.find(region);
   const bool recent = last != services_set_at_.end() &&
                       now < last->second + min_services_interval;
