--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <iomanip>
 #include <iostream>
+#include <optional>
 
 #include "soak_run.h"
 #include "trestlepost/base/json.h"
@@ -9,6 +10,8 @@
 namespace {
 
 using trestlepost::json;
+using trestlepost::soak::fault_kind;
+using trestlepost::soak::parse_fault_kind;
 using trestlepost::soak::run_soak;
 using trestlepost::soak::soak_options;
 using trestlepost::soak::soak_result;
@@ -34,6 +37,22 @@
   return out.first <= out.last;
 }
 
+/// Parses the names of fault kinds; reports the first that is none and returns
+/// false.
+bool read_kinds(const std::vector<std::string>& names,
+                std::vector<fault_kind>& out) {
+  for (const std::string& it : names) {
+    const std::optional<fault_kind> kind = parse_fault_kind(it);
+    if (!kind) {
+      std::cerr << "\"" << it << "\" is no kind of fault; docs/SOAK.md lists "
+                << "them\n";
+      return false;
+    }
+    out.push_back(*kind);
+  }
+  return true;
+}
+
 json to_json(std::uint64_t seed, const soak_result& it) {
   json out;
   out["seed"] = trestlepost::as_number(seed);
@@ -79,6 +98,11 @@
   bool limits = false;
   app.add_flag("--limits", limits,
                "endpoints state request limits most of the time");
+  std::vector<std::string> kinds;
+  app.add_option("--faults", kinds,
+                 "leave out all faults but those of these kinds, for example "
+                 "kill,refuse")
+      ->delimiter(',');
   std::string program = "trestlepostd";
   app.add_option("--program", program, "the daemon that nodes run");
   CLI11_PARSE(app, argc, argv);
@@ -87,12 +111,14 @@
     std::cerr << "\"" << seeds << "\" is not a seed range; write N or A..B\n";
     return exit_bad_usage;
   }
+  std::vector<fault_kind> only;
+  if (!read_kinds(kinds, only)) return exit_bad_usage;
   std::cout << "  seed  faults  answered  refused  failed  plans  reads  "
                "heal, ms  repeats   share   limit\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
     const soak_result it = run_soak(
-        {seed, std::chrono::seconds(seconds), gateways, limits, program});
+        {seed, std::chrono::seconds(seconds), gateways, limits, program, only});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -17,6 +17,7 @@
 constexpr milliseconds max_rejection_time{6000};
 constexpr milliseconds min_limit_time{5000};
 constexpr milliseconds max_limit_time{9000};
+constexpr fault_kind last_fault_kind = fault_kind::undelimited;
 
 class fault_generator {
  public:
@@ -111,8 +112,15 @@
                          options.span);
 }
 
-std::vector<fault> sorted(std::vector<fault> all, milliseconds span) {
-  std::erase_if(all, [span](const fault& it) { return it.begin >= span; });
+/// Returns those of `all` that are part of the schedule, ordered.
+std::vector<fault> select(std::vector<fault> all,
+                          const schedule_options& options) {
+  std::erase_if(all, [&options](const fault& it) {
+    const bool left_out = !options.only.empty() &&
+                          std::find(options.only.begin(), options.only.end(),
+                                    it.kind) == options.only.end();
+    return left_out || it.begin >= options.span;
+  });
   std::stable_sort(all.begin(), all.end(), [](const fault& a, const fault& b) {
     return a.begin < b.begin;
   });
@@ -159,6 +167,14 @@
   return "undelimited";
 }
 
+std::optional<fault_kind> parse_fault_kind(const std::string& text) {
+  for (int n = 0; n <= static_cast<int>(last_fault_kind); ++n) {
+    const fault_kind it = static_cast<fault_kind>(n);
+    if (to_string(it) == text) return it;
+  }
+  return std::nullopt;
+}
+
 std::vector<fault> make_schedule(std::uint64_t seed,
                                  const schedule_options& options) {
   fault_generator generator(seed);
@@ -170,7 +186,7 @@
                          options.span);
   if (options.limits) {
     add_limit_faults(generator, out, options);
-    return sorted(std::move(out), options.span);
+    return select(std::move(out), options);
   }
   const std::vector<fault_kind> entry_kinds{
       fault_kind::kill, fault_kind::freeze, fault_kind::stop,
@@ -207,7 +223,7 @@
                            options.span);
     }
   }
-  return sorted(std::move(out), options.span);
+  return select(std::move(out), options);
 }
 
 }  // namespace trestlepost::soak
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
 };
 
 std::string to_string(fault_kind kind);
+/// Reads a name that `to_string` writes; nothing if it names no kind.
+std::optional<fault_kind> parse_fault_kind(const std::string& text);
 
 struct fault {
   fault_kind kind = fault_kind::kill;
@@ -49,6 +52,8 @@
   /// Endpoints state request limits most of the time. Entries are killed one at
   /// a time, since one that has restarted must be told the limits again.
   bool limits = false;
+  /// If not empty, all faults of other kinds are left out.
+  std::vector<fault_kind> only;
 };
 
 /// Returns the faults ordered by `begin`. At most one control node is faulty at
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -230,9 +230,9 @@
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
-  const std::vector<fault> schedule = make_schedule(
-      options.seed,
-      {control_nodes, it.gateways(), endpoints, options.span, options.limits});
+  const std::vector<fault> schedule =
+      make_schedule(options.seed, {control_nodes, it.gateways(), endpoints,
+                                   options.span, options.limits, options.only});
   {
     traffic load(it, options.seed, plans);
     inject_faults(it, schedule);
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "plan_record.h"
+#include "schedule.h"
 
 namespace trestlepost::soak {
 
@@ -16,6 +18,8 @@
   int gateways_per_region = 1;
   bool limits = false;  // endpoints state request limits most of the time
   std::string program = "trestlepostd";  // the daemon that nodes run
+  /// If not empty, all faults of other kinds are left out.
+  std::vector<fault_kind> only;
 };
 
 struct soak_result {
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -12,11 +12,8 @@
 
 using std::chrono::milliseconds;
 
-const schedule_options options{{"c1", "c2", "c3"},
-                               {"e1", "e2"},
-                               {"i1", "i2"},
-                               milliseconds(20'000),
-                               false};
+const schedule_options options{{"c1", "c2", "c3"},   {"e1", "e2"}, {"i1", "i2"},
+                               milliseconds(20'000), false,        {}};
 
 bool same(const fault& a, const fault& b) {
   return a.kind == b.kind && a.target == b.target && a.begin == b.begin &&
@@ -90,5 +87,29 @@
   EXPECT_GT(entries, 50);
 }
 
+TEST(schedule_test, only_the_named_kinds_of_faults_occur) {
+  schedule_options named = options;
+  named.only = {fault_kind::refuse, fault_kind::overload};
+  std::size_t named_faults = 0;
+  std::size_t faults_of_these_kinds = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    named_faults += make_schedule(seed, named).size();
+    for (const fault& it : make_schedule(seed, options)) {
+      if (it.kind == fault_kind::refuse || it.kind == fault_kind::overload)
+        ++faults_of_these_kinds;
+    }
+  }
+  EXPECT_GT(named_faults, 0U);
+  EXPECT_EQ(named_faults, faults_of_these_kinds);
+}
+
+TEST(schedule_test, names_of_fault_kinds_are_read_back) {
+  for (const fault_kind it :
+       {fault_kind::kill, fault_kind::close_streams, fault_kind::undelimited}) {
+    EXPECT_EQ(parse_fault_kind(to_string(it)), it);
+  }
+  EXPECT_FALSE(parse_fault_kind("no such kind"));
+}
+
 }  // namespace
 }  // namespace trestlepost::soak
