Directory of nodes: versions of different leaders are not compared

Each leader numbers the changes of its directory from 1, and a poll named only the version that the node had last. If a node first polled a new leader (or one that leads again) when that leader's directory had reached the same number, it was sent only what changed afterwards and never got the entries that the earlier leader had lacked. Found by reading; relays and heartbeats tell of most of these nodes.

Positions name the leader's term. A position of another term is answered with the whole directory; one without a term, from a node of an earlier version, is compared by version as before.

No run over processes shows the gap.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -247,7 +247,7 @@
                            flag_of(params, "missed")});
     orders_.acknowledge_confirmed();
     answer["confirmed"] = true;
-    answer["update"] = make_update(number_of(params, "book_version"),
+    answer["update"] = make_update(directory_position_from(params),
                                    node_directory_.find(poller)->region);
   }
   // A node that does not lead sends no configuration: its copy may be
@@ -278,11 +278,11 @@
   for (const auto& [address, it] : saved) handle_poll(it.params);
 }
 
-json control_service::make_update(std::uint64_t directory_version,
+json control_service::make_update(const directory_position& known,
                                   const std::string& region) const {
   json out;
   out["to"] = as_number(machine_.store().revision());
-  node_directory_.add_changes(out, directory_version, region);
+  node_directory_.add_changes(out, known, host_->core().term(), region);
   json& ledgers = out["ledgers"] = json(Json::arrayValue);
   for (const auto& [name, it] : machine_.ledgers()) {
     ledgers.append(config::to_json(it));
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -126,7 +126,7 @@
   void handle_probe_answer(const json& params);
   /// The part of an answer to a poll that only the leader sends: the
   /// revision, new or changed nodes, and the ledgers.
-  json make_update(std::uint64_t directory_version,
+  json make_update(const directory_position& known,
                    const std::string& region) const;
   void on_decided(const config::audit_record& record);
   void finish_founding_if_ready();
--- a/node/src/node_directory.h
+++ b/node/src/node_directory.h
@@ -11,6 +11,18 @@
 
 namespace trestlepost::node {
 
+/// How much of a leader's directory a node has. Versions of different terms are
+/// not comparable, since each leader counts the changes that it has recorded.
+struct directory_position {
+  std::uint64_t term = 0;  // of the leader; 0 if unknown
+  std::uint64_t version = 0;
+};
+
+/// Reads the position that an update or a poll contains.
+directory_position directory_position_from(const json& message);
+/// Adds a position to an update or a poll.
+void add_position(json& message, const directory_position& position);
+
 /// Assigns a version to each change of an entry, so that a node is sent only
 /// the entries that have changed since its last poll.
 class node_directory {
@@ -19,11 +31,11 @@
   void record(const membership::node_info& info);
   /// The node with that name, or null.
   const membership::node_info* find(const std::string& name) const;
-  /// Adds to `update` the entries changed since `version` that a node in
-  /// `region` needs: nodes of its region, control nodes, and nodes with a disk
-  /// in other regions, which may be relays.
-  void add_changes(json& update, std::uint64_t version,
-                   const std::string& region) const;
+  /// Adds to `update` the entries changed since `known` that a node in `region`
+  /// needs: nodes of its region, control nodes, and nodes with a disk in other
+  /// regions, which may be relays. `term` is that of this leader.
+  void add_changes(json& update, const directory_position& known,
+                   std::uint64_t term, const std::string& region) const;
 
  private:
   struct entry {
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -67,7 +67,7 @@
   params["token"] = as_number(token);
   add_identity(params, address);
   params["revision"] = as_number(context_.store.revision());
-  params["book_version"] = as_number(directory_version_);
+  add_position(params, directory_position_);
   if (update_missed_) params["missed"] = true;
   update_missed_ = false;
   pending_polls_.push_back({token, context_.clock.now()});
@@ -196,7 +196,7 @@
     const membership::node_info info = membership::node_info_from(it);
     if (!info.name.empty()) context_.known_nodes[info.name] = info;
   }
-  directory_version_ = number_of(update, "book_version");
+  directory_position_ = directory_position_from(update);
   for (const json& it : member_of(update, "ledgers")) {
     const config::ledger_founding one = config::ledger_founding_from(it);
     ledgers_[one.region] = one;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -13,6 +13,7 @@
 #include "disk/configuration_saver.h"
 #include "leader_finder.h"
 #include "node_context.h"
+#include "node_directory.h"
 #include "poll_schedule.h"
 #include "trestlepost/config/state_machine.h"
 
@@ -78,7 +79,7 @@
   std::map<std::string, config::ledger_founding> ledgers_;
   std::deque<pending_poll> pending_polls_;
   std::uint64_t next_token_ = 1;
-  std::uint64_t directory_version_ = 0;
+  directory_position directory_position_;
   /// Whether an update since the last poll skipped revisions or was unreadable.
   bool update_missed_ = false;
   monotonic_time next_poll_;
