An oversized frame of a node is logged and counted by itself

A frame above the limit from an authenticated node closed the connection without a log line and counted as one of a stranger. The node sends it again on each new connection, so that an operator saw nothing but strangers and reconnections.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -458,6 +458,8 @@
       static_cast<double>(links.traffic().messages_dropped));
   set("platform_entries_unreadable",
       static_cast<double>(routed_services.unreadable_entries()));
+  set("peer_frames_too_large",
+      static_cast<double>(peer_server.traffic().oversized_refused));
   set("peer_strangers_refused",
       static_cast<double>(peer_server.traffic().unauthenticated_refused));
 }
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -45,6 +45,8 @@
   std::uint64_t messages_received = 0;
   std::uint64_t messages_dropped = 0;
   std::uint64_t unauthenticated_refused = 0;
+  /// Frames of authenticated peers that were larger than the limit.
+  std::uint64_t oversized_refused = 0;
 };
 
 /// Notification that is serialized and compressed once, then sent to any number
--- a/transport/src/peer_server.cc
+++ b/transport/src/peer_server.cc
@@ -62,6 +62,19 @@
   return out;
 }
 
+/// Records a frame that is too large. Only the first, with the number 0, is
+/// from a peer that is not yet authenticated.
+void refuse_oversized(peer_server::state& server, std::uint64_t number,
+                      std::size_t size, std::size_t limit) {
+  std::uint64_t& refused = number == 0 ? server.traffic.unauthenticated_refused
+                                       : server.traffic.oversized_refused;
+  ++refused;
+  log_event(log_level::warn, "peer-frame-too-large",
+            {{"authenticated", number == 0 ? "no" : "yes"},
+             {"bytes", std::to_string(size)},
+             {"allowed", std::to_string(limit)}});
+}
+
 /// Reads one frame and returns its payload. Returns nullopt if the connection
 /// ends, or if the frame is too large, has an invalid digest or cannot be
 /// decompressed.
@@ -77,7 +90,7 @@
   const std::size_t limit = counter == 0 ? server->options.first_frame_limit
                                          : server->options.frame_limit;
   if (size > limit) {
-    ++server->traffic.unauthenticated_refused;
+    refuse_oversized(*server, counter, size, limit);
     co_return std::nullopt;
   }
   std::string payload(size, '\0');
--- a/transport/test/peer-test.cc
+++ b/transport/test/peer-test.cc
@@ -173,6 +173,30 @@
   EXPECT_TRUE(received_.empty());
 }
 
+// Guards against an authenticated peer that is disconnected over and over
+// without a sign of the cause.
+TEST_F(peer_test, an_oversized_frame_of_a_peer_is_no_stranger) {
+  server_.close();
+  peer_options options;
+  options.frame_limit = 8UL * 1024;
+  peer_server server(context_, secret, dispatcher_, random_, options);
+  ASSERT_TRUE(server.listen(address));
+  peer_links links(context_, secret, {});
+  links.send(address, "count", make_params(1));
+  ASSERT_TRUE(run_until([this] { return received_.size() == 1; }));
+  json large = make_params(2);
+  std::string text;  // does not compress below the limit
+  while (text.size() < 4 * options.frame_limit) {
+    text += std::to_string(random_.next());
+  }
+  large["text"] = text;
+  links.send(address, "count", large);
+  ASSERT_TRUE(
+      run_until([&server] { return server.traffic().oversized_refused > 0; }));
+  EXPECT_EQ(server.traffic().unauthenticated_refused, 0U);
+  EXPECT_EQ(received_.size(), 1U);
+}
+
 struct malformed_frame {
   const char* name;
   std::string bytes;
