Percent escapes are decoded in one place

The product's own codec read an escape without hexadecimal digits as byte 0, the platform's left it as it is. Both call transport::decode_percent now, which leaves it.

an_invalid_escape_in_a_label_stays_as_it_is failed before (old decoder put back on a scratch copy).

--- a/own/src/entry_codec.cc
+++ b/own/src/entry_codec.cc
@@ -1,7 +1,5 @@
 // Parses callers' look-ups of entries and queries for a node's readiness or
 // health, and encodes the answers.
-#include <cstdlib>
-
 #include "trestlepost/own/codecs.h"
 #include "trestlepost/own/request_options.h"
 #include "trestlepost/transport/query.h"
@@ -19,24 +17,6 @@
   return target.substr(0, target.find('?'));
 }
 
-/// Decodes percent escapes. Invalid digits are not reported: an escape without
-/// a hexadecimal digit decodes to byte 0.
-std::string decode_query(std::string_view text) {
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '%' && i + 2 < text.size()) {
-      constexpr int hexadecimal = 16;
-      const std::string digits(text.substr(i + 1, 2));
-      out +=
-          static_cast<char>(std::strtol(digits.c_str(), nullptr, hexadecimal));
-      i += 2;
-    } else {
-      out += text[i];
-    }
-  }
-  return out;
-}
-
 json to_json(const membership::entry_view& value) {
   json out;
   out["node"] = value.node;
@@ -60,7 +40,7 @@
 
 result<config::label_map> entry_codec::read_labels(
     std::string_view target) const {
-  return parse_labels(decode_query(query_value(target, "labels")));
+  return parse_labels(transport::decode_percent(query_value(target, "labels")));
 }
 
 transport::http_response entry_codec::show_entries(
--- a/own/test/entry_codec-test.cc
+++ b/own/test/entry_codec-test.cc
@@ -49,6 +49,15 @@
   EXPECT_TRUE(entry_codec().read_labels("/v1/entries")->empty());
 }
 
+// Guards against escapes without digits that are read as byte 0.
+TEST(entry_codec_test, an_invalid_escape_in_a_label_stays_as_it_is) {
+  const result<config::label_map> labels =
+      entry_codec().read_labels("/v1/entries?labels=a%3D%zz,b=1%2");
+  ASSERT_TRUE(labels);
+  const config::label_map expected{{"a", "%zz"}, {"b", "1%2"}};
+  EXPECT_EQ(*labels, expected);
+}
+
 TEST(entry_codec_test, rejects_invalid_labels) {
   for (const char* it :
        {"a", "a%3D", "%3D1", ",a=1", "a=1%2C%2Cb=2", "a=1,a=2", "a%3", "a%"}) {
