--- a/ctl/src/commands.cc
+++ b/ctl/src/commands.cc
@@ -42,7 +42,7 @@
   std::ifstream in(path, std::ios::binary);
   if (!in) {
     return fail(error_kind::bad_input, "cannot read " + path,
-                "name a file that exists with -f FILE");
+                "name a file that exists and may be read");
   }
   return std::string{std::istreambuf_iterator<char>(in),
                      std::istreambuf_iterator<char>()};
--- a/tests/test/cli-test.cc
+++ b/tests/test/cli-test.cc
@@ -68,6 +68,10 @@
   EXPECT_NE(bad.output.find("did you mean \"name\"?"), std::string::npos);
   EXPECT_EQ(ctl(it, {"check", "bad.jsonc"}).status, 2);
   EXPECT_EQ(ctl(it, {"check", "good.jsonc"}).status, 0);
+  const program_result no_file = ctl(it, {"check", "none.jsonc"});
+  EXPECT_EQ(no_file.status, 2);
+  EXPECT_NE(no_file.output.find("cannot read none.jsonc"), std::string::npos);
+  EXPECT_EQ(no_file.output.find("-f"), std::string::npos);  // no such flag
   EXPECT_EQ(ctl(it, {"apply", "-f", "good.jsonc", "--change-id", "c2",
                      "--if-revision", "1"})
                 .status,
