Test of a partitioned region waits until the change is in force

The test sent the request as soon as the change was accepted, which says that it is decided, not that it is in force. One of nine plays beside six busy loops failed in the same way; its logs show change-decided for revision 2 and, when the request was answered, no configuration-in-force at that node (three other nodes had it).

--- a/tests/test/request-faults-test.cc
+++ b/tests/test/request-faults-test.cc
@@ -101,12 +101,16 @@
            it.state("golfo-2") == "isolated";
   }));
   // Callers of the mainland team are now permitted in isola only.
+  std::uint64_t accepted = 0;
   ASSERT_TRUE(eventually([&] {
     const result<json> applied = it.apply("isola-1", R"({"placement_rules": [
         {"name": "north", "callers": {"team": "mainland"},
          "permit": {"region": "isola"}}]})");
+    if (applied) accepted = number_of(*applied, "revision");
     return applied && text_of(*applied, "status") == "accepted";
   }));
+  // An accepted change may still be on its way to the node that accepted it.
+  ASSERT_TRUE(eventually([&] { return it.revision("isola-1") == accepted; }));
   const caller_request own = it.model_request("golfo-1", "planner");
   EXPECT_EQ(bench::send_and_wait(own).status, 200U);
   expect_runs_in(it, id_of(own), {"golfo"});
