--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -46,15 +46,6 @@
     }
     return out;
   }
-  /// Adds faults of `target`, one after the other.
-  void add_series(std::vector<fault>& out, const std::string& target,
-                  const std::vector<fault_kind>& kinds, milliseconds span) {
-    milliseconds from{0};
-    while (from < span) {
-      out.push_back(make_fault({target}, kinds, from));
-      from = out.back().end;
-    }
-  }
   /// Adds faults that strike all of `targets` at once, each for a time between
   /// `min_time` and `max_time`.
   void add_common_series(std::vector<fault>& out,
@@ -97,13 +88,14 @@
   for (const std::string& it : options.endpoints) {
     generator.add_common_series(out, {it}, {fault_kind::limit}, options.span,
                                 max_limit_time, min_limit_time);
-    generator.add_series(
-        out, it, {fault_kind::refuse, fault_kind::overload, fault_kind::pause},
+    generator.add_sequence(
+        out, {it},
+        {fault_kind::refuse, fault_kind::overload, fault_kind::pause},
         options.span);
   }
   for (const std::string& it : options.entries) {
-    generator.add_series(out, it, {fault_kind::freeze, fault_kind::reload},
-                         options.span);
+    generator.add_sequence(out, {it}, {fault_kind::freeze, fault_kind::reload},
+                           options.span);
   }
   generator.add_sequence(out, options.entries,
                          {fault_kind::kill, fault_kind::stop}, options.span);
@@ -192,7 +184,7 @@
       fault_kind::kill, fault_kind::freeze, fault_kind::stop,
       fault_kind::reload};
   for (const std::string& it : options.entries) {
-    generator.add_series(out, it, entry_kinds, options.span);
+    generator.add_sequence(out, {it}, entry_kinds, options.span);
   }
   // Half of the seeds only have rejections, which cause the most repeats: after
   // other faults, gateways stop using the endpoint.
@@ -206,7 +198,7 @@
                 fault_kind::pause,          fault_kind::close_streams,
                 fault_kind::silence_streams};
   for (const std::string& it : options.endpoints) {
-    generator.add_series(out, it, endpoint_kinds, options.span);
+    generator.add_sequence(out, {it}, endpoint_kinds, options.span);
   }
   generator.add_common_series(
       out, options.endpoints, endpoint_kinds, options.span,
@@ -215,12 +207,13 @@
                               options.span, max_outage);
   if (!rejections_only) {
     for (const std::string& it : options.endpoints) {
-      generator.add_series(out, it, {fault_kind::undelimited}, options.span);
+      generator.add_sequence(out, {it}, {fault_kind::undelimited},
+                             options.span);
     }
     for (const std::string& it : options.entries) {
-      generator.add_series(out, it,
-                           {fault_kind::partition, fault_kind::reset_partition},
-                           options.span);
+      generator.add_sequence(
+          out, {it}, {fault_kind::partition, fault_kind::reset_partition},
+          options.span);
     }
   }
   return select(std::move(out), options);
