--- a/node/src/probe_service.cc
+++ b/node/src/probe_service.cc
@@ -29,11 +29,9 @@
                                          std::string address) {
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(address);
-  transport::http_request request;
-  request.method = "GET";
-  request.target = "/load";
-  const tl::expected<void, transport::call_failure> sent =
-      co_await call->send(request, context_.clock.now() + probe_timeout);
+  transport::http_request request = own::load_request();
+  const tl::expected<void, transport::call_failure> sent = co_await call->send(
+      std::move(request), context_.clock.now() + probe_timeout);
   if (!sent) {
     reports_.erase(endpoint);
     if (sent.error().refused) {
--- a/own/include/trestlepost/own/codecs.h
+++ b/own/include/trestlepost/own/codecs.h
@@ -27,6 +27,9 @@
   transport::http_response refuse(const surface::refusal& why) const override;
 };
 
+/// Asks an endpoint for its load; it answers without running anything.
+transport::http_request load_request();
+
 /// Encodes requests to endpoints and parses the heads of their answers.
 class endpoint_codec final : public surface::endpoint_codec {
  public:
--- a/own/src/endpoint_codec.cc
+++ b/own/src/endpoint_codec.cc
@@ -32,13 +32,17 @@
   return out;
 }
 
-transport::http_request endpoint_codec::probe_request() const {
+transport::http_request load_request() {
   transport::http_request out;
   out.method = "GET";
   out.target = "/load";
   return out;
 }
 
+transport::http_request endpoint_codec::probe_request() const {
+  return load_request();
+}
+
 transport::header_list endpoint_codec::passthrough_headers(
     const transport::http_call& call) const {
   const std::string_view type = call.header(headers::content_type);
