Crash monitor: logs name the parts of prompts in runs that ended with an endpoint

The logs told which requests ran where an endpoint crashed, not what they shared, nor whether they had begun to answer. A gateway now logs part-in-crashed-run with the keyed fingerprint of each part of such a prompt but the last, unless the run had sent an event or a whole answer. Nothing is decided by it yet.

--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -45,6 +45,9 @@
   skip_stale_answers(active_run& current);
   attempt send_failed(const active_run& current,
                       const transport::call_failure& failure);
+  /// Reports to the crash monitor how the run ended.
+  void record_end(routed_request& request, const active_run& current,
+                  const attempt& out);
   /// Evaluates the head of the answer. Returns the result of the attempt if the
   /// endpoint refused the request.
   std::optional<attempt> read_head(active_run& current);
@@ -56,6 +59,9 @@
   /// Returns false if the caller disconnected.
   transport::awaitable<bool> relay_events(active_run& current, std::string text,
                                           bool ended);
+  /// Records that the endpoint has begun to answer, which shows that the parts
+  /// of the prompt don't crash it.
+  void record_begin(active_run& current);
   /// Logs an answer without length that has ended in order.
   void log_undelimited_end(const active_run& current) const;
   /// The endpoint answered a continuation with something other than a stream.
--- a/gateway/src/answer_reader.cc
+++ b/gateway/src/answer_reader.cc
@@ -15,12 +15,13 @@
 
 transport::awaitable<result<std::string>> answer_reader::read_piece() {
   result<std::string> piece = co_await call_.read_piece();
-  const bool unchecked = call_.is_delimited() || body_ == answer_body::opaque;
-  if (!piece || unchecked) co_return piece;
+  if (!piece || body_ == answer_body::opaque) co_return piece;
+  const bool unchecked = call_.is_delimited();
   if (!piece->empty()) {
-    events_.push(*piece);
+    if (!unchecked || !has_event()) events_.push(*piece);
     co_return piece;
   }
+  if (unchecked) co_return piece;
   if (events_.is_inside_event()) co_return truncated("inside an event");
   if (!events_.has_event() && body_ == answer_body::events)
     co_return truncated("before the first event");
--- a/gateway/src/answer_reader.h
+++ b/gateway/src/answer_reader.h
@@ -27,6 +27,9 @@
   /// connection was closed inside an event, or before the first one.
   transport::awaitable<result<std::string>> read_piece();
 
+  /// Returns whether a complete event has been read.
+  bool has_event() const { return events_.has_event(); }
+
   transport::http_call& call() { return call_; }
 
  private:
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -1,4 +1,4 @@
-// Probes endpoints after interrupted runs, and holds requests that crash them.
+// Probes endpoints after interrupted runs, and holds what crashes them.
 #include "trestlepost/gateway/crash_monitor.h"
 
 #include <algorithm>
@@ -12,6 +12,8 @@
 namespace trestlepost::gateway {
 namespace {
 
+using routing::run_trait;
+using routing::trait_kind;
 using std::chrono::milliseconds;
 using transport::connect_outcome;
 
@@ -24,8 +26,11 @@
 // whether the gateway is partitioned from all of them.
 constexpr milliseconds partition_detection_time{80};
 
-// How long, and for how many requests, the completion of a request involved in
-// a crash is monitored.
+// Traits of the runs at one endpoint that are reported when it crashes.
+constexpr std::size_t max_traits_per_crash = 1024;
+
+// How long, and for how many traits, the success of runs with a trait that was
+// involved in a crash is monitored.
 constexpr std::chrono::minutes monitoring_time{10};
 constexpr std::size_t max_monitored = 4096;
 // How long a gateway holds a request on its own decision. The configuration
@@ -67,11 +72,27 @@
 
 }  // namespace
 
-void crash_monitor::run_interrupted(const std::string& fingerprint,
+crash_monitor::trait_list crash_monitor::parts_of(
+    const routed_request& request) {
+  return parts_.of(request, context_.peer_secret);
+}
+
+crash_monitor::trait_list crash_monitor::traits_of(routed_request& request) {
+  trait_list out = parts_of(request);
+  out.push_back(
+      {trait_kind::request, request.fingerprint(context_.peer_secret)});
+  return out;
+}
+
+void crash_monitor::run_interrupted(const trait_list& traits,
                                     const run_location& at) {
-  const auto [interrupted, first] =
-      interrupted_runs_.try_emplace(at.endpoint, std::set<std::string>());
-  interrupted->second.insert(fingerprint);
+  const auto [known, first] = interrupted_.try_emplace(at.endpoint);
+  interrupted_runs& runs = known->second;
+  ++runs.runs;
+  for (const run_trait& it : traits) {
+    if (runs.traits.size() >= max_traits_per_crash) break;
+    runs.traits.emplace(it.fingerprint, it.kind);
+  }
   if (!first) return;
   run_location probed_location = at;
   transport::asio::co_spawn(context_.io, probe(std::move(probed_location)),
@@ -79,10 +100,14 @@
 }
 
 transport::awaitable<bool> crash_monitor::is_partitioned(
-    const run_location& at, const std::set<std::string>& interrupted) {
+    const run_location& at, const trait_map& interrupted) {
   const monotonic_time refused_at = context_.clock.now();
   context_.endpoints.endpoint_unreached(at.endpoint, refused_at);
-  refusals_.record(at.service, at.endpoint, interrupted, refused_at);
+  std::set<std::string> fingerprints;
+  for (const auto& [fingerprint, kind] : interrupted)
+    fingerprints.insert(fingerprint);
+  refusals_.record(at.service, at.endpoint, std::move(fingerprints),
+                   refused_at);
   co_await transport::sleep_for(context_.io, partition_detection_time);
   co_return context_.endpoints.is_unreachable(at.service) &&
       refusals_.is_common_loss(at.service, context_.clock.now());
@@ -93,43 +118,69 @@
   std::string address = at.address;
   const connect_outcome probed =
       co_await context_.client.try_connect(std::move(address));
-  const std::set<std::string> interrupted =
-      std::move(interrupted_runs_.extract(at.endpoint).mapped());
+  const interrupted_runs interrupted =
+      std::move(interrupted_.extract(at.endpoint).mapped());
   const bool refused = probed == connect_outcome::refused;
-  const bool crashed = refused && !co_await is_partitioned(at, interrupted);
+  const bool crashed =
+      refused && !co_await is_partitioned(at, interrupted.traits);
   const std::string outcome(refused && !crashed ? "unreachable"
                                                 : probe_result_name(probed));
-  context_.metrics.runs_interrupted(at.service, outcome, interrupted.size());
+  context_.metrics.runs_interrupted(at.service, outcome, interrupted.runs);
   log_event(log_level::info, "endpoint-runs-interrupted",
             {{"endpoint", at.endpoint},
              {"service", at.service},
-             {"runs", std::to_string(interrupted.size())},
+             {"runs", std::to_string(interrupted.runs)},
              {"endpoint_is", outcome}});
   if (!crashed) co_return;
-  for (const std::string& it : interrupted) record_crash(it, at);
+  const monotonic_time now = context_.clock.now();
+  for (const auto& [fingerprint, kind] : interrupted.traits) {
+    const run_trait trait{kind, fingerprint};
+    record_crash(trait, at, now);
+  }
+  monitor_service(at.service, now);
 }
 
-void crash_monitor::record_crash(const std::string& fingerprint,
-                                 const run_location& at) {
-  const monotonic_time now = context_.clock.now();
-  log_event(log_level::info, "run-ended-by-crash",
-            {{"fingerprint", fingerprint},
+void crash_monitor::record_crash(const run_trait& trait, const run_location& at,
+                                 monotonic_time now) {
+  // Parts have an event of their own, since lines are limited by event.
+  const bool whole_request = trait.kind == trait_kind::request;
+  log_event(log_level::info,
+            whole_request ? "run-ended-by-crash" : "part-in-crashed-run",
+            {{"fingerprint", trait.fingerprint},
              {"endpoint", at.endpoint},
              {"service", at.service}});
-  const routing::crash_report report{fingerprint, at.endpoint, at.service, now};
+  if (!whole_request) return;
+  const routing::crash_report report{trait.fingerprint, at.endpoint, at.service,
+                                     now};
   attribution_.record_crash(report, now);
-  set_expiry(monitored_, fingerprint, now + monitoring_time);
+  set_expiry(monitored_, trait.fingerprint, now + monitoring_time);
   if (on_crash) on_crash(report);
 }
 
+void crash_monitor::monitor_service(const std::string& service,
+                                    monotonic_time now) {
+  set_expiry(monitored_, routing::service_fingerprint(service),
+             now + monitoring_time);
+}
+
+void crash_monitor::run_began(const std::string& service,
+                              const trait_list& parts) {
+  record_success(routing::service_fingerprint(service));
+  for (const run_trait& it : parts) record_success(it.fingerprint);
+}
+
 void crash_monitor::run_completed(const std::string& fingerprint) {
+  record_success(fingerprint);
+}
+
+void crash_monitor::record_success(const std::string& fingerprint) {
   const auto monitored = monitored_.find(fingerprint);
   if (monitored == monitored_.end()) return;
   monitored_.erase(monitored);
   suspects_.erase(fingerprint);
   local_holds_.erase(fingerprint);
   attribution_.record_success(fingerprint, context_.clock.now());
-  if (on_run_completed) on_run_completed(fingerprint);
+  if (on_success) on_success(fingerprint);
 }
 
 bool crash_monitor::holds_any() const {
@@ -137,23 +188,32 @@
 }
 
 std::optional<attempt> crash_monitor::refusal_of(
-    const std::string& fingerprint) const {
-  const bool held = local_holds_.contains(fingerprint) ||
-                    context_.store.held_requests().contains(fingerprint);
-  if (!held) return std::nullopt;
+    const trait_list& traits) const {
+  const auto is_held = [this](const run_trait& it) {
+    return local_holds_.contains(it.fingerprint) ||
+           context_.store.held_requests().contains(it.fingerprint);
+  };
+  const auto held = std::find_if(traits.begin(), traits.end(), is_held);
+  if (held == traits.end()) return std::nullopt;
+  const std::string cause =
+      held->kind == trait_kind::request
+          ? "endpoints crash when they run this request; its fingerprint is "
+          : "endpoints crash when they run requests with a part of this "
+            "prompt; "
+            "the fingerprint of the part is ";
   return failed_attempt(
       run_state::no,
-      {error_kind::request_held,
-       "endpoints crash when they run this request; its fingerprint is " +
-           fingerprint,
+      {error_kind::request_held, cause + held->fingerprint,
        "change the request; an operator may release it with `trestlepost "
        "release " +
-           fingerprint + "`"},
+           held->fingerprint + "`"},
       retry_after_held);
 }
 
-bool crash_monitor::is_suspect(const std::string& fingerprint) const {
-  return suspects_.contains(fingerprint);
+bool crash_monitor::is_suspect(const trait_list& traits) const {
+  return std::any_of(traits.begin(), traits.end(), [this](const run_trait& it) {
+    return suspects_.contains(it.fingerprint);
+  });
 }
 
 void crash_monitor::add_suspects(const std::vector<std::string>& fingerprints) {
--- a/node/src/crash_reporter.cc
+++ b/node/src/crash_reporter.cc
@@ -21,7 +21,7 @@
   enqueue(report);
 }
 
-void crash_reporter::run_completed(const std::string& fingerprint) {
+void crash_reporter::report_success(const std::string& fingerprint) {
   routing::crash_report report;
   report.fingerprint = fingerprint;
   report.at = context_.clock.now();
--- a/node/src/crash_reporter.h
+++ b/node/src/crash_reporter.h
@@ -19,8 +19,8 @@
 
   /// Reports that an endpoint crashed while it ran a request.
   void report_crash(const routing::crash_report& report);
-  /// Reports that a request with this fingerprint completed successfully.
-  void run_completed(const std::string& fingerprint);
+  /// Reports a successful run with the trait of this fingerprint.
+  void report_success(const std::string& fingerprint);
   void tick();
 
  private:
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -316,8 +316,8 @@
   crashes.on_crash = [this](const routing::crash_report& it) {
     crash_reports.report_crash(it);
   };
-  crashes.on_run_completed = [this](const std::string& fingerprint) {
-    crash_reports.run_completed(fingerprint);
+  crashes.on_success = [this](const std::string& fingerprint) {
+    crash_reports.report_success(fingerprint);
   };
   peer_dispatcher.add_notification(
       "crash.suspects",
