HTTP client: a discarded response without end is given up

An endpoint that answered another request than the one sent had that response discarded without a bound, until the deadline at best. Without the bound the new test did not end within 100 s (killed); with it 23 ms. At most 1 MB is discarded. Heads without end are given up by the parser's limit already: tests of junk and of header lines, 0 ms.

--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -27,6 +27,8 @@
 
 // Maximum size in bytes of one read of a body.
 constexpr std::size_t piece_size = 16UL * 1024;
+// Maximum size in bytes of a response that is discarded to read the next one.
+constexpr std::size_t max_discarded = 1024UL * 1024;
 constexpr char endpoint_remedy[] =
     "check the endpoint; the request may be sent again if it is repeatable";
 
@@ -314,6 +316,7 @@
 awaitable<tl::expected<void, call_failure>> pooled_call::read_next_response() {
   // Does not use `read_piece`, which would return the connection to the pool at
   // the end of the discarded response.
+  std::size_t discarded_bytes = 0;
   while (connection_ && !cancelled_ && !parser_->is_done()) {
     std::array<char, piece_size> discarded{};
     parser_->get().body().data = discarded.data();
@@ -322,6 +325,8 @@
     co_await http::async_read_some(connection_->stream, connection_->buffer,
                                    *parser_, redirect_error(use_awaitable, ec));
     if (ec == http::error::need_buffer) ec = {};
+    discarded_bytes += discarded.size() - parser_->get().body().size;
+    if (discarded_bytes > max_discarded) ec = http::error::body_limit;
     if (ec)
       co_return tl::make_unexpected(failure("no response from", ec, true));
   }
