Answers without end are given up after what their requests can need

An endpoint that sends bytes without end was read, and passed on to callers and other regions, until the deadline of the request; plain answers of 16 MB each were held, by any number at once.

The cause of an answer that is too large is endpoint_failed now: where it was too_large, a caller could have been told 413 for what the endpoint did.

--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "trestlepost/gateway/answer_memory.h"
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/crash_monitor.h"
 #include "trestlepost/gateway/endpoint_pool.h"
@@ -77,6 +78,7 @@
   endpoint_pool& pool_;
   crash_monitor& crashes_;
   unanswered_requests unanswered_;
+  answer_memory answer_memory_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "trestlepost/gateway/answer_memory.h"
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/routed_request.h"
@@ -47,6 +48,7 @@
   void record_acceptance(const std::string& region, const std::string& service,
                          const attempt& outcome);
 
+  answer_memory answer_memory_;
   std::map<std::string, std::uint32_t> unanswered_;  // by region
   routing::acceptance_estimator acceptance_;         // by region and service
 };
--- a/gateway/src/answer_reader.cc
+++ b/gateway/src/answer_reader.cc
@@ -15,7 +15,17 @@
 
 transport::awaitable<result<std::string>> answer_reader::read_piece() {
   result<std::string> piece = co_await call_.read_piece();
-  if (!piece || body_ == answer_body::opaque) co_return piece;
+  if (!piece) co_return piece;
+  bytes_ += piece->size();
+  if (bytes_ > max_bytes_) {
+    call_.cancel();
+    co_return fail(error_kind::endpoint_failed,
+                   "the endpoint's answer exceeds " +
+                       std::to_string(max_bytes_) + " bytes",
+                   "check the endpoint; the request may be sent again if it is "
+                   "repeatable");
+  }
+  if (body_ == answer_body::opaque) co_return piece;
   const bool unchecked = call_.is_delimited();
   if (!piece->empty()) {
     if (!unchecked || !has_event()) events_.push(*piece);
--- a/gateway/src/answer_reader.h
+++ b/gateway/src/answer_reader.h
@@ -19,12 +19,15 @@
 
 class answer_reader {
  public:
-  answer_reader(transport::http_call& call, answer_body body)
-      : call_(call), body_(body) {}
+  /// `max_bytes`: limit of the body's size.
+  answer_reader(transport::http_call& call, answer_body body,
+                std::size_t max_bytes)
+      : call_(call), body_(body), max_bytes_(max_bytes) {}
 
   /// Reads the next piece. Returns an empty string at the end of the body, and
-  /// an error if it is truncated: also if the answer has no length and its
-  /// connection was closed inside an event, or before the first one.
+  /// an error if it exceeds its limit or is truncated: also if the answer has
+  /// no length and its connection was closed inside an event, or before the
+  /// first one.
   transport::awaitable<result<std::string>> read_piece();
 
   /// Returns whether a complete event has been read.
@@ -35,6 +38,8 @@
  private:
   transport::http_call& call_;
   answer_body body_;
+  std::size_t max_bytes_;
+  std::size_t bytes_ = 0;
   event_boundary events_;
 };
 
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -1,6 +1,7 @@
 // Relays streamed answers piece by piece.
 #include "answer_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace trestlepost::gateway {
@@ -9,6 +10,11 @@
 
 constexpr unsigned ok_status = 200;
 
+// Limit of a stream: this, and so much for each token. Events of one token may
+// have ids, probabilities of alternatives and the like.
+constexpr std::size_t base_stream_bytes = 256UL * 1024;
+constexpr std::size_t max_bytes_per_token = 4UL * 1024;
+
 }  // namespace
 
 using transport::awaitable;
@@ -16,6 +22,33 @@
 using transport::http_exchange;
 using transport::http_response;
 
+std::size_t max_stream_bytes(const routed_request& request) {
+  const surface::prompt_outline& prompt = request.head.prompt;
+  if (!prompt.known()) return max_stream_bytes_of_any;
+  const std::size_t tokens = prompt.most_output_tokens;
+  return std::min(base_stream_bytes + tokens * max_bytes_per_token,
+                  max_stream_bytes_of_any);
+}
+
+awaitable<result<std::string>> read_plain_body(http_call& call,
+                                               answer_memory::share& memory) {
+  std::string out;
+  while (true) {
+    result<std::string> piece = co_await call.read_piece();
+    if (!piece) co_return piece;
+    if (piece->empty()) co_return out;
+    const std::size_t bytes = out.size() + piece->size();
+    if (bytes > max_plain_answer_bytes || !memory.grow_to(bytes)) {
+      call.cancel();
+      co_return fail(error_kind::endpoint_failed,
+                     "the answer is too large to be held: it exceeds " +
+                         std::to_string(out.size()) + " bytes",
+                     "request a smaller answer");
+    }
+    out += *piece;
+  }
+}
+
 http_response answer_head(const http_call& call,
                           const surface::endpoint_codec& codec) {
   http_response out;
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "answer_reader.h"
+#include "trestlepost/gateway/answer_memory.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/surface/endpoint_codec.h"
 
@@ -16,6 +17,13 @@
 /// truncated one can be replaced.
 inline constexpr std::size_t max_plain_answer_bytes = 16UL * 1024 * 1024;
 
+/// Returns the limit of a stream's size in bytes: what the tokens that its
+/// request permits can take.
+std::size_t max_stream_bytes(const routed_request& request);
+
+/// Limit of a stream whose request states no number of tokens, or a huge one.
+inline constexpr std::size_t max_stream_bytes_of_any = 64UL * 1024 * 1024;
+
 /// Returns the answer of `call` without its body. It states where the body ends
 /// only if `call` does.
 transport::http_response answer_head(const transport::http_call& call,
@@ -24,6 +32,11 @@
 /// Returns how the body of an endpoint's answer of this status is read.
 answer_body body_of(const routed_request& request, unsigned status);
 
+/// Reads the rest of a plain answer. Fails if it exceeds its limit, or the
+/// memory that all answers share.
+transport::awaitable<result<std::string>> read_plain_body(
+    transport::http_call& call, answer_memory::share& memory);
+
 /// How a relayed stream ended. If neither member is set, it is complete and the
 /// exchange still has to be finished.
 struct relayed_stream {
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -75,8 +75,8 @@
   http_response answer = head_of(call, std::move(headers));
   const std::string content_type(call.header("Content-Type"));
   const bool streamed = content_type.starts_with(event_stream);
-  answer_reader body(call,
-                     streamed ? answer_body::events : answer_body::opaque);
+  answer_reader body(call, streamed ? answer_body::events : answer_body::opaque,
+                     max_stream_bytes_of_any);
   std::string buffered;
   bool first = true;
   while (true) {
--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -48,8 +48,8 @@
 }
 
 awaitable<attempt> endpoint_runner::deliver_buffered(active_run& current) {
-  result<std::string> body =
-      co_await current.call->read_rest(max_plain_answer_bytes);
+  answer_memory::share memory(answer_memory_);
+  result<std::string> body = co_await read_plain_body(*current.call, memory);
   if (!body) {
     if (!current.exchange.is_disconnected()) {
       context_.endpoints.request_failed(current.endpoint.name,
@@ -85,7 +85,8 @@
 
 awaitable<attempt> endpoint_runner::deliver_stream(active_run& current) {
   answer_reader reader(*current.call,
-                       body_of(current.request, current.call->status()));
+                       body_of(current.request, current.call->status()),
+                       max_stream_bytes(current.request));
   result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
     if (!current.exchange.is_disconnected()) {
@@ -151,7 +152,7 @@
       current.events.continued()
           ? answer_body::resumed_events
           : body_of(current.request, current.call->status());
-  answer_reader reader(*current.call, body);
+  answer_reader reader(*current.call, body, max_stream_bytes(current.request));
   bool ended = false;
   while (!ended) {
     result<std::string> piece = co_await reader.read_piece();
--- a/gateway/src/prompt_traits.cc
+++ b/gateway/src/prompt_traits.cc
@@ -28,9 +28,8 @@
                                               std::uint64_t part) {
   // Lengths precede the names, so that they can't be confused.
   const std::string text = "prompt-part " + std::to_string(service.size()) +
-                           ':' + service +
-                           std::to_string(organisation.size()) + ':' +
-                           organisation + std::to_string(part);
+                           ':' + service + std::to_string(organisation.size()) +
+                           ':' + organisation + std::to_string(part);
   const auto known = fingerprints_.find(text);
   if (known != fingerprints_.end()) return known->second;
   if (fingerprints_.size() >= max_fingerprints_kept) fingerprints_.clear();
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -141,7 +141,8 @@
   transport::http_response head = caller_head(call, *surfaces_.endpoints);
   const bool streamed = request.route->kind == config::route_kind::stream;
   if (!streamed) {
-    result<std::string> body = co_await call.read_rest(max_plain_answer_bytes);
+    answer_memory::share memory(answer_memory_);
+    result<std::string> body = co_await read_plain_body(call, memory);
     if (!body) {
       out.cause = body.error();
       co_return out;
@@ -152,7 +153,8 @@
     co_await exchange.respond(std::move(head));
     co_return out;
   }
-  answer_reader reader(call, body_of(request, call.status()));
+  answer_reader reader(call, body_of(request, call.status()),
+                       max_stream_bytes(request));
   result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
     out.cause = piece.error();
