Streams that end inside an event are incomplete, whatever their framing

A stream with a declared end that stopped inside an event was passed on as complete: the end was only checked where it was not declared. Now one check for all: callers of streams that may not be resumed get a visibly broken answer, others the rest from another endpoint.

--- a/gateway/src/answer_reader.cc
+++ b/gateway/src/answer_reader.cc
@@ -4,11 +4,9 @@
 namespace {
 
 result<std::string> truncated(const std::string& position) {
-  return fail(
-      error_kind::endpoint_failed,
-      "the connection closed " + position + " of a stream without declared end",
-      "check the endpoint; the request may be sent again if it is "
-      "repeatable");
+  return fail(error_kind::endpoint_failed, "the stream ended " + position,
+              "check the endpoint; the request may be sent again if it is "
+              "repeatable");
 }
 
 }  // namespace
@@ -26,14 +24,14 @@
                    "repeatable");
   }
   if (body_ == answer_body::opaque) co_return piece;
-  const bool unchecked = call_.is_delimited();
   if (!piece->empty()) {
-    if (!unchecked || !has_event()) events_.push(*piece);
+    events_.push(*piece);
     co_return piece;
   }
-  if (unchecked) co_return piece;
   if (events_.is_inside_event()) co_return truncated("inside an event");
-  if (!events_.has_event() && body_ == answer_body::events)
+  const bool may_be_empty =
+      call_.is_delimited() || body_ == answer_body::resumed_events;
+  if (!events_.has_event() && !may_be_empty)
     co_return truncated("before the first event");
   co_return piece;
 }
--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -112,6 +112,15 @@
   EXPECT_EQ(out.outcome.cause.kind, error_kind::endpoint_failed);
 }
 
+TEST(delivery_test, a_declared_end_inside_an_event_is_an_interruption) {
+  scripted_call call;
+  call.pieces = {"data: 1\n\n", "data: 2\n"};
+  const delivery_result out = deliver_all(call);
+  EXPECT_TRUE(out.outcome.delivered);
+  EXPECT_EQ(out.outcome.ran, run_state::unknown);
+  EXPECT_EQ(out.outcome.cause.kind, error_kind::endpoint_failed);
+}
+
 TEST(delivery_test, a_complete_answer_is_a_completed_run) {
   for (const char* content_type : {"text/event-stream", "text/plain"}) {
     scripted_call call;
--- a/transport/test/endless-responses-test.cc
+++ b/transport/test/endless-responses-test.cc
@@ -80,8 +80,9 @@
 }
 
 /// Runs `call` to its end; returns how long it took.
-std::chrono::milliseconds run(
-    awaitable<void> (*call)(http_client&, send_result&), send_result& out) {
+std::chrono::milliseconds run(awaitable<void> (*call)(http_client&,
+                                                      send_result&),
+                              send_result& out) {
   asio::io_context io;
   http_client client(io, {});
   const monotonic_time start = boot_clock::now();
