Soak: parts of prompts that crash endpoints

--crashes: one in 60 requests has one of two lethal parts, among sound ones that all requests share; endpoints also crash by themselves, gateways are killed, suspended and cut off one at a time, control nodes in the first third. Checked: late sends by gateways in touch, no sound part held; counted: crashes, sends, requests answered.

--- a/gateway/include/trestlepost/gateway/crash_monitor.h
+++ b/gateway/include/trestlepost/gateway/crash_monitor.h
@@ -39,8 +39,7 @@
 /// gateway alone has observed enough crashes.
 class crash_monitor {
  public:
-  explicit crash_monitor(gateway_context& context)
-      : context_(context), prompts_(context.peer_secret) {}
+  explicit crash_monitor(gateway_context& context);
 
   /// Called for each trait of the runs at an endpoint when it crashed.
   std::function<void(const routing::crash_report&)> on_crash;
@@ -115,8 +114,6 @@
                     const interrupted_trait& trait, const run_location& at,
                     monotonic_time now);
   void record_success(const std::string& fingerprint);
-  /// Starts to report successes of the service, which excuse its runs.
-  void monitor_service(const std::string& service, monotonic_time now);
   /// Marks what this gateway's own observations attribute enough crashes to,
   /// and holds requests. Whether other runs with a part succeed, only the
   /// control nodes know.
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -37,6 +37,9 @@
 // lists the request by then, unless the control nodes have lost their majority.
 constexpr std::chrono::seconds local_hold_time{60};
 
+// Traits of the crashes that one gateway keeps; the control nodes keep more.
+constexpr std::size_t max_own_observations = 5000;
+
 // Expired entries are removed at this interval, since scanning thousands of
 // them in each tick costs too much CPU time on a small VM.
 constexpr std::chrono::seconds cleanup_interval{1};
@@ -58,6 +61,12 @@
   std::erase_if(all, [now](const auto& it) { return it.second <= now; });
 }
 
+routing::crash_attribution_limits own_limits() {
+  routing::crash_attribution_limits out;
+  out.max_observations = max_own_observations;
+  return out;
+}
+
 std::string_view probe_result_name(connect_outcome it) {
   switch (it) {
     case connect_outcome::refused:
@@ -104,6 +113,11 @@
   runs.traits[trait.fingerprint] = {trait.kind, last_success};
 }
 
+crash_monitor::crash_monitor(gateway_context& context)
+    : context_(context),
+      attribution_(own_limits()),
+      prompts_(context.peer_secret) {}
+
 void crash_monitor::run_interrupted(routed_request& request, bool began,
                                     const run_location& at) {
   interrupted_runs& runs = add_run(at);
--- a/soak/src/fault_injection.cc
+++ b/soak/src/fault_injection.cc
@@ -47,7 +47,8 @@
 /// Returns whether the fault is one of a node's process.
 bool strikes_node(fault_kind kind) {
   return !behaviour_under(kind) && kind != fault_kind::undelimited &&
-         kind != fault_kind::limit && !is_partition(kind);
+         kind != fault_kind::limit && kind != fault_kind::crash &&
+         !is_partition(kind);
 }
 
 void begin_node_fault(deployment& target, const fault& it) {
@@ -149,6 +150,11 @@
       actions.emplace(it.end, [&target, &it] { end_node_fault(target, it); });
       continue;
     }
+    if (it.kind == fault_kind::crash) {
+      actions.emplace(it.begin,
+                      [&target, &it] { target.crash_endpoint(it.target); });
+      continue;
+    }
     for (const milliseconds at : {it.begin, it.end}) {
       actions.emplace(at, [&target, &partition, &schedule, &it, at] {
         if (is_partition(it.kind)) {
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -65,6 +65,9 @@
   out["repeats"] = it.repeats;
   out["retry_share"] = it.retry_share;
   out["limit_share"] = it.limit_share;
+  out["crashes"] = it.crashes;
+  out["part_sends"] = it.part_sends;
+  out["late_part_sends"] = it.late_part_sends;
   out["recovery_ms"] = trestlepost::as_number(it.recovery);
   json& violations = out["violations"] = json(Json::arrayValue);
   for (const std::string& one : it.violations) violations.append(one);
@@ -98,6 +101,9 @@
   bool limits = false;
   app.add_flag("--limits", limits,
                "endpoints state request limits most of the time");
+  bool crashes = false;
+  app.add_flag("--crashes", crashes,
+               "some requests have a part that crashes endpoints");
   std::vector<std::string> kinds;
   app.add_option("--faults", kinds,
                  "leave out all faults but those of these kinds, for example "
@@ -117,8 +123,8 @@
                "heal, ms  repeats   share   limit\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
-    const soak_result it = run_soak(
-        {seed, std::chrono::seconds(seconds), gateways, limits, program, only});
+    const soak_result it = run_soak({seed, std::chrono::seconds(seconds),
+                                     gateways, limits, crashes, program, only});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -41,7 +41,9 @@
     out.target = pick(targets);
     out.begin = from + random_duration(min_gap, max_gap);
     out.end = out.begin;
-    if (out.kind != fault_kind::reload) {
+    const bool momentary =
+        out.kind == fault_kind::reload || out.kind == fault_kind::crash;
+    if (!momentary) {
       out.end += random_duration(min_gap, max_outage);
     }
     return out;
@@ -104,6 +106,24 @@
                          options.span);
 }
 
+/// Adds faults beside requests that crash endpoints.
+void add_crash_faults(fault_generator& generator, std::vector<fault>& out,
+                      const schedule_options& options) {
+  generator.add_sequence(out, options.control_nodes,
+                         {fault_kind::kill, fault_kind::freeze,
+                          fault_kind::stop, fault_kind::reload},
+                         options.span / 3);
+  generator.add_sequence(
+      out, options.entries,
+      {fault_kind::kill, fault_kind::freeze, fault_kind::stop,
+       fault_kind::reload, fault_kind::partition, fault_kind::reset_partition},
+      options.span);
+  generator.add_sequence(
+      out, options.endpoints,
+      {fault_kind::crash, fault_kind::close_streams, fault_kind::refuse},
+      options.span);
+}
+
 /// Returns those of `all` that are part of the schedule, ordered.
 std::vector<fault> select(std::vector<fault> all,
                           const schedule_options& options) {
@@ -153,6 +173,8 @@
       return "reset-partition";
     case fault_kind::limit:
       return "limit";
+    case fault_kind::crash:
+      return "crash";
     case fault_kind::undelimited:
       break;
   }
@@ -171,6 +193,10 @@
                                  const schedule_options& options) {
   fault_generator generator(seed);
   std::vector<fault> out;
+  if (options.crashes) {
+    add_crash_faults(generator, out, options);
+    return select(std::move(out), options);
+  }
   const std::vector<fault_kind> control_kinds{
       fault_kind::kill, fault_kind::freeze, fault_kind::stop, fault_kind::wipe,
       fault_kind::reload};
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -29,6 +29,7 @@
   close_streams,    // closes connections within streams
   silence_streams,  // stalls within streams
   limit,            // states a request limit
+  crash,            // aborts its requests, and is back after a second
   undelimited       // answers have no length; combines with the other faults
 };
 
@@ -52,6 +53,10 @@
   /// Endpoints state request limits most of the time. Entries are killed one at
   /// a time, since one that has restarted must be told the limits again.
   bool limits = false;
+  /// Requests crash endpoints. Control nodes are faulty in the first third
+  /// only, and entries one at a time, so that most gateways know of the
+  /// crashes.
+  bool crashes = false;
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
 };
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -9,6 +9,7 @@
 
 #include "deployment.h"
 #include "fault_injection.h"
+#include "part_check.h"
 #include "request_record.h"
 #include "schedule.h"
 #include "trestlepost/transport/http_client.h"
@@ -51,8 +52,11 @@
 /// keep their connections open.
 class traffic {
  public:
-  traffic(deployment& target, std::uint64_t seed, plan_record& plans)
-      : deployment_(target), plans_(plans), engine_(seed) {
+  traffic(deployment& target, const soak_options& options, plan_record& plans)
+      : deployment_(target),
+        plans_(plans),
+        engine_(options.seed),
+        crashes_(options.crashes) {
     for (const std::string& entry : target.gateways()) {
       for (int n = 0; n < callers_per_entry; ++n) spawn(run_caller(entry));
     }
@@ -87,6 +91,7 @@
   deployment& deployment_;
   plan_record& plans_;
   std::mt19937_64 engine_;
+  bool crashes_;
   std::atomic<bool> stopping_{false};
   transport::asio::io_context io_{1};
   transport::http_client client_{io_, client_options()};
@@ -119,9 +124,12 @@
     bench::caller_request request =
         deployment_.caller_request(entry, method, path, it.id);
     request.timeout = caller_timeout;
+    const std::uint64_t number = static_cast<std::uint64_t>(next_id_);
+    const bool lethal = crashes_ && add_prompt(request, number, engine_);
     deployment_.record_request(path);
     const bench::caller_answer answer =
         co_await bench::send(client_, std::move(request));
+    if (lethal) continue;
     if (answer.complete) it.status = answer.status;
     if (answer.complete && streamed) it.stream = answer.body;
     it.delimited = answer.delimited;
@@ -230,16 +238,19 @@
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
-  const std::vector<fault> schedule =
-      make_schedule(options.seed, {control_nodes, it.gateways(), endpoints,
-                                   options.span, options.limits, options.only});
+  const std::vector<fault> schedule = make_schedule(
+      options.seed, {control_nodes, it.gateways(), endpoints, options.span,
+                     options.limits, options.crashes, options.only});
   {
-    traffic load(it, options.seed, plans);
+    if (options.crashes) begin_crashes(it);
+    traffic load(it, options, plans);
+    const steady_clock::time_point start = steady_clock::now();
     inject_faults(it, schedule);
     load.stop();
     check_recovery(it, plans, out);
     check_repeats(it, out);
     check_limits(it, out);
+    if (options.crashes) check_parts(it, schedule, start, out);
     request_record requests(
         out.violations, home_endpoints,
         platform::test::events_between(0, platform::test::stream_events));
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -17,6 +17,9 @@
   std::chrono::milliseconds span{20'000};  // all faults begin within it
   int gateways_per_region = 1;
   bool limits = false;  // endpoints state request limits most of the time
+  /// One in some dozens of requests has a part in its prompt that crashes the
+  /// endpoint that begins to answer it.
+  bool crashes = false;
   std::string program = "trestlepostd";  // the daemon that nodes run
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
@@ -34,6 +37,11 @@
   double retry_share = 0;
   /// The largest share of a stated request limit that was used in a window.
   double limit_share = 0;
+  int crashes = 0;     // of endpoints
+  int part_sends = 0;  // requests with a part that crashes endpoints, at these
+  /// For the worst part: sends by gateways in touch later than the contact time
+  /// after the fifth crash.
+  int late_part_sends = 0;
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
   violation_list violations;
--- a/soak/test/schedule-test.cc
+++ b/soak/test/schedule-test.cc
@@ -12,8 +12,13 @@
 
 using std::chrono::milliseconds;
 
-const schedule_options options{{"c1", "c2", "c3"},   {"e1", "e2"}, {"i1", "i2"},
-                               milliseconds(20'000), false,        {}};
+const schedule_options options{.control_nodes = {"c1", "c2", "c3"},
+                               .entries = {"e1", "e2"},
+                               .endpoints = {"i1", "i2"},
+                               .span = milliseconds(20'000),
+                               .limits = false,
+                               .crashes = false,
+                               .only = {}};
 
 bool same(const fault& a, const fault& b) {
   return a.kind == b.kind && a.target == b.target && a.begin == b.begin &&
