--- a/soak/src/part_check.cc
+++ b/soak/src/part_check.cc
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <map>
 
+#include "prompts.h"
+
 namespace trestlepost::soak {
 namespace {
 
 using platform::test::deployment;
 using platform::test::part_arrival;
+using platform::test::set_prompt;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -28,16 +31,6 @@
   return "e" + std::to_string(100 + n);
 }
 
-void set_prompt(bench::caller_request& out,
-                const std::vector<std::string>& parts) {
-  std::string list;
-  for (const std::string& it : parts)
-    list += (list.empty() ? "" : ",") + it + ":100";
-  out.headers.emplace_back("X-Token-Counts",
-                           std::to_string(100 * parts.size()) + ",16");
-  out.headers.emplace_back("X-Prompt-Prefix", list);
-}
-
 /// Returns whether the fault, or the time after it in which gateways may not
 /// know what others do, includes `at`.
 bool disturbs(const fault& it, milliseconds at) {
@@ -48,13 +41,12 @@
 /// fault lately.
 bool in_touch(const deployment& target, const std::vector<fault>& schedule,
               const std::string& gateway_ip, milliseconds at) {
-  return std::none_of(
-      schedule.begin(), schedule.end(), [&](const fault& it) {
-        const bool endpoint = it.target.starts_with("i-");
-        if (endpoint || !disturbs(it, at)) return false;
-        return it.target.starts_with("control-") ||
-               target.ip_of(it.target) == gateway_ip;
-      });
+  return std::none_of(schedule.begin(), schedule.end(), [&](const fault& it) {
+    const bool endpoint = it.target.starts_with("i-");
+    if (endpoint || !disturbs(it, at)) return false;
+    return it.target.starts_with("control-") ||
+           target.ip_of(it.target) == gateway_ip;
+  });
 }
 
 void check_sends(const deployment& target, const std::vector<fault>& schedule,
--- a/soak/src/part_check.h
+++ b/soak/src/part_check.h
@@ -17,8 +17,8 @@
 void begin_crashes(platform::test::deployment& target);
 
 /// Adds a prompt to a request, of a few parts that many requests share and one
-/// of its own. One in some dozens gets a lethal part too, and a path of its own.
-/// Returns whether it did.
+/// of its own. One in some dozens gets a lethal part too, and a path of its
+/// own. Returns whether it did.
 bool add_prompt(bench::caller_request& out, std::uint64_t number,
                 std::mt19937_64& random);
 
