Known red: a restart of all nodes within a partition exceeds usage limits

Without the partition, without the restart, or with the restart 2 s after the partition the largest window is 0.90 to 0.94. A factor on the demand when a region is heard anew, and a startup allowance of 0.25 instead of 0.75 s, were tried: no effect.

--- a/usage/test/usage_restarts-test.cc
+++ b/usage/test/usage_restarts-test.cc
@@ -69,5 +69,22 @@
   RC_ASSERT(simulate(it).max_use <= 1);
 }
 
+// Guards against debts that are forgotten when all nodes restart while a region
+// is cut off and an organisation has just exceeded its limit.
+TEST(usage_restarts_test, a_restart_within_a_partition_does_not_exceed_limits) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    usage_scenario it = scenario_of(12, 3, 0.6);
+    it.seed = seed;
+    it.surge = [](std::size_t, simulated_time time) {
+      return time > 5s ? 6.0 : 1.0;
+    };
+    it.is_cut = [](int from, int to, simulated_time time) {
+      return (from == 0 || to == 0) && time > 5s && time < 7s;
+    };
+    it.all_restart_at = 6s;
+    EXPECT_LE(simulate(it).max_use, 1) << seed;
+  }
+}
+
 }  // namespace
 }  // namespace trestlepost::usage::test
