Answers that the gateway gives up are no crashes

An endpoint that sends bytes without end got its requests suspected: when a gateway gave an answer up because of its size, it counted the run as interrupted, probed the endpoint, and meanwhile treated the request as one that may have crashed it, which stops its retries.

Readers now tell whether they gave the answer up; such an end is the endpoint's failure, and no evidence of a crash.

Test: endless_answers_test.are_not_taken_for_crashes failed before for plain_body (3 interrupted runs), plain_chunks (2) and resumable_event (1), not for the other five. Now 0 in all eight.

--- a/gateway/include/trestlepost/gateway/answer_memory.h
+++ b/gateway/include/trestlepost/gateway/answer_memory.h
@@ -1,5 +1,5 @@
 // Bounds the memory of plain answers, which are read completely before they are
-// passed on.
+// passed on, so that a truncated one can be replaced.
 #pragma once
 
 #include <algorithm>
@@ -21,6 +21,15 @@
 
     /// Returns whether the answer may hold `bytes` in all.
     bool grow_to(std::size_t bytes) {
+      exceeded_ = !charge_for(bytes);
+      return !exceeded_;
+    }
+    /// Whether the answer was refused more memory.
+    bool is_exceeded() const { return exceeded_; }
+
+   private:
+    bool charge_for(std::size_t bytes) {
+      if (bytes > max_answer_bytes) return false;
       const std::size_t charge =
           bytes <= free_bytes ? 0 : std::max(bytes - free_bytes, charged_);
       if (all_.used_ + charge - charged_ > max_bytes) return false;
@@ -29,12 +38,13 @@
       return true;
     }
 
-   private:
     answer_memory& all_;
     std::size_t charged_ = 0;
+    bool exceeded_ = false;
   };
 
  private:
+  static constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
   static constexpr std::size_t free_bytes = 64UL * 1024;
   static constexpr std::size_t max_bytes = 24UL * 1024 * 1024;
 
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -38,7 +38,7 @@
     if (!piece) co_return piece;
     if (piece->empty()) co_return out;
     const std::size_t bytes = out.size() + piece->size();
-    if (bytes > max_plain_answer_bytes || !memory.grow_to(bytes)) {
+    if (!memory.grow_to(bytes)) {
       call.cancel();
       co_return fail(error_kind::endpoint_failed,
                      "the answer is too large to be held: it exceeds " +
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -13,10 +13,6 @@
 
 namespace trestlepost::gateway {
 
-/// Non-streamed answers are buffered completely before they are sent, so that a
-/// truncated one can be replaced.
-inline constexpr std::size_t max_plain_answer_bytes = 16UL * 1024 * 1024;
-
 /// Returns the limit of a stream's size in bytes: what the tokens that its
 /// request permits can take.
 std::size_t max_stream_bytes(const routed_request& request);
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -83,7 +83,8 @@
     result<std::string> piece = co_await body.read_piece();
     if (!piece) {
       out.outcome.cause = piece.error();
-      out.outcome.connection_lost = is_connection_loss(piece.error());
+      out.outcome.connection_lost =
+          !body.has_exceeded_limit() && is_connection_loss(piece.error());
       co_return out;
     }
     if (first) on_first();
@@ -96,8 +97,9 @@
       const std::function<void()> on_next = [] {};
       const relayed_stream relayed = co_await relay_stream(
           body, exchange, std::move(answer), std::move(buffered), on_next);
-      out.outcome.connection_lost =
-          relayed.interruption && is_connection_loss(*relayed.interruption);
+      out.outcome.connection_lost = relayed.interruption &&
+                                    !body.has_exceeded_limit() &&
+                                    is_connection_loss(*relayed.interruption);
       if (relayed.interruption) out.outcome.cause = *relayed.interruption;
       const bool complete =
           !relayed.caller_disconnected && !relayed.interruption;
