A call knows whether the gateway gave it up

A call that the gateway cancels is no lost connection whatever the reason, so the call itself says it and `is_connection_loss` asks it.

Behaviour is unchanged where an answer is given up. A call that was cancelled since its caller has left is no lost connection either; those were excluded before, by the exchange.

--- a/gateway/include/trestlepost/gateway/answer_memory.h
+++ b/gateway/include/trestlepost/gateway/answer_memory.h
@@ -21,14 +21,6 @@
 
     /// Returns whether the answer may hold `bytes` in all.
     bool grow_to(std::size_t bytes) {
-      exceeded_ = !charge_for(bytes);
-      return !exceeded_;
-    }
-    /// Whether the answer was refused more memory.
-    bool is_exceeded() const { return exceeded_; }
-
-   private:
-    bool charge_for(std::size_t bytes) {
       if (bytes > max_answer_bytes) return false;
       const std::size_t charge =
           bytes <= free_bytes ? 0 : std::max(bytes - free_bytes, charged_);
@@ -38,9 +30,9 @@
       return true;
     }
 
+   private:
     answer_memory& all_;
     std::size_t charged_ = 0;
-    bool exceeded_ = false;
   };
 
  private:
--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -7,6 +7,7 @@
 
 #include "trestlepost/base/error.h"
 #include "trestlepost/surface/run_state.h"
+#include "trestlepost/transport/http_client.h"
 #include "trestlepost/transport/http_server.h"
 
 namespace trestlepost::gateway {
@@ -39,6 +40,9 @@
 /// Returns whether `cause` is a lost connection rather than a deadline of this
 /// gateway.
 bool is_connection_loss(const error& cause);
+/// Returns whether `call` failed with `cause` because its connection was lost,
+/// rather than because this gateway has given it up.
+bool is_connection_loss(const transport::http_call& call, const error& cause);
 
 /// Returns whether the gateway that the request was forwarded to sent it to no
 /// endpoint for reasons of its own, so that another gateway of the same region
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -68,8 +68,7 @@
   /// The endpoint answered a continuation with something other than a stream.
   attempt continuation_rejected(active_run& current);
   /// The stream was interrupted, before or after its first event.
-  attempt handle_interruption(active_run& current, const error& cause,
-                              bool given_up);
+  attempt handle_interruption(active_run& current, const error& cause);
   /// The continuation does not follow the events already sent to the caller.
   attempt continuation_invalid(active_run& current, stream_fault fault);
   attempt caller_disconnected(active_run& current);
--- a/gateway/src/answer_reader.h
+++ b/gateway/src/answer_reader.h
@@ -33,9 +33,6 @@
   /// Returns whether a complete event has been read.
   bool has_event() const { return events_.has_event(); }
 
-  /// Returns whether the answer was given up because of its size.
-  bool has_exceeded_limit() const { return bytes_ > max_bytes_; }
-
   transport::http_call& call() { return call_; }
 
  private:
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -36,6 +36,10 @@
   return cause.kind != error_kind::deadline;
 }
 
+bool is_connection_loss(const http_call& call, const error& cause) {
+  return !call.is_cancelled() && is_connection_loss(cause);
+}
+
 bool is_gateway_failure(const attempt& it) {
   const bool unsent = !it.delivered && it.sends == 0 && it.ran == run_state::no;
   if (it.gateway.empty() || !unsent) return false;
@@ -83,8 +87,7 @@
     result<std::string> piece = co_await body.read_piece();
     if (!piece) {
       out.outcome.cause = piece.error();
-      out.outcome.connection_lost =
-          !body.has_exceeded_limit() && is_connection_loss(piece.error());
+      out.outcome.connection_lost = is_connection_loss(call, piece.error());
       co_return out;
     }
     if (first) on_first();
@@ -97,9 +100,9 @@
       const std::function<void()> on_next = [] {};
       const relayed_stream relayed = co_await relay_stream(
           body, exchange, std::move(answer), std::move(buffered), on_next);
-      out.outcome.connection_lost = relayed.interruption &&
-                                    !body.has_exceeded_limit() &&
-                                    is_connection_loss(*relayed.interruption);
+      out.outcome.connection_lost =
+          relayed.interruption &&
+          is_connection_loss(call, *relayed.interruption);
       if (relayed.interruption) out.outcome.cause = *relayed.interruption;
       const bool complete =
           !relayed.caller_disconnected && !relayed.interruption;
--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -16,10 +16,10 @@
 constexpr unsigned first_server_error = 500;
 
 /// Returns the result of an interrupted run that may be repeated from the
-/// start. `given_up`: by this gateway, so that it is no sign of a crash.
-attempt interrupted_run(const error& cause, bool given_up) {
+/// start.
+attempt interrupted_run(const transport::http_call& call, const error& cause) {
   attempt out = failed_attempt(run_state::unknown, cause, refused_retry_after);
-  out.connection_lost = !given_up && is_connection_loss(cause);
+  out.connection_lost = is_connection_loss(call, cause);
   return out;
 }
 
@@ -55,7 +55,7 @@
       context_.endpoints.request_failed(current.endpoint.name,
                                         context_.clock.now());
     }
-    co_return interrupted_run(body.error(), memory.is_exceeded());
+    co_return interrupted_run(*current.call, body.error());
   }
   context_.endpoints.request_succeeded(current.endpoint.name);
   log_undelimited_end(current);
@@ -93,7 +93,7 @@
       context_.endpoints.request_failed(current.endpoint.name,
                                         context_.clock.now());
     }
-    co_return interrupted_run(piece.error(), reader.has_exceeded_limit());
+    co_return interrupted_run(*current.call, piece.error());
   }
   const monotonic_time at = context_.clock.now();
   pool_.engines().record_event(current.ticket, at);
@@ -119,8 +119,7 @@
     context_.endpoints.request_failed(current.endpoint.name,
                                       context_.clock.now());
     out.cause = *relayed.interruption;
-    out.connection_lost =
-        !reader.has_exceeded_limit() && is_connection_loss(out.cause);
+    out.connection_lost = is_connection_loss(*current.call, out.cause);
     co_return out;
   }
   log_undelimited_end(current);
@@ -157,10 +156,7 @@
   bool ended = false;
   while (!ended) {
     result<std::string> piece = co_await reader.read_piece();
-    if (!piece) {
-      co_return handle_interruption(current, piece.error(),
-                                    reader.has_exceeded_limit());
-    }
+    if (!piece) co_return handle_interruption(current, piece.error());
     ended = piece->empty();
     // The caller was promised a declared end, and this continuation has none.
     const bool misses_end = current.exchange.is_response_delimited() ||
@@ -169,7 +165,7 @@
       const error cause{error_kind::endpoint_failed,
                         "the connection closed before the stream was complete",
                         "check the endpoint " + current.endpoint.name};
-      co_return handle_interruption(current, cause, false);
+      co_return handle_interruption(current, cause);
     }
     if (!ended)
       pool_.engines().record_event(current.ticket, context_.clock.now());
@@ -216,20 +212,19 @@
 }
 
 attempt endpoint_runner::handle_interruption(active_run& current,
-                                             const error& cause,
-                                             bool given_up) {
+                                             const error& cause) {
   if (current.exchange.is_disconnected()) return caller_disconnected(current);
+  // Before the call is cancelled, which is no loss of its connection.
+  const attempt from_start = interrupted_run(*current.call, cause);
   current.call->cancel();
   context_.endpoints.request_failed(current.endpoint.name,
                                     context_.clock.now());
-  if (!current.exchange.has_response_started()) {
-    return interrupted_run(cause, given_up);
-  }
+  if (!current.exchange.has_response_started()) return from_start;
   attempt out;
   out.delivered = true;
   out.ran = run_state::yes;
   out.cause = cause;
-  out.connection_lost = !given_up && is_connection_loss(cause);
+  out.connection_lost = from_start.connection_lost;
   out.stream_interrupted = true;
   return out;
 }
--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -55,7 +55,11 @@
   transport::awaitable<result<std::string>> read_rest(std::size_t) override {
     co_return std::string();
   }
-  void cancel() override {}
+  void cancel() override { cancelled_ = true; }
+  bool is_cancelled() const override { return cancelled_; }
+
+ private:
+  bool cancelled_ = false;
 };
 
 delivery_result deliver_all(scripted_call& call) {
@@ -83,9 +87,21 @@
   EXPECT_TRUE(out.outcome.delivered);
   EXPECT_EQ(out.outcome.ran, run_state::unknown);
   EXPECT_EQ(out.outcome.cause.kind, error_kind::endpoint_failed);
+  EXPECT_TRUE(out.outcome.connection_lost);
   EXPECT_FALSE(out.answer.complete);
 }
 
+// Guards against an answer that the gateway gives up being taken for a crash of
+// the endpoint.
+TEST(delivery_test, an_answer_that_is_given_up_is_no_lost_connection) {
+  const std::string piece(1024UL * 1024, 'x');
+  scripted_call call;
+  call.pieces.assign(100, piece);
+  const delivery_result out = deliver_all(call);
+  EXPECT_EQ(out.outcome.cause.kind, error_kind::endpoint_failed);
+  EXPECT_FALSE(out.outcome.connection_lost);
+}
+
 // An answer without declared end may be truncated; replayed from the ledger it
 // would look complete for good.
 TEST(delivery_test, an_answer_without_declared_end_is_no_completed_run) {
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -91,6 +91,7 @@
     co_return std::string();
   }
   void cancel() override {}
+  bool is_cancelled() const override { return false; }
 };
 
 }  // namespace trestlepost::surface::test
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -94,6 +94,8 @@
 
   /// Closes the connection; pending operations fail.
   virtual void cancel() = 0;
+  /// Returns whether `cancel` was called.
+  virtual bool is_cancelled() const = 0;
 };
 
 /// Makes calls and owns the pool of idle connections.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -176,6 +176,7 @@
   awaitable<result<std::string>> read_piece() override;
   awaitable<result<std::string>> read_rest(std::size_t limit) override;
   void cancel() override;
+  bool is_cancelled() const override { return cancelled_; }
 
  private:
   awaitable<error_code> connect(monotonic_time deadline);
