--- a/node/src/hold_proposer.cc
+++ b/node/src/hold_proposer.cc
@@ -62,22 +62,20 @@
   report.service = text_of(crash, "service");
   report.at = now - milliseconds(number_of(crash, "age_ms"));
   if (report.endpoint.empty()) return;
-  report.kind = routing::trait_kind::organisation_part;
-  for (const std::string& it : texts_of(crash, "organisation_parts")) {
-    report.fingerprint = it;
-    attribution_.record_crash(report, now);
-  }
-  report.kind = routing::trait_kind::part;
-  for (const std::string& it : texts_of(crash, "parts")) {
-    report.fingerprint = it;
-    attribution_.record_crash(report, now);
-  }
+  const auto record_all = [&](routing::trait_kind kind, const char* list) {
+    report.kind = kind;
+    for (const std::string& it : texts_of(crash, list)) {
+      report.fingerprint = it;
+      attribution_.record_crash(report, now);
+    }
+  };
+  record_all(routing::trait_kind::organisation_part, "organisation_parts");
+  record_all(routing::trait_kind::part, "parts");
 }
 
 void hold_proposer::handle_success(const routing::crash_report& report) {
-  const bool accused = attribution_.has_crashes(report.fingerprint);
-  attribution_.record_success(report.fingerprint, report.at);
-  const bool cleared = accused && !attribution_.has_crashes(report.fingerprint);
+  const bool cleared =
+      attribution_.record_success(report.fingerprint, report.at);
   const bool proposed = proposed_holds_.erase(report.fingerprint) > 0;
   const bool held = store_.held_requests().contains(report.fingerprint);
   if (cleared && (proposed || held))
--- a/node/src/hold_proposer.h
+++ b/node/src/hold_proposer.h
@@ -37,6 +37,10 @@
     routing::hold_proposal proposal;
     monotonic_time next_proposal{};
   };
+  struct pending_release {
+    monotonic_time since{};
+    monotonic_time next_proposal{};
+  };
 
   void handle_success(const routing::crash_report& report);
   void handle_part_reports(const json& crash, monotonic_time now);
@@ -58,11 +62,6 @@
   routing::crash_attribution attribution_;
   /// By fingerprint; not in force yet on this node.
   std::map<std::string, proposed_hold> proposed_holds_;
-  struct pending_release {
-    monotonic_time since{};
-    monotonic_time next_proposal{};
-  };
-
   /// By fingerprint; held or about to be.
   std::map<std::string, pending_release> releases_;
   config::hold_tracker holds_;
--- a/routing/include/trestlepost/routing/crash_attribution.h
+++ b/routing/include/trestlepost/routing/crash_attribution.h
@@ -84,7 +84,8 @@
   void record_crash(const crash_report& report, monotonic_time now);
   /// Records a successful run with the trait, or of the service if
   /// `fingerprint` is its `service_fingerprint`, that was observed at `at`.
-  void record_success(const std::string& fingerprint, monotonic_time at);
+  /// Returns whether this has cleared all crashes of the trait.
+  bool record_success(const std::string& fingerprint, monotonic_time at);
 
   /// Returns the number of crashes attributed to the trait.
   std::size_t attributed_crashes(const std::string& fingerprint) const;
--- a/routing/src/crash_attribution.cc
+++ b/routing/src/crash_attribution.cc
@@ -112,19 +112,21 @@
     drop_oldest();
 }
 
-void crash_attribution::record_success(const std::string& fingerprint,
+bool crash_attribution::record_success(const std::string& fingerprint,
                                        monotonic_time at) {
   monotonic_time& latest = last_success_[fingerprint];
   latest = std::max(latest, at);
   if (last_success_.size() > max_successes_kept) drop_older_successes();
   const auto known = traits_.find(fingerprint);
-  if (known == traits_.end()) return;
+  if (known == traits_.end()) return false;
   trait_record& trait = known->second;
   const std::set<crash_id> before = trait.crashes;
   for (const crash_id id : before) {
     if (crashes_.at(id).at <= at) remove_trait(id, trait);
   }
-  if (trait.crashes.empty()) erase_record(fingerprint);
+  const bool cleared = trait.crashes.empty();
+  if (cleared) erase_record(fingerprint);
+  return cleared;
 }
 
 void crash_attribution::drop_older_successes() {
--- a/routing/test/crash_simulation.cc
+++ b/routing/test/crash_simulation.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "crash_simulation_state.h"
+
 namespace trestlepost::routing::test {
 namespace {
 
@@ -26,40 +28,12 @@
 constexpr int attempts = 2;
 constexpr int caller_attempts = 2;
 
-const monotonic_time start = monotonic_time(std::chrono::hours(1));
-
 // Crashes after which a lethal request, or a lethal part, must be held.
 constexpr int request_crashes_known = 3;
 constexpr int part_crashes_known = 5;
 // The first of a run's time in which an endpoint has not begun to answer.
 constexpr double time_to_begin = 0.3;
 
-struct request {
-  std::string fingerprint;
-  std::vector<std::string> parts;
-  bool began = false;
-  bool lethal = false;
-  int kind = 0;  // if lethal
-  int gateway = 0;
-  int sends = 0;
-  int tries = 0;
-};
-
-struct endpoint {
-  bool up = true;
-  int incarnation = 0;
-  std::map<std::uint64_t, request> running;
-};
-
-struct gateway {
-  monotonic_time disconnected_until = start;
-  monotonic_time suspended_until = start;
-  std::set<std::string> held;
-  std::set<std::string> watched;
-  /// When runs with each part were last seen to succeed.
-  std::map<std::string, monotonic_time> last_success;
-};
-
 class simulation {
  public:
   explicit simulation(const crash_scenario& it)
@@ -353,9 +327,7 @@
 
   /// A control node releases what runs have shown to be harmless since.
   void record_success(crash_attribution& it, const crash_report& success) {
-    const bool accused = it.has_crashes(success.fingerprint);
-    it.record_success(success.fingerprint, success.at);
-    const bool cleared = accused && !it.has_crashes(success.fingerprint);
+    const bool cleared = it.record_success(success.fingerprint, success.at);
     if (cleared && held_in_log_.erase(success.fingerprint) > 0) {
       proposed_.erase(success.fingerprint);
       for (crash_attribution& other : attribution_)
