One walk over the traits that come from the parts of a prompt

of() and record_begin() each had the loop over shared parts and the distinction between parts within an organisation and parts of any caller.

--- a/gateway/src/prompt_traits.cc
+++ b/gateway/src/prompt_traits.cc
@@ -15,10 +15,21 @@
 // Parts of one prompt that are considered. Callers may send any number.
 constexpr std::size_t max_parts = 64;
 
-/// Returns the number of parts that other requests may share.
-std::size_t shared_parts(const routed_request& request) {
-  const std::size_t parts = request.head.prompt.parts.size();
-  return parts == 0 ? 0 : std::min(parts - 1, max_parts);
+/// Calls `visit` with the kind, the organisation and the part of each trait
+/// that other requests may share.
+template <typename F>
+void for_each_trait(const routed_request& request, F visit) {
+  static const std::string any_organisation;
+  const std::vector<surface::prompt_part>& parts = request.head.prompt.parts;
+  const std::size_t n =
+      parts.empty() ? 0 : std::min(parts.size() - 1, max_parts);
+  for (std::size_t i = 0; i < n; ++i) {
+    if (request.organisation) {
+      visit(trait_kind::organisation_part, request.organisation->name,
+            parts[i].id);
+    }
+    visit(trait_kind::part, any_organisation, parts[i].id);
+  }
 }
 
 }  // namespace
@@ -39,31 +50,21 @@
 
 std::vector<prompt_trait> prompt_traits::of(const routed_request& request) {
   std::vector<prompt_trait> out;
-  const std::string& service = request.service;
-  const auto add = [&](trait_kind kind, const std::string& organisation,
-                       std::uint64_t part) {
-    out.push_back({{kind, fingerprint(service, organisation, part)},
-                   history_.last(service, organisation, part)});
-  };
-  const std::size_t n = shared_parts(request);
-  for (std::size_t i = 0; i < n; ++i) {
-    const std::uint64_t part = request.head.prompt.parts[i].id;
-    if (request.organisation)
-      add(trait_kind::organisation_part, request.organisation->name, part);
-    add(trait_kind::part, "", part);
-  }
+  for_each_trait(request, [&](trait_kind kind, const std::string& organisation,
+                              std::uint64_t part) {
+    out.push_back({{kind, fingerprint(request.service, organisation, part)},
+                   history_.last(request.service, organisation, part)});
+  });
   return out;
 }
 
 void prompt_traits::record_begin(const routed_request& request,
                                  monotonic_time at) {
-  const std::size_t n = shared_parts(request);
-  for (std::size_t i = 0; i < n; ++i) {
-    const std::uint64_t part = request.head.prompt.parts[i].id;
-    if (request.organisation)
-      history_.record(request.service, request.organisation->name, part, at);
-    history_.record(request.service, "", part, at);
-  }
+  for_each_trait(request,
+                 [&](trait_kind /*kind*/, const std::string& organisation,
+                     std::uint64_t part) {
+                   history_.record(request.service, organisation, part, at);
+                 });
 }
 
 }  // namespace trestlepost::gateway
