--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -74,7 +74,7 @@
  private:
   /// Whether this gateway and its collector started a moment ago, so that the
   /// collector does not know how much all gateways are asked for.
-  bool has_unknown_demand(monotonic_time now);
+  bool has_unknown_demand(monotonic_time now) const;
   /// Divides what may have been saved since the collector's start among the
   /// gateways. A request larger than this gateway's part fits by chance, so
   /// that all parts together are used.
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -38,6 +38,7 @@
   organisation_state& state = states_[organisation.name];
   state.counted.asked += amount;
   state.changed_at = now;
+  if (has_collector(now) && !first_asked_at_) first_asked_at_ = now;
   usage_decision out;
   if (!has_collector(now)) {
     out = admit_alone(state, *organisation.limit, amount, now);
@@ -59,9 +60,9 @@
   return out;
 }
 
-bool shared_limiter::has_unknown_demand(monotonic_time now) {
-  if (!first_asked_at_) first_asked_at_ = now;
-  return collector_observed_ && now < *first_asked_at_ + learning_time;
+bool shared_limiter::has_unknown_demand(monotonic_time now) const {
+  return collector_observed_ &&
+         now < first_asked_at_.value_or(now) + learning_time;
 }
 
 bool shared_limiter::exceeds_saved_part(organisation_state& state,
