Tests: one copy of what the tests of crashes and of endless responses share

A fixture for both tests of crash attribution, one function that reads one or more heads of responses, and scenarios of the crash simulation built from each other in place of equal lists of settings. No assertion, bound or seed is changed.

--- a/routing/test/crash_attribution-test.cc
+++ b/routing/test/crash_attribution-test.cc
@@ -6,18 +6,16 @@
 
 #include <rapidcheck/gtest.h>
 
+#include "attribution_fixture.h"
+
 namespace trestlepost::routing {
 namespace {
 
-using std::chrono::milliseconds;
-
-const monotonic_time start = monotonic_time(std::chrono::hours(1));
+using test::after;
 
-monotonic_time after(int ms) {
-  return start + milliseconds(ms);
-}
+const monotonic_time start = after(0);
 
-class crash_attribution_test : public testing::Test {
+class crash_attribution_test : public test::attribution_fixture {
  protected:
   /// Reports a crash of `endpoint` at `ms` while it runs `requests`.
   void crash(const std::string& endpoint, int ms,
@@ -26,17 +24,6 @@
       attribution_.record_crash({it, endpoint, "s", after(ms)}, after(ms));
     }
   }
-
-  std::vector<std::string> proposals(int ms) {
-    std::vector<std::string> out;
-    for (const hold_proposal& it :
-         attribution_.take_hold_proposals(after(ms))) {
-      out.push_back(it.fingerprint);
-    }
-    return out;
-  }
-
-  crash_attribution attribution_;
 };
 
 TEST_F(crash_attribution_test, three_crashes_propose_a_hold_once) {
--- a/routing/test/crash_simulation-test.cc
+++ b/routing/test/crash_simulation-test.cc
@@ -53,6 +53,13 @@
   return out;
 }
 
+/// Removes the lethal requests, so that nothing may be held.
+crash_scenario without_lethal_requests(crash_scenario out) {
+  out.lethal_kinds = 1;
+  out.lethal_per_second = 0.001;
+  return out;
+}
+
 TEST(crash_simulation, lethal_requests_without_disturbances) {
   expect_within_limits({});
 }
@@ -72,9 +79,7 @@
 }
 
 TEST(crash_simulation, zone_crashes_in_series_without_lethal_requests) {
-  crash_scenario it;
-  it.lethal_kinds = 1;
-  it.lethal_per_second = 0.001;
+  crash_scenario it = without_lethal_requests({});
   it.zones_crash = true;
   expect_within_limits(it);
 }
@@ -103,19 +108,8 @@
   expect_within_limits(it);
 }
 
-/// Requests with parts of prompts, one of which is lethal.
-crash_scenario with_lethal_parts() {
-  crash_scenario out;
-  out.lethal_parts = true;
-  out.lethal_per_second = 4;
-  out.first_parts = 6;
-  out.middle_parts = 300;
-  return out;
-}
-
-/// The same, beside all disturbances.
-crash_scenario disturbed_parts() {
-  crash_scenario out = all_disturbances();
+/// Returns the scenario with prompts of parts, one of which is lethal.
+crash_scenario with_lethal_parts(crash_scenario out = {}) {
   out.lethal_parts = true;
   out.lethal_per_second = 4;
   out.first_parts = 6;
@@ -142,11 +136,11 @@
 }
 
 TEST(crash_simulation, lethal_parts_and_all_disturbances) {
-  expect_within_limits(disturbed_parts());
+  expect_within_limits(with_lethal_parts(all_disturbances()));
 }
 
 TEST(crash_simulation, seldom_lethal_parts) {
-  crash_scenario it = disturbed_parts();
+  crash_scenario it = with_lethal_parts(all_disturbances());
   it.lethal_per_second = 0.4;
   expect_within_limits(it);
 }
@@ -158,25 +152,21 @@
 }
 
 TEST(crash_simulation, no_part_is_held_where_zones_crash_in_series) {
-  crash_scenario it = with_lethal_parts();
-  it.lethal_kinds = 1;
-  it.lethal_per_second = 0.001;
+  crash_scenario it = without_lethal_requests(with_lethal_parts());
   it.zones_crash = true;
   const crash_outcome out = worst_of(it);
   EXPECT_EQ(out.harmless_held, 0);
 }
 
 TEST(crash_simulation, no_part_is_held_where_endpoints_crash_in_turn) {
-  crash_scenario it = with_lethal_parts();
-  it.lethal_kinds = 1;
-  it.lethal_per_second = 0.001;
+  crash_scenario it = without_lethal_requests(with_lethal_parts());
   it.endpoints_crash_in_turn = true;
   const crash_outcome out = worst_of(it);
   EXPECT_EQ(out.harmless_held, 0);
 }
 
 TEST(crash_simulation, lethal_parts_while_endpoints_crash_in_turn) {
-  crash_scenario it = disturbed_parts();
+  crash_scenario it = with_lethal_parts(all_disturbances());
   it.endpoints_crash_in_turn = true;
   expect_within_limits(it);
 }
@@ -197,7 +187,7 @@
 }
 
 TEST(crash_simulation, without_success_reports_harmless_parts_are_held) {
-  crash_scenario it = disturbed_parts();
+  crash_scenario it = with_lethal_parts(all_disturbances());
   it.without_success_reports = true;
   const crash_outcome out = worst_of(it, reduced_seeds);
   EXPECT_GT(out.harmless_held, max_held_share * out.harmless);
--- a/routing/test/part_attribution-test.cc
+++ b/routing/test/part_attribution-test.cc
@@ -1,21 +1,13 @@
 // Attribution of endpoint crashes to parts of prompts, which many requests
 // share.
-#include <gtest/gtest.h>
-
-#include "trestlepost/routing/crash_attribution.h"
+#include "attribution_fixture.h"
 
 namespace trestlepost::routing {
 namespace {
 
-using std::chrono::milliseconds;
-
-const monotonic_time start = monotonic_time(std::chrono::hours(1));
-
-monotonic_time after(int ms) {
-  return start + milliseconds(ms);
-}
+using test::after;
 
-class part_attribution_test : public testing::Test {
+class part_attribution_test : public test::attribution_fixture {
  protected:
   /// Reports a crash at `ms` of an endpoint that ran requests with these parts,
   /// and, just after it, a successful run of the service without them.
@@ -37,18 +29,8 @@
         {trait.fingerprint, endpoint, "s", after(ms), trait.kind}, after(ms));
   }
 
-  std::vector<std::string> proposals(int ms) {
-    std::vector<std::string> out;
-    for (const hold_proposal& it :
-         attribution_.take_hold_proposals(after(ms))) {
-      out.push_back(it.fingerprint);
-    }
-    return out;
-  }
-
   using names = std::vector<std::string>;
 
-  crash_attribution attribution_;
   int next_ = 0;
 };
 
--- a/transport/test/endless-responses-test.cc
+++ b/transport/test/endless-responses-test.cc
@@ -58,7 +58,9 @@
 
 using send_result = tl::expected<void, call_failure>;
 
-awaitable<void> read_head(http_client& client, send_result& out) {
+/// Sends a request and reads the head of so many responses.
+awaitable<void> read_heads(http_client& client, int responses,
+                           send_result& out) {
   const std::shared_ptr<http_call> call =
       client.call(loopback_ip() + ":" + std::to_string(port));
   http_request request;
@@ -66,27 +68,16 @@
   request.target = "/";
   const monotonic_time deadline = boot_clock::now() + seconds(20);
   out = co_await call->send(std::move(request), deadline);
+  for (int n = 1; n < responses && out; ++n)
+    out = co_await call->read_next_response();
 }
 
-awaitable<void> read_second(http_client& client, send_result& out) {
-  const std::shared_ptr<http_call> call =
-      client.call(loopback_ip() + ":" + std::to_string(port));
-  http_request request;
-  request.method = "GET";
-  request.target = "/";
-  const monotonic_time deadline = boot_clock::now() + seconds(20);
-  out = co_await call->send(std::move(request), deadline);
-  if (out) out = co_await call->read_next_response();
-}
-
-/// Runs `call` to its end; returns how long it took.
-std::chrono::milliseconds run(awaitable<void> (*call)(http_client&,
-                                                      send_result&),
-                              send_result& out) {
+/// Runs `read_heads` to its end; returns how long it took.
+std::chrono::milliseconds run(int responses, send_result& out) {
   asio::io_context io;
   http_client client(io, {});
   const monotonic_time start = boot_clock::now();
-  asio::co_spawn(io, call(client, out), asio::detached);
+  asio::co_spawn(io, read_heads(client, responses, out), asio::detached);
   io.run();
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       boot_clock::now() - start);
@@ -104,7 +95,7 @@
 TEST(endless_responses_test, bytes_in_place_of_a_head_are_given_up) {
   const endless_server server("", std::string(100, 'x') + "\n");
   send_result got;
-  const std::chrono::milliseconds took = run(read_head, got);
+  const std::chrono::milliseconds took = run(1, got);
   expect_given_up(server, got, took);
 }
 
@@ -112,7 +103,7 @@
   const endless_server server("HTTP/1.1 200 OK\r\n",
                               "X-Line: " + std::string(100, 'x') + "\r\n");
   send_result got;
-  const std::chrono::milliseconds took = run(read_head, got);
+  const std::chrono::milliseconds took = run(1, got);
   expect_given_up(server, got, took);
 }
 
@@ -122,7 +113,7 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
       "64\r\n" + std::string(100, 'x') + "\r\n");
   send_result got;
-  const std::chrono::milliseconds took = run(read_second, got);
+  const std::chrono::milliseconds took = run(2, got);
   expect_given_up(server, got, took);
 }
 
