--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -215,7 +215,7 @@
                                              const error& cause) {
   if (current.exchange.is_disconnected()) return caller_disconnected(current);
   // Before the call is cancelled, which is no loss of its connection.
-  const attempt from_start = interrupted_run(*current.call, cause);
+  attempt from_start = interrupted_run(*current.call, cause);
   current.call->cancel();
   context_.endpoints.request_failed(current.endpoint.name,
                                     context_.clock.now());
