Collectors that restart together count each other's first sums

When all nodes restart, the requests that waited for them are asked for in the first moment, and each region's collector tells the others of them in its first sums. These were not counted, since a collector that is not known may have counted for a long time: the collectors of four regions each knew a quarter of the demand and admitted four times too much of it.

Now sums tell whether their collector started a moment ago, and one that did so itself counts them whole.

first_sums_of_collectors_that_restart_count failed before: the organisation was not near its limit.

--- a/usage/include/trestlepost/usage/usage_messages.h
+++ b/usage/include/trestlepost/usage/usage_messages.h
@@ -75,6 +75,8 @@
   std::string region;
   std::string collector;
   usage_counts counts;  // those that changed recently
+  /// Whether the collector started a moment ago.
+  bool starting = false;
 
   bool operator==(const region_usage&) const = default;
 };
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -107,14 +107,16 @@
 
 void usage_collector::handle(const region_usage& sums, monotonic_time now) {
   if (sums.collector == name_) return;
-  const bool known = collectors_.contains(sums.collector);
+  // An unknown one may have counted for a long time, unless all have restarted.
+  const bool counts_all = collectors_.contains(sums.collector) ||
+                          (sums.starting && observation_time(now));
   const seconds silence = silence_of(sums.region, now);
   source& from = collectors_[sums.collector];
   from.region = sums.region;
   from.heard_at = now;
   for (const auto& [name, it] : sums.counts) {
     usage_count change = count_change(from, name, it);
-    if (!known) continue;  // it may have counted for a long time
+    if (!counts_all) continue;
     // While it was silent, each region had its own part of the limit.
     const double own_part = states_[name].region_rate * silence.count();
     if (own_part > 0) change.used = std::max(0.0, change.used - own_part);
@@ -221,6 +223,7 @@
   region_usage out;
   out.region = region_;
   out.collector = name_;
+  out.starting = observation_time(now).has_value();
   for (const auto& [name, it] : states_) {
     const bool recent = now < it.changed_at + repeat_time;
     if (recent && it.own.asked > 0) out.counts[name] = it.own;
--- a/usage/src/usage_messages.cc
+++ b/usage/src/usage_messages.cc
@@ -93,6 +93,7 @@
   out["region"] = value.region;
   out["collector"] = value.collector;
   out["counts"] = rows_of(value.counts);
+  out["starting"] = value.starting;
   return out;
 }
 
@@ -101,6 +102,7 @@
   out.region = text_of(value, "region");
   out.collector = text_of(value, "collector");
   out.counts = rows_from<usage_count>(member_of(value, "counts"));
+  out.starting = flag_of(value, "starting");
   return out;
 }
 
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -178,6 +178,28 @@
   EXPECT_LT(level(), -500);
 }
 
+// Guards against collectors that restart together and do not know what others
+// were asked for before they heard of each other.
+TEST_F(shared_limiter_test, first_sums_of_collectors_that_restart_count) {
+  exchange();
+  const region_usage sums{"south", "c-2", {{"acme", {6000, 0}}}, true};
+  collector_.handle(sums, now_);
+  exchange();
+  const usage_reply reply = collector_.handle(limiter_.make_report(now_), now_);
+  EXPECT_GT(reply.levels.at("acme").demand, 6000);
+}
+
+// Guards against a collector that takes what another has counted for a long
+// time for new requests.
+TEST_F(shared_limiter_test, first_sums_of_an_older_collector_do_not_count) {
+  exchange();
+  const region_usage sums{"south", "c-2", {{"acme", {6000, 0}}}, false};
+  collector_.handle(sums, now_);
+  exchange();
+  EXPECT_FALSE(collector_.handle(limiter_.make_report(now_), now_)
+                   .levels.contains("acme"));
+}
+
 // The region cut off keeps one part of three, and nothing that it had saved.
 TEST_F(shared_limiter_test, a_region_that_hears_no_other_has_its_part) {
   for (int n = 0; n < 20; ++n) {
--- a/usage/test/usage_messages-test.cc
+++ b/usage/test/usage_messages-test.cc
@@ -19,7 +19,7 @@
                           {{"a", {-200, 1e9}}},
                           std::chrono::milliseconds(1500)};
   EXPECT_EQ(usage_reply_from(to_json(reply)), reply);
-  const region_usage sums{"north", "c-1", {{"a", {5, 4}}, {"b", {0, 0}}}};
+  const region_usage sums{"north", "c-1", {{"a", {5, 4}}, {"b", {0, 0}}}, true};
   EXPECT_EQ(region_usage_from(to_json(sums)), sums);
 }
 
