Requests wait until a starting gateway knows what others are asked for

Cause: before its first answer from a collector, a gateway used a part of the limit by the number of gateways, starting with nothing; and for 0.3 s after it, a part of what may have been saved. Until its first tick with a limit it took itself for the only gateway, and then for one of the few that a node knows so early. The simulation let it know all.

Now a gateway counts a request as asked, reports at once, and lets it wait: for the first answer, and 0.6 s longer if the collector has just started too; 1 s in all at most. What a starting collector takes for saved is not used: the requests that wait are about to use it. After the wait the request is routed again, since the plan may have changed.

--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -50,6 +50,11 @@
                     const attempt& last) const;
   /// Returns whether another region may be tried after `last`.
   bool may_try_other_region(routed_request& request, const attempt& last) const;
+  /// Records that the organisation of the request asks for usage, and waits
+  /// while a recently started node does not know yet whether its limit allows
+  /// it. Returns whether it has waited.
+  transport::awaitable<bool> wait_for_usage(const routed_request& request,
+                                            transport::http_exchange& exchange);
   /// Counts the request towards the limit of its organisation. Returns the
   /// refusal if it does not fit.
   std::optional<attempt> check_limit(const routed_request& request);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds max_startup_wait{1000};
 constexpr milliseconds startup_check_interval{20};
 
+bool has_limit(const routed_request& request) {
+  return request.organisation && request.organisation->limit;
+}
+
 error unavailable_error(const std::string& what) {
   return {error_kind::unavailable, what, "send it again after Retry-After"};
 }
@@ -125,6 +129,15 @@
   }
   result<routed_request> request =
       route(std::move(head), std::move(body), arrived);
+  if (request && co_await wait_for_usage(*request, exchange)) {
+    if (exchange.is_disconnected()) {
+      record_abandoned(id);
+      co_return;
+    }
+    // The plan may have changed meanwhile.
+    request =
+        route(std::move(request->head), std::move(request->body), arrived);
+  }
   if (!request) {
     const milliseconds retry_after =
         routes_.plan() ? retry_after_wrong_node : retry_after_no_plan;
@@ -156,11 +169,24 @@
   co_await refuse(outcome, id, exchange);
 }
 
+awaitable<bool> route_handler::wait_for_usage(const routed_request& request,
+                                              http_exchange& exchange) {
+  if (!has_limit(request)) co_return false;
+  limits_.record_request(*request.organisation,
+                         usage_of(request, *request.organisation->limit),
+                         context_.clock.now());
+  bool waited = false;
+  while (limits_.is_learning(context_.clock.now()) && accepting_ &&
+         !exchange.is_disconnected()) {
+    co_await transport::sleep_for(context_.io, startup_check_interval);
+    waited = true;
+  }
+  co_return waited;
+}
+
 std::optional<attempt> route_handler::check_limit(
     const routed_request& request) {
-  if (!request.organisation || !request.organisation->limit) {
-    return std::nullopt;
-  }
+  if (!has_limit(request)) return std::nullopt;
   const usage::usage_decision decision = limits_.admit(
       *request.organisation, usage_of(request, *request.organisation->limit),
       context_.clock.now());
@@ -175,8 +201,8 @@
 
 void route_handler::return_unused_amount(const routed_request& request,
                                          const attempt& outcome) {
-  const bool counted = request.organisation && request.organisation->limit;
-  if (!counted || outcome.delivered || outcome.ran != run_state::no) return;
+  if (!has_limit(request) || outcome.delivered || outcome.ran != run_state::no)
+    return;
   limits_.give_back(request.organisation->name,
                     usage_of(request, *request.organisation->limit));
 }
--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -25,12 +25,15 @@
   shared_limiter(std::string gateway, random_source& random)
       : gateway_(std::move(gateway)), random_(random) {}
 
+  void record_request(const config::organisation& organisation, double amount,
+                      monotonic_time now) override;
+  bool is_learning(monotonic_time now) const override;
   usage_decision admit(const config::organisation& organisation, double amount,
                        monotonic_time now) override;
   void give_back(const std::string& organisation, double amount) override;
 
-  /// Whether so much was admitted since the last report that the next one
-  /// should not wait for its time.
+  /// Whether the next report should not wait for its time: after the first
+  /// request, and when much was admitted since the last report.
   bool has_urgent_usage() const { return has_urgent_usage_; }
   /// Returns the next report for the collector.
   usage_report make_report(monotonic_time now);
@@ -54,9 +57,6 @@
     std::uint64_t sequence = 0;       // of the last report
     std::optional<usage_level> near;  // unless far from the limit
     usage_bucket alone;               // while there is no collector
-    /// Part of a request that must fit while the demand is not known; drawn
-    /// anew after each request that fits.
-    std::optional<double> fitting_part;
     monotonic_time changed_at;
   };
 
@@ -72,14 +72,6 @@
   monotonic_time heard_at_;
 
  private:
-  /// Whether this gateway and its collector started a moment ago, so that the
-  /// collector does not know how much all gateways are asked for.
-  bool has_unknown_demand(monotonic_time now) const;
-  /// Divides what may have been saved since the collector's start among the
-  /// gateways. A request larger than this gateway's part fits by chance, so
-  /// that all parts together are used.
-  bool exceeds_saved_part(organisation_state& state,
-                          const config::usage_limit& limit, double amount);
   /// Whether the collector must learn of earlier requests before this one can
   /// be admitted. Bounds what a flood at one gateway uses meanwhile.
   bool exceeds_unreported(const organisation_state& state,
@@ -89,9 +81,9 @@
   std::string gateway_;
   random_source& random_;
   std::size_t gateway_count_ = 1;
-  bool heard_ = false;
-  std::optional<std::chrono::milliseconds> collector_observed_;
-  std::optional<monotonic_time> first_asked_at_;  // with a collector
+  bool is_collector_starting_ = false;
+  std::optional<monotonic_time> first_asked_at_;
+  std::optional<monotonic_time> first_heard_at_;
   bool has_urgent_usage_ = false;
   std::string collector_;  // that answered the current session
   std::uint64_t session_ = 1;
--- a/usage/include/trestlepost/usage/usage_collector.h
+++ b/usage/include/trestlepost/usage/usage_collector.h
@@ -65,9 +65,9 @@
   /// How long no collector of the region has been heard; 0 while in contact.
   std::chrono::duration<double> silence_of(const std::string& region,
                                            monotonic_time now) const;
-  /// For how long all usage was observed, while the collector is starting.
-  std::optional<std::chrono::milliseconds> observation_time(
-      monotonic_time now) const;
+  /// Whether this collector started so recently that requests which waited for
+  /// its gateways may not be counted yet.
+  bool is_starting(monotonic_time now) const;
   /// The level of an organisation that had not asked for anything since this
   /// collector began to observe.
   double saved_level(const config::usage_limit& limit,
--- a/usage/include/trestlepost/usage/usage_limiter.h
+++ b/usage/include/trestlepost/usage/usage_limiter.h
@@ -20,7 +20,13 @@
  public:
   virtual ~usage_limiter() = default;
 
-  /// Decides and counts the request. `amount` is in the unit of the limit.
+  /// Counts that the organisation asks for an amount, in the unit of its limit.
+  virtual void record_request(const config::organisation& organisation,
+                              double amount, monotonic_time now) = 0;
+  /// Whether requests should wait with their decision, since this gateway has
+  /// just started and does not know yet what others are asked for.
+  virtual bool is_learning(monotonic_time now) const = 0;
+  /// Decides a request that was recorded, and counts what it uses.
   virtual usage_decision admit(const config::organisation& organisation,
                                double amount, monotonic_time now) = 0;
   /// Returns the amount of an admitted request that did not run.
--- a/usage/include/trestlepost/usage/usage_messages.h
+++ b/usage/include/trestlepost/usage/usage_messages.h
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "trestlepost/base/json.h"
@@ -64,8 +63,8 @@
   /// The organisations that are near their limits; all others are far from
   /// them, as far as the collector knows.
   usage_levels levels;
-  /// While the collector is starting: for how long it has observed usage.
-  std::optional<std::chrono::milliseconds> observed;
+  /// Whether the collector started a moment ago.
+  bool starting = false;
 
   bool operator==(const usage_reply&) const = default;
 };
--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -19,32 +19,43 @@
 constexpr seconds settling_time{0.5};
 // All gateways together may admit this time's worth of a limit unreported.
 constexpr seconds urgent_time{0.25};
-// All gateways together may admit this time's worth of a limit, and what was
-// saved, before starting collectors know of any request.
-constexpr seconds startup_allowance{0.75};
-// Time after the first request at a gateway until it learns of a flood: of a
-// report, a tick of the collector, and a reply.
-constexpr milliseconds learning_time = 2 * usage_interval;
+// Time after the first request at a gateway until it knows the demand in all
+// regions: for a report, for a tick of each collector, for a reply, and for the
+// delay between regions.
+constexpr milliseconds learning_time = 4 * usage_interval;
 
 }  // namespace
 
 bool shared_limiter::has_collector(monotonic_time now) const {
-  return heard_ && now < heard_at_ + contact_time;
+  return first_heard_at_ && now < heard_at_ + contact_time;
+}
+
+void shared_limiter::record_request(const config::organisation& organisation,
+                                    double amount, monotonic_time now) {
+  if (!organisation.limit) return;
+  organisation_state& state = states_[organisation.name];
+  state.counted.asked += amount;
+  state.changed_at = now;
+  if (first_asked_at_) return;
+  first_asked_at_ = now;
+  has_urgent_usage_ = true;
+}
+
+bool shared_limiter::is_learning(monotonic_time now) const {
+  const monotonic_time asked_at = first_asked_at_.value_or(now);
+  if (now >= asked_at + contact_time) return false;
+  if (!first_heard_at_) return true;
+  return is_collector_starting_ &&
+         now < std::max(asked_at, *first_heard_at_) + learning_time;
 }
 
 usage_decision shared_limiter::admit(const config::organisation& organisation,
                                      double amount, monotonic_time now) {
   if (!organisation.limit) return {};
   organisation_state& state = states_[organisation.name];
-  state.counted.asked += amount;
-  state.changed_at = now;
-  if (has_collector(now) && !first_asked_at_) first_asked_at_ = now;
   usage_decision out;
   if (!has_collector(now)) {
     out = admit_alone(state, *organisation.limit, amount, now);
-  } else if (has_unknown_demand(now) &&
-             exceeds_saved_part(state, *organisation.limit, amount)) {
-    out = {false, 2 * usage_interval};
   } else if (exceeds_unreported(state, *organisation.limit, amount)) {
     out = {false, 2 * min_report_interval};
   } else if (state.near) {
@@ -60,26 +71,6 @@
   return out;
 }
 
-bool shared_limiter::has_unknown_demand(monotonic_time now) const {
-  return collector_observed_ &&
-         now < first_asked_at_.value_or(now) + learning_time;
-}
-
-bool shared_limiter::exceeds_saved_part(organisation_state& state,
-                                        const config::usage_limit& limit,
-                                        double amount) {
-  const seconds observed = *collector_observed_;
-  const double saved =
-      std::min(limit.amount_per_second * observed.count(), limit.burst) +
-      limit.amount_per_second * startup_allowance.count();
-  const double part = part_ / static_cast<double>(gateway_count_);
-  const double left = saved * part - state.counted.used;
-  if (!state.fitting_part) state.fitting_part = random_.fraction();
-  if (left < *state.fitting_part * amount) return true;
-  state.fitting_part.reset();
-  return false;
-}
-
 bool shared_limiter::exceeds_unreported(const organisation_state& state,
                                         const config::usage_limit& limit,
                                         double amount) const {
@@ -95,7 +86,12 @@
     monotonic_time) {
   const double rate = limit.amount_per_second * part_;
   const double unreported = state.counted.used - state.known.used;
-  const double level = state.near->level - unreported;
+  // A starting collector takes for saved what waiting requests are about to
+  // use.
+  const double saved_level = is_collector_starting_
+                                 ? std::min(state.near->level, 0.0)
+                                 : state.near->level;
+  const double level = saved_level - unreported;
   const double demand = std::max(state.near->demand, 1.0);
   const double probability = (rate + level / settling_time.count()) / demand;
   if (random_.fraction() < probability) return {};
@@ -163,10 +159,10 @@
   if (!has_collector(now)) {
     for (auto& [name, it] : states_) it.alone.clear();
   }
-  heard_ = true;
+  if (!first_heard_at_) first_heard_at_ = now;
   heard_at_ = now;
   part_ = reply.part;
-  collector_observed_ = reply.observed;
+  is_collector_starting_ = reply.starting;
   for (auto& [name, it] : states_) {
     it.near.reset();
     if (it.sequence != 0 && it.sequence <= reply.sequence) {
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -96,7 +96,7 @@
     add_usage(name, change, true, now);
   }
   out.part = part_;
-  out.observed = observation_time(now);
+  out.starting = is_starting(now);
   for (const std::string& name : near_limit_) {
     const limit_state& it = states_[name];
     // What was reported since the last tick already reduces the level.
@@ -109,7 +109,7 @@
   if (sums.collector == name_) return;
   // An unknown one may have counted for a long time, unless all have restarted.
   const bool counts_all = collectors_.contains(sums.collector) ||
-                          (sums.starting && observation_time(now));
+                          (sums.starting && is_starting(now));
   const seconds silence = silence_of(sums.region, now);
   source& from = collectors_[sums.collector];
   from.region = sums.region;
@@ -144,11 +144,8 @@
   return static_cast<double>(heard.size()) / static_cast<double>(regions_);
 }
 
-std::optional<milliseconds> usage_collector::observation_time(
-    monotonic_time now) const {
-  const auto observed = now - observing_since_.value_or(now);
-  if (observed >= startup_time) return std::nullopt;
-  return std::chrono::duration_cast<milliseconds>(observed);
+bool usage_collector::is_starting(monotonic_time now) const {
+  return now < observing_since_.value_or(now) + startup_time;
 }
 
 double usage_collector::saved_level(const config::usage_limit& limit,
@@ -223,7 +220,7 @@
   region_usage out;
   out.region = region_;
   out.collector = name_;
-  out.starting = observation_time(now).has_value();
+  out.starting = is_starting(now);
   for (const auto& [name, it] : states_) {
     const bool recent = now < it.changed_at + repeat_time;
     if (recent && it.own.asked > 0) out.counts[name] = it.own;
--- a/usage/src/usage_messages.cc
+++ b/usage/src/usage_messages.cc
@@ -68,9 +68,7 @@
   out["known"] = value.known;
   out["part"] = value.part;
   out["levels"] = rows_of(value.levels);
-  if (value.observed) {
-    out["observed_ms"] = static_cast<Json::Int64>(value.observed->count());
-  }
+  out["starting"] = value.starting;
   return out;
 }
 
@@ -82,9 +80,7 @@
   out.known = flag_of(value, "known");
   out.part = real_of(value, "part");
   out.levels = rows_from<usage_level>(member_of(value, "levels"));
-  if (!member_of(value, "observed_ms").isNull()) {
-    out.observed = std::chrono::milliseconds(number_of(value, "observed_ms"));
-  }
+  out.starting = flag_of(value, "starting");
   return out;
 }
 
--- a/usage/test/other_limiters.h
+++ b/usage/test/other_limiters.h
@@ -9,6 +9,9 @@
 /// Admits everything.
 class no_limiter final : public usage_limiter {
  public:
+  void record_request(const config::organisation&, double,
+                      monotonic_time) override {}
+  bool is_learning(monotonic_time) const override { return false; }
   usage_decision admit(const config::organisation&, double,
                        monotonic_time) override {
     return {};
@@ -21,6 +24,9 @@
  public:
   explicit equal_parts_limiter(std::size_t gateways) : gateways_(gateways) {}
 
+  void record_request(const config::organisation&, double,
+                      monotonic_time) override {}
+  bool is_learning(monotonic_time) const override { return false; }
   usage_decision admit(const config::organisation& organisation, double amount,
                        monotonic_time now) override;
   void give_back(const std::string&, double) override {}
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -40,10 +40,13 @@
     for (int i = 0; i < n; ++i) exchange();
   }
 
-  bool admit(double amount) {
-    return limiter_.admit(*acme_, amount, now_).admitted;
+  usage_decision decide(double amount) {
+    limiter_.record_request(*acme_, amount, now_);
+    return limiter_.admit(*acme_, amount, now_);
   }
 
+  bool admit(double amount) { return decide(amount).admitted; }
+
   double used() { return collector_.sums(now_).counts["acme"].used; }
 
   seeded_random random_{1};
@@ -108,7 +111,7 @@
   EXPECT_TRUE(admit(50));
   EXPECT_TRUE(admit(50));
   EXPECT_FALSE(admit(50));
-  const usage_decision refused = limiter_.admit(*acme_, 50, now_);
+  const usage_decision refused = decide(50);
   EXPECT_GE(refused.retry_after, milliseconds(500));
   EXPECT_LE(refused.retry_after, milliseconds(1000));
 }
@@ -178,6 +181,31 @@
   EXPECT_LT(level(), -500);
 }
 
+// Guards against a gateway that has just started and refuses everybody, or
+// waits for a collector that does not answer.
+TEST_F(shared_limiter_test, requests_wait_briefly_for_a_first_answer) {
+  limiter_.record_request(*acme_, 100, now_);
+  EXPECT_TRUE(limiter_.is_learning(now_ + milliseconds(900)));
+  EXPECT_FALSE(limiter_.is_learning(now_ + milliseconds(1000)));
+}
+
+// Guards against requests that wait at a gateway that restarts alone, although
+// its collector knows the demand.
+TEST_F(shared_limiter_test, requests_wait_longer_only_for_a_new_collector) {
+  exchange();
+  limiter_.record_request(*acme_, 100, now_);
+  EXPECT_TRUE(limiter_.is_learning(now_));
+  for (int n = 0; n < 40; ++n) {
+    now_ += interval;
+    collector_.tick(table_, 1, now_);
+  }
+  shared_limiter other("g-2", random_);
+  other.record_request(*acme_, 100, now_);
+  EXPECT_TRUE(other.is_learning(now_));
+  other.handle(collector_.handle(other.make_report(now_), now_), now_);
+  EXPECT_FALSE(other.is_learning(now_));
+}
+
 // Guards against collectors that restart together and do not know what others
 // were asked for before they heard of each other.
 TEST_F(shared_limiter_test, first_sums_of_collectors_that_restart_count) {
--- a/usage/test/usage_messages-test.cc
+++ b/usage/test/usage_messages-test.cc
@@ -11,13 +11,7 @@
   const usage_report report{
       "g-1", 3, 17, {{"a", {1e12, 36'000}}}, {{"b", {-7, 9}}}};
   EXPECT_EQ(usage_report_from(to_json(report)), report);
-  const usage_reply reply{"c-1",
-                          3,
-                          17,
-                          true,
-                          0.5,
-                          {{"a", {-200, 1e9}}},
-                          std::chrono::milliseconds(1500)};
+  const usage_reply reply{"c-1", 3, 17, true, 0.5, {{"a", {-200, 1e9}}}, true};
   EXPECT_EQ(usage_reply_from(to_json(reply)), reply);
   const region_usage sums{"north", "c-1", {{"a", {5, 4}}, {"b", {0, 0}}}, true};
   EXPECT_EQ(region_usage_from(to_json(sums)), sums);
--- a/usage/test/usage_simulation.cc
+++ b/usage/test/usage_simulation.cc
@@ -21,6 +21,9 @@
 // What the rule allows in each window: a tenth more and a fixed amount.
 constexpr simulated_time window{8};
 constexpr double excess = 0.1;
+// Time after its first request until a gateway that restarted with all others
+// knows them.
+constexpr milliseconds directory_time{300};
 // Time after a change of the limit in which windows do not count.
 constexpr simulated_time settling_time{2};
 constexpr double slack = 140'000;
@@ -48,7 +51,9 @@
   monotonic_time next_report;
   monotonic_time reported_at;
   monotonic_time ready_at;
-  std::vector<waiting_request> waiting;
+  monotonic_time knows_others_at;
+  std::vector<waiting_request> waiting;    // until it is ready
+  std::vector<waiting_request> undecided;  // while the limiter is learning
 };
 
 struct message {
@@ -141,6 +146,7 @@
     it.region = number % s_.regions;
     it.random = std::make_unique<seeded_random>(engine_());
     it.reporting = nullptr;
+    it.undecided.clear();
     const std::string name =
         "g-" + std::to_string(number) + "-" + std::to_string(it.restarts++);
     if (s_.way == limiting::none) it.limiter = std::make_unique<no_limiter>();
@@ -168,8 +174,11 @@
       start_gateway(g);
       const seconds wait =
           s_.min_wait + uniform() * (s_.max_wait - s_.min_wait);
-      gateways_[g].ready_at =
+      simulated_gateway& it = gateways_[g];
+      it.ready_at =
           now_ + std::chrono::duration_cast<monotonic_time::duration>(wait);
+      it.knows_others_at = it.ready_at + directory_time;
+      if (it.reporting != nullptr) it.reporting->set_gateway_count(1);
     }
   }
 
@@ -205,7 +214,10 @@
     for (int g = 0; g < s_.gateways; ++g) {
       simulated_gateway& it = gateways_[g];
       if (it.reporting == nullptr || !is_due(it)) continue;
-      if (suspended(g)) continue;
+      if (suspended(g) || now_ < it.ready_at) continue;
+      if (now_ >= it.knows_others_at) {
+        it.reporting->set_gateway_count(s_.gateways);
+      }
       it.next_report = now_ + usage_interval;
       it.reported_at = now_;
       const usage_report report = it.reporting->make_report(now_);
@@ -270,24 +282,41 @@
     if (now_ < gateway.ready_at) {
       gateway.waiting.push_back({organisation, tokens});
     } else {
-      admit(gateway, organisation, tokens);
+      record(gateway, organisation, tokens);
+      admit_undecided(gateway);
     }
   }
 
   void admit_waiting(simulated_gateway& gateway) {
     if (now_ < gateway.ready_at) return;
     for (const waiting_request& it : gateway.waiting) {
-      admit(gateway, it.organisation, it.tokens);
+      record(gateway, it.organisation, it.tokens);
     }
     gateway.waiting.clear();
+    admit_undecided(gateway);
   }
 
-  void admit(simulated_gateway& gateway, std::size_t organisation,
-             double tokens) {
+  void record(simulated_gateway& gateway, std::size_t organisation,
+              double tokens) {
     const config::organisation& one = *organisations_[organisation];
     usage_bucket& ideal = ideal_[organisation];
     ideal.refill(one.limit->amount_per_second, one.limit->burst, now_);
     if (ideal.take(tokens)) allowed_[organisation] += tokens;
+    gateway.limiter->record_request(one, tokens, now_);
+    gateway.undecided.push_back({organisation, tokens});
+  }
+
+  void admit_undecided(simulated_gateway& gateway) {
+    if (gateway.limiter->is_learning(now_)) return;
+    for (const waiting_request& it : gateway.undecided) {
+      admit(gateway, it.organisation, it.tokens);
+    }
+    gateway.undecided.clear();
+  }
+
+  void admit(simulated_gateway& gateway, std::size_t organisation,
+             double tokens) {
+    const config::organisation& one = *organisations_[organisation];
     if (!gateway.limiter->admit(one, tokens, now_).admitted) return;
     admitted_[organisation] += tokens;
     uses_[organisation].push_back({time(), tokens});
