A region not heard since a collector's start had only its part

Cause, of a part of it: when a collector first hears another region, it subtracts that region's own part for the time of silence. A region never heard counted as silent for ever, so whatever it had used was forgiven. Now silence begins with the collector's own start.

a_region_unheard_since_the_start_had_only_its_part failed before.

--- a/usage/include/trestlepost/usage/usage_collector.h
+++ b/usage/include/trestlepost/usage/usage_collector.h
@@ -62,7 +62,8 @@
   usage_count count_change(source& from, const std::string& organisation,
                            const usage_count& now_counted);
   double part(monotonic_time now) const;
-  /// How long no collector of the region has been heard; 0 while in contact.
+  /// How long no collector of the region has been heard since this one started;
+  /// 0 while in contact.
   std::chrono::duration<double> silence_of(const std::string& region,
                                            monotonic_time now) const;
   /// Whether this collector started so recently that requests which waited for
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -127,7 +127,7 @@
 seconds usage_collector::silence_of(const std::string& region,
                                     monotonic_time now) const {
   if (region == region_) return seconds(0);
-  monotonic_time heard_at;
+  monotonic_time heard_at = observing_since_.value_or(now);
   for (const auto& [name, it] : collectors_) {
     if (it.region == region) heard_at = std::max(heard_at, it.heard_at);
   }
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -228,6 +228,24 @@
                    .levels.contains("acme"));
 }
 
+// Guards against a region whose usage is forgiven whole, if this collector
+// started while the region was cut off.
+TEST_F(shared_limiter_test,
+       a_region_unheard_since_the_start_had_only_its_part) {
+  limiter_.record_request(*acme_, 1, now_);
+  const usage_report report = limiter_.make_report(now_);
+  for (int n = 0; n < 8; ++n) {
+    now_ += interval;
+    collector_.tick(table_, 2, now_);
+    collector_.handle(report, now_);
+  }
+  const region_usage sums{"south", "c-2", {{"acme", {3000, 3000}}}, true};
+  collector_.handle(sums, now_);
+  const usage_reply reply = collector_.handle(report, now_);
+  ASSERT_TRUE(reply.levels.contains("acme"));
+  EXPECT_LT(reply.levels.at("acme").level, -1000);
+}
+
 // The region cut off keeps one part of three, and nothing that it had saved.
 TEST_F(shared_limiter_test, a_region_that_hears_no_other_has_its_part) {
   for (int n = 0; n < 20; ++n) {
