--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -4,7 +4,8 @@
 // and only counted. Near the limit each request is admitted with a probability
 // that makes the usage of all gateways together approach the limit, whatever
 // the sizes of requests and wherever they arrive. Without a collector the
-// gateway uses an equal part of the limit.
+// gateway uses an equal part of the limit. At its start it knows neither the
+// demand nor the other gateways, so requests wait for a collector's answer.
 #pragma once
 
 #include <algorithm>
