--- a/usage/src/shared_limiter.cc
+++ b/usage/src/shared_limiter.cc
@@ -86,12 +86,7 @@
     monotonic_time) {
   const double rate = limit.amount_per_second * part_;
   const double unreported = state.counted.used - state.known.used;
-  // A starting collector takes for saved what waiting requests are about to
-  // use.
-  const double saved_level = is_collector_starting_
-                                 ? std::min(state.near->level, 0.0)
-                                 : state.near->level;
-  const double level = saved_level - unreported;
+  const double level = state.near->level - unreported;
   const double demand = std::max(state.near->demand, 1.0);
   const double probability = (rate + level / settling_time.count()) / demand;
   if (random_.fraction() < probability) return {};
--- a/usage/src/usage_collector.cc
+++ b/usage/src/usage_collector.cc
@@ -100,7 +100,9 @@
   for (const std::string& name : near_limit_) {
     const limit_state& it = states_[name];
     // What was reported since the last tick already reduces the level.
-    out.levels[name] = {it.level - it.new_usage.used, it.demand};
+    const double level = it.level - it.new_usage.used;
+    // What was saved since a start, waiting requests are about to use.
+    out.levels[name] = {out.starting ? std::min(level, 0.0) : level, it.demand};
   }
   return out;
 }
