--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -37,6 +37,9 @@
   /// Assigns the request to a route and a service.
   result<routed_request> route(surface::call_head head, std::string body,
                                monotonic_time arrived) const;
+  /// Returns whether a request may go on waiting for what a recently started
+  /// node lacks.
+  bool may_wait(const transport::http_exchange& exchange) const;
   /// Waits briefly for state that a recently started node has not received yet.
   /// Returns false immediately if there is no reason to wait.
   transport::awaitable<bool> wait_for_startup(
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -34,12 +34,15 @@
 
 }  // namespace
 
+bool route_handler::may_wait(const http_exchange& exchange) const {
+  return accepting_ && !exchange.is_disconnected();
+}
+
 awaitable<bool> route_handler::wait_for_startup(monotonic_time arrived,
                                                 http_exchange& exchange) {
   const monotonic_time now = context_.clock.now();
-  const bool waits = context_.state.is_catching_up(now) && accepting_ &&
-                     now < arrived + max_startup_wait &&
-                     !exchange.is_disconnected();
+  const bool waits = context_.state.is_catching_up(now) &&
+                     now < arrived + max_startup_wait && may_wait(exchange);
   if (!waits) co_return false;
   co_await transport::sleep_for(context_.io, startup_check_interval);
   co_return !exchange.is_disconnected();
@@ -176,8 +179,7 @@
                          usage_of(request, *request.organisation->limit),
                          context_.clock.now());
   bool waited = false;
-  while (limits_.is_learning(context_.clock.now()) && accepting_ &&
-         !exchange.is_disconnected()) {
+  while (limits_.is_learning(context_.clock.now()) && may_wait(exchange)) {
     co_await transport::sleep_for(context_.io, startup_check_interval);
     waited = true;
   }
