Tests of usage limits: one path for requests, one base of limiters that share nothing

Requests at a gateway that is ready went through a branch of their own beside admit_waiting; two limiters had the same three empty functions.

--- a/usage/test/other_limiters.h
+++ b/usage/test/other_limiters.h
@@ -6,30 +6,31 @@
 
 namespace trestlepost::usage::test {
 
-/// Admits everything.
-class no_limiter final : public usage_limiter {
+/// Learns nothing of other gateways.
+class unshared_limiter : public usage_limiter {
  public:
   void record_request(const config::organisation&, double,
                       monotonic_time) override {}
   bool is_learning(monotonic_time) const override { return false; }
+  void give_back(const std::string&, double) override {}
+};
+
+/// Admits everything.
+class no_limiter final : public unshared_limiter {
+ public:
   usage_decision admit(const config::organisation&, double,
                        monotonic_time) override {
     return {};
   }
-  void give_back(const std::string&, double) override {}
 };
 
 /// Gives each gateway an equal part of the limit, without communication.
-class equal_parts_limiter final : public usage_limiter {
+class equal_parts_limiter final : public unshared_limiter {
  public:
   explicit equal_parts_limiter(std::size_t gateways) : gateways_(gateways) {}
 
-  void record_request(const config::organisation&, double,
-                      monotonic_time) override {}
-  bool is_learning(monotonic_time) const override { return false; }
   usage_decision admit(const config::organisation& organisation, double amount,
                        monotonic_time now) override;
-  void give_back(const std::string&, double) override {}
 
  private:
   std::size_t gateways_;
--- a/usage/test/usage_simulation.cc
+++ b/usage/test/usage_simulation.cc
@@ -279,12 +279,8 @@
     const double tokens = draw_tokens();
     if (suspended(number)) return;
     simulated_gateway& gateway = gateways_[number];
-    if (now_ < gateway.ready_at) {
-      gateway.waiting.push_back({organisation, tokens});
-    } else {
-      record(gateway, organisation, tokens);
-      admit_undecided(gateway);
-    }
+    gateway.waiting.push_back({organisation, tokens});
+    admit_waiting(gateway);
   }
 
   void admit_waiting(simulated_gateway& gateway) {
