--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,7 @@
 // An order of the operator that waits in the socket of a frozen control node is
-// carried out when the node wakes, although the operator has closed the channel,
-// repeated the order elsewhere and given a newer, opposite order since.
+// carried out when the node wakes, although the operator has closed the
+// channel, repeated the order elsewhere and given a newer, opposite order
+// since.
 #include "../standins/deployment.hpp"
 
 using namespace review;
@@ -15,7 +16,8 @@
     all.add_node("core-" + std::to_string(n + 1), all.places[control_place[n]],
                  true);
   }
-  for (const place& it : all.places) all.add_node("front-" + it.zone, it, false);
+  for (const place& it : all.places)
+    all.add_node("front-" + it.zone, it, false);
   std::mutex lock;
   std::vector<arrival> arrivals;
   for (const place& it : all.places) {
@@ -114,9 +116,10 @@
       }
     }
     (void)stopped_at;
-    log.line("requests that reached cork-a over 5 s after the ack of its "
-             "evacuation: %d; over 13 s after it: %d",
-             within, late);
+    log.line(
+        "requests that reached cork-a over 5 s after the ack of its "
+        "evacuation: %d; over 13 s after it: %d",
+        within, late);
     result = late > 0 ? rule_broken : rule_held;
   } while (false);
   ended = true;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -94,8 +94,7 @@
       connection channel;
       if (!channel.open(gateway.ip, deployment::callers_port, 1000)) return;
       const std::string small = "s-" + std::to_string(c);
-      const int first =
-          deployment::request_on(channel, "/book/1", small, 8000);
+      const int first = deployment::request_on(channel, "/book/1", small, 8000);
       if (first != 200) return;
       // With the disruption they all come at once; without it, one by one.
       if (!trouble) pause_for(c * 1700);
@@ -123,9 +122,10 @@
   platform.join();
   log.line("peak %ld MB; killed by the platform: %d", peak.load(),
            kills.load());
-  log.line("large requests: %d, answered %d, passed on to a sound endpoint and "
-           "cut without an answer: %d",
-           large_requests, answered.load(), cut.load());
+  log.line(
+      "large requests: %d, answered %d, passed on to a sound endpoint and "
+      "cut without an answer: %d",
+      large_requests, answered.load(), cut.load());
   const int result = cut > 3 ? rule_broken : rule_held;
   log.line("result %d", result);
   all.stop_all();
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -328,9 +328,9 @@
  private:
   std::string handle(const message& in) {
     const std::string request = in.header("x-request-id");
-    const std::string load = "X-Server-Load: " +
-                             std::to_string(running_.load()) + ",0," +
-                             std::to_string(slots) + "\r\n";
+    const std::string load =
+        "X-Server-Load: " + std::to_string(running_.load()) + ",0," +
+        std::to_string(slots) + "\r\n";
     const std::string path = in.target();
     if (path == "/-/report") {
       return answer(200, "",
@@ -352,8 +352,8 @@
     --running_;
     const std::string close = leaving ? "Connection: close\r\n" : "";
     return answer(200,
-                  echo + load + close + "X-Reply-Stamp: " + id + "." +
-                      request + "\r\nContent-Type: text/plain\r\n",
+                  echo + load + close + "X-Reply-Stamp: " + id + "." + request +
+                      "\r\nContent-Type: text/plain\r\n",
                   "answer of " + id + " to " + request);
   }
 
@@ -454,8 +454,7 @@
       const rlimit files{static_cast<rlim_t>(limit),
                          static_cast<rlim_t>(limit)};
       ::setrlimit(RLIMIT_NOFILE, &files);
-      const int out =
-          ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(out, 1);
       ::dup2(out, 2);
       ::execl("target/bin/trestlepostd", "target/bin/trestlepostd",
@@ -557,10 +556,9 @@
   }
   static int request_on(connection& it, const std::string& path,
                         const std::string& id, int timeout_ms) {
-    const std::string out = "GET " + path +
-                            " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " +
-                            id + "\r\nX-Deadline-Ms: " +
-                            std::to_string(timeout_ms) + "\r\n\r\n";
+    const std::string out =
+        "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
+        "\r\nX-Deadline-Ms: " + std::to_string(timeout_ms) + "\r\n\r\n";
     if (!it.write(out)) return 0;
     message in;
     if (!it.read(in, steady::now() + milliseconds(timeout_ms))) return 0;
@@ -638,8 +636,8 @@
     out += "\"node\": \"" + it.name + "\",\n";
     out += "\"region\": \"" + it.region + "\",\n";
     out += "\"availability_zone\": \"" + it.zone + "\",\n";
-    out += std::string("\"roles\": [\"") + (it.control ? "control" : "gateway") +
-           "\"],\n";
+    out += std::string("\"roles\": [\"") +
+           (it.control ? "control" : "gateway") + "\"],\n";
     if (it.control) out += "\"data_folder\": \"" + data + "\",\n";
     out += "\"charts_folder\": \"share/charts\",\n\"surface\": \"platform\",\n";
     out += "\"first_port\": " + std::to_string(peers_port) + ",\n";
@@ -669,10 +667,11 @@
     out += "\"peer_secret_file\": \"deploy/peer-secret\",\n";
     out += "\"platform\": { \"address\": \"" + platform_ip_ +
            ":8142\", \"list_lag\": \"800 ms\" },\n";
-    out += "\"timing\": { \"election_timeout\": \"500 ms\", "
-           "\"heartbeat_interval\": \"150 ms\", \"startup_wait\": \"400 ms\", "
-           "\"drain_timeout\": \"8 s\", \"drain_grace\": \"2500 ms\", "
-           "\"directory_lifetime\": \"1 s\" }\n}\n";
+    out +=
+        "\"timing\": { \"election_timeout\": \"500 ms\", "
+        "\"heartbeat_interval\": \"150 ms\", \"startup_wait\": \"400 ms\", "
+        "\"drain_timeout\": \"8 s\", \"drain_grace\": \"2500 ms\", "
+        "\"directory_lifetime\": \"1 s\" }\n}\n";
     std::FILE* file = std::fopen(settings_of(it).c_str(), "w");
     std::fputs(out.c_str(), file);
     std::fclose(file);
