--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -16,8 +16,10 @@
     all.add_node("core-" + std::to_string(n + 1), all.places[control_place[n]],
                  true);
   }
-  for (const place& it : all.places)
-    all.add_node("front-" + it.zone, it, false);
+  for (const place& it : all.places) {
+    all.add_node("front-" + it.zone + "-1", it, false);
+    all.add_node("front-" + it.zone + "-2", it, false);
+  }
   std::mutex lock;
   std::vector<arrival> arrivals;
   for (const place& it : all.places) {
