--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,7 +10,11 @@
 
 constexpr long memory_mb = 260;
 constexpr std::size_t body_bytes = 4'000'000;  // max_body_bytes is 4,194,304
-constexpr int large_requests = 30;
+// Large requests at once: usually, and in a burst of 2.5 times the traffic.
+constexpr int usual_requests = 10;
+constexpr int burst_requests = 25;
+constexpr int waves = 3;
+constexpr int wave_ms = 3000;
 constexpr int work_ms = 1200;
 
 long resident_mb(pid_t pid) {
@@ -89,6 +93,9 @@
   std::atomic<int> cut{0};
   std::vector<std::thread> clients;
   const std::string body(body_bytes, 'x');
+  const int at_once = trouble ? burst_requests : usual_requests;
+  const int large_requests = waves * at_once;
+  const steady::time_point first_wave = steady::now() + milliseconds(3000);
   for (int c = 0; c < large_requests; ++c) {
     clients.emplace_back([&, c] {
       connection channel;
@@ -96,8 +103,9 @@
       const std::string small = "s-" + std::to_string(c);
       const int first = deployment::request_on(channel, "/book/1", small, 8000);
       if (first != 200) return;
-      // With the disruption they all come at once; without it, one by one.
-      if (!trouble) pause_for(c * 1700);
+      // Three waves, 9 s in all.
+      std::this_thread::sleep_until(first_wave +
+                                    milliseconds(c / at_once * wave_ms));
       const std::string id = "l-" + std::to_string(c);
       const std::string head =
           "POST /book/2 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
