Logs tell which order made which change, and whether its sender was there

The logs could not distinguish an order that is carried out after its sender has left from a gateway that holds another configuration: a change named neither its zone nor its order, and configuration-in-force no zones. order-proposed joins an order to its change id, change-decided names what has changed, order-answered tells whether the sender was still waiting, and configuration-in-force and the gauge evacuated_zones which zones a node takes for evacuated. No logic is changed.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -6,6 +6,7 @@
 #include "audit_search.h"
 #include "disk/background_storage.h"
 #include "ledger_voters.h"
+#include "orders/change_summary.h"
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::node {
@@ -293,10 +294,12 @@
 void control_service::on_decided(const config::audit_record& record) {
   // Every replica applies every change, and again when it replays its log;
   // only the leader logs it at info level.
-  log_event(leads() ? log_level::info : log_level::debug, "change-decided",
+  const bool logs = leads();
+  log_event(logs ? log_level::info : log_level::debug, "change-decided",
             {{"change_id", record.change_id},
              {"operator", record.operator_name},
              {"status", std::string(to_string(record.outcome.status))},
+             {"changed", logs ? summarize_change(record) : ""},
              {"revision", std::to_string(record.outcome.revision)}});
   const auto it = pending_changes_.find(record.change_id);
   if (it != pending_changes_.end()) {
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -445,6 +445,7 @@
     node_gauges.Add({{"what", what}}).Set(value);
   };
   set("configuration_revision", static_cast<double>(store.revision()));
+  set("evacuated_zones", static_cast<double>(store.evacuated_zones().size()));
   set("ready", state.crosses_regions() ? 1 : 0);
   set("isolated", state.is(membership::node_states::isolated) ? 1 : 0);
   set("leads_configuration", control && control->leads() ? 1 : 0);
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -170,6 +170,7 @@
             {{"order", std::string(name_of(order->kind))},
              {"zone", order->availability_zone},
              {"number", order->plan ? std::to_string(order->plan->number) : ""},
+             {"sender", exchange.is_disconnected() ? "left" : "waiting"},
              {"status", std::to_string(out.status)}});
   co_return out;
 }
@@ -216,9 +217,14 @@
   const std::shared_ptr<pending_result<change_outcome>> pending =
       std::make_shared<pending_result<change_outcome>>(context_.io);
   const config::plan_ptr base_plan = control_->machine().store().plan();
+  config::change requested =
+      make_change(order, base_plan.get(), context_.random);
+  log_event(log_level::info, "order-proposed",
+            {{"order", std::string(name_of(order.kind))},
+             {"zone", order.availability_zone},
+             {"change_id", requested.id}});
   control_->orders().submit(
-      make_change(order, base_plan.get(), context_.random),
-      [pending](const result<json>& it) {
+      std::move(requested), [pending](const result<json>& it) {
         pending->deliver(it.map(config::change_result_from));
       });
   co_await wait_for<change_outcome>(pending, deadline);
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -1,6 +1,7 @@
 #include "watch_client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "disk/background_storage.h"
@@ -16,6 +17,12 @@
 // again.
 constexpr int max_unanswered_polls = 3;
 
+std::string join(const std::set<std::string>& names) {
+  std::string out;
+  for (const std::string& it : names) out += (out.empty() ? "" : ", ") + it;
+  return out;
+}
+
 }  // namespace
 
 watch_client::watch_client(node_context& context,
@@ -179,7 +186,8 @@
   // acknowledges a plan.
   next_poll_ = context_.clock.now();
   log_event(log_level::info, "configuration-in-force",
-            {{"revision", std::to_string(context_.store.revision())}});
+            {{"revision", std::to_string(context_.store.revision())},
+             {"evacuated_zones", join(context_.store.evacuated_zones())}});
   if (on_changed) on_changed();
 }
 
