An operator's order whose sender has left is not carried out

Callers saw: requests reached a zone whose evacuation was acknowledged, without end; or a zone in service was evacuated.

order_handler proposed whatever it read. It now asks before each attempt whether the connection is still open in both directions, by the state that the kernel holds, which also shows a close behind unread data. An evacuation's order first waits for two round trips of its connection (10 to 300 ms): where the network delays data until the sender gives up, the close arrives up to a round trip behind it.

--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -1,5 +1,6 @@
 #include "order_handler.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -33,6 +34,11 @@
 constexpr std::size_t withheld_bytes = 64;
 constexpr unsigned streamed_status = 200;
 
+// Bounds of the time that an order waits for the end of its connection. The
+// upper one leaves most of `answer_timeout` to the decision.
+constexpr milliseconds min_close_delay{10};
+constexpr milliseconds max_close_delay{300};
+
 constexpr char retry_remedy[] = "send the same request again";
 
 /// A value that a callback delivers, and a timer to wait for it.
@@ -78,6 +84,20 @@
           retry_remedy};
 }
 
+error sender_has_left() {
+  return {error_kind::deadline, "the sender has closed its connection",
+          "send the order again and wait for its answer"};
+}
+
+/// How long to wait for the end of a connection whose last data has arrived. If
+/// the network has delayed both until the sender gave up, the end arrives up to
+/// a round trip later.
+milliseconds close_delay_of(transport::http_exchange& exchange) {
+  const milliseconds round_trip =
+      std::chrono::ceil<milliseconds>(exchange.round_trip_time());
+  return std::clamp(2 * round_trip, min_close_delay, max_close_delay);
+}
+
 std::string_view name_of(order_kind kind) {
   switch (kind) {
     case order_kind::replace_plan:
@@ -164,7 +184,7 @@
     }
     out = co_await read_plan(deadline);
   } else {
-    out = co_await change(*order, deadline);
+    out = co_await change(*order, exchange, deadline);
   }
   log_event(log_level::info, "order-answered",
             {{"order", std::string(name_of(order->kind))},
@@ -184,17 +204,22 @@
   }
 }
 
-awaitable<http_response> order_handler::change(operator_order order,
-                                               monotonic_time deadline) {
+awaitable<http_response> order_handler::change(
+    const operator_order& order, transport::http_exchange& exchange,
+    monotonic_time deadline) {
   if (order.plan) {
     const result<void> valid = config::validate_plan(*order.plan);
     if (!valid) co_return surface_->refuse(valid.error());
+  } else {
+    const milliseconds close_delay = close_delay_of(exchange);
+    co_await transport::sleep_for(context_.io, close_delay);
   }
-  std::optional<change_outcome> outcome = co_await propose(order, deadline);
+  std::optional<change_outcome> outcome =
+      co_await propose(order, exchange, deadline);
   while (outcome && is_retryable(*outcome) &&
          context_.clock.now() + retry_delay < deadline) {
     co_await transport::sleep_for(context_.io, retry_delay);
-    outcome = co_await propose(order, deadline);
+    outcome = co_await propose(order, exchange, deadline);
   }
   if (!outcome) co_return surface_->refuse(unknown_outcome());
   if (!*outcome) co_return surface_->refuse(outcome->error());
@@ -212,8 +237,15 @@
 }
 
 awaitable<std::optional<change_outcome>> order_handler::propose(
-    const operator_order& order, monotonic_time deadline) {
+    const operator_order& order, transport::http_exchange& exchange,
+    monotonic_time deadline) {
   co_await wait_for_lease(deadline);
+  if (exchange.has_caller_left()) {
+    log_event(log_level::info, "order-abandoned",
+              {{"order", std::string(name_of(order.kind))},
+               {"zone", order.availability_zone}});
+    co_return change_outcome(tl::make_unexpected(sender_has_left()));
+  }
   const std::shared_ptr<pending_result<change_outcome>> pending =
       std::make_shared<pending_result<change_outcome>>(context_.io);
   const config::plan_ptr base_plan = control_->machine().store().plan();
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -34,13 +34,16 @@
       transport::http_exchange& exchange, const std::string& body);
   /// Waits until `deadline` while this node is leader but its lease has lapsed.
   transport::awaitable<void> wait_for_lease(monotonic_time deadline);
-  /// Proposes a change until it is decided, retrying transient failures.
+  /// Proposes a change until it is decided, retrying transient failures while
+  /// its sender waits.
   transport::awaitable<transport::http_response> change(
-      surface::operator_order order, monotonic_time deadline);
+      const surface::operator_order& order, transport::http_exchange& exchange,
+      monotonic_time deadline);
   /// Proposes the order once. Returns nullopt if there is no result by
   /// `deadline`.
   transport::awaitable<std::optional<change_outcome>> propose(
-      const surface::operator_order& order, monotonic_time deadline);
+      const surface::operator_order& order, transport::http_exchange& exchange,
+      monotonic_time deadline);
   /// Streams a large plan while the read is being confirmed, and sends the last
   /// bytes after the confirmation. Without a confirmation the answer is
   /// aborted, so that the client sees it as incomplete.
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -52,6 +52,10 @@
   bool has_response_started() const override { return false; }
   bool is_response_delimited() const override { return false; }
   bool is_disconnected() const override { return false; }
+  bool has_caller_left() override { return false; }
+  std::chrono::microseconds round_trip_time() override {
+    return std::chrono::microseconds(0);
+  }
   void on_disconnect(std::function<void()>) override {}
 };
 
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -52,6 +52,13 @@
 /// read is no silent host.
 bool is_host_silent(tcp::socket& socket);
 
+/// Returns whether the connection is open in both directions: the remote host
+/// has neither closed nor reset it.
+bool is_established(tcp::socket& socket);
+
+/// Returns the smoothed round-trip time of a connection; zero if unknown.
+std::chrono::microseconds smoothed_round_trip(tcp::socket& socket);
+
 /// Sets the options of a connection that this node opened: TCP_NODELAY,
 /// keep-alive probes every second, and a TCP user timeout. The connection fails
 /// with a timeout if the remote host acknowledges neither data nor probes for
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -85,6 +85,11 @@
   /// Returns whether the caller is known to have disconnected. Known at least
   /// after `read_body` if it happened before.
   virtual bool is_disconnected() const = 0;
+  /// Checks whether the caller has closed its end of the connection, also if
+  /// data that precedes the close has not been read.
+  virtual bool has_caller_left() = 0;
+  /// Returns the smoothed round-trip time of the connection; zero if unknown.
+  virtual std::chrono::microseconds round_trip_time() = 0;
   /// Sets the action to call if the caller disconnects before the response is
   /// complete; nullptr removes it.
   virtual void on_disconnect(std::function<void()> action) = 0;
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -141,6 +141,17 @@
   return ec ? "" : peer.address().to_string();
 }
 
+bool server_connection::has_caller_left() {
+  const bool open = !disconnected_ && stream_.socket().is_open();
+  if (open && is_established(stream_.socket())) return false;
+  handle_disconnect();
+  return true;
+}
+
+std::chrono::microseconds server_connection::round_trip_time() {
+  return smoothed_round_trip(stream_.socket());
+}
+
 awaitable<bool> server_connection::read_head() {
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -69,6 +69,8 @@
     return response_started_ && framing_ != body_framing::close;
   }
   bool is_disconnected() const override { return disconnected_; }
+  bool has_caller_left() override;
+  std::chrono::microseconds round_trip_time() override;
   void on_disconnect(std::function<void()> action) override;
 
  private:
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <charconv>
+#include <optional>
 
 #include "trestlepost/transport/asio.h"
 
@@ -26,6 +27,15 @@
                sizeof value);
 }
 
+/// Returns what the system knows of the connection, if it is open.
+std::optional<tcp_info> connection_info(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  const int failed =
+      ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return failed == 0 ? std::optional<tcp_info>(info) : std::nullopt;
+}
+
 }  // namespace
 
 result<tcp::endpoint> parse_address(const std::string& text) {
@@ -53,13 +63,20 @@
 }
 
 bool is_host_silent(tcp::socket& socket) {
-  tcp_info info{};
-  socklen_t size = sizeof info;
-  const bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO,
-                                  &info, &size) == 0;
-  const std::chrono::milliseconds silence(info.tcpi_last_ack_recv);
-  return known && info.tcpi_retransmits >= min_retransmissions &&
-         silence >= max_host_silence;
+  const std::optional<tcp_info> info = connection_info(socket);
+  if (!info || info->tcpi_retransmits < min_retransmissions) return false;
+  const std::chrono::milliseconds silence(info->tcpi_last_ack_recv);
+  return silence >= max_host_silence;
+}
+
+bool is_established(tcp::socket& socket) {
+  const std::optional<tcp_info> info = connection_info(socket);
+  return info && info->tcpi_state == TCP_ESTABLISHED;
+}
+
+std::chrono::microseconds smoothed_round_trip(tcp::socket& socket) {
+  const std::optional<tcp_info> info = connection_info(socket);
+  return std::chrono::microseconds(info ? info->tcpi_rtt : 0);
 }
 
 void set_outgoing_options(tcp::socket& socket,
