Orders for a zone name what they were given after, and expire

An order named nothing that it was decided upon, and was never void. Now: - arrival_bound tells the moment before which a call cannot have arrived: ticks of the event loop bound it, and after a stall it lies before the stall. The leader refuses what was given over a second ago, whatever path it came on. - The order's change names the newest revision that was certainly decided before it was given. Where the log is applied it is a conflict if the zone has changed since, so a newer order that is still being decided counts too. While its sender waits an order is tried again with a newer moment.

Ruled out: a base alone (a node that reads the newer changes first would name them as its base), a linearizable read before each order (another round of the quorum, and no help against delays behind it), clocks of the operators.

--- a/config/include/trestlepost/config/change.h
+++ b/config/include/trestlepost/config/change.h
@@ -27,6 +27,9 @@
 struct zone_evacuation {
   std::string availability_zone;
   bool evacuated = true;
+  /// A revision that the order was certainly given after. It is a conflict if
+  /// the zone has changed since. If unset, this is not checked.
+  std::optional<revision_number> base{};
 };
 
 /// One change, as stored in the log. It is accepted or rejected when the log
--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -140,6 +140,10 @@
     return ended_evacuations_;
   }
 
+  /// The revision at which the zone was last evacuated or put back into
+  /// service; 0 if it never was.
+  revision_number last_change_of(const std::string& zone) const;
+
   /// Held requests by fingerprint.
   const std::map<std::string, held_request>& held_requests() const {
     return held_requests_;
@@ -167,6 +171,7 @@
   plan_ptr plan_;
   std::set<std::string> evacuated_;
   std::map<std::string, revision_number> ended_evacuations_;  // by zone
+  std::map<std::string, revision_number> zone_changes_;       // by zone
   std::map<std::string, held_request> held_requests_;         // by fingerprint
 };
 
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -64,11 +64,17 @@
   json out;
   out["availability_zone"] = value.availability_zone;
   out["evacuated"] = value.evacuated;
+  if (value.base) out["base"] = as_number(*value.base);
   return out;
 }
 
 zone_evacuation zone_evacuation_from(const json& value) {
-  return {text_of(value, "availability_zone"), flag_of(value, "evacuated")};
+  zone_evacuation out;
+  out.availability_zone = text_of(value, "availability_zone");
+  out.evacuated = flag_of(value, "evacuated");
+  const json& base = member_of(value, "base");
+  if (base.isUInt64()) out.base = base.asUInt64();
+  return out;
 }
 
 json to_json(const change& value) {
@@ -216,7 +222,11 @@
       content["delta"] = to_json(value.edited_plan->delta);
     }
   }
-  if (value.evacuation) content["evacuation"] = to_json(*value.evacuation);
+  if (value.evacuation) {
+    zone_evacuation order = *value.evacuation;
+    order.base.reset();
+    content["evacuation"] = to_json(order);
+  }
   if (value.hold) content["hold"] = to_json(*value.hold);
   return sha256_hex(to_text(content));
 }
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -160,17 +160,23 @@
             "",
             {}};
   }
+  const revision_number last_change = store_.last_change_of(zone);
+  const std::optional<revision_number>& base = requested.evacuation->base;
+  if (base && last_change > *base) {
+    return rejected(change_status::conflict, store_.revision(),
+                    "zone " + zone + " was changed at revision " +
+                        std::to_string(last_change) +
+                        ", which may be after the order was given",
+                    "send the order again if it still holds");
+  }
   json one;
   one["kind"] = "availability_zone";
   one["name"] = zone;
   one["after"] = state;
   changed.append(std::move(one));
-  apply_accepted({store_.revision() + 1,
-                  requested.at,
-                  {},
-                  nullptr,
-                  *requested.evacuation,
-                  {}});
+  const zone_evacuation applied{zone, evacuated, std::nullopt};
+  apply_accepted(
+      {store_.revision() + 1, requested.at, {}, nullptr, applied, {}});
   return {change_status::accepted,
           store_.revision(),
           "zone " + zone + " is " + state,
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -238,6 +238,7 @@
 
 void object_store::set_evacuated(const std::string& zone, bool evacuated,
                                  revision_number revision) {
+  zone_changes_[zone] = revision;
   if (evacuated) {
     evacuated_.insert(zone);
   } else {
@@ -246,6 +247,11 @@
   }
 }
 
+revision_number object_store::last_change_of(const std::string& zone) const {
+  const auto found = zone_changes_.find(zone);
+  return found == zone_changes_.end() ? 0 : found->second;
+}
+
 json to_json(const request_hold& value) {
   json out;
   out["fingerprint"] = value.fingerprint;
@@ -299,6 +305,9 @@
   for (const auto& [zone, revision] : ended_evacuations_) {
     out["zones_given_back"][zone] = json(Json::UInt64(revision));
   }
+  for (const auto& [zone, revision] : zone_changes_) {
+    out["zone_changes"][zone] = as_number(revision);
+  }
   for (const auto& [fingerprint, it] : held_requests_) {
     json one = config::to_json(
         request_hold{fingerprint, true, it.service, it.evidence});
@@ -344,6 +353,14 @@
       out.ended_evacuations_[it] = number_of(ended_evacuations, it.c_str());
     }
   }
+  // Snapshots of earlier versions have only the ends of evacuations.
+  out.zone_changes_ = out.ended_evacuations_;
+  const json& zone_changes = member_of(value, "zone_changes");
+  if (zone_changes.isObject()) {
+    for (const std::string& it : zone_changes.getMemberNames()) {
+      out.zone_changes_[it] = number_of(zone_changes, it.c_str());
+    }
+  }
   for (const json& it : member_of(value, "held_requests")) {
     const wall_time since =
         from_unix_ms(static_cast<std::int64_t>(number_of(it, "since")));
--- a/config/test/traffic_plan-test.cc
+++ b/config/test/traffic_plan-test.cc
@@ -155,6 +155,37 @@
   EXPECT_EQ(restored.store().ended_evacuations().at("z1"), 3U);
 }
 
+// An order that was delayed was decided after a newer one for the same zone.
+TEST(traffic_plan_test, evacuation_order_overtaken_by_a_newer_one_is_rejected) {
+  config_state_machine machine;
+  machine.apply(entry_of(evacuation_change("z1", true, "start")));
+  machine.apply(entry_of(evacuation_change("z1", false, "stop")));
+  machine.apply(entry_of(evacuation_change("z2", true, "other zone")));
+  machine.apply(entry_of(evacuation_change("z1", true, "start again")));
+  ASSERT_EQ(machine.store().last_change_of("z1"), 4U);
+  const auto end_given_after = [&machine](revision_number base,
+                                          const std::string& id) {
+    change order = evacuation_change("z1", false, id);
+    order.evacuation->base = base;
+    machine.apply(entry_of(order));
+    return machine.result_of(id)->status;
+  };
+  for (const revision_number base : {0U, 1U, 2U, 3U}) {
+    EXPECT_EQ(end_given_after(base, std::to_string(base)),
+              change_status::conflict);
+  }
+  // A snapshot keeps what orders are compared with.
+  config_state_machine restored;
+  ASSERT_TRUE(restored.load(machine.save()));
+  machine = std::move(restored);
+  EXPECT_EQ(end_given_after(3, "restored"), change_status::conflict);
+  EXPECT_TRUE(machine.store().evacuated_zones().contains("z1"));
+  EXPECT_EQ(end_given_after(4, "newer"), change_status::accepted);
+  // What is so already needs no change.
+  EXPECT_EQ(end_given_after(0, "repeated"), change_status::accepted);
+  EXPECT_FALSE(machine.store().evacuated_zones().contains("z1"));
+}
+
 RC_GTEST_PROP(traffic_plan_test, watcher_converges_to_leader_state, ()) {
   config_state_machine machine;
   object_store watcher;
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -145,6 +145,11 @@
         if (!in) return;
         formation_.record_address(*host_, context_.clock.now(), in->from,
                                   text_of(params, "from_address"));
+        const std::uint64_t leader_ms = number_of(params, "leader_ms");
+        if (leader_ms > 0) {
+          orders_.record_leader_time(in->term,
+                                     monotonic_time(milliseconds(leader_ms)));
+        }
         host_->receive(context_.clock.now(), *in);
         orders_.complete_reads();
       });
@@ -175,6 +180,11 @@
 void control_service::send(const consensus::message& out) {
   json params = consensus::to_json(out);
   params["from_address"] = context_.self.peer_address;
+  if (is_leader()) {
+    const monotonic_time now = context_.clock.now();
+    params["leader_ms"] =
+        as_number(std::chrono::floor<milliseconds>(now.time_since_epoch()));
+  }
   context_.links.send(address_of(out.to.node), "config.consensus", params);
 }
 
@@ -309,7 +319,9 @@
       answer(config::to_json(record.outcome));
     }
   }
-  if (leads()) watchers_.push_updates();
+  if (!leads()) return;
+  orders_.record_decision();
+  watchers_.push_updates();
 }
 
 void control_service::propose(config::change requested,
--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -1,8 +1,11 @@
 #include "group_orders.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "control_service.h"
+#include "trestlepost/base/log.h"
 
 namespace trestlepost::node {
 namespace {
@@ -14,22 +17,32 @@
 // A plan is acknowledged after this time even if some watchers have not
 // confirmed it.
 constexpr milliseconds max_confirmation_wait{3000};
+// An evacuation that was given longer ago is void. Operators repeat an order at
+// another node when they have had no answer for this time.
+constexpr milliseconds evacuation_lifetime{1000};
 
 constexpr char retry_remedy[] = "send the same request again";
 
+tl::unexpected<error> no_leader() {
+  return fail(error_kind::unavailable, "no control node leads now",
+              retry_remedy);
+}
+
+json as_ms(monotonic_time at) {
+  return as_number(std::chrono::floor<milliseconds>(at.time_since_epoch()));
+}
+
+monotonic_time time_from(std::uint64_t ms) {
+  return monotonic_time(milliseconds(ms));
+}
+
 }  // namespace
 
 void group_orders::start() {
   calls_.start();
   calls_.handle(submit_method,
                 [this](const json& params, const answer_function& answer) {
-                  result<config::change> requested =
-                      config::decode_change(text_of(params, "change"));
-                  if (requested) {
-                    propose_as_leader(std::move(*requested), answer);
-                  } else {
-                    answer(tl::make_unexpected(requested.error()));
-                  }
+                  handle_submitted(params, answer);
                 });
   calls_.handle(read_method,
                 [this](const json&, const answer_function& answer) {
@@ -38,30 +51,80 @@
 }
 
 void group_orders::tick() {
+  arrivals_.record_tick(
+      {context_.clock.now(), control_.machine().store().revision()});
   calls_.tick();
   complete_reads();
   acknowledge_confirmed();
 }
 
-void group_orders::submit(config::change requested,
+void group_orders::submit(config::change requested, const node_moment& given,
                           const answer_function& answer) {
   if (!control_.follows_leader()) {
-    propose_as_leader(std::move(requested), answer);
+    propose_as_leader(std::move(requested), given, answer);
+    return;
+  }
+  const consensus::term_number term = control_.host().core().term();
+  const std::optional<monotonic_time> given_at =
+      leader_clock_.to_leader_time(term, given.at);
+  if (!given_at) {
+    answer(fail(error_kind::unavailable, "the leader has not been heard yet",
+                retry_remedy));
     return;
   }
   json params;
   params["change"] = config::encode_change(requested);
+  params["term"] = as_number(term);
+  params["given_ms"] = as_ms(*given_at);
+  params["revision"] = as_number(given.revision);
   calls_.call(control_.leader_address(), submit_method, std::move(params),
               answer);
 }
 
+void group_orders::handle_submitted(const json& params,
+                                    const answer_function& answer) {
+  result<config::change> requested =
+      config::decode_change(text_of(params, "change"));
+  if (!requested) {
+    answer(tl::make_unexpected(requested.error()));
+    return;
+  }
+  const consensus::term_number term = control_.host().core().term();
+  if (number_of(params, "term") != term) {
+    answer(no_leader());
+    return;
+  }
+  const node_moment given{time_from(number_of(params, "given_ms")),
+                          number_of(params, "revision")};
+  propose_as_leader(std::move(*requested), given, answer);
+}
+
+void group_orders::record_decision() {
+  decisions_.record(control_.host().core().term(),
+                    control_.machine().store().revision(),
+                    context_.clock.now());
+}
+
 void group_orders::propose_as_leader(config::change requested,
+                                     const node_moment& given,
                                      const answer_function& answer) {
   if (!control_.leads()) {
-    answer(fail(error_kind::unavailable, "no control node leads now",
-                retry_remedy));
+    answer(no_leader());
     return;
   }
+  if (requested.evacuation) {
+    if (given.at + evacuation_lifetime < context_.clock.now()) {
+      log_event(log_level::info, "order-expired",
+                {{"zone", requested.evacuation->availability_zone},
+                 {"change_id", requested.id}});
+      answer(fail(error_kind::deadline, "the order was given too long ago",
+                  retry_remedy));
+      return;
+    }
+    requested.evacuation->base = std::max(
+        given.revision,
+        decisions_.decided_before(control_.host().core().term(), given.at));
+  }
   if (!control_.may_acknowledge()) {
     answer(fail(error_kind::unavailable, "control nodes are still joining",
                 retry_remedy));
--- a/node/src/group_orders.h
+++ b/node/src/group_orders.h
@@ -5,6 +5,9 @@
 #include <vector>
 
 #include "node_context.h"
+#include "orders/arrival_bound.h"
+#include "orders/decision_history.h"
+#include "orders/leader_clock.h"
 #include "peer_calls.h"
 #include "trestlepost/config/change.h"
 
@@ -23,8 +26,22 @@
 
   /// Submits `requested` to the log, through the leader if this node is a
   /// follower. A traffic plan is answered once all watchers have it, or after a
-  /// timeout.
-  void submit(config::change requested, const answer_function& answer);
+  /// timeout. An evacuation, or its end, is rejected if it was given too long
+  /// ago, or if the zone may have been changed since; its sender still waited
+  /// after the moment `given`.
+  void submit(config::change requested, const node_moment& given,
+              const answer_function& answer);
+  /// A moment before the arrival of what this node reads now.
+  node_moment before_arrival() const {
+    return arrivals_.before_arrival(context_.clock.now());
+  }
+  /// Records a message that the leader of `term` sent at `sent_at` by its own
+  /// clock.
+  void record_leader_time(consensus::term_number term, monotonic_time sent_at) {
+    leader_clock_.record(term, sent_at, context_.clock.now());
+  }
+  /// Records, on the leader, that a change was decided.
+  void record_decision();
   /// Answers once this node has applied every change that was acknowledged
   /// before the call.
   void read(const answer_function& answer);
@@ -48,9 +65,12 @@
     answer_function answer;
   };
 
-  /// Proposes a change; fails if this node doesn't lead.
-  void propose_as_leader(config::change requested,
+  /// Proposes a change; fails if this node doesn't lead. `given` is a time by
+  /// this node's clock, and the revision that the receiving node had.
+  void propose_as_leader(config::change requested, const node_moment& given,
                          const answer_function& answer);
+  /// Handles a change that a follower has received.
+  void handle_submitted(const json& params, const answer_function& answer);
   /// Answers at once if the change was rejected, else once it is confirmed.
   void await_confirmation(const json& outcome, const answer_function& answer);
   /// On the leader, confirms leadership with a quorum and answers with the
@@ -60,6 +80,9 @@
   node_context& context_;
   control_service& control_;
   peer_calls calls_;
+  arrival_bound arrivals_;
+  leader_clock leader_clock_;
+  decision_history decisions_;
   std::vector<unconfirmed_plan> unconfirmed_;
   std::vector<pending_read> pending_reads_;
   /// The newest revision created by a plan, and when it was decided. A resent
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -140,11 +140,12 @@
 awaitable<void> order_handler::handle(transport::http_exchange& exchange) {
   const std::string target(exchange.target());
   const monotonic_time started = context_.clock.now();
+  const monotonic_time arrived = control_->orders().before_arrival().at;
   const result<std::string> body = co_await exchange.read_body();
   const monotonic_time read = context_.clock.now();
   std::optional<http_response> out;
   if (body) {
-    out = co_await answer(exchange, *body);
+    out = co_await answer(exchange, *body, arrived);
   } else {
     out = surface_->refuse(body.error());
   }
@@ -163,7 +164,8 @@
 }
 
 awaitable<std::optional<http_response>> order_handler::answer(
-    transport::http_exchange& exchange, const std::string& body) {
+    transport::http_exchange& exchange, const std::string& body,
+    monotonic_time arrived) {
   const std::string method(exchange.method());
   const std::string target(exchange.target());
   const result<operator_order> order =
@@ -173,7 +175,7 @@
               {{"target", target}, {"detail", order.error().message}});
     co_return surface_->refuse(order.error());
   }
-  const monotonic_time deadline = context_.clock.now() + answer_timeout;
+  const monotonic_time deadline = deadline_of(*order, arrived);
   http_response out;
   if (order->kind == order_kind::read_plan) {
     const config::plan_ptr plan = control_->machine().store().plan();
@@ -195,6 +197,16 @@
   co_return out;
 }
 
+monotonic_time order_handler::deadline_of(const operator_order& order,
+                                          monotonic_time arrived) const {
+  // Reads and plans may come late: a plan's number tells whether it is
+  // outdated.
+  const bool evacuation = order.kind == order_kind::evacuate ||
+                          order.kind == order_kind::end_evacuation;
+  const monotonic_time from = evacuation ? arrived : context_.clock.now();
+  return from + answer_timeout;
+}
+
 awaitable<void> order_handler::wait_for_lease(monotonic_time deadline) {
   // After a long event loop iteration, such as one that reads a large order,
   // the replies that renew the lease are still unread in the sockets.
@@ -246,6 +258,8 @@
                {"zone", order.availability_zone}});
     co_return change_outcome(tl::make_unexpected(sender_has_left()));
   }
+  // The connection is open as far as this node has read it.
+  const node_moment given = control_->orders().before_arrival();
   const std::shared_ptr<pending_result<change_outcome>> pending =
       std::make_shared<pending_result<change_outcome>>(context_.io);
   const config::plan_ptr base_plan = control_->machine().store().plan();
@@ -256,7 +270,7 @@
              {"zone", order.availability_zone},
              {"change_id", requested.id}});
   control_->orders().submit(
-      std::move(requested), [pending](const result<json>& it) {
+      std::move(requested), given, [pending](const result<json>& it) {
         pending->deliver(it.map(config::change_result_from));
       });
   co_await wait_for<change_outcome>(pending, deadline);
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -29,9 +29,14 @@
       transport::http_exchange& exchange) override;
 
  private:
-  /// The answer to send; nullopt if it has been streamed.
+  /// The answer to send; nullopt if it has been streamed. The call arrived no
+  /// earlier than `arrived`.
   transport::awaitable<std::optional<transport::http_response>> answer(
-      transport::http_exchange& exchange, const std::string& body);
+      transport::http_exchange& exchange, const std::string& body,
+      monotonic_time arrived);
+  /// When an order is given up for want of a result.
+  monotonic_time deadline_of(const surface::operator_order& order,
+                             monotonic_time arrived) const;
   /// Waits until `deadline` while this node is leader but its lease has lapsed.
   transport::awaitable<void> wait_for_lease(monotonic_time deadline);
   /// Proposes a change until it is decided, retrying transient failures while
