Gateways follow a group that replaces a lost one

Callers saw: after a recovery (or a founding anew) an acknowledged evacuation, plan, key or limit had no effect on any gateway, without end; each gateway called itself confirmed.

Revisions were compared without their group. A recovered group counts on from what was left, a new one from 1, and gateways take only what is newer by number. Worse, once the count passed theirs they applied the new group's changes on top of the lost group's configuration.

Now a configuration carries the id of its group. A watcher confirms itself only by a leader of that group, and takes another group's configuration only whole. Its polls tell the group, and whether it has been confirmed lately; where it has not, the leader of another group raises its revisions above the watcher's: they continue in a new epoch (upper 32 bits), by an entry of the log. All that compares revisions (forwards, lists, warmth, settled revisions) therefore stays right as it is. Zones that the lost group had evacuated and the new one has not count as ended, so that their endpoints count as cold. A watcher that is still confirmed has a leader, so two groups do not outbid each other.

Ruled out: (group, revision) pairs in every comparison (a dozen places, each of which would need the order of groups); the time of the founding as an epoch (clocks step).

--- a/config/include/trestlepost/config/change.h
+++ b/config/include/trestlepost/config/change.h
@@ -34,7 +34,7 @@
 
 /// One change, as stored in the log. It is accepted or rejected when the log
 /// entry is applied. It contains either `edits` or exactly one of `founding`,
-/// `plan`, `edited_plan`, `evacuation` and `hold`.
+/// `plan`, `edited_plan`, `evacuation`, `hold` and `epoch`.
 struct change {
   std::string id;
   std::string operator_name;
@@ -52,6 +52,8 @@
   std::shared_ptr<const plan_edit> edited_plan;
   std::optional<zone_evacuation> evacuation;
   std::optional<request_hold> hold;
+  /// Continues the revisions in this epoch, unless it has been reached.
+  std::optional<std::uint64_t> epoch;
 };
 
 enum class change_status { accepted, conflict, invalid, mismatch };
--- a/config/include/trestlepost/config/state_machine.h
+++ b/config/include/trestlepost/config/state_machine.h
@@ -79,6 +79,7 @@
                              plan_delta delta, json& changed);
   change_result decide_evacuation(const change& requested, json& changed);
   change_result decide_hold(const change& requested, json& changed);
+  change_result decide_epoch(const change& requested, json& changed);
   void apply_accepted(applied_change accepted);
   std::optional<change_result> find_stale_revision(
       const change& requested) const;
--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -18,8 +18,20 @@
 
 namespace trestlepost::config {
 
+/// Numbers the changes of the configuration. The upper bits are an epoch: a
+/// group that replaces a lost one begins a new epoch, so that its revisions are
+/// higher than those that the lost group gave to watchers.
 using revision_number = std::uint64_t;
 
+constexpr std::uint64_t epoch_of(revision_number revision) {
+  return revision >> 32;
+}
+
+/// The revision at which an epoch begins.
+constexpr revision_number first_revision_of(std::uint64_t epoch) {
+  return epoch << 32;
+}
+
 /// Writes one object, or removes it if `spec` is null.
 struct edit {
   object_kind kind = object_kind::region;
@@ -91,6 +103,11 @@
  public:
   revision_number revision() const { return revision_; }
 
+  /// The id of the group that the revision is from; empty if unknown, and in
+  /// that group's own state.
+  const std::string& group() const { return group_; }
+  void set_group(std::string group) { group_ = std::move(group); }
+
   const object_map<region>& regions() const { return regions_; }
   const object_map<service>& services() const { return services_; }
   const object_map<endpoint>& endpoints() const { return endpoints_; }
@@ -144,6 +161,11 @@
   /// service; 0 if it never was.
   revision_number last_change_of(const std::string& zone) const;
 
+  /// Marks the evacuations of `before` that are not in this configuration as
+  /// ended. `before` is the configuration of a group that was lost, and this
+  /// one the configuration that replaces it.
+  void end_missing_evacuations(const object_store& before);
+
   /// Held requests by fingerprint.
   const std::map<std::string, held_request>& held_requests() const {
     return held_requests_;
@@ -160,6 +182,7 @@
   void check_rules(problem_list& problems) const;
 
   revision_number revision_ = 0;
+  std::string group_;
   std::map<object_kind, std::map<std::string, stored_spec>> specs_;
   object_map<region> regions_;
   object_map<service> services_;
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -93,6 +93,7 @@
   if (value.edited_plan) out["plan_edit"] = to_json(*value.edited_plan);
   if (value.evacuation) out["evacuation"] = to_json(*value.evacuation);
   if (value.hold) out["hold"] = to_json(*value.hold);
+  if (value.epoch) out["epoch"] = as_number(*value.epoch);
   return out;
 }
 
@@ -126,6 +127,8 @@
   if (evacuation.isObject()) out.evacuation = zone_evacuation_from(evacuation);
   const json& hold = member_of(value, "hold");
   if (hold.isObject()) out.hold = request_hold_from(hold);
+  const json& epoch = member_of(value, "epoch");
+  if (epoch.isUInt64()) out.epoch = epoch.asUInt64();
   if (out.id.empty()) {
     return fail(error_kind::bad_input, "the change has no id",
                 "give --change-id, or let `trestlepost apply` draw one");
@@ -228,6 +231,7 @@
     content["evacuation"] = to_json(order);
   }
   if (value.hold) content["hold"] = to_json(*value.hold);
+  if (value.epoch) content["epoch"] = as_number(*value.epoch);
   return sha256_hex(to_text(content));
 }
 
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -48,6 +48,7 @@
   if (requested.edited_plan) return decide_edited_plan(requested, changed);
   if (requested.evacuation) return decide_evacuation(requested, changed);
   if (requested.hold) return decide_hold(requested, changed);
+  if (requested.epoch) return decide_epoch(requested, changed);
   std::optional<change_result> conflict = find_conflicting_edit(requested);
   if (conflict) return std::move(*conflict);
   if (requested.edits.empty()) {
@@ -208,6 +209,31 @@
           {}};
 }
 
+change_result config_state_machine::decide_epoch(const change& requested,
+                                                 json& changed) {
+  const std::string epoch = std::to_string(*requested.epoch);
+  if (epoch_of(store_.revision()) >= *requested.epoch) {
+    return {change_status::accepted,
+            store_.revision(),
+            "epoch " + epoch + " has been reached",
+            "",
+            {}};
+  }
+  json one;
+  one["kind"] = "epoch";
+  one["name"] = epoch;
+  changed.append(std::move(one));
+  store_.set_revision(first_revision_of(*requested.epoch));
+  // Watchers with an earlier revision may have it from another group, so none
+  // of them can be sent changes only.
+  history_.clear();
+  return {change_status::accepted,
+          store_.revision(),
+          "revisions continue in epoch " + epoch,
+          "",
+          {}};
+}
+
 void config_state_machine::apply_accepted(applied_change accepted) {
   problem_list problems;
   apply_change(store_, accepted, problems);
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -252,6 +252,12 @@
   return found == zone_changes_.end() ? 0 : found->second;
 }
 
+void object_store::end_missing_evacuations(const object_store& before) {
+  for (const std::string& zone : before.evacuated_) {
+    if (!evacuated_.contains(zone)) set_evacuated(zone, false, revision_);
+  }
+}
+
 json to_json(const request_hold& value) {
   json out;
   out["fingerprint"] = value.fingerprint;
@@ -285,6 +291,7 @@
 json object_store::to_json(plan_form form) const {
   json out;
   out["revision"] = json(Json::UInt64(revision_));
+  if (!group_.empty()) out["group"] = group_;
   json objects(Json::arrayValue);
   for (const auto& [kind, all] : specs_) {
     for (const auto& [name, it] : all) {
@@ -367,6 +374,7 @@
     out.set_hold(request_hold_from(it), since, number_of(it, "revision"));
   }
   out.revision_ = number_of(value, "revision");
+  out.group_ = text_of(value, "group");
   return out;
 }
 
--- a/config/test/traffic_plan-test.cc
+++ b/config/test/traffic_plan-test.cc
@@ -155,6 +155,49 @@
   EXPECT_EQ(restored.store().ended_evacuations().at("z1"), 3U);
 }
 
+// A group that was recovered, or founded anew, counted on from what it had, so
+// watchers of the lost group took its changes for old ones.
+TEST(traffic_plan_test, new_epoch_is_newer_than_all_revisions_before_it) {
+  config_state_machine machine;
+  machine.apply(entry_of(plan_change(make_plan(7), "a")));
+  change epoch;
+  epoch.id = "epoch";
+  epoch.epoch = 3;
+  machine.apply(entry_of(epoch));
+  const revision_number first = machine.store().revision();
+  EXPECT_EQ(first, first_revision_of(3));
+  EXPECT_EQ(epoch_of(first), 3U);
+  // Nobody can be brought up to date by changes from before the epoch.
+  for (const revision_number from :
+       {revision_number{0}, revision_number{1}, first - 1}) {
+    EXPECT_TRUE(machine.update_since(from).whole) << from;
+  }
+  epoch.id = "lower";
+  epoch.epoch = 2;
+  machine.apply(entry_of(epoch));
+  EXPECT_EQ(machine.result_of("lower")->status, change_status::accepted);
+  EXPECT_EQ(machine.store().revision(), first);
+  machine.apply(entry_of(evacuation_change("z1", true, "b")));
+  EXPECT_EQ(machine.store().revision(), first + 1);
+  EXPECT_EQ(machine.update_since(first).changes.size(), 1U);
+  config_state_machine restored;
+  ASSERT_TRUE(restored.load(machine.save()));
+  EXPECT_EQ(restored.store().revision(), first + 1);
+}
+
+TEST(traffic_plan_test, evacuations_missing_in_another_group_have_ended) {
+  object_store before;
+  before.set_evacuated("z1", true, 4);
+  before.set_evacuated("z2", true, 5);
+  object_store next;
+  next.set_evacuated("z2", true, 2);
+  next.set_revision(first_revision_of(1));
+  next.end_missing_evacuations(before);
+  EXPECT_EQ(next.evacuated_zones(), std::set<std::string>{"z2"});
+  EXPECT_EQ(next.ended_evacuations().at("z1"), first_revision_of(1));
+  EXPECT_FALSE(next.ended_evacuations().contains("z2"));
+}
+
 // An order that was delayed was decided after a newer one for the same zone.
 TEST(traffic_plan_test, evacuation_order_overtaken_by_a_newer_one_is_rejected) {
   config_state_machine machine;
--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -135,6 +135,7 @@
   out["leader"] = context_.self.name;
   out["leader_address"] = context_.self.peer_address;
   out["update"] = config::to_json(machine_.update_since(from));
+  out["update"]["group"] = group_id_();
   return out;
 }
 
--- a/node/src/config_watchers.h
+++ b/node/src/config_watchers.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "node_context.h"
@@ -39,9 +40,11 @@
 /// polls.
 class config_watchers {
  public:
+  /// `group_id` returns the id of the configuration group.
   config_watchers(node_context& context,
-                  const config::config_state_machine& machine)
-      : context_(context), machine_(machine) {}
+                  const config::config_state_machine& machine,
+                  std::function<std::string()> group_id)
+      : context_(context), machine_(machine), group_id_(std::move(group_id)) {}
 
   /// Processes a poll and sends the watcher the changes that it lacks.
   void handle_poll(const watcher_poll& poll);
@@ -92,6 +95,7 @@
 
   node_context& context_;
   const config::config_state_machine& machine_;
+  std::function<std::string()> group_id_;
   std::map<std::string, watcher> watchers_;  // by name
   config::confirmation_tracker confirmations_;
   /// Messages that update to `encoded_revision_`, by the revision that they
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -253,9 +253,12 @@
     // Send the configuration first, so that it is in force when the answer
     // arrives.
     const json& sender = alive.isObject() ? alive : beat;
+    const bool foreign = is_foreign(params);
+    if (foreign) continue_after(params);
+    const config::revision_number held =
+        foreign ? 0 : number_of(params, "revision");
     watchers_.handle_poll({poller, address, via, number_of(sender, "sequence"),
-                           number_of(params, "revision"),
-                           flag_of(params, "missed")});
+                           held, flag_of(params, "missed")});
     orders_.acknowledge_confirmed();
     answer["confirmed"] = true;
     answer["update"] = make_update(directory_position_from(params),
@@ -272,6 +275,31 @@
   context_.links.send(via.empty() ? address : via, "config.update", answer);
 }
 
+bool control_service::is_foreign(const json& poll) const {
+  const std::string group = text_of(poll, "group");
+  return !group.empty() && group != host_->core().group_id();
+}
+
+void control_service::continue_after(const json& poll) {
+  const config::revision_number held = number_of(poll, "revision");
+  const config::revision_number own = machine_.store().revision();
+  // A watcher that is still confirmed has a leader in the other group. A group
+  // without any change has nothing to replace the configuration with.
+  if (held < own || own == 0 || !flag_of(poll, "unconfirmed")) return;
+  config::change requested;
+  requested.operator_name = "trestlepost";
+  requested.epoch = config::epoch_of(held) + 1;
+  requested.id = "epoch-" + host_->core().group_id() + "-" +
+                 std::to_string(*requested.epoch);
+  const bool pending = pending_changes_.contains(requested.id);
+  if (pending || machine_.result_of(requested.id)) return;
+  log_event(log_level::warn, "epoch-proposed",
+            {{"lost_group", text_of(poll, "group")},
+             {"revision", std::to_string(held)},
+             {"own_revision", std::to_string(own)}});
+  propose(std::move(requested), [](const result<json>&) {});
+}
+
 void control_service::save_poll(const std::string& address,
                                 const json& params) {
   saved_polls_[address] = {params, context_.clock.now()};
@@ -293,6 +321,7 @@
                                   const std::string& region) const {
   json out;
   out["to"] = as_number(machine_.store().revision());
+  out["group"] = host_->core().group_id();
   node_directory_.add_changes(out, known, host_->core().term(), region);
   json& ledgers = out["ledgers"] = json(Json::arrayValue);
   for (const auto& [name, it] : machine_.ledgers()) {
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -109,6 +109,12 @@
   /// it. The answer returns through this node.
   void forward_poll(const json& params);
   void handle_poll(const json& params);
+  /// Whether the poll is from a watcher whose configuration is from another
+  /// group than this one.
+  bool is_foreign(const json& poll) const;
+  /// Makes this group's revisions higher than that of a watcher whose group was
+  /// lost, since watchers take nothing but newer revisions.
+  void continue_after(const json& poll);
   /// Saves a poll received while this node does not lead, in case it is
   /// elected soon.
   void save_poll(const std::string& address, const json& params);
@@ -155,7 +161,8 @@
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
   consensus::group_formation formation_{context_.observed_addresses};
-  config_watchers watchers_{context_, machine_};
+  config_watchers watchers_{context_, machine_,
+                            [this] { return host_->core().group_id(); }};
   hold_proposer hold_proposer_{
       context_, machine_.store(), [this](config::change requested) {
         propose(std::move(requested), [](const result<json>&) {});
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -17,6 +17,13 @@
 // again.
 constexpr int max_unanswered_polls = 3;
 
+/// Whether the revision of `store` is one of `group`. Earlier versions of nodes
+/// don't name their group.
+bool is_same_group(const config::object_store& store,
+                   const std::string& group) {
+  return store.group().empty() || group.empty() || store.group() == group;
+}
+
 std::string join(const std::set<std::string>& names) {
   std::string out;
   for (const std::string& it : names) out += (out.empty() ? "" : ", ") + it;
@@ -74,6 +81,10 @@
   params["token"] = as_number(token);
   add_identity(params, address);
   params["revision"] = as_number(context_.store.revision());
+  params["group"] = context_.store.group();
+  if (!context_.state.confirmed_at(context_.clock.now())) {
+    params["unconfirmed"] = true;
+  }
   add_position(params, directory_position_);
   if (update_missed_) params["missed"] = true;
   update_missed_ = false;
@@ -128,16 +139,19 @@
   if (!flag_of(params, "confirmed")) return;
   finder_.confirmed(now);
   read_directory(update);
-  confirm(number_of(update, "to"), pending->sent_at);
+  const leader_position position{text_of(update, "group"),
+                                 number_of(update, "to")};
+  confirm(position, pending->sent_at);
   pending_polls_.erase(pending);
 }
 
-void watch_client::confirm(config::revision_number leader_revision,
+void watch_client::confirm(const leader_position& leader,
                            monotonic_time sent_at) {
-  if (context_.store.revision() >= leader_revision) {
+  const bool current = context_.store.revision() >= leader.revision;
+  if (!current) {
+    unsaved_answer_ = {leader, sent_at};
+  } else if (is_same_group(context_.store, leader.group)) {
     context_.state.confirm(sent_at, context_.clock.now());
-  } else {
-    unsaved_answer_ = {leader_revision, sent_at};
   }
 }
 
@@ -148,17 +162,25 @@
   // Check the cheap fields before decoding the whole update.
   const bool newer = number_of(value, "to") > base.revision();
   if (!newer || !config::has_content(value)) return;
+  const std::string group = text_of(value, "group");
+  const bool same_group = is_same_group(base, group);
   const result<config::watch_update> update = config::watch_update_from(value);
   if (!update) {
     request_missed_update(update.error());
     return;
   }
-  config::object_store next = base;
+  config::object_store next = same_group ? base : config::object_store();
   const result<void> applied = config::apply_update(next, *update);
   if (!applied) {
     request_missed_update(applied.error());
     return;
   }
+  if (!same_group) {
+    log_event(log_level::warn, "configuration-group-changed",
+              {{"from", base.group()}, {"to", group}});
+    next.end_missing_evacuations(base);
+  }
+  if (!group.empty()) next.set_group(group);
   if (saver_) {
     // Saved before it takes effect, so that a restart doesn't return to an
     // older revision.
@@ -177,7 +199,7 @@
   set_configuration(saved);
   const std::optional<unsaved_answer> answer =
       std::exchange(unsaved_answer_, std::nullopt);
-  if (answer) confirm(answer->revision, answer->poll_sent_at);
+  if (answer) confirm(answer->leader, answer->poll_sent_at);
 }
 
 void watch_client::set_configuration(config::object_store next) {
@@ -187,6 +209,7 @@
   next_poll_ = context_.clock.now();
   log_event(log_level::info, "configuration-in-force",
             {{"revision", std::to_string(context_.store.revision())},
+             {"group", context_.store.group()},
              {"evacuated_zones", join(context_.store.evacuated_zones())}});
   if (on_changed) on_changed();
 }
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -43,9 +43,14 @@
     std::uint64_t token = 0;
     monotonic_time sent_at;
   };
+  /// The group that a leader leads, and its revision.
+  struct leader_position {
+    std::string group;
+    config::revision_number revision = 0;
+  };
   /// An answer that the leader confirmed while its revision was being saved.
   struct unsaved_answer {
-    config::revision_number revision = 0;
+    leader_position leader;
     monotonic_time poll_sent_at;
   };
 
@@ -66,7 +71,7 @@
                     const result<void>& written);
   /// Confirms this node's state if it has the leader's revision. `sent_at` is
   /// when the poll was sent that the leader confirmed.
-  void confirm(config::revision_number leader_revision, monotonic_time sent_at);
+  void confirm(const leader_position& leader, monotonic_time sent_at);
   /// Logs that an update could not be applied, and reports it to the leader in
   /// an immediate poll.
   void request_missed_update(const error& cause);
