--- a/config/include/trestlepost/config/store.h
+++ b/config/include/trestlepost/config/store.h
@@ -87,6 +87,10 @@
   bool held = true;
   std::string service;
   std::string evidence;
+  /// For a release, the revision of the hold that the operator saw. It is a
+  /// conflict if the request has been held again since. If unset, this is not
+  /// checked.
+  std::optional<revision_number> base{};
 };
 
 json to_json(const request_hold& value);
--- a/config/src/change.cc
+++ b/config/src/change.cc
@@ -230,7 +230,11 @@
     order.base.reset();
     content["evacuation"] = to_json(order);
   }
-  if (value.hold) content["hold"] = to_json(*value.hold);
+  if (value.hold) {
+    request_hold hold = *value.hold;
+    hold.base.reset();
+    content["hold"] = to_json(hold);
+  }
   if (value.epoch) content["epoch"] = as_number(*value.epoch);
   return sha256_hex(to_text(content));
 }
--- a/config/src/state_machine.cc
+++ b/config/src/state_machine.cc
@@ -187,7 +187,9 @@
 
 change_result config_state_machine::decide_hold(const change& requested,
                                                 json& changed) {
-  const request_hold& hold = *requested.hold;
+  request_hold hold = *requested.hold;
+  const std::optional<revision_number> base =
+      std::exchange(hold.base, std::nullopt);
   const std::string state = hold.held ? "held" : "not held";
   if (store_.held_requests().contains(hold.fingerprint) == hold.held) {
     return {change_status::accepted,
@@ -196,6 +198,18 @@
             "",
             {}};
   }
+  if (!hold.held && base) {
+    const revision_number held_at =
+        store_.held_requests().at(hold.fingerprint).revision;
+    if (held_at > *base) {
+      return rejected(change_status::conflict, store_.revision(),
+                      "request " + hold.fingerprint +
+                          " was held again at revision " +
+                          std::to_string(held_at),
+                      "look at its new evidence with `trestlepost held`, then "
+                      "release it again");
+    }
+  }
   json one;
   one["kind"] = "request";
   one["name"] = hold.fingerprint;
--- a/config/src/store.cc
+++ b/config/src/store.cc
@@ -264,12 +264,16 @@
   out["held"] = value.held;
   out["service"] = value.service;
   out["evidence"] = value.evidence;
+  if (value.base) out["base"] = as_number(*value.base);
   return out;
 }
 
 request_hold request_hold_from(const json& value) {
-  return {text_of(value, "fingerprint"), flag_of(value, "held"),
-          text_of(value, "service"), text_of(value, "evidence")};
+  request_hold out{text_of(value, "fingerprint"), flag_of(value, "held"),
+                   text_of(value, "service"), text_of(value, "evidence")};
+  const json& base = member_of(value, "base");
+  if (base.isUInt64()) out.base = base.asUInt64();
+  return out;
 }
 
 void object_store::set_hold(const request_hold& it, wall_time at,
--- a/config/test/state_machine-test.cc
+++ b/config/test/state_machine-test.cc
@@ -121,6 +121,23 @@
   EXPECT_TRUE(store.held_requests().contains("1"));
 }
 
+// A release that was delayed let a request through that had been held again
+// meanwhile, for other crashes.
+TEST(config_state_machine_test, release_of_an_earlier_hold_is_rejected) {
+  state_machine_fixture it;
+  it.apply(hold_of("hold", "f", true));
+  it.apply(hold_of("release", "f", false));
+  it.apply(hold_of("hold again", "f", true));
+  change late = hold_of("late", "f", false);
+  late.hold->base = 1;
+  EXPECT_EQ(it.apply(late).status, change_status::conflict);
+  EXPECT_TRUE(it.machine.store().held_requests().contains("f"));
+  change newer = hold_of("newer", "f", false);
+  newer.hold->base = 3;
+  EXPECT_EQ(it.apply(newer).status, change_status::accepted);
+  EXPECT_FALSE(it.machine.store().held_requests().contains("f"));
+}
+
 // A change of a plan, an evacuation, a hold or a founding was accepted although
 // the configuration had moved on from the revision that it required.
 TEST(config_state_machine_test, every_change_requires_its_revision) {
--- a/ctl/src/commands.cc
+++ b/ctl/src/commands.cc
@@ -171,9 +171,15 @@
                      const std::string& change_id) {
   const result<config::object_kind> known = config::object_kind_from(kind);
   if (!known) return report(known.error());
+  json query;
+  query["kind"] = kind;
+  query["name"] = name;
+  const result<json> found = rpc_.call("get", query);
+  if (!found) return report(found.error());
   json params;
   params["change_id"] = change_id.empty() ? make_change_id() : change_id;
-  json one = config::to_json(config::edit{*known, name, json(), std::nullopt});
+  const std::uint64_t revision = number_of((*found)["objects"][0], "revision");
+  json one = config::to_json(config::edit{*known, name, json(), revision});
   params["edits"].append(std::move(one));
   return send_change(params, false);
 }
--- /dev/null
+++ b/node/src/control/polls.cc
@@ -0,0 +1,151 @@
+// Polls of watchers, which control_service.h declares.
+#include <chrono>
+#include <utility>
+
+#include "control_service.h"
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long a poll is saved; longer than an election takes.
+constexpr milliseconds saved_poll_lifetime{2000};
+
+}  // namespace
+
+std::string control_service::identify_poller(const json& params) {
+  const monotonic_time now = context_.clock.now();
+  const json& alive = member_of(params, "alive");
+  if (!alive.isObject()) {
+    const membership::heartbeat beat =
+        membership::heartbeat_from(member_of(params, "heartbeat"));
+    if (!leads()) return "";
+    context_.nodes.observe(beat, now);
+    node_directory_.record(beat.node);
+    return beat.node.name;
+  }
+  const std::string name = text_of(alive, "name");
+  const std::uint64_t incarnation = number_of(alive, "incarnation");
+  const membership::node_info* recorded = node_directory_.find(name);
+  const bool in_directory =
+      recorded != nullptr && recorded->incarnation == incarnation;
+  const bool known =
+      in_directory && context_.nodes.observe_alive(
+                          name, incarnation, number_of(alive, "sequence"),
+                          number_of(params, "revision"), now);
+  return known ? name : "";
+}
+
+void control_service::forward_poll(const json& params) {
+  const std::string leader = leader_address();
+  const bool already_forwarded = !text_of(params, "via").empty();
+  if (already_forwarded || leader.empty() ||
+      leader == context_.self.peer_address) {
+    return;
+  }
+  json forwarded = params;
+  forwarded["via"] = context_.self.peer_address;
+  context_.links.send(leader, "config.poll", forwarded);
+}
+
+void control_service::handle_poll(const json& params) {
+  const json& alive = member_of(params, "alive");
+  const json& beat = member_of(params, "heartbeat");
+  const std::string address =
+      alive.isObject() ? text_of(alive, "address")
+                       : text_of(member_of(beat, "node"), "peer_address");
+  const std::string poller = identify_poller(params);
+  const std::string via = text_of(params, "via");
+  json answer;
+  answer["token"] = as_number(number_of(params, "token"));
+  answer["leader"] = leader_node();
+  answer["leader_address"] = leader_address();
+  if (leads() && poller.empty()) {
+    // The sender's region is needed to select directory entries, so it must
+    // send its full heartbeat first.
+    answer["stranger"] = true;
+  } else if (leads()) {
+    watchers_.start_term(host_->core().term());
+    // Send the configuration first, so that it is in force when the answer
+    // arrives.
+    const json& sender = alive.isObject() ? alive : beat;
+    const bool foreign = is_foreign(params);
+    if (foreign) continue_after(params);
+    const config::revision_number held =
+        foreign ? 0 : number_of(params, "revision");
+    watchers_.handle_poll({poller, address, via, number_of(sender, "sequence"),
+                           held, flag_of(params, "missed")});
+    orders_.acknowledge_confirmed();
+    answer["confirmed"] = true;
+    answer["update"] = make_update(directory_position_from(params),
+                                   node_directory_.find(poller)->region);
+  }
+  // A node that does not lead sends no configuration: its copy may be
+  // outdated, and a gateway using it could run requests outside their home
+  // regions.
+  if (!leads()) {
+    forward_poll(params);
+    if (via.empty()) save_poll(address, params);
+  }
+  if (!via.empty()) answer["for"] = address;
+  context_.links.send(via.empty() ? address : via, "config.update", answer);
+}
+
+bool control_service::is_foreign(const json& poll) const {
+  const std::string group = text_of(poll, "group");
+  return !group.empty() && group != host_->core().group_id();
+}
+
+void control_service::continue_after(const json& poll) {
+  const config::revision_number held = number_of(poll, "revision");
+  const config::revision_number own = machine_.store().revision();
+  // A watcher that is still confirmed has a leader in the other group. A group
+  // without any change has nothing to replace the configuration with.
+  if (held < own || own == 0 || !flag_of(poll, "unconfirmed")) return;
+  config::change requested;
+  requested.operator_name = "trestlepost";
+  requested.epoch = config::epoch_of(held) + 1;
+  requested.id = "epoch-" + host_->core().group_id() + "-" +
+                 std::to_string(*requested.epoch);
+  const bool pending = pending_changes_.contains(requested.id);
+  if (pending || machine_.result_of(requested.id)) return;
+  log_event(log_level::warn, "epoch-proposed",
+            {{"lost_group", text_of(poll, "group")},
+             {"revision", std::to_string(held)},
+             {"own_revision", std::to_string(own)}});
+  propose(std::move(requested), [](const result<json>&) {});
+}
+
+void control_service::save_poll(const std::string& address,
+                                const json& params) {
+  saved_polls_[address] = {params, context_.clock.now()};
+}
+
+void control_service::answer_saved_polls() {
+  if (saved_polls_.empty()) return;
+  const monotonic_time now = context_.clock.now();
+  std::erase_if(saved_polls_, [now](const auto& it) {
+    return it.second.at + saved_poll_lifetime < now;
+  });
+  if (!leads()) return;
+  const std::map<std::string, saved_poll> saved =
+      std::exchange(saved_polls_, {});
+  for (const auto& [address, it] : saved) handle_poll(it.params);
+}
+
+json control_service::make_update(const directory_position& known,
+                                  const std::string& region) const {
+  json out;
+  out["to"] = as_number(machine_.store().revision());
+  out["group"] = host_->core().group_id();
+  node_directory_.add_changes(out, known, host_->core().term(), region);
+  json& ledgers = out["ledgers"] = json(Json::arrayValue);
+  for (const auto& [name, it] : machine_.ledgers()) {
+    ledgers.append(config::to_json(it));
+  }
+  return out;
+}
+
+}  // namespace trestlepost::node
--- a/node/src/operator_service.h
+++ b/node/src/operator_service.h
@@ -50,8 +50,14 @@
   void add_methods();
   /// Adds a method that runs on the leader, or with `on_founder` on the first
   /// control node, and completes later.
-  void add_async_method(const std::string& name, const std::string& role,
-                        bool on_founder, async_method local);
+  /// `complete` adds to the parameters what the node knows that the operator
+  /// has called.
+  void add_async_method(
+      const std::string& name, const std::string& role, bool on_founder,
+      async_method local,
+      std::function<json(const json&)> complete = [](const json& params) {
+        return params;
+      });
   /// Adds a method that any node answers immediately.
   void add_sync_method(const std::string& name, const std::string& role,
                        std::function<result<json>(const json&)> method);
@@ -76,6 +82,8 @@
   /// Allows a held request to be sent to endpoints again.
   void release(const json& params, const transport::rpc_context& caller,
                const answer_function& answer);
+  /// Names the hold that a release refers to, as this node shows it.
+  json complete_release(const json& params) const;
   json held_requests() const;
 
   node_context& context_;
