--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -68,6 +68,9 @@
   out["crashes"] = it.crashes;
   out["part_sends"] = it.part_sends;
   out["late_part_sends"] = it.late_part_sends;
+  out["evacuation_orders"] = it.evacuation_orders;
+  out["zone_changes"] = it.zone_changes;
+  out["late_zone_arrivals"] = it.late_zone_arrivals;
   out["recovery_ms"] = trestlepost::as_number(it.recovery);
   json& violations = out["violations"] = json(Json::arrayValue);
   for (const std::string& one : it.violations) violations.append(one);
@@ -104,6 +107,9 @@
   bool crashes = false;
   app.add_flag("--crashes", crashes,
                "some requests have a part that crashes endpoints");
+  bool evacuations = false;
+  app.add_flag("--evacuations", evacuations,
+               "a zone is evacuated and put back into service all the time");
   std::vector<std::string> kinds;
   app.add_option("--faults", kinds,
                  "leave out all faults but those of these kinds, for example "
@@ -123,8 +129,9 @@
                "heal, ms  repeats   share   limit\n";
   bool passed = true;
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
-    const soak_result it = run_soak({seed, std::chrono::seconds(seconds),
-                                     gateways, limits, crashes, program, only});
+    const soak_result it =
+        run_soak({seed, std::chrono::seconds(seconds), gateways, limits,
+                  crashes, evacuations, program, only});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/part_check.cc
+++ b/soak/src/part_check.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "contact.h"
 #include "prompts.h"
 
 namespace trestlepost::soak {
@@ -14,7 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds contact_time{5000};
 constexpr std::size_t crashes_known = 5;
 constexpr int max_late_sends = 3;
 // One in so many requests has a lethal part.
@@ -31,24 +31,6 @@
   return "e" + std::to_string(100 + n);
 }
 
-/// Returns whether the fault, or the time after it in which gateways may not
-/// know what others do, includes `at`.
-bool disturbs(const fault& it, milliseconds at) {
-  return it.begin <= at && at < it.end + contact_time;
-}
-
-/// Returns whether a gateway was in touch: neither it nor a control node had a
-/// fault lately.
-bool in_touch(const deployment& target, const std::vector<fault>& schedule,
-              const std::string& gateway_ip, milliseconds at) {
-  return std::none_of(schedule.begin(), schedule.end(), [&](const fault& it) {
-    const bool endpoint = it.target.starts_with("i-");
-    if (endpoint || !disturbs(it, at)) return false;
-    return it.target.starts_with("control-") ||
-           target.ip_of(it.target) == gateway_ip;
-  });
-}
-
 void check_sends(const deployment& target, const std::vector<fault>& schedule,
                  steady_clock::time_point start,
                  const std::vector<part_arrival>& arrivals, soak_result& out) {
@@ -63,7 +45,7 @@
                          it.at >= crashes[crashes_known - 1] + contact_time;
       const milliseconds at =
           std::chrono::duration_cast<milliseconds>(it.at - start);
-      if (known && in_touch(target, schedule, it.gateway, at)) ++late;
+      if (known && is_in_touch(target, schedule, it.gateway, at)) ++late;
       // Requests at an endpoint that is about to crash cause no further crash.
       const auto known_crash = last_crash.find(it.endpoint);
       const bool crashes_it =
--- a/soak/src/schedule.cc
+++ b/soak/src/schedule.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds max_gap{2500};
 constexpr milliseconds max_common_gap{2000};
 constexpr milliseconds max_outage{2500};
+constexpr milliseconds min_long_outage{2000};
+constexpr milliseconds max_long_outage{3500};
 constexpr milliseconds max_rejection_time{6000};
 constexpr milliseconds min_limit_time{5000};
 constexpr milliseconds max_limit_time{9000};
@@ -35,7 +37,9 @@
   }
   /// Returns a random fault of one of `targets` that begins after `from`.
   fault make_fault(const std::vector<std::string>& targets,
-                   const std::vector<fault_kind>& kinds, milliseconds from) {
+                   const std::vector<fault_kind>& kinds, milliseconds from,
+                   milliseconds min_time = min_gap,
+                   milliseconds max_time = max_outage) {
     fault out;
     out.kind = pick(kinds);
     out.target = pick(targets);
@@ -44,7 +48,7 @@
     const bool momentary =
         out.kind == fault_kind::reload || out.kind == fault_kind::crash;
     if (!momentary) {
-      out.end += random_duration(min_gap, max_outage);
+      out.end += random_duration(min_time, max_time);
     }
     return out;
   }
@@ -71,10 +75,12 @@
   /// Adds faults one after the other, each of one of `targets`.
   void add_sequence(std::vector<fault>& out,
                     const std::vector<std::string>& targets,
-                    const std::vector<fault_kind>& kinds, milliseconds span) {
+                    const std::vector<fault_kind>& kinds, milliseconds span,
+                    milliseconds min_time = min_gap,
+                    milliseconds max_time = max_outage) {
     milliseconds from{0};
     while (from < span) {
-      out.push_back(make_fault(targets, kinds, from));
+      out.push_back(make_fault(targets, kinds, from, min_time, max_time));
       from = out.back().end;
       if (out.back().kind == fault_kind::wipe) from += repair_time;
     }
@@ -124,6 +130,26 @@
       options.span);
 }
 
+/// Adds faults beside orders that evacuate a zone and put it back. Suspensions
+/// last long enough for an operator to give up an order, repeat it elsewhere
+/// and send the opposite one.
+void add_evacuation_faults(fault_generator& generator, std::vector<fault>& out,
+                           const schedule_options& options) {
+  generator.add_sequence(out, options.control_nodes, {fault_kind::freeze},
+                         options.span, min_long_outage, max_long_outage);
+  // Overlapping faults leave no majority, and no order is carried out.
+  generator.add_sequence(out, options.control_nodes,
+                         {fault_kind::kill, fault_kind::freeze,
+                          fault_kind::stop, fault_kind::reload},
+                         options.span / 3);
+  for (const std::string& it : options.entries) {
+    generator.add_sequence(out, {it},
+                           {fault_kind::kill, fault_kind::freeze,
+                            fault_kind::stop, fault_kind::reload},
+                           options.span);
+  }
+}
+
 /// Returns those of `all` that are part of the schedule, ordered.
 std::vector<fault> select(std::vector<fault> all,
                           const schedule_options& options) {
@@ -193,6 +219,10 @@
                                  const schedule_options& options) {
   fault_generator generator(seed);
   std::vector<fault> out;
+  if (options.evacuations) {
+    add_evacuation_faults(generator, out, options);
+    return select(std::move(out), options);
+  }
   if (options.crashes) {
     add_crash_faults(generator, out, options);
     return select(std::move(out), options);
--- a/soak/src/schedule.h
+++ b/soak/src/schedule.h
@@ -57,6 +57,10 @@
   /// only, and entries one at a time, so that most gateways know of the
   /// crashes.
   bool crashes = false;
+  /// A zone is evacuated and put back into service. Control nodes are suspended
+  /// most of the time, so that orders wait in them, also all at once; entries
+  /// are faulty, each by itself.
+  bool evacuations = false;
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
 };
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -13,6 +13,7 @@
 #include "request_record.h"
 #include "schedule.h"
 #include "trestlepost/transport/http_client.h"
+#include "zone_orders.h"
 
 namespace trestlepost::soak {
 namespace {
@@ -37,6 +38,8 @@
 constexpr milliseconds order_timeout{1000};
 constexpr milliseconds caller_timeout{3000};
 constexpr unsigned max_extra_routes = 400;
+// How long an evacuated zone is watched after the end of the allowed delay.
+constexpr milliseconds evacuated_time{2000};
 constexpr unsigned min_attempts = 2;  // of the plans' repeatable routes
 // Allowed time from the end of the last fault until all nodes serve.
 constexpr milliseconds max_recovery_time{15'000};
@@ -72,6 +75,8 @@
     if (thread_.joinable()) thread_.join();
   }
   const std::vector<request_outcome>& requests() const { return requests_; }
+  /// Lets the operator `orders` send orders beside the others.
+  void add_zone_orders(zone_orders& orders) { spawn(orders.run(io_, client_)); }
 
  private:
   void spawn(awaitable<void> task) {
@@ -219,6 +224,13 @@
   if (worst.exceeds_limit()) out.violations.push_back(to_string(worst));
 }
 
+/// Keeps callers busy after the last fault for as long as late requests count.
+void watch_evacuated_zone(zone_orders& orders) {
+  orders.finish();
+  wait_until([&orders] { return orders.finished(); });
+  std::this_thread::sleep_for(evacuation_record::max_delay + evacuated_time);
+}
+
 void check_limits(const deployment& target, soak_result& out) {
   const platform::test::limit_window worst = target.worst_limit_window();
   out.limit_share = worst.used_share();
@@ -239,17 +251,25 @@
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
   const std::vector<fault> schedule = make_schedule(
-      options.seed, {control_nodes, it.gateways(), endpoints, options.span,
-                     options.limits, options.crashes, options.only});
+      options.seed,
+      {control_nodes, it.gateways(), endpoints, options.span, options.limits,
+       options.crashes, options.evacuations, options.only});
+  zone_orders orders(it, control_nodes, options.seed, out.violations);
   {
     if (options.crashes) begin_crashes(it);
+    if (options.evacuations) it.record_gateways();
     traffic load(it, options, plans);
+    if (options.evacuations) load.add_zone_orders(orders);
     const steady_clock::time_point start = steady_clock::now();
+    const std::chrono::system_clock::time_point started_at =
+        std::chrono::system_clock::now();
     inject_faults(it, schedule);
+    if (options.evacuations) watch_evacuated_zone(orders);
     load.stop();
     check_recovery(it, plans, out);
     check_repeats(it, out);
     check_limits(it, out);
+    if (options.evacuations) orders.check(schedule, started_at, out);
     if (options.crashes) check_parts(it, schedule, start, out);
     request_record requests(
         out.violations, home_endpoints,
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -20,6 +20,7 @@
   /// One in some dozens of requests has a part in its prompt that crashes the
   /// endpoint that begins to answer it.
   bool crashes = false;
+  bool evacuations = false;  // a zone is evacuated and put back all the time
   std::string program = "trestlepostd";  // the daemon that nodes run
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
@@ -42,6 +43,11 @@
   /// For the worst part: sends by gateways in touch later than the contact time
   /// after the fifth crash.
   int late_part_sends = 0;
+  /// Acknowledged orders for a zone, the changes of its state in the audit
+  /// trail, and requests that arrived in the zone too late.
+  int evacuation_orders = 0;
+  int zone_changes = 0;
+  int late_zone_arrivals = 0;
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
   violation_list violations;
