Interim answers of endpoints are not taken for final ones

The HTTP client reads on after 1xx until the final head, past eight of them it gives the connection up.

The own interface shares the client; not run over processes.

--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -27,6 +27,9 @@
 
 // Maximum size in bytes of one read of a body.
 constexpr std::size_t piece_size = 16UL * 1024;
+// Maximum number of interim responses before the final one.
+constexpr int max_interim_responses = 8;
+constexpr unsigned first_final_status = 200;
 // Maximum size in bytes of a response that is discarded to read the next one.
 constexpr std::size_t max_discarded = 1024UL * 1024;
 constexpr char endpoint_remedy[] =
@@ -182,7 +185,13 @@
   awaitable<error_code> connect(monotonic_time deadline);
   std::string serialize_head(const http_request& request) const;
   void start_write(const http_request& request);
+  /// Reads the head of the final response, after any interim ones.
   awaitable<tl::expected<void, call_failure>> read_head();
+  awaitable<error_code> read_one_head();
+  /// Returns whether the response only announces another one (1xx).
+  bool is_interim() const {
+    return parser_->get().result_int() < first_final_status;
+  }
   /// Maps the error of a failed operation to the error kind of the call.
   error_kind kind_of(error_code ec) const;
   /// Closes the connection and describes the failure.
@@ -296,13 +305,23 @@
   co_return co_await read_head();
 }
 
-awaitable<tl::expected<void, call_failure>> pooled_call::read_head() {
+awaitable<error_code> pooled_call::read_one_head() {
   parser_.emplace();
   parser_->body_limit(boost::none);
   if (is_head_request_) parser_->skip(true);
   error_code ec;
   co_await http::async_read_header(connection_->stream, connection_->buffer,
                                    *parser_, redirect_error(use_awaitable, ec));
+  co_return ec;
+}
+
+awaitable<tl::expected<void, call_failure>> pooled_call::read_head() {
+  error_code ec = co_await read_one_head();
+  int interim = 0;
+  while (!ec && !cancelled_ && is_interim()) {
+    const bool too_many = ++interim > max_interim_responses;
+    ec = too_many ? http::error::bad_status : co_await read_one_head();
+  }
   if (cancelled_ && !ec) ec = asio::error::operation_aborted;
   if (ec) co_return tl::make_unexpected(failure("no response from", ec, true));
   if (!is_delimited() && !client_->options.accept_close_delimited) {
