Pooled connections that can't be reused are closed

A pooled connection was looked at only when a request wanted its address, and the addresses of endpoints that are gone are wanted no more. Each second the pool now closes those that the server has closed and those past their lifetime, and forgets addresses without any; all addresses together keep 1,024. Gauge idle_connections.

Test: connections_closed_by_the_server_leave_the_pool; passes.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -35,6 +35,7 @@
 using transport::awaitable;
 
 constexpr milliseconds tick_interval{25};
+constexpr milliseconds connection_check_interval{1000};
 // An event loop iteration that takes longer is logged as a stall: half of the
 // time without heartbeats after which followers start an election.
 constexpr milliseconds stall_threshold{250};
@@ -160,6 +161,8 @@
   void collect_metrics();
   /// Records the delay of a tick that was due at `due`, and logs a long one.
   void record_tick_delay(monotonic_time due);
+  /// Closes idle connections to endpoints and nodes that are gone.
+  void close_unusable_connections(monotonic_time now);
 
   settings options;
   node_resources& resources;
@@ -203,6 +206,7 @@
   std::uint64_t sequence = 0;
   /// The longest delay of a tick since the start.
   milliseconds max_tick_delay{0};
+  monotonic_time next_connection_check;
 };
 
 node::implementation::implementation(settings o, node_resources& b,
@@ -405,6 +409,7 @@
     const monotonic_time now = resources.clock.now();
     record_tick_delay(due);
     client.cancel_expired(now);
+    close_unusable_connections(now);
     reload_if_changed(false);
     state.tick(now, store.revision() > 0);
     if (control) control->tick();
@@ -431,6 +436,12 @@
   }
 }
 
+void node::implementation::close_unusable_connections(monotonic_time now) {
+  if (now < next_connection_check) return;
+  next_connection_check = now + connection_check_interval;
+  client.close_unusable(now);
+}
+
 void node::implementation::record_tick_delay(monotonic_time due) {
   const milliseconds late =
       std::chrono::duration_cast<milliseconds>(resources.clock.now() - due);
@@ -452,6 +463,7 @@
   set("longest_turn_ms", static_cast<double>(max_tick_delay.count()));
   set("configurations_sent",
       control ? static_cast<double>(control->updates_sent()) : 0);
+  set("idle_connections", static_cast<double>(client.idle_connections()));
   set("ledger_records", static_cast<double>(ledger.records()));
   set("peer_bytes_sent", static_cast<double>(links.traffic().bytes_sent));
   set("peer_bytes_received",
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -23,6 +23,7 @@
   /// response, if the remote host acknowledges nothing for this long.
   std::chrono::milliseconds tcp_user_timeout{default_tcp_user_timeout};
   std::size_t max_idle_per_address = 64;  // connections per address
+  std::size_t max_idle = 1024;            // connections in all
   std::string source_ip;                  // of outgoing connections; empty: any
   /// Accepts a response without length, which ends when the server closes the
   /// connection. A connection reset is still an error.
@@ -115,6 +116,12 @@
   /// but after a suspension of the machine they are late by its length.
   void cancel_expired(monotonic_time now);
 
+  /// Closes the idle connections that can't be reused: those that the server
+  /// has closed, and those that have been idle for too long.
+  void close_unusable(monotonic_time now);
+  /// The number of idle connections.
+  std::size_t idle_connections() const;
+
   /// Closes all idle connections and disables pooling.
   void close();
 
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -111,30 +111,48 @@
   /// Removes a reusable connection to `address` from the pool. Returns nullptr
   /// if there is none.
   connection_ptr acquire(const std::string& address) {
-    std::deque<connection_ptr>& pooled = idle[address];
+    const auto found = idle.find(address);
+    if (found == idle.end()) return nullptr;
+    std::deque<connection_ptr>& pooled = found->second;
     const monotonic_time now = boot_clock::now();
-    while (!pooled.empty()) {
+    connection_ptr out;
+    while (!pooled.empty() && !out) {
       connection_ptr it = std::move(pooled.back());
       pooled.pop_back();
-      if (it->reusable_until < now) continue;
-      if (is_reusable(*it)) return it;
+      --idle_count;
+      if (it->reusable_until >= now && is_reusable(*it)) out = std::move(it);
     }
-    return nullptr;
+    if (pooled.empty()) idle.erase(found);
+    return out;
   }
 
   /// Adds a connection to the pool for `lifetime`, unless the pool is full.
   void release(const std::string& address, connection_ptr it,
                std::chrono::milliseconds lifetime) {
+    if (closed || idle_count >= options.max_idle) return;
     std::deque<connection_ptr>& pooled = idle[address];
-    if (closed || pooled.size() >= options.max_idle_per_address) return;
+    if (pooled.size() >= options.max_idle_per_address) return;
+    ++idle_count;
     it->reusable_until = boot_clock::now() + lifetime;
     it->stream.expires_never();
     pooled.push_back(std::move(it));
   }
 
+  /// Closes the pooled connections that can't be reused at `now`.
+  void close_unusable(monotonic_time now) {
+    for (auto it = idle.begin(); it != idle.end();) {
+      std::deque<connection_ptr>& pooled = it->second;
+      idle_count -= std::erase_if(pooled, [now](const connection_ptr& one) {
+        return one->reusable_until < now || !is_reusable(*one);
+      });
+      it = pooled.empty() ? idle.erase(it) : std::next(it);
+    }
+  }
+
   asio::io_context& context;
   http_client_options options;
-  std::map<std::string, std::deque<connection_ptr>> idle;
+  std::map<std::string, std::deque<connection_ptr>> idle;  // by address
+  std::size_t idle_count = 0;                              // of all addresses
   std::set<pooled_call*> calls;
   bool closed = false;
 };
@@ -448,9 +466,18 @@
   for (pooled_call* it : state_->calls) it->cancel_if_expired(now);
 }
 
+void http_client::close_unusable(monotonic_time now) {
+  state_->close_unusable(now);
+}
+
+std::size_t http_client::idle_connections() const {
+  return state_->idle_count;
+}
+
 void http_client::close() {
   state_->closed = true;
   state_->idle.clear();
+  state_->idle_count = 0;
 }
 
 }  // namespace trestlepost::transport
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -291,6 +291,20 @@
   EXPECT_TRUE(run_until([this, before] { return handler_.handled > before; }));
 }
 
+// Connections that servers had closed stayed open in the pool of the client and
+// used up all descriptors.
+TEST_F(http_test, connections_closed_by_the_server_leave_the_pool) {
+  EXPECT_EQ(get("/", "a"), "echo a");
+  EXPECT_EQ(client_.idle_connections(), 1U);
+  client_.close_unusable(boot_clock::now());
+  EXPECT_EQ(client_.idle_connections(), 1U);
+  server_.drain();
+  EXPECT_TRUE(run_until([this] {
+    client_.close_unusable(boot_clock::now());
+    return client_.idle_connections() == 0;
+  }));
+}
+
 // HTTP/1.0 has no chunks: their sizes became part of the body.
 TEST_F(http_test, a_stream_for_http_1_0_is_not_chunked) {
   const std::string response =
