The request bodies that a gateway holds at a time have a bound

Nothing bounded the sum, and a body was held three times while its endpoint worked: in the request, in the coroutine that sends it and in the connection, where a pooled one kept it on. The client frees the body as it takes it, and what it has written when it is written.

--- a/gateway/include/trestlepost/gateway/retry_after.h
+++ b/gateway/include/trestlepost/gateway/retry_after.h
@@ -15,6 +15,9 @@
 /// third of their remaining time.
 inline constexpr std::chrono::milliseconds retry_after_unavailable{2000};
 
+/// Large requests use up the memory for bodies. Each is held while it runs.
+inline constexpr std::chrono::milliseconds retry_after_no_memory{1000};
+
 /// Another node can serve the request immediately.
 inline constexpr std::chrono::milliseconds retry_after_wrong_node{300};
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -52,6 +52,13 @@
 const prometheus::Histogram::BucketBoundaries confirm_buckets{
     0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
 
+transport::http_server_options limited_bodies(
+    std::shared_ptr<transport::body_memory> bodies) {
+  transport::http_server_options out;
+  out.bodies = std::move(bodies);
+  return out;
+}
+
 }  // namespace
 
 /// Resources that the services of a node use and whose loading may fail: the
@@ -194,6 +201,9 @@
   probe_service probes;
   operator_service operators;
   routed_gateway routed_services;
+  /// Of the bodies that callers and other gateways send.
+  std::shared_ptr<transport::body_memory> bodies =
+      std::make_shared<transport::body_memory>();
   transport::http_server entry_server;
   transport::http_server forward_server;
   transport::http_server operator_server;
@@ -269,8 +279,8 @@
                    routed() ? static_cast<transport::http_handler&>(
                                   routed_services.entry())
                             : entries,
-                   {}),
-      forward_server(io, routed_services.forwards(), {}),
+                   limited_bodies(bodies)),
+      forward_server(io, routed_services.forwards(), limited_bodies(bodies)),
       operator_server(io, operators, {}),
       order_server(io, routed_services.orders(), {}),
       directory_server(io, routed_services.directory(), {}),
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -11,6 +11,7 @@
 
 #include "trestlepost/base/error.h"
 #include "trestlepost/transport/asio.h"
+#include "trestlepost/transport/body_memory.h"
 
 namespace trestlepost::transport {
 
@@ -23,6 +24,8 @@
   std::chrono::milliseconds idle_timeout{60'000};
   std::chrono::milliseconds write_timeout{30'000};
   std::size_t max_connections = 20'000;  // further ones are closed
+  /// Bounds the bodies that are held at a time; null for no bound.
+  std::shared_ptr<body_memory> bodies{};
 };
 
 /// Names and values of headers, in order.
@@ -58,7 +61,8 @@
   virtual std::string peer_ip() const = 0;
 
   /// Reads the complete body. Returns an error if it is too large, too slow or
-  /// malformed.
+  /// malformed, and `overloaded` if there is no memory for it now; then it has
+  /// been read and discarded.
   virtual awaitable<result<std::string>> read_body() = 0;
 
   /// Sends a complete response. Returns false if a response has been started.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -47,6 +47,12 @@
   monotonic_time reusable_until;
 
   bool write_done() const { return written == outgoing.size(); }
+  /// Frees the request after it has been written.
+  void free_written() {
+    if (!write_done()) return;
+    outgoing = std::string();
+    written = 0;
+  }
 };
 
 using connection_ptr = std::shared_ptr<client_connection>;
@@ -62,6 +68,7 @@
                      it.outgoing.size() - it.written),
         ec);
   }
+  it.free_written();
   return !ec || ec == asio::error::would_block;
 }
 
@@ -75,6 +82,7 @@
                      it->outgoing.size() - it->written),
         redirect_error(use_awaitable, ec));
   }
+  it->free_written();
 }
 
 /// Parses the timeout of the header "Keep-Alive: timeout=N".
@@ -202,7 +210,8 @@
  private:
   awaitable<error_code> connect(monotonic_time deadline);
   std::string serialize_head(const http_request& request) const;
-  void start_write(const http_request& request);
+  /// Starts to write the request, whose body it takes.
+  void start_write(http_request& request);
   /// Reads the head of the final response, after any interim ones.
   awaitable<tl::expected<void, call_failure>> read_head();
   awaitable<error_code> read_one_head();
@@ -301,8 +310,10 @@
   return out + "\r\n";
 }
 
-void pooled_call::start_write(const http_request& request) {
-  connection_->outgoing = serialize_head(request) + request.body;
+void pooled_call::start_write(http_request& request) {
+  connection_->outgoing = serialize_head(request);
+  connection_->outgoing += request.body;
+  request.body = std::string();
   connection_->written = 0;
   if (write_some(*connection_) && !connection_->write_done()) {
     asio::co_spawn(client_->context, write_rest(connection_), asio::detached);
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -127,6 +127,7 @@
 
 void server_connection::end_exchange() {
   ++request_number_;
+  body_share_.clear();
   on_disconnect_ = nullptr;
   if (watching_for_disconnect_ && stream_.socket().is_open()) {
     error_code ec;
@@ -211,6 +212,21 @@
   co_return false;
 }
 
+awaitable<bool> server_connection::read_body_pieces(error_code& ec) {
+  const std::size_t declared =
+      parser_->content_length().value_or(parser_->get().body().size());
+  bool fits = body_share_.grow_to(declared);
+  stream_.expires_after(options_.body_timeout);
+  while (!ec && !parser_->is_done()) {
+    co_await http::async_read_some(stream_, buffer_, *parser_,
+                                   redirect_error(use_awaitable, ec));
+    fits = fits && body_share_.grow_to(parser_->get().body().size());
+    if (!fits) parser_->get().body().clear();
+  }
+  stream_.expires_never();
+  co_return fits;
+}
+
 awaitable<result<std::string>> server_connection::read_body() {
   error_code ec;
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -218,11 +234,11 @@
     co_await http::async_write(stream_, interim,
                                redirect_error(use_awaitable, ec));
   }
-  if (!parser_->is_done()) {
-    stream_.expires_after(options_.body_timeout);
-    co_await http::async_read(stream_, buffer_, *parser_,
-                              redirect_error(use_awaitable, ec));
-    stream_.expires_never();
+  const bool complete = co_await read_body_pieces(ec);
+  if (!ec && !complete) {
+    co_return fail(error_kind::overloaded,
+                   "there is no memory for a body of this size now",
+                   "send it again after Retry-After");
   }
   if (!ec) {
     check_for_disconnect();
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -26,7 +26,9 @@
       public std::enable_shared_from_this<server_connection> {
  public:
   server_connection(tcp::socket socket, const http_server_options& options)
-      : stream_(std::move(socket)), options_(options) {}
+      : stream_(std::move(socket)),
+        options_(options),
+        body_share_(options.bodies) {}
 
   boost::beast::tcp_stream& stream() { return stream_; }
 
@@ -80,6 +82,9 @@
       boost::beast::http::response<boost::beast::http::empty_body> out);
   awaitable<bool> respond_until_close(http_response response);
   awaitable<bool> write(asio::const_buffer data);
+  /// Reads the rest of the body, and discards it if there is no memory for it;
+  /// returns whether it is complete.
+  awaitable<bool> read_body_pieces(boost::system::error_code& ec);
   /// Checks without waiting whether the caller has disconnected.
   void check_for_disconnect();
   /// Waits until the caller disconnects while the request is in progress.
@@ -93,6 +98,7 @@
   boost::beast::tcp_stream stream_;
   const http_server_options& options_;
   boost::beast::flat_buffer buffer_;
+  body_memory::share body_share_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
