--- a/soak/src/zone_orders.cc
+++ b/soak/src/zone_orders.cc
@@ -27,10 +27,6 @@
 constexpr int max_final_attempts = 100;
 constexpr unsigned max_records = 4000;
 
-std::string target_of(bool evacuated) {
-  return std::string("/-/evacuate/") + zone + (evacuated ? "/start" : "/stop");
-}
-
 }  // namespace
 
 awaitable<void> zone_orders::run(transport::asio::io_context& io,
@@ -62,8 +58,8 @@
   int final_attempts = 0;
   while (final_attempts < max_final_attempts) {
     if (finishing_) ++final_attempts;
-    bench::caller_request order = deployment_.order_request(
-        control_nodes_[node], "POST", target_of(evacuated), "");
+    bench::caller_request order =
+        deployment_.evacuation_request(control_nodes_[node], zone, evacuated);
     order.timeout = order_timeout;
     node = (node + 1) % control_nodes_.size();
     if (random_below(left_order_interval) == 0) {
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "accept_errors.h"
@@ -29,7 +30,7 @@
 
 struct http_server::state {
   state(asio::io_context& c, http_handler& h, http_server_options o)
-      : context(c), handler(h), options(o) {}
+      : context(c), handler(h), options(std::move(o)) {}
 
   asio::io_context& context;
   http_handler& handler;
@@ -120,7 +121,7 @@
 
 http_server::http_server(asio::io_context& context, http_handler& handler,
                          http_server_options options)
-    : state_(std::make_shared<state>(context, handler, options)) {}
+    : state_(std::make_shared<state>(context, handler, std::move(options))) {}
 
 http_server::~http_server() {
   drain();
