An order that has waited past its deadline is not proposed

Found by reading: between regions an order waits up to 300 ms for the end of its connection, longer than a node settles after a stall (250 ms), and the first attempt was made whether or not the order's 900 ms were over. An order that had lain in a frozen node's socket, from a sender at a round trip of 125 ms or more whose close never comes, would have been proposed with the moment after the stall. No test: the tests' loopback has no such round trip.

--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -258,6 +258,14 @@
                {"zone", order.availability_zone}});
     co_return change_outcome(tl::make_unexpected(sender_has_left()));
   }
+  // An order that waited in this node's socket for too long is not proposed,
+  // also if its sender seems to be there.
+  if (context_.clock.now() >= deadline) {
+    log_event(log_level::info, "order-expired",
+              {{"order", std::string(name_of(order.kind))},
+               {"zone", order.availability_zone}});
+    co_return std::nullopt;
+  }
   // The connection is open as far as this node has read it.
   const node_moment given = control_->orders().before_arrival();
   const std::shared_ptr<pending_result<change_outcome>> pending =
