--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -59,6 +59,15 @@
   return out;
 }
 
+/// Other gateways reuse an idle connection for `idle_connection_lifetime`. It
+/// is closed later than that, so that no forward crosses the close.
+transport::http_server_options forward_server_options(
+    std::shared_ptr<transport::body_memory> bodies) {
+  transport::http_server_options out = limited_bodies(std::move(bodies));
+  out.idle_timeout = 2 * idle_connection_lifetime;
+  return out;
+}
+
 }  // namespace
 
 /// Resources that the services of a node use and whose loading may fail: the
@@ -280,7 +289,8 @@
                                   routed_services.entry())
                             : entries,
                    limited_bodies(bodies)),
-      forward_server(io, routed_services.forwards(), limited_bodies(bodies)),
+      forward_server(io, routed_services.forwards(),
+                     forward_server_options(bodies)),
       operator_server(io, operators, {}),
       order_server(io, routed_services.orders(), {}),
       directory_server(io, routed_services.directory(), {}),
