One refusal of requests that could not be read

The special case for bodies without memory stood in route_handler, was missing in forward_handler, and gave each unreadable forward a Retry-After of 1 s in route_forward_handler, malformed ones too. unread_attempt decides it for all three: a Retry-After only where memory is short. gateway-test passes.

--- a/gateway/include/trestlepost/gateway/attempt.h
+++ b/gateway/include/trestlepost/gateway/attempt.h
@@ -53,5 +53,7 @@
 attempt failed_attempt(
     run_state ran, error cause,
     std::chrono::milliseconds retry_after = std::chrono::milliseconds(0));
+/// Returns an attempt at a request that could not be read, because of `cause`.
+attempt unread_attempt(error cause);
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "answer_relay.h"
+#include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/own/codecs.h"
 
 namespace trestlepost::gateway {
@@ -64,6 +65,13 @@
   return out;
 }
 
+attempt unread_attempt(error cause) {
+  const bool no_memory = cause.kind == error_kind::overloaded;
+  return failed_attempt(
+      run_state::no, std::move(cause),
+      no_memory ? retry_after_no_memory : std::chrono::milliseconds(0));
+}
+
 header_list answer_headers(const std::string& region, run_state ran,
                            const std::string& request_id) {
   return {{"Trestlepost-Region", region},
--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -92,8 +92,8 @@
 awaitable<void> forward_handler::handle(http_exchange& exchange) {
   result<std::string> body = co_await exchange.read_body();
   if (!body) {
-    co_await refuse_forward(exchange,
-                            failed_attempt(run_state::no, body.error()));
+    const attempt refused = unread_attempt(body.error());
+    co_await refuse_forward(exchange, refused);
     co_return;
   }
   const result<forward_message> message = check(exchange, *body);
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -92,8 +92,7 @@
   result<std::string> body = co_await exchange.read_body();
   attempt outcome;
   if (!body) {
-    outcome =
-        failed_attempt(run_state::no, body.error(), retry_after_no_memory);
+    outcome = unread_attempt(body.error());
   } else {
     result<route_message> message = read_message(exchange, *body);
     result<routed_request> request =
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -61,10 +61,7 @@
   if (!head || !body) {
     const std::string id = head ? head->request_id : "";
     const error& cause = head ? body.error() : head.error();
-    const bool no_memory = cause.kind == error_kind::overloaded;
-    const attempt refused =
-        failed_attempt(run_state::no, cause,
-                       no_memory ? retry_after_no_memory : milliseconds(0));
+    const attempt refused = unread_attempt(cause);
     co_await refuse_untried(refused, id, "", exchange);
     co_return;
   }
