change-decided tells the result's own message

The line parsed the audit record of each decided change on the leader to list what had changed; the result says it already ("zone n-a is evacuated", or what it conflicts with), so orders/change_summary goes. The message of an invalid change is left out, since it may quote what the operator sent. node-test, evacuation_test pass.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -5,7 +5,6 @@
 
 #include "audit_search.h"
 #include "disk/background_storage.h"
-#include "orders/change_summary.h"
 #include "trestlepost/base/log.h"
 
 namespace trestlepost::node {
@@ -163,13 +162,15 @@
 void control_service::on_decided(const config::audit_record& record) {
   // Every replica applies every change, and again when it replays its log;
   // only the leader logs it at info level.
-  const bool logs = leads();
-  log_event(logs ? log_level::info : log_level::debug, "change-decided",
+  const config::change_result& outcome = record.outcome;
+  // The message of an invalid change may quote what the operator sent.
+  const bool quotable = outcome.status != config::change_status::invalid;
+  log_event(leads() ? log_level::info : log_level::debug, "change-decided",
             {{"change_id", record.change_id},
              {"operator", record.operator_name},
-             {"status", std::string(to_string(record.outcome.status))},
-             {"changed", logs ? summarize_change(record) : ""},
-             {"revision", std::to_string(record.outcome.revision)}});
+             {"status", std::string(to_string(outcome.status))},
+             {"detail", quotable ? outcome.message : ""},
+             {"revision", std::to_string(outcome.revision)}});
   const auto it = pending_changes_.find(record.change_id);
   if (it != pending_changes_.end()) {
     const std::vector<answer_function> answers = std::move(it->second.answers);
