--- a/soak/src/contact.h
+++ b/soak/src/contact.h
@@ -1,4 +1,4 @@
-// Decides which gateways a guarantee with a time limit covers.
+// Decides which gateways a check with a time limit applies to.
 #pragma once
 
 #include <chrono>
