One budget bounds the memory that others make a process hold

The leader of the control nodes is killed by a burst of plans.

Cause: bounds were constants for single kinds of data (48 MB of bodies above 64 KB, 24 MB of answers, twice), which no part of the code compared with the memory of the process, and which added up. Bodies up to 64 KB, plans, calls of operators and of the directory were outside of them. Each body was held up to three times: as read, in the request to the endpoint, in the connection's output.

Now one budget, derived from what the process may use (limits.memory_mb, at most what the system allows, 160 MB by default) and from what its allocator has given out for anything else, pays for connections, bodies, plans and answers. Large bodies and answers may fill half of it, so that small requests are served; readiness and the directory come last. A body that has made no progress for half a second gives way. What doesn't fit is refused before its body is read, with 503 and Retry-After; an answer that doesn't fit is passed on while it is read. Bodies are held once: requests share their text with the connection that writes it.

--- a/bench/src/endpoint.cc
+++ b/bench/src/endpoint.cc
@@ -354,7 +354,7 @@
 
 awaitable<void> endpoint_handler::handle(http_exchange& exchange) {
   const std::string target(exchange.target());
-  result<std::string> body = co_await exchange.read_body();
+  result<transport::request_body> body = co_await exchange.read_body();
   if (!body) co_return;
   if (target == "/load") {
     co_await send_load(exchange);
@@ -367,7 +367,7 @@
     co_await exchange.respond(std::move(answer));
     co_return;
   }
-  run_request request = parse_run_request(exchange, *body);
+  run_request request = parse_run_request(exchange, body->text);
   co_await run(exchange, std::move(request));
 }
 
--- a/bench/src/platform.cc
+++ b/bench/src/platform.cc
@@ -24,7 +24,7 @@
 
   awaitable<void> handle(http_exchange& exchange) override {
     const std::string target(exchange.target());
-    const result<std::string> body = co_await exchange.read_body();
+    const result<transport::request_body> body = co_await exchange.read_body();
     if (!body) co_return;
     http_response answer;
     if (target == "/v1/vms") {
--- a/gateway/include/trestlepost/gateway/context.h
+++ b/gateway/include/trestlepost/gateway/context.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "trestlepost/base/clock.h"
+#include "trestlepost/base/memory_budget.h"
 #include "trestlepost/base/random.h"
 #include "trestlepost/config/store.h"
 #include "trestlepost/gateway/metrics.h"
@@ -66,6 +67,8 @@
   gateway_options options;
   /// Measured round-trip time to each region.
   std::map<std::string, std::chrono::milliseconds>& round_trips;
+  /// Pays for answers that are held; null for no bound.
+  std::shared_ptr<memory_budget> memory{};
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/delivery.h
+++ b/gateway/include/trestlepost/gateway/delivery.h
@@ -22,11 +22,13 @@
 };
 
 /// Sends the answer of `call` to the caller. Buffers a short non-streamed
-/// answer completely before sending, so that a truncated one can be retried.
+/// answer completely before sending, so that a truncated one can be retried, if
+/// `memory` has room for it.
 /// Calls `on_first` at the first piece of the body.
 transport::awaitable<delivery_result> deliver(
     transport::http_call& call, transport::http_exchange& exchange,
-    transport::header_list headers, std::function<void()> on_first);
+    transport::header_list headers, std::shared_ptr<memory_budget> memory,
+    std::function<void()> on_first);
 
 /// Sends a refusal for a failed attempt.
 transport::awaitable<void> refuse(transport::http_exchange& exchange,
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 
-#include "trestlepost/gateway/answer_memory.h"
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/crash_monitor.h"
 #include "trestlepost/gateway/endpoint_pool.h"
@@ -15,6 +14,8 @@
 
 namespace trestlepost::gateway {
 
+class answer_reader;
+
 /// Sends a request to an endpoint and relays the answer.
 class endpoint_runner {
  public:
@@ -55,6 +56,9 @@
   transport::awaitable<attempt> deliver(active_run& current);
   transport::awaitable<attempt> deliver_buffered(active_run& current);
   transport::awaitable<attempt> deliver_stream(active_run& current);
+  /// Relays the answer piece by piece, beginning with `first`.
+  transport::awaitable<attempt> relay(active_run& current,
+                                      answer_reader& reader, std::string first);
   /// Relays a resumable stream, in complete events only.
   transport::awaitable<attempt> deliver_events(active_run& current);
   /// Returns false if the caller disconnected.
@@ -78,7 +82,6 @@
   endpoint_pool& pool_;
   crash_monitor& crashes_;
   unanswered_requests unanswered_;
-  answer_memory answer_memory_;
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/forward_handler.h
+++ b/gateway/include/trestlepost/gateway/forward_handler.h
@@ -22,7 +22,7 @@
   /// Resolves the caller and the service, and checks that this node can serve
   /// the request with an up-to-date configuration.
   result<incoming_request> accept(const forward_message& message,
-                                  std::string body) const;
+                                  transport::request_body body) const;
 
   gateway_context& context_;
   local_service& service_;
--- a/gateway/include/trestlepost/gateway/forward_message.h
+++ b/gateway/include/trestlepost/gateway/forward_message.h
@@ -5,6 +5,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "trestlepost/gateway/request.h"
 
@@ -38,6 +39,6 @@
 /// Returns a digest, keyed with the peers' secret, that proves that a peer
 /// created the head and the body.
 std::string forward_digest(const std::string& secret, const std::string& head,
-                           const std::string& body);
+                           std::string_view body);
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/request.h
+++ b/gateway/include/trestlepost/gateway/request.h
@@ -8,6 +8,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/config/objects.h"
 #include "trestlepost/surface/call_head.h"
+#include "trestlepost/transport/request_body.h"
 
 namespace trestlepost::gateway {
 
@@ -18,7 +19,7 @@
   std::shared_ptr<const config::caller> caller;
   std::shared_ptr<const config::service> service;
   config::label_map labels;
-  std::string body;
+  transport::shared_text body;
   bool repeatable = true;
   std::string idempotency_key;
   int priority = 0;
--- a/gateway/include/trestlepost/gateway/route_forward_handler.h
+++ b/gateway/include/trestlepost/gateway/route_forward_handler.h
@@ -30,7 +30,8 @@
   result<route_message> read_message(const transport::http_exchange& exchange,
                                      std::string& body) const;
   /// Finds the route of the request and checks that this node may serve it.
-  result<routed_request> accept(route_message message, std::string body) const;
+  result<routed_request> accept(route_message message,
+                                transport::request_body body) const;
 
   gateway_context& context_;
   route_service& service_;
--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -5,7 +5,6 @@
 #include <set>
 #include <string>
 
-#include "trestlepost/gateway/answer_memory.h"
 #include "trestlepost/gateway/attempt.h"
 #include "trestlepost/gateway/context.h"
 #include "trestlepost/gateway/routed_request.h"
@@ -14,6 +13,8 @@
 
 namespace trestlepost::gateway {
 
+class answer_reader;
+
 class route_forwarder {
  public:
   route_forwarder(gateway_context& context, const surface::surfaces& surfaces)
@@ -41,6 +42,10 @@
   transport::awaitable<attempt> relay_answer(
       const routed_request& request, transport::http_call& call,
       transport::http_exchange& exchange);
+  /// Relays an answer piece by piece, beginning with `first`.
+  static transport::awaitable<attempt> relay_pieces(
+      answer_reader& reader, transport::http_exchange& exchange,
+      transport::http_response head, std::string first);
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
@@ -48,7 +53,6 @@
   void record_acceptance(const std::string& region, const std::string& service,
                          const attempt& outcome);
 
-  answer_memory answer_memory_;
   std::map<std::string, std::uint32_t> unanswered_;  // by region
   routing::acceptance_estimator acceptance_;         // by region and service
 };
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -35,7 +35,8 @@
 
  private:
   /// Assigns the request to a route and a service.
-  result<routed_request> route(surface::call_head head, std::string body,
+  result<routed_request> route(surface::call_head head,
+                               transport::shared_text body,
                                monotonic_time arrived) const;
   /// Returns whether a request may go on waiting for what a recently started
   /// node lacks.
@@ -65,7 +66,8 @@
   /// read.
   void record_abandoned(const std::string& request_id);
   /// Handles a request whose head and body were read.
-  transport::awaitable<void> answer(surface::call_head head, std::string body,
+  transport::awaitable<void> answer(surface::call_head head,
+                                    transport::shared_text body,
                                     monotonic_time arrived,
                                     transport::http_exchange& exchange);
   /// Logs and sends a refusal of a request that was not tried anywhere.
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -11,13 +11,14 @@
 #include "trestlepost/routing/completion_estimate.h"
 #include "trestlepost/routing/engine_table.h"
 #include "trestlepost/surface/call_head.h"
+#include "trestlepost/transport/request_body.h"
 
 namespace trestlepost::gateway {
 
 /// The request, its route, and the attempts made so far.
 struct routed_request {
   surface::call_head head;
-  std::string body;
+  transport::shared_text body;
   config::plan_ptr plan;  // owns the object behind `route`
   const config::route* route = nullptr;
   config::organisation_ptr organisation;  // of the caller, or null
--- a/gateway/src/answer_reader.h
+++ b/gateway/src/answer_reader.h
@@ -34,6 +34,7 @@
   bool has_event() const { return events_.has_event(); }
 
   transport::http_call& call() { return call_; }
+  answer_body body() const { return body_; }
 
  private:
   transport::http_call& call_;
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr unsigned ok_status = 200;
+// Part of an answer that the memory of its request includes.
+constexpr std::size_t paid_answer_bytes = 16UL * 1024;
 
 // Limit of a stream: this, and so much for each token. Events of one token may
 // have ids, probabilities of alternatives and the like.
@@ -30,22 +32,34 @@
                   max_stream_bytes_of_any);
 }
 
-awaitable<result<std::string>> read_plain_body(http_call& call,
-                                               answer_memory::share& memory) {
-  std::string out;
+bool hold_answer(memory_share& share, const std::string& text) {
+  if (text.size() <= paid_answer_bytes) return true;
+  return share.grow_to(text.capacity(), memory_use::answer, boot_clock::now());
+}
+
+awaitable<result<plain_body>> read_plain_body(
+    http_call& call, std::shared_ptr<memory_budget> memory, bool may_repeat) {
+  plain_body out;
+  out.share = memory_share(std::move(memory));
+  const bool has_length = !call.header("Content-Length").empty();
+  const bool may_relay = has_length || !may_repeat;
   while (true) {
     result<std::string> piece = co_await call.read_piece();
-    if (!piece) co_return piece;
-    if (piece->empty()) co_return out;
-    const std::size_t bytes = out.size() + piece->size();
-    if (!memory.grow_to(bytes)) {
+    if (!piece) co_return tl::make_unexpected(piece.error());
+    out.text += *piece;
+    if (piece->empty()) {
+      out.complete = true;
+      co_return out;
+    }
+    const bool fits = hold_answer(out.share, out.text);
+    if (out.text.size() > max_plain_bytes || (!fits && !may_relay)) {
       call.cancel();
       co_return fail(error_kind::endpoint_failed,
                      "the answer is too large to be held: it exceeds " +
-                         std::to_string(out.size()) + " bytes",
+                         std::to_string(out.text.size()) + " bytes",
                      "request a smaller answer");
     }
-    out += *piece;
+    if (!fits) co_return out;
   }
 }
 
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "answer_reader.h"
-#include "trestlepost/gateway/answer_memory.h"
+#include "trestlepost/base/memory_budget.h"
 #include "trestlepost/gateway/routed_request.h"
 #include "trestlepost/surface/endpoint_codec.h"
 
@@ -28,10 +28,27 @@
 /// Returns how the body of an endpoint's answer of this status is read.
 answer_body body_of(const routed_request& request, unsigned status);
 
-/// Reads the rest of a plain answer. Fails if it exceeds its limit, or the
-/// memory that all answers share.
-transport::awaitable<result<std::string>> read_plain_body(
-    transport::http_call& call, answer_memory::share& memory);
+/// Limit of a plain answer's size.
+inline constexpr std::size_t max_plain_bytes = 16UL * 1024 * 1024;
+
+/// The body of a plain answer, which is read completely before it is passed on,
+/// so that a truncated one can be replaced.
+struct plain_body {
+  std::string text;
+  memory_share share;
+  /// False if there was no memory for the rest, which is still to be read.
+  bool complete = false;
+};
+
+/// Returns whether `share` may hold `text`, an answer or a part of one.
+bool hold_answer(memory_share& share, const std::string& text);
+
+/// Reads the body of a plain answer. Fails if it exceeds its limit, and also if
+/// there is no memory for it, it states no length, and its request may be
+/// repeated: it may have no end.
+transport::awaitable<result<plain_body>> read_plain_body(
+    transport::http_call& call, std::shared_ptr<memory_budget> memory,
+    bool may_repeat);
 
 /// How a relayed stream ended. If neither member is set, it is complete and the
 /// exchange still has to be finished.
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -81,6 +81,7 @@
 
 awaitable<delivery_result> deliver(http_call& call, http_exchange& exchange,
                                    header_list headers,
+                                   std::shared_ptr<memory_budget> memory,
                                    std::function<void()> on_first) {
   delivery_result out;
   out.outcome.ran = run_state::unknown;
@@ -90,6 +91,7 @@
   answer_reader body(call, streamed ? answer_body::events : answer_body::opaque,
                      max_stream_bytes_of_any);
   std::string buffered;
+  memory_share share(std::move(memory));
   bool first = true;
   while (true) {
     result<std::string> piece = co_await body.read_piece();
@@ -103,7 +105,8 @@
     const bool ended = piece->empty();
     buffered += *piece;
     if (ended) break;
-    if (streamed || buffered.size() > max_buffered_bytes) {
+    const bool fits = hold_answer(share, buffered);
+    if (streamed || !fits || buffered.size() > max_buffered_bytes) {
       out.outcome.delivered = true;
       const std::function<void()> on_next = [] {};
       const relayed_stream relayed = co_await relay_stream(
--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -48,8 +48,16 @@
 }
 
 awaitable<attempt> endpoint_runner::deliver_buffered(active_run& current) {
-  answer_memory::share memory(answer_memory_);
-  result<std::string> body = co_await read_plain_body(*current.call, memory);
+  result<plain_body> body = co_await read_plain_body(
+      *current.call, context_.memory, current.request.route->may_repeat());
+  if (body && !body->complete) {
+    // The caller can detect a truncation, but the request can't be repeated.
+    answer_reader reader(*current.call, answer_body::opaque, max_plain_bytes);
+    log_event(log_level::warn, "answer-not-held",
+              {{"request_id", current.request.head.request_id},
+               {"bytes", std::to_string(body->text.size())}});
+    co_return co_await relay(current, reader, std::move(body->text));
+  }
   if (!body) {
     if (!current.exchange.is_disconnected()) {
       context_.endpoints.request_failed(current.endpoint.name,
@@ -60,7 +68,8 @@
   context_.endpoints.request_succeeded(current.endpoint.name);
   log_undelimited_end(current);
   http_response answer = answer_head(*current.call, *surfaces_.endpoints);
-  answer.body = std::move(*body);
+  answer.body = std::move(body->text);
+  answer.share = std::make_shared<const memory_share>(std::move(body->share));
   attempt out;
   if (answer.status >= first_server_error &&
       current.request.route->may_repeat()) {
@@ -95,9 +104,17 @@
     }
     co_return interrupted_run(*current.call, piece.error());
   }
+  co_return co_await relay(current, reader, std::move(*piece));
+}
+
+awaitable<attempt> endpoint_runner::relay(active_run& current,
+                                          answer_reader& reader,
+                                          std::string first) {
   const monotonic_time at = context_.clock.now();
   pool_.engines().record_event(current.ticket, at);
-  if (reader.has_event()) record_begin(current);
+  const bool plain = reader.body() == answer_body::opaque;
+  if (reader.has_event() || (plain && current.call->status() < first_error))
+    record_begin(current);
   context_.metrics.first_piece(current.request.service,
                                at - current.request.arrived);
   attempt out;
@@ -108,7 +125,6 @@
     pool_.engines().record_event(current.ticket, context_.clock.now());
     if (reader.has_event()) record_begin(current);
   };
-  std::string first = std::move(*piece);
   const relayed_stream relayed = co_await relay_stream(
       reader, current.exchange, std::move(head), std::move(first), on_next);
   if (relayed.caller_disconnected) {
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -189,10 +189,10 @@
   const result<void> early =
       check_before_body(**caller, target, options->labels);
   if (!early) co_return refused(early.error());
-  result<std::string> body = co_await exchange.read_body();
+  result<transport::request_body> body = co_await exchange.read_body();
   if (!body) co_return refused(body.error());
   if (target.service.empty()) {
-    const result<own::model_call> call = own::read_model_call(*body);
+    const result<own::model_call> call = own::read_model_call(body->text);
     if (!call) co_return refused(call.error());
     target.service = call->model;
     out.affinity = call->affinity;
@@ -209,7 +209,7 @@
   out.head = std::move(*head);
   out.head.request_id = id;
   out.head.target = target.path;
-  out.body = std::move(*body);
+  out.body = transport::share_text(std::move(*body));
   out.repeatable = options->repeatable.value_or(out.service->repeatable);
   out.idempotency_key = options->idempotency_key;
   out.priority = options->priority;
--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -52,8 +52,8 @@
   return message;
 }
 
-result<incoming_request> forward_handler::accept(const forward_message& message,
-                                                 std::string body) const {
+result<incoming_request> forward_handler::accept(
+    const forward_message& message, transport::request_body body) const {
   if (context_.state.is(membership::node_states::draining)) {
     return fail(error_kind::draining, "this node is stopping",
                 "use another node");
@@ -80,7 +80,7 @@
                 "run `trestlepost get callers` and `trestlepost get services`");
   }
   out.labels = message.labels;
-  out.body = std::move(body);
+  out.body = transport::share_text(std::move(body));
   out.repeatable = message.repeatable;
   out.idempotency_key = message.idempotency_key;
   out.priority = message.priority;
@@ -90,13 +90,13 @@
 }
 
 awaitable<void> forward_handler::handle(http_exchange& exchange) {
-  result<std::string> body = co_await exchange.read_body();
+  result<transport::request_body> body = co_await exchange.read_body();
   if (!body) {
     const attempt refused = unread_attempt(body.error());
     co_await refuse_forward(exchange, refused);
     co_return;
   }
-  const result<forward_message> message = check(exchange, *body);
+  const result<forward_message> message = check(exchange, body->text);
   if (!message) {
     co_await refuse_forward(exchange,
                             failed_attempt(run_state::no, message.error()));
--- a/gateway/src/forward_message.cc
+++ b/gateway/src/forward_message.cc
@@ -61,7 +61,7 @@
 }
 
 std::string forward_digest(const std::string& secret, const std::string& head,
-                           const std::string& body) {
+                           std::string_view body) {
   const sha256_digest sum = hmac_sha256(secret, head + "\n" + sha256_hex(body));
   return to_hex(sum.data(), sum.size());
 }
--- a/gateway/src/forwarder.cc
+++ b/gateway/src/forwarder.cc
@@ -78,8 +78,9 @@
   out.target = forward_target;
   out.headers = {{forward_header, head},
                  {forward_digest_header,
-                  forward_digest(context_.peer_secret, head, request.body)}};
-  out.body = request.body;
+                  forward_digest(context_.peer_secret, head,
+                                 transport::view_of(request.body))}};
+  out.shared_body = request.body;
   const std::shared_ptr<transport::http_call> call =
       context_.client.call(address);
   if (request.repeatable) exchange.on_disconnect([call] { call->cancel(); });
@@ -102,8 +103,9 @@
     headers.emplace_back("Trestlepost-Replayed", "true");
   }
   std::function<void()> on_first = [] {};
-  const delivery_result delivered = co_await deliver(
-      *call, exchange, std::move(headers), std::move(on_first));
+  const delivery_result delivered =
+      co_await deliver(*call, exchange, std::move(headers), context_.memory,
+                       std::move(on_first));
   co_return delivered.outcome;
 }
 
--- a/gateway/src/local_service.cc
+++ b/gateway/src/local_service.cc
@@ -220,7 +220,7 @@
 std::string local_service::fingerprint(const incoming_request& request) const {
   const request_identity identity{request.caller->name, request.head.method,
                                   request.service->name, request.head.target,
-                                  request.body};
+                                  transport::view_of(request.body)};
   return fingerprint_of(identity, context_.peer_secret);
 }
 
@@ -345,8 +345,9 @@
   std::function<void()> on_first = [this, started, service] {
     context_.metrics.first_piece(service, context_.clock.now() - started);
   };
-  delivery_result delivered = co_await deliver(
-      *call, exchange, std::move(headers), std::move(on_first));
+  delivery_result delivered =
+      co_await deliver(*call, exchange, std::move(headers), context_.memory,
+                       std::move(on_first));
   delivered.outcome.endpoint = lease->name();
   const bool interrupted =
       delivered.outcome.connection_lost && !exchange.is_disconnected();
--- a/gateway/src/request.cc
+++ b/gateway/src/request.cc
@@ -9,7 +9,7 @@
   return sha256_hex(
       request.head.method + " " + request.head.target + "\n" +
       std::string(request.head.passthrough_header("Content-Type")) + "\n" +
-      request.body);
+      std::string(transport::view_of(request.body)));
 }
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -44,8 +44,8 @@
   return route_message_from(text);
 }
 
-result<routed_request> route_forward_handler::accept(route_message message,
-                                                     std::string body) const {
+result<routed_request> route_forward_handler::accept(
+    route_message message, transport::request_body body) const {
   if (!context_.state.may_cross_regions(context_.clock.now())) {
     return fail(error_kind::isolated, "this node accepts no forwarded requests",
                 "use another node");
@@ -65,7 +65,7 @@
   callers_.record(message.head, *organisation);
   routed_request out;
   out.head = std::move(message.head);
-  out.body = std::move(body);
+  out.body = transport::share_text(std::move(body));
   out.plan = plan;
   out.route = route;
   out.organisation = *organisation;
@@ -89,12 +89,12 @@
     co_await next_.handle(exchange);
     co_return;
   }
-  result<std::string> body = co_await exchange.read_body();
+  result<transport::request_body> body = co_await exchange.read_body();
   attempt outcome;
   if (!body) {
     outcome = unread_attempt(body.error());
   } else {
-    result<route_message> message = read_message(exchange, *body);
+    result<route_message> message = read_message(exchange, body->text);
     result<routed_request> request =
         message ? accept(std::move(*message), std::move(*body))
                 : result<routed_request>(tl::make_unexpected(message.error()));
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -76,8 +76,10 @@
   out.target = route_target;
   out.headers = {{message_size_header, std::to_string(text.size())},
                  {forward_digest_header,
-                  forward_digest(context_.peer_secret, text, request.body)}};
-  out.body = text + request.body;
+                  forward_digest(context_.peer_secret, text,
+                                 transport::view_of(request.body))}};
+  out.body = text;
+  out.shared_body = request.body;
   return out;
 }
 
@@ -141,15 +143,21 @@
   transport::http_response head = caller_head(call, *surfaces_.endpoints);
   const bool streamed = request.route->kind == config::route_kind::stream;
   if (!streamed) {
-    answer_memory::share memory(answer_memory_);
-    result<std::string> body = co_await read_plain_body(call, memory);
+    result<plain_body> body = co_await read_plain_body(
+        call, context_.memory, request.route->may_repeat());
     if (!body) {
       out.cause = body.error();
       co_return out;
     }
+    if (!body->complete) {
+      answer_reader rest(call, answer_body::opaque, max_plain_bytes);
+      co_return co_await relay_pieces(rest, exchange, std::move(head),
+                                      std::move(body->text));
+    }
     out.delivered = true;
     out.ran = run_state::yes;
-    head.body = std::move(*body);
+    head.body = std::move(body->text);
+    head.share = std::make_shared<const memory_share>(std::move(body->share));
     co_await exchange.respond(std::move(head));
     co_return out;
   }
@@ -160,10 +168,18 @@
     out.cause = piece.error();
     co_return out;
   }
+  co_return co_await relay_pieces(reader, exchange, std::move(head),
+                                  std::move(*piece));
+}
+
+awaitable<attempt> route_forwarder::relay_pieces(
+    answer_reader& reader, transport::http_exchange& exchange,
+    transport::http_response head, std::string first) {
+  attempt out;
+  out.sends = 1;
   out.delivered = true;
   out.ran = run_state::yes;
   const std::function<void()> on_next = [] {};
-  std::string first = std::move(*piece);
   const relayed_stream relayed = co_await relay_stream(
       reader, exchange, std::move(head), std::move(first), on_next);
   if (relayed.caller_disconnected) {
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -53,7 +53,7 @@
   result<surface::call_head> head = surfaces_.callers->read_head(exchange);
   // The body is read in any case: closing a connection with unread bytes resets
   // it, and the caller may lose the answer.
-  result<std::string> body = co_await exchange.read_body();
+  result<transport::request_body> body = co_await exchange.read_body();
   if (exchange.is_disconnected()) {
     record_abandoned(head ? head->request_id : "");
     co_return;
@@ -65,7 +65,8 @@
     co_await refuse_untried(refused, id, "", exchange);
     co_return;
   }
-  co_await answer(std::move(*head), std::move(*body), arrived, exchange);
+  transport::shared_text text = transport::share_text(std::move(*body));
+  co_await answer(std::move(*head), std::move(text), arrived, exchange);
 }
 
 void route_handler::record_abandoned(const std::string& request_id) {
@@ -76,7 +77,7 @@
 }
 
 result<routed_request> route_handler::route(surface::call_head head,
-                                            std::string body,
+                                            transport::shared_text body,
                                             monotonic_time arrived) const {
   const config::plan_ptr& plan = routes_.plan();
   if (!plan) {
@@ -119,7 +120,8 @@
   return out;
 }
 
-awaitable<void> route_handler::answer(surface::call_head head, std::string body,
+awaitable<void> route_handler::answer(surface::call_head head,
+                                      transport::shared_text body,
                                       monotonic_time arrived,
                                       http_exchange& exchange) {
   const std::string id = head.request_id;
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -13,7 +13,7 @@
         organisation ? std::string_view(organisation->name)
                      : head.passthrough_header("Authorization");
     const request_identity identity{caller, head.method, head.host, head.target,
-                                    body};
+                                    transport::view_of(body)};
     fingerprint_ = fingerprint_of(identity, secret);
   }
   return fingerprint_;
--- a/gateway/test/delivery-test.cc
+++ b/gateway/test/delivery-test.cc
@@ -69,7 +69,8 @@
   const auto run = [&]() -> transport::awaitable<void> {
     std::function<void()> on_first = [] {};
     transport::header_list headers;
-    out = co_await deliver(call, exchange, std::move(headers),
+    const std::shared_ptr<memory_budget> no_bound;
+    out = co_await deliver(call, exchange, std::move(headers), no_bound,
                            std::move(on_first));
   };
   boost::asio::co_spawn(io, run, boost::asio::detached);
--- a/gateway/test/request-test.cc
+++ b/gateway/test/request-test.cc
@@ -65,10 +65,10 @@
 TEST(request_digest_test, depends_on_the_body_and_its_type) {
   incoming_request a;
   a.head.method = "POST";
-  a.body = "1";
+  a.body = std::make_shared<const std::string>("1");
   incoming_request b = a;
   EXPECT_EQ(request_digest(a), request_digest(b));
-  b.body = "2";
+  b.body = std::make_shared<const std::string>("2");
   EXPECT_NE(request_digest(a), request_digest(b));
   b = a;
   b.head.passthrough_headers = {{"Content-Type", "text/plain"}};
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -55,11 +55,13 @@
 }  // namespace
 
 awaitable<void> directory_handler::handle(transport::http_exchange& exchange) {
-  const result<std::string> body = co_await exchange.read_body();
+  const result<transport::request_body> body = co_await exchange.read_body();
   const std::optional<membership::entry_query> query =
       surface_->read_query(exchange.method(), exchange.target());
   http_response out;
-  if (!query || !body) {
+  if (!body && body.error().kind == error_kind::overloaded) {
+    out = surface_->refuse(body.error());
+  } else if (!query || !body) {
     out = unknown_call(*surface_);
   } else {
     const membership::directory_options options{
@@ -81,11 +83,13 @@
 }
 
 awaitable<void> readiness_handler::handle(transport::http_exchange& exchange) {
-  const result<std::string> body = co_await exchange.read_body();
+  const result<transport::request_body> body = co_await exchange.read_body();
   const bool is_query =
       surface_->is_readiness_query(exchange.method(), exchange.target());
   http_response out;
-  if (is_query && body) {
+  if (!body && body.error().kind == error_kind::overloaded) {
+    out = surface_->refuse(body.error());
+  } else if (is_query && body) {
     const surface::node_report report{
         context_.state.serves_callers() && context_.store.plan() != nullptr,
         context_.state.name(), context_.store.revision()};
--- a/node/src/main.cc
+++ b/node/src/main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "memory/memory_monitor.h"
 #include "node.h"
 
 namespace {
@@ -29,6 +30,7 @@
 
 int main(int argc, char** argv) {
   block_hangup(true);
+  trestlepost::node::set_allocator_options();
   CLI::App app{"A node of trestlepost, the multi-region inference gateway"};
   std::string file;
   bool check_only = false;
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -17,6 +17,8 @@
 #include "crash_reporter.h"
 #include "heartbeat_service.h"
 #include "ledger_service.h"
+#include "memory/memory_limit.h"
+#include "memory/memory_monitor.h"
 #include "node_context.h"
 #include "operator_service.h"
 #include "planned_stop.h"
@@ -52,18 +54,40 @@
 const prometheus::Histogram::BucketBoundaries confirm_buckets{
     0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
 
-transport::http_server_options limited_bodies(
-    std::shared_ptr<transport::body_memory> bodies) {
+// Memory that an order takes for each byte of its body: the document, what is
+// parsed from it, and the change.
+constexpr std::size_t memory_per_order_byte = 8;
+constexpr std::size_t max_query_body_bytes = 4UL * 1024;
+
+transport::http_server_options server_options(
+    std::shared_ptr<memory_budget> memory) {
   transport::http_server_options out;
-  out.bodies = std::move(bodies);
+  out.memory = std::move(memory);
+  return out;
+}
+
+/// Options of a server whose bodies are documents that are parsed.
+transport::http_server_options document_server_options(
+    std::shared_ptr<memory_budget> memory) {
+  transport::http_server_options out = server_options(std::move(memory));
+  out.memory_per_body_byte = memory_per_order_byte;
+  return out;
+}
+
+/// Options of a server whose calls are short and must be answered.
+transport::http_server_options query_server_options(
+    std::shared_ptr<memory_budget> memory) {
+  transport::http_server_options out = server_options(std::move(memory));
+  out.body_limit = max_query_body_bytes;
+  out.request_use = memory_use::essential;
   return out;
 }
 
 /// Other gateways reuse an idle connection for `idle_connection_lifetime`. It
 /// is closed later than that, so that no forward crosses the close.
 transport::http_server_options forward_server_options(
-    std::shared_ptr<transport::body_memory> bodies) {
-  transport::http_server_options out = limited_bodies(std::move(bodies));
+    std::shared_ptr<memory_budget> memory) {
+  transport::http_server_options out = server_options(std::move(memory));
   out.idle_timeout = 2 * idle_connection_lifetime;
   return out;
 }
@@ -182,6 +206,8 @@
 
   settings options;
   node_resources& resources;
+  /// Pays for what callers, operators and endpoints make this node hold.
+  std::shared_ptr<memory_budget> memory;
   settings_watch file_watch;
   transport::asio::io_context io{1};
   boost::asio::signal_set signals{io};
@@ -195,6 +221,7 @@
   transport::http_client client;
   node_context context;
   std::shared_ptr<prometheus::Registry> registry;
+  memory_monitor memory_use;
   gateway::gateway_metrics metrics;
   ledger_service ledger;
   gateway::gateway_context gateway;
@@ -210,9 +237,6 @@
   probe_service probes;
   operator_service operators;
   routed_gateway routed_services;
-  /// Of the bodies that callers and other gateways send.
-  std::shared_ptr<transport::body_memory> bodies =
-      std::make_shared<transport::body_memory>();
   transport::http_server entry_server;
   transport::http_server forward_server;
   transport::http_server operator_server;
@@ -232,6 +256,8 @@
                                      std::string file)
     : options(std::move(o)),
       resources(b),
+      memory(std::make_shared<memory_budget>(
+          memory_limit_of(options.memory_limit))),
       file_watch(std::move(file)),
       state(*resources.node_chart, options.state, resources.clock.now()),
       endpoints(*resources.endpoint_chart, options.endpoints),
@@ -255,6 +281,7 @@
               {},
               {}},
       registry(std::make_shared<prometheus::Registry>()),
+      memory_use(memory, *registry),
       metrics(*registry),
       ledger(context),
       gateway{io,
@@ -270,7 +297,8 @@
               ledger,
               options.peer_secret,
               gateway_options_of(options),
-              context.round_trips},
+              context.round_trips,
+              memory},
       crashes(gateway),
       crash_reports(context),
       local(gateway, crashes),
@@ -288,13 +316,16 @@
                    routed() ? static_cast<transport::http_handler&>(
                                   routed_services.entry())
                             : entries,
-                   limited_bodies(bodies)),
+                   server_options(memory)),
       forward_server(io, routed_services.forwards(),
-                     forward_server_options(bodies)),
-      operator_server(io, operators, {}),
-      order_server(io, routed_services.orders(), {}),
-      directory_server(io, routed_services.directory(), {}),
-      readiness_server(io, routed_services.readiness(), {}),
+                     forward_server_options(memory)),
+      operator_server(io, operators, document_server_options(memory)),
+      order_server(io, routed_services.orders(),
+                   document_server_options(memory)),
+      directory_server(io, routed_services.directory(),
+                       query_server_options(memory)),
+      readiness_server(io, routed_services.readiness(),
+                       query_server_options(memory)),
       stop(context, {heartbeats, ledger, routed_services.entry(), entry_server,
                      forward_server, operator_server}),
       node_gauges(prometheus::BuildGauge()
@@ -428,6 +459,7 @@
   while (!stop.ended()) {
     const monotonic_time now = resources.clock.now();
     record_tick_delay(due);
+    memory_use.tick(now);
     client.cancel_expired(now);
     close_unusable_connections(now);
     reload_if_changed(false);
@@ -534,6 +566,8 @@
   options.timing = next.timing;
   options.tolerated_losses = next.tolerated_losses;
   options.min_log_level = next.min_log_level;
+  options.memory_limit = next.memory_limit;
+  memory->set_process_limit(memory_limit_of(next.memory_limit));
   set_log_level(next.min_log_level);
 }
 
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -18,6 +18,7 @@
 using transport::rpc_context;
 
 constexpr milliseconds relay_interval{400};
+constexpr std::chrono::seconds no_memory_retry_after{1};
 constexpr milliseconds relay_timeout{20'000};
 
 /// Roles in ascending order; each includes the permissions of those before it.
@@ -327,7 +328,7 @@
     co_await exchange.respond(std::move(answer));
     co_return;
   }
-  const result<std::string> body = co_await exchange.read_body();
+  const result<transport::request_body> body = co_await exchange.read_body();
   // What waited in this node's socket until its sender gave up is not done.
   if (exchange.has_caller_left()) {
     log_event(log_level::info, "operator-call-abandoned", {{"target", target}});
@@ -336,21 +337,23 @@
   error cause{error_kind::not_found, "there is no such path",
               "POST JSON-RPC to /rpc, or GET /metrics"};
   unsigned status = 404;
+  std::chrono::seconds retry_after{0};
   if (!body) {
+    const bool no_memory = body.error().kind == error_kind::overloaded;
     cause = body.error();
-    status = 400;
+    status = no_memory ? 503 : 400;
+    if (no_memory) retry_after = no_memory_retry_after;
   } else if (target == "/rpc" && exchange.method() == "POST") {
     const result<rpc_context> caller = authenticate(exchange);
     if (caller) {
-      answer.body = dispatcher_.dispatch(*body, *caller);
+      answer.body = dispatcher_.dispatch(body->text, *caller);
       co_await exchange.respond(std::move(answer));
       co_return;
     }
     cause = caller.error();
     status = 401;
   }
-  answer =
-      transport::problem_response(status, cause, "no", std::chrono::seconds(0));
+  answer = transport::problem_response(status, cause, "no", retry_after);
   co_await exchange.respond(std::move(answer));
 }
 
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -141,11 +141,11 @@
   const std::string target(exchange.target());
   const monotonic_time started = context_.clock.now();
   const monotonic_time arrived = control_->orders().before_arrival().at;
-  const result<std::string> body = co_await exchange.read_body();
+  const result<transport::request_body> body = co_await exchange.read_body();
   const monotonic_time read = context_.clock.now();
   std::optional<http_response> out;
   if (body) {
-    out = co_await answer(exchange, *body, arrived);
+    out = co_await answer(exchange, body->text, arrived);
   } else {
     out = surface_->refuse(body.error());
   }
@@ -156,7 +156,7 @@
   log_event(log_level::info, "order-timed",
             {{"target", target},
              {"status", std::to_string(status)},
-             {"bytes", std::to_string(body ? body->size() : 0)},
+             {"bytes", std::to_string(body ? body->text.size() : 0)},
              {"answer_bytes", std::to_string(answer_bytes)},
              {"read_ms", ms_between(started, read)},
              {"decide_ms", ms_between(read, answered)},
--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -17,6 +17,8 @@
 constexpr std::uint64_t max_port = 65535;
 constexpr std::uint64_t max_tolerated_losses = 10;
 constexpr double max_retry_slack = 1e6;
+constexpr std::uint64_t bytes_per_megabyte = 1024 * 1024;
+constexpr std::uint64_t min_memory_mb = 64;
 constexpr char settings_remedy[] =
     "correct the settings and start the node again";
 
@@ -253,6 +255,9 @@
         reader.number_or("queue_capacity", out_.queue_capacity, 1, max_limit);
     out_.snapshot_every =
         reader.number_or("snapshot_every", out_.snapshot_every, 10, max_limit);
+    out_.memory_limit =
+        bytes_per_megabyte *
+        reader.number_or("memory_mb", 0, min_memory_mb, max_limit);
     reader.finish();
   }
 
--- a/node/src/settings.h
+++ b/node/src/settings.h
@@ -93,6 +93,7 @@
   std::string log_file;
   std::size_t queue_capacity = 2000;
   std::size_t snapshot_every = 1000;
+  std::size_t memory_limit = 0;  // bytes; 0: the default
   timing_settings timing;
   membership::node_state_options state;
   membership::endpoint_options endpoints;
--- a/own/src/endpoint_codec.cc
+++ b/own/src/endpoint_codec.cc
@@ -19,7 +19,7 @@
                  {headers::priority, std::to_string(in.priority)}};
   out.headers.insert(out.headers.end(), in.head.passthrough_headers.begin(),
                      in.head.passthrough_headers.end());
-  out.body = in.body;
+  out.shared_body = in.body;
   return out;
 }
 
--- a/own/test/endpoint_codec-test.cc
+++ b/own/test/endpoint_codec-test.cc
@@ -18,7 +18,8 @@
   head.target = "/x/1?q";
   head.passthrough_headers = {{"Content-Type", "text/plain"},
                               {"Idempotency-Key", "k"}};
-  const std::string body = "body";
+  const transport::shared_text body =
+      std::make_shared<const std::string>("body");
   const transport::http_request out =
       endpoint_codec(false).encode({.head = head,
                                     .body = body,
@@ -27,7 +28,7 @@
                                     .attempt_id = "a-1"});
   EXPECT_EQ(out.method, "PUT");
   EXPECT_EQ(out.target, "/x/1?q");
-  EXPECT_EQ(out.body, "body");
+  EXPECT_EQ(out.shared_body, body);
   const transport::header_list expected{{"X-Request-Id", "r-1"},
                                         {"Trestlepost-Attempt", "a-1"},
                                         {"Trestlepost-Priority", "3"},
--- a/surface/include/trestlepost/surface/endpoint_codec.h
+++ b/surface/include/trestlepost/surface/endpoint_codec.h
@@ -14,7 +14,7 @@
 /// An attempt to run a request on an endpoint.
 struct endpoint_attempt {
   const call_head& head;
-  const std::string& body;
+  const transport::shared_text& body;
   /// The intended endpoint; another endpoint at the same address must refuse.
   std::string endpoint_id;
   /// Time until the caller's deadline.
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -31,8 +31,8 @@
   }
   transport::header_list headers() const override { return all; }
   std::string peer_ip() const override { return ""; }
-  transport::awaitable<result<std::string>> read_body() override {
-    co_return std::string();
+  transport::awaitable<result<transport::request_body>> read_body() override {
+    co_return transport::request_body();
   }
   transport::awaitable<bool> respond(transport::http_response) override {
     co_return true;
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -36,6 +36,12 @@
   std::string target;
   header_list headers;
   std::string body;
+  /// The rest of the body, which is sent without a copy.
+  shared_text shared_body{};
+
+  std::size_t body_size() const {
+    return body.size() + view_of(shared_body).size();
+  }
 };
 
 /// Reason why a call failed before the head of its response arrived.
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -11,7 +11,7 @@
 
 #include "trestlepost/base/error.h"
 #include "trestlepost/transport/asio.h"
-#include "trestlepost/transport/body_memory.h"
+#include "trestlepost/transport/request_body.h"
 
 namespace trestlepost::transport {
 
@@ -24,8 +24,12 @@
   std::chrono::milliseconds idle_timeout{60'000};
   std::chrono::milliseconds write_timeout{30'000};
   std::size_t max_connections = 20'000;  // further ones are closed
-  /// Bounds the bodies that are held at a time; null for no bound.
-  std::shared_ptr<body_memory> bodies{};
+  /// Pays for connections and requests; null for no bound.
+  std::shared_ptr<memory_budget> memory{};
+  /// Memory that a request takes for each byte of its body, such as a document
+  /// and what is parsed from it.
+  std::size_t memory_per_body_byte = 1;
+  memory_use request_use = memory_use::request;
 };
 
 /// Names and values of headers, in order.
@@ -41,6 +45,8 @@
   /// exchange is aborted or the process ends before that, the connection is
   /// reset.
   bool close_delimited = false;
+  /// Memory that the body holds, or null.
+  std::shared_ptr<const memory_share> share{};
 };
 
 /// One request and its response. Operations return false or an error after the
@@ -61,9 +67,10 @@
   virtual std::string peer_ip() const = 0;
 
   /// Reads the complete body. Returns an error if it is too large, too slow or
-  /// malformed, and `overloaded` if there is no memory for it now; then it has
-  /// been read and discarded.
-  virtual awaitable<result<std::string>> read_body() = 0;
+  /// malformed, and `overloaded` if there is no memory for the request now. The
+  /// rest of a body that was not read is discarded after the response, and the
+  /// connection is closed.
+  virtual awaitable<result<request_body>> read_body() = 0;
 
   /// Sends a complete response. Returns false if a response has been started.
   virtual awaitable<bool> respond(http_response response) = 0;
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "trestlepost/transport/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,17 +41,30 @@
   explicit client_connection(asio::io_context& context) : stream(context) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  /// Request that is being written. The response is read concurrently, since an
-  /// endpoint may respond before it has read a long body.
+  /// Request that is being written, and the rest of its body. The response is
+  /// read concurrently, since an endpoint may respond before it has read a long
+  /// body.
   std::string outgoing;
+  shared_text outgoing_body;
   std::size_t written = 0;
   monotonic_time reusable_until;
 
-  bool write_done() const { return written == outgoing.size(); }
+  bool write_done() const {
+    return written == outgoing.size() + view_of(outgoing_body).size();
+  }
+  /// What has not been written yet.
+  std::array<asio::const_buffer, 2> unwritten() const {
+    const std::string_view body = view_of(outgoing_body);
+    const std::size_t of_head = std::min(written, outgoing.size());
+    const std::size_t of_body = written - of_head;
+    return {asio::buffer(outgoing.data() + of_head, outgoing.size() - of_head),
+            asio::buffer(body.data() + of_body, body.size() - of_body)};
+  }
   /// Frees the request after it has been written.
   void free_written() {
     if (!write_done()) return;
     outgoing = std::string();
+    outgoing_body = nullptr;
     written = 0;
   }
 };
@@ -63,10 +77,7 @@
   error_code ec;
   it.stream.socket().non_blocking(true, ec);
   while (!ec && !it.write_done()) {
-    it.written += it.stream.socket().write_some(
-        asio::buffer(it.outgoing.data() + it.written,
-                     it.outgoing.size() - it.written),
-        ec);
+    it.written += it.stream.socket().write_some(it.unwritten(), ec);
   }
   it.free_written();
   return !ec || ec == asio::error::would_block;
@@ -77,10 +88,9 @@
 awaitable<void> write_rest(connection_ptr it) {
   error_code ec;
   while (!ec && !it->write_done()) {
+    const std::array<asio::const_buffer, 2> rest = it->unwritten();
     it->written += co_await it->stream.async_write_some(
-        asio::buffer(it->outgoing.data() + it->written,
-                     it->outgoing.size() - it->written),
-        redirect_error(use_awaitable, ec));
+        rest, redirect_error(use_awaitable, ec));
   }
   it->free_written();
 }
@@ -305,8 +315,8 @@
     add(name, value);
   }
   if (!has_host) add("Host", address_);
-  const bool bodiless = request.body.empty() && request.method == "GET";
-  if (!bodiless) add("Content-Length", std::to_string(request.body.size()));
+  const bool bodiless = request.body_size() == 0 && request.method == "GET";
+  if (!bodiless) add("Content-Length", std::to_string(request.body_size()));
   return out + "\r\n";
 }
 
@@ -314,6 +324,7 @@
   connection_->outgoing = serialize_head(request);
   connection_->outgoing += request.body;
   request.body = std::string();
+  connection_->outgoing_body = std::move(request.shared_body);
   connection_->written = 0;
   if (write_some(*connection_) && !connection_->write_done()) {
     asio::co_spawn(client_->context, write_rest(connection_), asio::detached);
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -59,6 +59,7 @@
     self->end_exchange();
     if (!self->keeps_alive(server->draining)) break;
   }
+  if (self->has_unread_input()) co_await self->discard_input();
   --server->connections;
   error_code ec;
   self->stream().socket().shutdown(tcp::socket::shutdown_send, ec);
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <vector>
 
 #include "trestlepost/base/json.h"
 #include "trestlepost/base/log.h"
@@ -21,6 +22,8 @@
 using string_response = http::response<http::string_body>;
 
 constexpr char server_header[] = "trestlepost";
+// Input that is discarded after a response ends after a pause of this length.
+constexpr std::chrono::milliseconds max_discard_pause{2000};
 constexpr unsigned http_1_1 = 11;
 
 http::status status_of(unsigned n) {
@@ -127,7 +130,6 @@
 
 void server_connection::end_exchange() {
   ++request_number_;
-  body_share_.clear();
   on_disconnect_ = nullptr;
   if (watching_for_disconnect_ && stream_.socket().is_open()) {
     error_code ec;
@@ -212,38 +214,61 @@
   co_return false;
 }
 
+bool server_connection::hold_body(std::size_t body_bytes) {
+  return body_share_.grow_to(
+      request_bytes + options_.memory_per_body_byte * body_bytes,
+      options_.request_use, boot_clock::now());
+}
+
+void server_connection::reclaim() {
+  reclaimed_ = true;
+  std::string().swap(parser_->get().body());
+  body_share_.clear();
+  stream_.cancel();
+}
+
 awaitable<bool> server_connection::read_body_pieces(error_code& ec) {
   const std::size_t declared =
       parser_->content_length().value_or(parser_->get().body().size());
-  bool fits = body_share_.grow_to(declared);
+  if (!hold_body(declared)) co_return false;
+  last_progress_ = boot_clock::now();
+  if (options_.memory) options_.memory->add_reclaimable(*this);
   stream_.expires_after(options_.body_timeout);
-  while (!ec && !parser_->is_done()) {
+  bool fits = true;
+  while (!ec && fits && !parser_->is_done()) {
     co_await http::async_read_some(stream_, buffer_, *parser_,
                                    redirect_error(use_awaitable, ec));
-    fits = fits && body_share_.grow_to(parser_->get().body().size());
-    if (!fits) parser_->get().body().clear();
+    last_progress_ = boot_clock::now();
+    fits = !reclaimed_ && hold_body(parser_->get().body().capacity());
   }
   stream_.expires_never();
+  if (options_.memory) options_.memory->remove_reclaimable(*this);
   co_return fits;
 }
 
-awaitable<result<std::string>> server_connection::read_body() {
+awaitable<result<request_body>> server_connection::read_body() {
   error_code ec;
+  body_share_ = memory_share(options_.memory);
+  reclaimed_ = false;
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> interim(http::status::continue_, 11);
     co_await http::async_write(stream_, interim,
                                redirect_error(use_awaitable, ec));
   }
-  const bool complete = co_await read_body_pieces(ec);
-  if (!ec && !complete) {
+  const bool fits = co_await read_body_pieces(ec);
+  if (!fits) {
+    std::string().swap(parser_->get().body());
+    body_share_.clear();
     co_return fail(error_kind::overloaded,
-                   "there is no memory for a body of this size now",
+                   "there is no memory for this request now",
                    "send it again after Retry-After");
   }
   if (!ec) {
     check_for_disconnect();
-    co_return std::move(parser_->get().body());
+    request_body out{std::move(parser_->get().body()), std::move(body_share_)};
+    co_return out;
   }
+  body_share_.clear();
   if (ec == http::error::body_limit) {
     co_return fail(error_kind::too_large,
                    "the body is larger than " +
@@ -261,6 +286,25 @@
                  "chunks");
 }
 
+bool server_connection::has_unread_input() const {
+  return response_started_ && !disconnected_ && !parser_->is_done() &&
+         stream_.socket().is_open();
+}
+
+awaitable<void> server_connection::discard_input() {
+  error_code ec;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+  stream_.socket().non_blocking(true, ec);
+  const monotonic_time end = boot_clock::now() + options_.body_timeout;
+  // One for all connections, since nobody reads what is in it.
+  static thread_local std::vector<char> discarded(64UL * 1024);
+  while (!ec && boot_clock::now() < end) {
+    stream_.expires_after(max_discard_pause);
+    co_await stream_.async_read_some(asio::buffer(discarded),
+                                     redirect_error(use_awaitable, ec));
+  }
+}
+
 awaitable<bool> server_connection::respond(http_response response) {
   if (disconnected_ || response_started_) co_return false;
   if (response.close_delimited && method() != "HEAD") {
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -23,12 +23,15 @@
 /// Connection of a caller. It is owned by its coroutines.
 class server_connection final
     : public http_exchange,
+      private reclaimable_memory,
       public std::enable_shared_from_this<server_connection> {
  public:
   server_connection(tcp::socket socket, const http_server_options& options)
       : stream_(std::move(socket)),
         options_(options),
-        body_share_(options.bodies) {}
+        own_share_(options.memory) {
+    own_share_.set(connection_bytes);
+  }
 
   boost::beast::tcp_stream& stream() { return stream_; }
 
@@ -41,6 +44,11 @@
   }
   void set_draining(bool draining) { draining_ = draining; }
   void end_exchange();
+  /// Whether the caller may still be sending a request that has been answered.
+  bool has_unread_input() const;
+  /// Discards what the caller still sends: closing a connection with unread
+  /// bytes resets it, and the caller may lose the response.
+  awaitable<void> discard_input();
   /// Ends the exchange if the caller's host no longer acknowledges anything.
   void disconnect_if_silent();
 
@@ -58,7 +66,7 @@
   }
   header_list headers() const override { return list_headers(parser_->get()); }
   std::string peer_ip() const override;
-  awaitable<result<std::string>> read_body() override;
+  awaitable<result<request_body>> read_body() override;
   awaitable<bool> respond(http_response response) override;
   awaitable<bool> start_stream(http_response head) override;
   awaitable<bool> start_sized_stream(http_response head,
@@ -82,9 +90,12 @@
       boost::beast::http::response<boost::beast::http::empty_body> out);
   awaitable<bool> respond_until_close(http_response response);
   awaitable<bool> write(asio::const_buffer data);
-  /// Reads the rest of the body, and discards it if there is no memory for it;
-  /// returns whether it is complete.
+  /// Reads the rest of the body. Returns false if there is no memory for it.
   awaitable<bool> read_body_pieces(boost::system::error_code& ec);
+  /// Holds memory for the request with a body of this size, if there is room.
+  bool hold_body(std::size_t body_bytes);
+  monotonic_time last_progress() const override { return last_progress_; }
+  void reclaim() override;
   /// Checks without waiting whether the caller has disconnected.
   void check_for_disconnect();
   /// Waits until the caller disconnects while the request is in progress.
@@ -95,10 +106,18 @@
   void reset_connection();
   void handle_disconnect();
 
+  /// Memory of a connection, and of a request besides its body: heads, the
+  /// states of coroutines, pieces of the answer and buffers of the endpoint's
+  /// connection.
+  static constexpr std::size_t connection_bytes = 8UL * 1024;
+  static constexpr std::size_t request_bytes = 24UL * 1024;
+
   boost::beast::tcp_stream stream_;
   const http_server_options& options_;
   boost::beast::flat_buffer buffer_;
-  body_memory::share body_share_;
+  memory_share own_share_;
+  memory_share body_share_;  // of the body that is being read
+  monotonic_time last_progress_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
@@ -111,6 +130,7 @@
   bool unusable_ = false;                       // no further request is read
   bool disconnected_ = false;
   bool draining_ = false;
+  bool reclaimed_ = false;     // the memory of the body was taken back
   bool first_request_ = true;  // no request has been read yet
 };
 
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -31,7 +31,7 @@
 class test_handler final : public http_handler {
  public:
   awaitable<void> handle(http_exchange& exchange) override {
-    const result<std::string> body = co_await exchange.read_body();
+    const result<transport::request_body> body = co_await exchange.read_body();
     ++handled;
     if (exchange.is_disconnected()) {
       ++abandoned;
@@ -72,8 +72,8 @@
     }
     http_response response;
     response.close_delimited = close_delimited;
-    response.body =
-        target == "/large" ? std::string(large_body, 'x') : "echo " + *body;
+    response.body = target == "/large" ? std::string(large_body, 'x')
+                                       : "echo " + body->text;
     co_await exchange.respond(response);
   }
 
