--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -1,20 +1,16 @@
 #include "trestlepost/transport/http_client.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <deque>
-#include <map>
 #include <optional>
 #include <set>
 
+#include "connection_pool.h"
 #include "header_lists.h"
 
 namespace trestlepost::transport {
@@ -36,41 +32,6 @@
 constexpr char endpoint_remedy[] =
     "check the endpoint; the request may be sent again if it is repeatable";
 
-/// Connection that is used by a call or idle in the pool.
-struct client_connection {
-  explicit client_connection(asio::io_context& context) : stream(context) {}
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  /// Request that is being written, and the rest of its body. The response is
-  /// read concurrently, since an endpoint may respond before it has read a long
-  /// body.
-  std::string outgoing;
-  shared_text outgoing_body;
-  std::size_t written = 0;
-  monotonic_time reusable_until;
-
-  bool write_done() const {
-    return written == outgoing.size() + view_of(outgoing_body).size();
-  }
-  /// What has not been written yet.
-  std::array<asio::const_buffer, 2> unwritten() const {
-    const std::string_view body = view_of(outgoing_body);
-    const std::size_t of_head = std::min(written, outgoing.size());
-    const std::size_t of_body = written - of_head;
-    return {asio::buffer(outgoing.data() + of_head, outgoing.size() - of_head),
-            asio::buffer(body.data() + of_body, body.size() - of_body)};
-  }
-  /// Frees the request after it has been written.
-  void free_written() {
-    if (!write_done()) return;
-    outgoing = std::string();
-    outgoing_body = nullptr;
-    written = 0;
-  }
-};
-
-using connection_ptr = std::shared_ptr<client_connection>;
-
 /// Writes as much of the request as possible without blocking. Returns false if
 /// the connection failed.
 bool write_some(client_connection& it) {
@@ -108,71 +69,18 @@
   return std::chrono::seconds(n);
 }
 
-/// Returns whether an idle connection may be reused: the server has not closed
-/// it, and has sent no data without a request.
-bool is_reusable(client_connection& it) {
-  if (it.buffer.size() != 0) return false;
-  char byte = 0;
-  const ssize_t n = ::recv(it.stream.socket().native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 }  // namespace
 
 class pooled_call;
 
 struct http_client::state {
   state(asio::io_context& c, http_client_options o)
-      : context(c), options(std::move(o)) {}
-
-  /// Removes a reusable connection to `address` from the pool. Returns nullptr
-  /// if there is none.
-  connection_ptr acquire(const std::string& address) {
-    const auto found = idle.find(address);
-    if (found == idle.end()) return nullptr;
-    std::deque<connection_ptr>& pooled = found->second;
-    const monotonic_time now = boot_clock::now();
-    connection_ptr out;
-    while (!pooled.empty() && !out) {
-      connection_ptr it = std::move(pooled.back());
-      pooled.pop_back();
-      --idle_count;
-      if (it->reusable_until >= now && is_reusable(*it)) out = std::move(it);
-    }
-    if (pooled.empty()) idle.erase(found);
-    return out;
-  }
-
-  /// Adds a connection to the pool for `lifetime`, unless the pool is full.
-  void release(const std::string& address, connection_ptr it,
-               std::chrono::milliseconds lifetime) {
-    if (closed || idle_count >= options.max_idle) return;
-    std::deque<connection_ptr>& pooled = idle[address];
-    if (pooled.size() >= options.max_idle_per_address) return;
-    ++idle_count;
-    it->reusable_until = boot_clock::now() + lifetime;
-    it->stream.expires_never();
-    pooled.push_back(std::move(it));
-  }
-
-  /// Closes the pooled connections that can't be reused at `now`.
-  void close_unusable(monotonic_time now) {
-    for (auto it = idle.begin(); it != idle.end();) {
-      std::deque<connection_ptr>& pooled = it->second;
-      idle_count -= std::erase_if(pooled, [now](const connection_ptr& one) {
-        return one->reusable_until < now || !is_reusable(*one);
-      });
-      it = pooled.empty() ? idle.erase(it) : std::next(it);
-    }
-  }
+      : context(c), options(std::move(o)), pool(options) {}
 
   asio::io_context& context;
   http_client_options options;
-  std::map<std::string, std::deque<connection_ptr>> idle;  // by address
-  std::size_t idle_count = 0;                              // of all addresses
+  connection_pool pool;
   std::set<pooled_call*> calls;
-  bool closed = false;
 };
 
 /// Call over a connection from the pool of its client.
@@ -297,7 +205,7 @@
 }
 
 awaitable<error_code> pooled_call::connect(monotonic_time deadline) {
-  connection_ = client_->acquire(address_);
+  connection_ = client_->pool.acquire(address_);
   if (connection_) co_return error_code();
   connection_ = std::make_shared<client_connection>(client_->context);
   const connection_ptr opened = connection_;
@@ -438,7 +346,7 @@
       lifetime =
           std::min(lifetime, std::chrono::milliseconds(*server_timeout) / 2);
     }
-    client_->release(address_, std::move(connection_), lifetime);
+    client_->pool.release(address_, std::move(connection_), lifetime);
   }
   connection_.reset();
 }
@@ -480,7 +388,7 @@
     co_return connect_outcome::refused;
   }
   if (ec) co_return connect_outcome::unreachable;
-  client->release(address, it, client->options.idle_timeout);
+  client->pool.release(address, it, client->options.idle_timeout);
   co_return connect_outcome::opened;
 }
 
@@ -489,17 +397,15 @@
 }
 
 void http_client::close_unusable(monotonic_time now) {
-  state_->close_unusable(now);
+  state_->pool.close_unusable(now);
 }
 
 std::size_t http_client::idle_connections() const {
-  return state_->idle_count;
+  return state_->pool.idle_count();
 }
 
 void http_client::close() {
-  state_->closed = true;
-  state_->idle.clear();
-  state_->idle_count = 0;
+  state_->pool.close();
 }
 
 }  // namespace trestlepost::transport
