An order for a zone that was overtaken is not proposed again as newer

When the node resumes, the zone is in service, although the last acknowledged order is `start`. The same with the opposite orders.

Cause: order_handler took a new moment at each attempt. The log rejected the order as overtaken, and 50 ms later it was proposed as given after what had overtaken it. Only its age and its sender's presence kept it out then, and both are blind here.

Now an order counts from its arrival, in all attempts, and one that was overtaken is refused with 503: what its sender still wants is sent again. So that an order right behind its opposite isn't taken for overtaken, arrivals are told by the operating system (time since the last data, TCP_INFO), times are converted by the fastest message of the leader in the last seconds instead of the last one, and a change that was decided within 25 ms of the arrival doesn't count as newer.

--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -20,6 +20,10 @@
 // An evacuation that was given longer ago is void. Operators repeat an order at
 // another node when they have had no answer for this time.
 constexpr milliseconds evacuation_lifetime{1000};
+// A change that was decided so soon after the arrival of an order has not
+// overtaken it: no sender gives an order up and has another one decided in this
+// time. It covers the granularity of times between nodes.
+constexpr milliseconds min_overtaking_time{25};
 
 constexpr char retry_remedy[] = "send the same request again";
 
@@ -121,9 +125,10 @@
                   retry_remedy));
       return;
     }
-    requested.evacuation->base = std::max(
-        given.revision,
-        decisions_.decided_before(control_.host().core().term(), given.at));
+    requested.evacuation->base =
+        std::max(given.revision,
+                 decisions_.decided_before(control_.host().core().term(),
+                                           given.at + min_overtaking_time));
   }
   if (!control_.may_acknowledge()) {
     answer(fail(error_kind::unavailable, "control nodes are still joining",
--- a/node/src/group_orders.h
+++ b/node/src/group_orders.h
@@ -31,9 +31,11 @@
   /// after the moment `given`.
   void submit(config::change requested, const node_moment& given,
               const answer_function& answer);
-  /// A moment before the arrival of what this node reads now.
-  node_moment before_arrival() const {
-    return arrivals_.before_arrival(context_.clock.now());
+  /// A moment before the arrival of data that this node reads now and that
+  /// arrived `since_data` ago according to the operating system.
+  node_moment arrival(
+      std::optional<std::chrono::milliseconds> since_data) const {
+    return arrivals_.arrival(context_.clock.now(), since_data);
   }
   /// Records a message that the leader of `term` sent at `sent_at` by its own
   /// clock.
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -72,11 +72,17 @@
          refusal.kind == error_kind::not_leader;
 }
 
-/// Whether a change with this outcome may succeed shortly after.
-bool is_retryable(const change_outcome& outcome) {
+bool is_conflict(const change_outcome& outcome) {
+  return outcome && outcome->status == config::change_status::conflict;
+}
+
+/// Whether the order may succeed if it is proposed again.
+bool is_retryable(const operator_order& order, const change_outcome& outcome) {
   if (!outcome) return is_transient(outcome.error());
-  // Another plan was committed first, so the edit's base is out of date.
-  return outcome->status == config::change_status::conflict;
+  // Another plan was committed first, so the edit's base is out of date. An
+  // order for a zone that was overtaken stays so: its sender may have given the
+  // newer one.
+  return order.plan && is_conflict(outcome);
 }
 
 error unknown_outcome() {
@@ -140,7 +146,8 @@
 awaitable<void> order_handler::handle(transport::http_exchange& exchange) {
   const std::string target(exchange.target());
   const monotonic_time started = context_.clock.now();
-  const monotonic_time arrived = control_->orders().before_arrival().at;
+  const node_moment arrived =
+      control_->orders().arrival(exchange.time_since_data());
   const result<transport::request_body> body = co_await exchange.read_body();
   const monotonic_time read = context_.clock.now();
   std::optional<http_response> out;
@@ -165,7 +172,7 @@
 
 awaitable<std::optional<http_response>> order_handler::answer(
     transport::http_exchange& exchange, const std::string& body,
-    monotonic_time arrived) {
+    node_moment arrived) {
   const std::string method(exchange.method());
   const std::string target(exchange.target());
   const result<operator_order> order =
@@ -175,7 +182,7 @@
               {{"target", target}, {"detail", order.error().message}});
     co_return surface_->refuse(order.error());
   }
-  const monotonic_time deadline = deadline_of(*order, arrived);
+  const monotonic_time deadline = deadline_of(*order, arrived.at);
   http_response out;
   if (order->kind == order_kind::read_plan) {
     const config::plan_ptr plan = control_->machine().store().plan();
@@ -186,7 +193,7 @@
     }
     out = co_await read_plan(deadline);
   } else {
-    out = co_await change(*order, exchange, deadline);
+    out = co_await change(*order, exchange, arrived, deadline);
   }
   log_event(log_level::info, "order-answered",
             {{"order", std::string(name_of(order->kind))},
@@ -218,7 +225,7 @@
 
 awaitable<http_response> order_handler::change(
     const operator_order& order, transport::http_exchange& exchange,
-    monotonic_time deadline) {
+    node_moment arrived, monotonic_time deadline) {
   if (order.plan) {
     const result<void> valid = config::validate_plan(*order.plan);
     if (!valid) co_return surface_->refuse(valid.error());
@@ -227,11 +234,11 @@
     co_await transport::sleep_for(context_.io, close_delay);
   }
   std::optional<change_outcome> outcome =
-      co_await propose(order, exchange, deadline);
-  while (outcome && is_retryable(*outcome) &&
+      co_await propose(order, exchange, arrived, deadline);
+  while (outcome && is_retryable(order, *outcome) &&
          context_.clock.now() + retry_delay < deadline) {
     co_await transport::sleep_for(context_.io, retry_delay);
-    outcome = co_await propose(order, exchange, deadline);
+    outcome = co_await propose(order, exchange, arrived, deadline);
   }
   if (!outcome) co_return surface_->refuse(unknown_outcome());
   if (!*outcome) co_return surface_->refuse(outcome->error());
@@ -239,7 +246,7 @@
   if (decided.status == config::change_status::accepted) {
     co_return surface_->acknowledge(order);
   }
-  if (is_retryable(*outcome)) {
+  if (is_conflict(*outcome)) {
     const error superseded{error_kind::unavailable, decided.message,
                            retry_remedy};
     co_return surface_->refuse(superseded);
@@ -250,7 +257,7 @@
 
 awaitable<std::optional<change_outcome>> order_handler::propose(
     const operator_order& order, transport::http_exchange& exchange,
-    monotonic_time deadline) {
+    node_moment arrived, monotonic_time deadline) {
   co_await wait_for_lease(deadline);
   if (exchange.has_caller_left()) {
     log_event(log_level::info, "order-abandoned",
@@ -266,8 +273,6 @@
                {"zone", order.availability_zone}});
     co_return std::nullopt;
   }
-  // The connection is open as far as this node has read it.
-  const node_moment given = control_->orders().before_arrival();
   const std::shared_ptr<pending_result<change_outcome>> pending =
       std::make_shared<pending_result<change_outcome>>(context_.io);
   const config::plan_ptr base_plan = control_->machine().store().plan();
@@ -278,7 +283,7 @@
              {"zone", order.availability_zone},
              {"change_id", requested.id}});
   control_->orders().submit(
-      std::move(requested), given, [pending](const result<json>& it) {
+      std::move(requested), arrived, [pending](const result<json>& it) {
         pending->deliver(it.map(config::change_result_from));
       });
   co_await wait_for<change_outcome>(pending, deadline);
--- a/node/src/order_handler.h
+++ b/node/src/order_handler.h
@@ -29,11 +29,11 @@
       transport::http_exchange& exchange) override;
 
  private:
-  /// The answer to send; nullopt if it has been streamed. The call arrived no
-  /// earlier than `arrived`.
+  /// The answer to send; nullopt if it has been streamed. The call arrived
+  /// after the moment `arrived`.
   transport::awaitable<std::optional<transport::http_response>> answer(
       transport::http_exchange& exchange, const std::string& body,
-      monotonic_time arrived);
+      node_moment arrived);
   /// When an order is given up for want of a result.
   monotonic_time deadline_of(const surface::operator_order& order,
                              monotonic_time arrived) const;
@@ -43,12 +43,12 @@
   /// its sender waits.
   transport::awaitable<transport::http_response> change(
       const surface::operator_order& order, transport::http_exchange& exchange,
-      monotonic_time deadline);
-  /// Proposes the order once. Returns nullopt if there is no result by
-  /// `deadline`.
+      node_moment arrived, monotonic_time deadline);
+  /// Proposes the order once, as given at the moment `arrived`. Returns nullopt
+  /// if there is no result by `deadline`.
   transport::awaitable<std::optional<change_outcome>> propose(
       const surface::operator_order& order, transport::http_exchange& exchange,
-      monotonic_time deadline);
+      node_moment arrived, monotonic_time deadline);
   /// Streams a large plan while the read is being confirmed, and sends the last
   /// bytes after the confirmation. Without a confirmation the answer is
   /// aborted, so that the client sees it as incomplete.
--- a/node/src/orders/arrival_bound.h
+++ b/node/src/orders/arrival_bound.h
@@ -27,8 +27,16 @@
   /// A moment that precedes the arrival of data which is read at `now`; after a
   /// stall of the event loop, a moment before the stall.
   node_moment before_arrival(monotonic_time now) const;
+  /// As above, for data that arrived `since_data` ago according to the
+  /// operating system, which tells the time more precisely. After a stall of
+  /// the event loop a zero doesn't count, since some systems always tell it.
+  node_moment arrival(
+      monotonic_time now,
+      std::optional<std::chrono::milliseconds> since_data) const;
 
  private:
+  bool has_stalled(monotonic_time now) const;
+
   /// A gap between two ticks that counts as a stall.
   static constexpr std::chrono::milliseconds stall_threshold{250};
   /// Time after a stall in which the event loop may still read what arrived
--- a/node/src/orders/leader_clock.h
+++ b/node/src/orders/leader_clock.h
@@ -10,6 +10,8 @@
 
 /// The clocks of nodes are not synchronised. A message that tells when the
 /// leader sent it bounds the difference: it was received no earlier than that.
+/// The fastest of the recent messages is the closest bound. Older ones don't
+/// count, since the clocks drift.
 class leader_clock {
  public:
   /// Records that a message arrived at `now`, which the leader of `term` sent
@@ -24,9 +26,15 @@
 
  private:
   consensus::term_number term_ = 0;
-  /// The leader's time minus this node's, reduced by the time that the last
-  /// message took.
-  monotonic_time::duration offset_{0};
+  /// The leader's time minus this node's, reduced by the time that the fastest
+  /// message of a period took.
+  using offset = monotonic_time::duration;
+
+  static constexpr std::chrono::milliseconds period{5000};
+
+  monotonic_time period_started_;
+  std::optional<offset> offset_;           // of the current period
+  std::optional<offset> previous_offset_;  // of the period before
 };
 
 }  // namespace trestlepost::node
--- a/surface/test/fake_messages.h
+++ b/surface/test/fake_messages.h
@@ -53,6 +53,9 @@
   bool is_response_delimited() const override { return false; }
   bool is_disconnected() const override { return false; }
   bool has_caller_left() override { return false; }
+  std::optional<std::chrono::milliseconds> time_since_data() override {
+    return std::nullopt;
+  }
   std::chrono::microseconds round_trip_time() override {
     return std::chrono::microseconds(0);
   }
--- a/transport/include/trestlepost/transport/asio.h
+++ b/transport/include/trestlepost/transport/asio.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "trestlepost/base/clock.h"
@@ -58,6 +59,8 @@
 
 /// Returns the smoothed round-trip time of a connection; zero if unknown.
 std::chrono::microseconds smoothed_round_trip(tcp::socket& socket);
+/// Returns the time since data last arrived; nullopt if unknown.
+std::optional<std::chrono::milliseconds> time_since_data(tcp::socket& socket);
 
 /// Sets the options of a connection that this node opened: TCP_NODELAY,
 /// keep-alive probes every second, and a TCP user timeout. The connection fails
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -101,6 +102,9 @@
   virtual bool has_caller_left() = 0;
   /// Returns the smoothed round-trip time of the connection; zero if unknown.
   virtual std::chrono::microseconds round_trip_time() = 0;
+  /// Returns the time since data of the caller last arrived at this system,
+  /// also if this process was not running then; nullopt if unknown.
+  virtual std::optional<std::chrono::milliseconds> time_since_data() = 0;
   /// Sets the action to call if the caller disconnects before the response is
   /// complete; nullptr removes it.
   virtual void on_disconnect(std::function<void()> action) = 0;
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -155,6 +155,10 @@
   return smoothed_round_trip(stream_.socket());
 }
 
+std::optional<std::chrono::milliseconds> server_connection::time_since_data() {
+  return transport::time_since_data(stream_.socket());
+}
+
 awaitable<bool> server_connection::read_head() {
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -81,6 +81,7 @@
   bool is_disconnected() const override { return disconnected_; }
   bool has_caller_left() override;
   std::chrono::microseconds round_trip_time() override;
+  std::optional<std::chrono::milliseconds> time_since_data() override;
   void on_disconnect(std::function<void()> action) override;
 
  private:
--- a/transport/src/socket_options.cc
+++ b/transport/src/socket_options.cc
@@ -79,6 +79,12 @@
   return std::chrono::microseconds(info ? info->tcpi_rtt : 0);
 }
 
+std::optional<std::chrono::milliseconds> time_since_data(tcp::socket& socket) {
+  const std::optional<tcp_info> info = connection_info(socket);
+  if (!info) return std::nullopt;
+  return std::chrono::milliseconds(info->tcpi_last_data_recv);
+}
+
 void set_outgoing_options(tcp::socket& socket,
                           std::chrono::milliseconds tcp_user_timeout) {
   set_no_delay(socket);
