--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -65,6 +65,7 @@
   out["repeats"] = it.repeats;
   out["retry_share"] = it.retry_share;
   out["limit_share"] = it.limit_share;
+  out["peak_memory_mb"] = it.peak_memory_mb;
   out["crashes"] = it.crashes;
   out["part_sends"] = it.part_sends;
   out["late_part_sends"] = it.late_part_sends;
@@ -108,6 +109,9 @@
   app.add_flag("--crashes", crashes,
                "some requests have a part that crashes endpoints");
   bool evacuations = false;
+  bool bursts = false;
+  app.add_flag("--bursts", bursts,
+               "send bursts of large requests to the gateways");
   app.add_flag("--evacuations", evacuations,
                "a zone is evacuated and put back into service all the time");
   std::vector<std::string> kinds;
@@ -131,7 +135,7 @@
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
     const soak_result it =
         run_soak({seed, std::chrono::seconds(seconds), gateways, limits,
-                  crashes, evacuations, program, only});
+                  crashes, evacuations, bursts, program, only});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -4,9 +4,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cstdlib>
+#include <optional>
 #include <random>
 #include <thread>
 
+#include "burst_load.h"
 #include "deployment.h"
 #include "fault_injection.h"
 #include "part_check.h"
@@ -260,15 +262,19 @@
     if (options.evacuations) it.record_gateways();
     traffic load(it, options, plans);
     if (options.evacuations) load.add_zone_orders(orders);
+    std::optional<burst_load> bursts;
+    if (options.bursts) bursts.emplace(it, options.seed);
     const steady_clock::time_point start = steady_clock::now();
     const std::chrono::system_clock::time_point started_at =
         std::chrono::system_clock::now();
     inject_faults(it, schedule);
     if (options.evacuations) watch_evacuated_zone(orders);
+    bursts.reset();
     load.stop();
     check_recovery(it, plans, out);
     check_repeats(it, out);
     check_limits(it, out);
+    out.peak_memory_mb = check_memory(it, out.violations);
     if (options.evacuations) orders.check(schedule, started_at, out);
     if (options.crashes) check_parts(it, schedule, start, out);
     request_record requests(
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -21,6 +21,7 @@
   /// endpoint that begins to answer it.
   bool crashes = false;
   bool evacuations = false;  // a zone is evacuated and put back all the time
+  bool bursts = false;       // many large requests are sent at once
   std::string program = "trestlepostd";  // the daemon that nodes run
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
@@ -48,6 +49,7 @@
   int evacuation_orders = 0;
   int zone_changes = 0;
   int late_zone_arrivals = 0;
+  int peak_memory_mb = 0;  // of the process that has used most
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
   violation_list violations;
@@ -56,7 +58,7 @@
 };
 
 /// Runs the deployment under the faults of the seed and checks the guarantees
-/// for plans, requests, repeats, request limits and recovery.
+/// for plans, requests, repeats, request limits, memory and recovery.
 soak_result run_soak(const soak_options& options);
 
 }  // namespace trestlepost::soak
--- a/tests/test/process.cc
+++ b/tests/test/process.cc
@@ -153,6 +153,19 @@
                                    ::sysconf(_SC_CLK_TCK));
 }
 
+std::uint64_t process::peak_resident_bytes() const {
+  std::ifstream in("/proc/" + std::to_string(id_) + "/status");
+  constexpr std::uint64_t bytes_per_kilobyte = 1024;
+  std::string key;
+  std::uint64_t kilobytes = 0;
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream fields(line);
+    if (fields >> key >> kilobytes && key == "VmHWM:")
+      return kilobytes * bytes_per_kilobyte;
+  }
+  return 0;
+}
+
 std::uint64_t process::resident_bytes() const {
   std::ifstream in("/proc/" + std::to_string(id_) + "/statm");
   std::uint64_t all = 0;
--- a/tests/test/process.h
+++ b/tests/test/process.h
@@ -34,6 +34,8 @@
   std::chrono::milliseconds cpu_time() const;
   /// Returns the resident memory in bytes.
   std::uint64_t resident_bytes() const;
+  /// Returns the highest resident memory since the start, in bytes.
+  std::uint64_t peak_resident_bytes() const;
 
  private:
   pid_t id_ = -1;
