--- a/node/src/settings.cc
+++ b/node/src/settings.cc
@@ -17,7 +17,7 @@
 constexpr std::uint64_t max_port = 65535;
 constexpr std::uint64_t max_tolerated_losses = 10;
 constexpr double max_retry_slack = 1e6;
-constexpr std::uint64_t bytes_per_megabyte = 1024 * 1024;
+constexpr std::uint64_t bytes_per_megabyte = 1024UL * 1024;
 constexpr std::uint64_t min_memory_mb = 64;
 constexpr char settings_remedy[] =
     "correct the settings and start the node again";
