Refusals precede 100-continue; the heap is trimmed when it has grown

A request for which there is no memory was told to send its body first. The heap was trimmed at each measurement for as long as freed blocks lay within it, although their pages had been returned already. By reading; no test of their own, transport-test and node-test pass.

--- a/base/include/trestlepost/base/memory_budget.h
+++ b/base/include/trestlepost/base/memory_budget.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <utility>
 
 #include "trestlepost/base/clock.h"
 
--- a/node/src/memory/memory_monitor.cc
+++ b/node/src/memory/memory_monitor.cc
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <string>
 
 #include "trestlepost/base/log.h"
@@ -16,7 +17,8 @@
 constexpr int mapped_block_bytes = 128 * 1024;
 // Free memory that the allocator keeps at the end of the heap.
 constexpr int kept_at_end_bytes = 1024 * 1024;
-// Free memory within the heap above which it is returned to the system.
+// Growth of the free memory within the heap after which it is returned to the
+// system.
 constexpr std::size_t max_unused_bytes = 8 * megabyte;
 
 }  // namespace
@@ -47,7 +49,12 @@
 
 void memory_monitor::measure() {
   const struct mallinfo2 heap = ::mallinfo2();
-  if (heap.fordblks > max_unused_bytes) ::malloc_trim(kept_at_end_bytes);
+  // Freed blocks count as unused also after their pages have been returned.
+  unused_after_trim_ = std::min(unused_after_trim_, heap.fordblks);
+  if (heap.fordblks > unused_after_trim_ + max_unused_bytes) {
+    ::malloc_trim(kept_at_end_bytes);
+    unused_after_trim_ = heap.fordblks;
+  }
   const std::size_t allocated = heap.uordblks + heap.hblkhd;
   // Shares count what may be allocated, such as the rest of a body.
   const std::size_t other =
--- a/node/src/memory/memory_monitor.h
+++ b/node/src/memory/memory_monitor.h
@@ -38,6 +38,7 @@
   prometheus::Family<prometheus::Gauge>& gauges_;
   monotonic_time next_measure_;
   monotonic_time next_log_;
+  std::size_t unused_after_trim_ = 0;  // free bytes of the heap
   std::uint64_t logged_refusals_ = 0;
 };
 
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -235,6 +235,11 @@
   const std::size_t declared =
       parser_->content_length().value_or(parser_->get().body().size());
   if (!hold_body(declared)) co_return false;
+  if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> interim(http::status::continue_, http_1_1);
+    co_await http::async_write(stream_, interim,
+                               redirect_error(use_awaitable, ec));
+  }
   last_progress_ = boot_clock::now();
   if (options_.memory) options_.memory->add_reclaimable(*this);
   stream_.expires_after(options_.body_timeout);
@@ -254,11 +259,6 @@
   error_code ec;
   body_share_ = memory_share(options_.memory);
   reclaimed_ = false;
-  if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> interim(http::status::continue_, 11);
-    co_await http::async_write(stream_, interim,
-                               redirect_error(use_awaitable, ec));
-  }
   const bool fits = co_await read_body_pieces(ec);
   if (!fits) {
     std::string().swap(parser_->get().body());
