--- a/soak/src/burst_load.cc
+++ b/soak/src/burst_load.cc
@@ -42,9 +42,11 @@
   const int most = std::min<int>(
       max_requests, static_cast<int>(max_burst_bytes / body_bytes));
   platform::test::burst_options burst;
-  burst.address = target_.callers_address(gateways[random_() % gateways.size()]);
+  burst.address =
+      target_.callers_address(gateways[random_() % gateways.size()]);
   burst.target = "/get/burst";
-  burst.requests = 1 + static_cast<int>(random_() % static_cast<unsigned>(most));
+  burst.requests =
+      1 + static_cast<int>(random_() % static_cast<unsigned>(most));
   burst.withheld_bytes = random_() % 4 == 0 ? withheld_bytes : 0;
   burst.timeout = caller_patience;
   burst.id_prefix = "burst-" + std::to_string(random_()) + "-";
