--- a/base/src/memory_budget.cc
+++ b/base/src/memory_budget.cc
@@ -13,7 +13,11 @@
 // Parts of the capacity up to which memory may be held, in eighths.
 constexpr std::size_t large_eighths = 4;
 constexpr std::size_t small_answer_eighths = 5;
-constexpr std::size_t small_request_eighths = 7;
+constexpr std::size_t small_request_eighths = 6;
+constexpr std::size_t short_request_eighths = 7;
+// A share of up to this many bytes is one of a request without a body or with a
+// short one.
+constexpr std::size_t max_short_bytes = 40UL * 1024;
 
 bool is_large(std::size_t bytes) {
   return bytes > memory_budget::max_small_bytes;
@@ -45,9 +49,10 @@
   const std::size_t all = capacity();
   if (use == memory_use::essential) return all;
   if (!is_large(bytes)) {
-    const bool answer = use == memory_use::answer;
+    if (use == memory_use::answer) return all / eighths * small_answer_eighths;
+    const bool is_short = bytes <= max_short_bytes;
     return all / eighths *
-           (answer ? small_answer_eighths : small_request_eighths);
+           (is_short ? short_request_eighths : small_request_eighths);
   }
   // The largest request must succeed at some time.
   const std::size_t others = large_shares_ - (is_large(held) ? 1 : 0);
--- a/base/test/memory_budget-test.cc
+++ b/base/test/memory_budget-test.cc
@@ -67,6 +67,13 @@
   EXPECT_TRUE(it.grow_to(small, memory_use::request, at(0)));
 }
 
+// Thousands of bodies of 64 KB kept out requests that need hardly any memory.
+TEST_F(memory_budget_test, small_bodies_leave_room_for_requests_without_one) {
+  fill(small, memory_use::request);
+  memory_share it(budget_);
+  EXPECT_TRUE(it.grow_to(24UL * 1024, memory_use::request, at(0)));
+}
+
 // Answers for slow callers kept all others out.
 TEST_F(memory_budget_test, answers_leave_room_for_small_requests) {
   fill(large, memory_use::answer);
