Answers are charged before they are read, and pieces written without a copy

Found by held_answers_test on beside builds (load 20): 600 answers of 256 KB took a gateway to 165 MB of 160, and 8 of 77 small requests were refused. Cause: the text of an answer had doubled before it was charged, so that one that didn't fit was held all the same, and passing it on in chunks made a copy.

endless_answers_test plain_chunks failed in the same hour (21.02 MB sent an answer, 20.97 allowed): three endless answers could be read to 16 MB each since they shared half of the budget instead of 24 MB.

--- a/base/src/memory_budget.cc
+++ b/base/src/memory_budget.cc
@@ -11,7 +11,8 @@
 constexpr std::size_t spare_divisor = 10;
 constexpr std::size_t min_capacity_divisor = 4;
 // Parts of the capacity up to which memory may be held, in eighths.
-constexpr std::size_t large_eighths = 4;
+constexpr std::size_t large_answer_eighths = 2;
+constexpr std::size_t large_request_eighths = 4;
 constexpr std::size_t small_answer_eighths = 5;
 constexpr std::size_t small_request_eighths = 6;
 constexpr std::size_t short_request_eighths = 7;
@@ -54,10 +55,10 @@
     return all / eighths *
            (is_short ? short_request_eighths : small_request_eighths);
   }
+  if (use == memory_use::answer) return all / eighths * large_answer_eighths;
   // The largest request must succeed at some time.
   const std::size_t others = large_shares_ - (is_large(held) ? 1 : 0);
-  const bool alone = use == memory_use::request && others == 0;
-  return alone ? all : all / eighths * large_eighths;
+  return others == 0 ? all : all / eighths * large_request_eighths;
 }
 
 void memory_budget::replace(std::size_t held, std::size_t bytes) {
--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -2,6 +2,8 @@
 #include "answer_relay.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace trestlepost::gateway {
@@ -17,6 +19,14 @@
 constexpr std::size_t base_stream_bytes = 256UL * 1024;
 constexpr std::size_t max_bytes_per_token = 4UL * 1024;
 
+/// Returns the stated length of the answer; 0 if there is none.
+std::size_t content_length_of(const transport::http_call& call) {
+  const std::string_view text = call.header("Content-Length");
+  std::size_t out = 0;
+  std::from_chars(text.data(), text.data() + text.size(), out);
+  return out;
+}
+
 }  // namespace
 
 using transport::awaitable;
@@ -32,26 +42,45 @@
                   max_stream_bytes_of_any);
 }
 
-bool hold_answer(memory_share& share, const std::string& text) {
-  if (text.size() <= paid_answer_bytes) return true;
-  return share.grow_to(text.capacity(), memory_use::answer, boot_clock::now());
+bool hold_answer(memory_share& share, std::size_t bytes) {
+  if (bytes <= paid_answer_bytes) return true;
+  return share.grow_to(bytes, memory_use::answer, boot_clock::now());
+}
+
+bool append_held(std::string& text, std::string_view piece,
+                 memory_share& share) {
+  const std::size_t bytes = text.size() + piece.size();
+  bool fits = true;
+  if (bytes > text.capacity()) {
+    const std::size_t grown = std::max(bytes, 2 * text.capacity());
+    fits = hold_answer(share, grown);
+    text.reserve(fits ? grown : bytes);
+  }
+  text += piece;
+  return fits;
 }
 
 awaitable<result<plain_body>> read_plain_body(
     http_call& call, std::shared_ptr<memory_budget> memory, bool may_repeat) {
   plain_body out;
   out.share = memory_share(std::move(memory));
-  const bool has_length = !call.header("Content-Length").empty();
-  const bool may_relay = has_length || !may_repeat;
+  const std::size_t length = content_length_of(call);
+  const bool may_relay = length > 0 || !may_repeat;
+  const bool is_known = length > 0 && length <= max_plain_bytes;
+  const bool fits_whole = !is_known || hold_answer(out.share, length);
+  if (is_known && fits_whole) out.text.reserve(length);
   while (true) {
     result<std::string> piece = co_await call.read_piece();
     if (!piece) co_return tl::make_unexpected(piece.error());
-    out.text += *piece;
+    if (!fits_whole) {
+      out.text = std::move(*piece);
+      co_return out;
+    }
+    const bool fits = append_held(out.text, *piece, out.share);
     if (piece->empty()) {
       out.complete = true;
       co_return out;
     }
-    const bool fits = hold_answer(out.share, out.text);
     if (out.text.size() > max_plain_bytes || (!fits && !may_relay)) {
       call.cancel();
       co_return fail(error_kind::endpoint_failed,
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -40,8 +40,12 @@
   bool complete = false;
 };
 
-/// Returns whether `share` may hold `text`, an answer or a part of one.
-bool hold_answer(memory_share& share, const std::string& text);
+/// Returns whether `share` may hold so many bytes of an answer.
+bool hold_answer(memory_share& share, std::size_t bytes);
+/// Appends a piece of an answer. Returns false if `share` can't hold what the
+/// text has grown to.
+bool append_held(std::string& text, std::string_view piece,
+                 memory_share& share);
 
 /// Reads the body of a plain answer. Fails if it exceeds its limit, and also if
 /// there is no memory for it, it states no length, and its request may be
--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -103,9 +103,8 @@
     if (first) on_first();
     first = false;
     const bool ended = piece->empty();
-    buffered += *piece;
+    const bool fits = append_held(buffered, *piece, share);
     if (ended) break;
-    const bool fits = hold_answer(share, buffered);
     if (streamed || !fits || buffered.size() > max_buffered_bytes) {
       out.outcome.delivered = true;
       const std::function<void()> on_next = [] {};
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -394,7 +394,7 @@
   co_return !ec;
 }
 
-awaitable<bool> server_connection::write(asio::const_buffer data) {
+awaitable<bool> server_connection::write(const piece_buffers& data) {
   if (disconnected_ || unusable_) co_return false;
   error_code ec;
   stream_.expires_after(options_.write_timeout);
@@ -406,21 +406,21 @@
 
 awaitable<bool> server_connection::write_piece(std::string piece) {
   if (piece.empty()) co_return !disconnected_;
-  if (framing_ != body_framing::chunked) {
-    co_return co_await write(asio::buffer(piece));
-  }
+  const bool chunked = framing_ == body_framing::chunked;
   char size[32];
   const int n = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-  std::string framed(size, static_cast<std::size_t>(n));
-  framed += piece;
-  framed += "\r\n";
-  co_return co_await write(asio::buffer(framed));
+  static constexpr std::string_view end = "\r\n";
+  const piece_buffers data{
+      asio::buffer(size, chunked ? static_cast<std::size_t>(n) : 0),
+      asio::buffer(piece), asio::buffer(end.data(), chunked ? end.size() : 0)};
+  co_return co_await write(data);
 }
 
 awaitable<bool> server_connection::finish_stream() {
   static constexpr std::string_view final_chunk = "0\r\n\r\n";
+  const piece_buffers data{asio::buffer(final_chunk)};
   const bool sent = framing_ == body_framing::chunked
-                        ? co_await write(asio::buffer(final_chunk))
+                        ? co_await write(data)
                         : !disconnected_ && !unusable_;
   const bool closes = framing_ == body_framing::close;
   if (sent && closes) set_reset_on_close(false);
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -1,6 +1,7 @@
 // Connection of a caller to an HTTP server.
 #pragma once
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -90,7 +91,9 @@
   awaitable<bool> write_stream_head(
       boost::beast::http::response<boost::beast::http::empty_body> out);
   awaitable<bool> respond_until_close(http_response response);
-  awaitable<bool> write(asio::const_buffer data);
+  /// A piece with what frames it.
+  using piece_buffers = std::array<asio::const_buffer, 3>;
+  awaitable<bool> write(const piece_buffers& data);
   /// Reads the rest of the body. Returns false if there is no memory for it.
   awaitable<bool> read_body_pieces(boost::system::error_code& ec);
   /// Holds memory for the request with a body of this size, if there is room.
