--- a/soak/src/burst_load.cc
+++ b/soak/src/burst_load.cc
@@ -11,11 +11,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kilobyte = 1024;
+using platform::test::kilobyte;
+using platform::test::megabyte;
+
 // A burst has bodies of one of these sizes and up to so many bytes in all.
-constexpr std::size_t body_sizes[] = {64 * kilobyte, 300 * kilobyte,
-                                      1024 * kilobyte, 4000 * kilobyte};
-constexpr std::size_t max_burst_bytes = 160UL * 1024 * 1024;
+constexpr std::size_t body_sizes[] = {64 * kilobyte, 300 * kilobyte, megabyte,
+                                      4000 * kilobyte};
+constexpr std::size_t max_burst_bytes = 160 * megabyte;
 constexpr int max_requests = 1200;
 constexpr std::size_t withheld_bytes = 500;
 constexpr milliseconds caller_patience{3000};
@@ -67,11 +69,10 @@
     most = std::max(most, peak);
     const bool exceeds = peak > platform::test::limit_of(0);
     if (!exceeds || !platform::test::measures_memory()) continue;
-    violations.push_back(node + " has used " +
-                         std::to_string(peak / platform::test::megabyte) +
+    violations.push_back(node + " has used " + std::to_string(peak / megabyte) +
                          " MB of memory");
   }
-  return static_cast<int>(most / platform::test::megabyte);
+  return static_cast<int>(most / megabyte);
 }
 
 }  // namespace trestlepost::soak
--- a/soak/src/contact.h
+++ b/soak/src/contact.h
@@ -1,4 +1,5 @@
-// Decides which gateways a check with a time limit applies to.
+// Tells whether a gateway has been free of faults for a while, so that it must
+// know what other nodes do.
 #pragma once
 
 #include <chrono>
