--- a/gateway/src/answer_relay.cc
+++ b/gateway/src/answer_relay.cc
@@ -27,6 +27,12 @@
   return out;
 }
 
+/// Returns whether `share` may hold so many bytes of an answer.
+bool hold_answer(memory_share& share, std::size_t bytes) {
+  if (bytes <= paid_answer_bytes) return true;
+  return share.grow_to(bytes, memory_use::answer, boot_clock::now());
+}
+
 }  // namespace
 
 using transport::awaitable;
@@ -42,11 +48,6 @@
                   max_stream_bytes_of_any);
 }
 
-bool hold_answer(memory_share& share, std::size_t bytes) {
-  if (bytes <= paid_answer_bytes) return true;
-  return share.grow_to(bytes, memory_use::answer, boot_clock::now());
-}
-
 bool append_held(std::string& text, std::string_view piece,
                  memory_share& share) {
   const std::size_t bytes = text.size() + piece.size();
--- a/gateway/src/answer_relay.h
+++ b/gateway/src/answer_relay.h
@@ -40,8 +40,6 @@
   bool complete = false;
 };
 
-/// Returns whether `share` may hold so many bytes of an answer.
-bool hold_answer(memory_share& share, std::size_t bytes);
 /// Appends a piece of an answer. Returns false if `share` can't hold what the
 /// text has grown to.
 bool append_held(std::string& text, std::string_view piece,
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -226,7 +226,7 @@
 bool server_connection::hold_body(std::size_t body_bytes) {
   return body_share_.grow_to(
       request_bytes + options_.memory_per_body_byte * body_bytes,
-      options_.request_use, boot_clock::now());
+      options_.request_use, last_progress_);
 }
 
 void server_connection::reclaim() {
@@ -239,6 +239,7 @@
 awaitable<bool> server_connection::read_body_pieces(error_code& ec) {
   const std::size_t declared =
       parser_->content_length().value_or(parser_->get().body().size());
+  last_progress_ = boot_clock::now();
   if (!hold_body(declared)) co_return false;
   if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> interim(http::status::continue_, http_1_1);
@@ -246,7 +247,6 @@
                                redirect_error(use_awaitable, ec));
   }
   if (!parser_->is_done()) buffer_.reserve(body_read_bytes);
-  last_progress_ = boot_clock::now();
   if (options_.memory) options_.memory->add_reclaimable(*this);
   stream_.expires_after(options_.body_timeout);
   bool fits = true;
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -96,7 +96,8 @@
   awaitable<bool> write(const piece_buffers& data);
   /// Reads the rest of the body. Returns false if there is no memory for it.
   awaitable<bool> read_body_pieces(boost::system::error_code& ec);
-  /// Holds memory for the request with a body of this size, if there is room.
+  /// Holds memory for the request with a body of this size, if there is room at
+  /// the time of its last progress.
   bool hold_body(std::size_t body_bytes);
   monotonic_time last_progress() const override { return last_progress_; }
   void reclaim() override;
