A round of digests is encoded once for all gateways of a region

Cause: a relay made the digest of each requester apart, since its sums leave out the requester's own values. A round costs gateways times endpoints, some 100 by 100, every 300 ms; on every tick it summed up all heartbeats again.

Change: requesters say that they exclude their own values (they keep the heartbeat that they sent to the relay), and all with the same version get one encoded digest. Nodes of earlier versions still get their own. A relay reports the sums to its own gateway once a heartbeat interval, not in each tick.

--- a/membership/include/trestlepost/membership/digest_reader.h
+++ b/membership/include/trestlepost/membership/digest_reader.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -30,6 +31,12 @@
 
   /// The digest request to send to a relay.
   digest_request request_for(const std::string& relay) const;
+  /// Records the heartbeat sent to a relay along with the request.
+  void record_sent(const std::string& relay,
+                   std::shared_ptr<const heartbeat> sent);
+  /// Removes from the sums and reports of a digest the values that this node
+  /// has sent to the relay, if they include them.
+  void exclude_own(region_digest& in) const;
 
   /// Of the sums received since `oldest`, those over the most nodes; or null.
   const endpoint_sums* best_sums(monotonic_time oldest) const;
@@ -50,6 +57,8 @@
   static bool advance(relay_view& view, const region_digest& in);
 
   std::map<std::string, relay_view> relays_;
+  /// The last heartbeat sent to each relay.
+  std::map<std::string, std::shared_ptr<const heartbeat>> sent_;
 };
 
 }  // namespace trestlepost::membership
--- a/membership/include/trestlepost/membership/digest_writer.h
+++ b/membership/include/trestlepost/membership/digest_writer.h
@@ -28,6 +28,9 @@
   void update(const node_table& table, std::chrono::milliseconds late_after,
               monotonic_time now);
 
+  /// The version after which a receiver with the state `request` lacks the
+  /// changes; 0 if it lacks all.
+  std::uint64_t base_version_for(const digest_request& request) const;
   /// Builds the digest for a receiver with the state `request`, for one region
   /// or for all.
   region_digest make_digest(const digest_request& request,
--- a/membership/include/trestlepost/membership/region_digest.h
+++ b/membership/include/trestlepost/membership/region_digest.h
@@ -27,6 +27,9 @@
 struct digest_request {
   std::uint64_t incarnation = 0;
   std::uint64_t version = 0;
+  /// Whether the sender excludes its own values from the sums. Nodes of earlier
+  /// versions expect the relay to do so.
+  bool excludes_own = false;
 };
 
 /// State of one node.
@@ -41,7 +44,7 @@
   std::set<std::string> unreachable_services;
 };
 
-/// A message of a relay to one receiver.
+/// A message of a relay to one receiver, or to all that have the same version.
 struct region_digest {
   std::string relay;
   std::string region;              // of the relay
@@ -55,7 +58,9 @@
   std::chrono::milliseconds max_age{0};
   std::map<std::string, std::chrono::milliseconds> late;
   std::map<std::string, service_loads> services;  // by region
-  endpoint_sums sums;  // without the receiver's own values
+  endpoint_sums sums;
+  /// Whether the sums and reports include the values of the receiver.
+  bool includes_receiver = false;
   /// Loads that endpoints reported.
   std::map<std::string, reported_load> reports;
 };
--- a/membership/src/digest_reader.cc
+++ b/membership/src/digest_reader.cc
@@ -1,5 +1,7 @@
 #include "trestlepost/membership/digest_reader.h"
 
+#include <utility>
+
 namespace trestlepost::membership {
 namespace {
 
@@ -58,9 +60,27 @@
 }
 
 digest_request digest_reader::request_for(const std::string& relay) const {
+  digest_request out;
+  out.excludes_own = true;
   const auto it = relays_.find(relay);
-  if (it == relays_.end()) return {};
-  return {it->second.incarnation, it->second.version};
+  if (it == relays_.end()) return out;
+  out.incarnation = it->second.incarnation;
+  out.version = it->second.version;
+  return out;
+}
+
+void digest_reader::record_sent(const std::string& relay,
+                                std::shared_ptr<const heartbeat> sent) {
+  sent_[relay] = std::move(sent);
+}
+
+void digest_reader::exclude_own(region_digest& in) const {
+  const auto found = sent_.find(in.relay);
+  if (!in.includes_receiver || found == sent_.end()) return;
+  const heartbeat& own = *found->second;
+  subtract(in.sums, own);
+  for (const auto& [endpoint, it] : own.reports) in.reports.erase(endpoint);
+  in.includes_receiver = false;
 }
 
 const endpoint_sums* digest_reader::best_sums(monotonic_time oldest) const {
--- a/membership/src/digest_writer.cc
+++ b/membership/src/digest_writer.cc
@@ -64,6 +64,13 @@
   return out;
 }
 
+std::uint64_t digest_writer::base_version_for(
+    const digest_request& request) const {
+  const bool known =
+      request.incarnation == incarnation_ && request.version <= version_;
+  return known ? request.version : 0;
+}
+
 region_digest digest_writer::make_digest(
     const digest_request& request, const std::optional<std::string>& region) {
   region_digest out;
@@ -72,9 +79,8 @@
   out.incarnation = incarnation_;
   out.sequence = ++sequence_;
   out.version = region ? version_of(*region) : version_;
-  const bool known =
-      request.incarnation == incarnation_ && request.version <= out.version;
-  out.base_version = known ? request.version : 0;
+  const std::uint64_t base = base_version_for(request);
+  out.base_version = base <= out.version ? base : 0;
   for (const auto& [name, it] : entries_) {
     if (region && it.row.node.region != *region) continue;
     if (it.version > out.base_version) {
--- a/membership/src/region_digest.cc
+++ b/membership/src/region_digest.cc
@@ -115,11 +115,12 @@
   json out;
   out["i"] = as_number(value.incarnation);
   out["v"] = as_number(value.version);
+  if (value.excludes_own) out["x"] = true;
   return out;
 }
 
 digest_request digest_request_from(const json& value) {
-  return {number_of(value, "i"), number_of(value, "v")};
+  return {number_of(value, "i"), number_of(value, "v"), flag_of(value, "x")};
 }
 
 json to_json(const region_digest& value) {
@@ -138,6 +139,7 @@
     out["sv"][region] = membership::to_json(loads);
   }
   if (value.sums.nodes > 0) out["ep"] = membership::to_json(value.sums);
+  if (value.includes_receiver) out["x"] = true;
   for (const auto& [name, it] : value.reports) {
     out["rp"][name].append(it.running);
     out["rp"][name].append(it.waiting);
@@ -164,6 +166,7 @@
   if (!failure.empty()) return invalid_digest(failure);
   out.services = services_from(member_of(value, "sv"));
   out.sums = endpoint_sums_from(member_of(value, "ep"));
+  out.includes_receiver = flag_of(value, "x");
   failure = read_reports(member_of(value, "rp"), out.reports);
   if (!failure.empty()) return invalid_digest(failure);
   return out;
--- a/membership/test/region_digest-test.cc
+++ b/membership/test/region_digest-test.cc
@@ -6,6 +6,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <memory>
+
 #include "trestlepost/membership/digest_reader.h"
 #include "trestlepost/membership/digest_writer.h"
 
@@ -245,6 +247,37 @@
   EXPECT_EQ(sum_of(table, "isola", later).nodes, 0U);
 }
 
+// Guards against a gateway that counts its own requests as those of others: the
+// digests that all gateways of a region share include them.
+TEST(region_digest_test, receiver_excludes_its_own_values_of_a_shared_digest) {
+  const std::shared_ptr<heartbeat> own =
+      std::make_shared<heartbeat>(make_heartbeat("n1", 1));
+  own->endpoint_in_flight["e"] = 2;
+  own->reports["polled-here"] = {1, 0};
+  region_digest in;
+  in.relay = "r";
+  in.region = "isola";
+  in.incarnation = 7;
+  in.sums.nodes = 3;
+  in.sums.in_flight["e"] = 5;
+  in.reports = {{"polled-here", {1, 0}}, {"polled-elsewhere", {4, 0}}};
+  in.includes_receiver = true;
+  digest_reader reader;
+  reader.record_sent("r", own);
+  EXPECT_TRUE(reader.request_for("r").excludes_own);
+  region_digest received = read_back(in);
+  reader.exclude_own(received);
+  EXPECT_EQ(received.sums.nodes, 2U);
+  EXPECT_EQ(received.sums.in_flight.at("e"), 3U);
+  EXPECT_EQ(received.reports.size(), 1U);
+  EXPECT_TRUE(received.reports.contains("polled-elsewhere"));
+  // A relay of an earlier version has excluded them already.
+  in.includes_receiver = false;
+  received = read_back(in);
+  reader.exclude_own(received);
+  EXPECT_EQ(received.sums.in_flight.at("e"), 5U);
+}
+
 TEST(region_digest_test, sums_contain_cached_prefixes_of_other_nodes) {
   heartbeat mine;
   mine.cached_prefixes = {{"e1", {{7, 4870}}}};
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -31,6 +31,7 @@
 // after each change, and another one at this interval.
 constexpr int full_digests_after_change = 3;
 constexpr milliseconds full_digest_interval{3000};
+constexpr char digest_method[] = "node.digest";
 
 }  // namespace
 
@@ -40,7 +41,7 @@
 
 void digest_service::start() {
   context_.peers.add_notification(
-      "node.digest", [this](const json& params, const transport::rpc_context&) {
+      digest_method, [this](const json& params, const transport::rpc_context&) {
         handle_digest(params);
       });
   context_.peers.add_notification(
@@ -57,14 +58,14 @@
 }
 
 bool digest_service::apply_digest(const json& params) {
-  const result<membership::region_digest> in =
-      membership::region_digest_from(params);
+  result<membership::region_digest> in = membership::region_digest_from(params);
   if (!in) {
     log_event(log_level::warn, "digest-refused",
               {{"detail", in.error().message}, {"remedy", in.error().remedy}});
     return false;
   }
   if (in->relay == context_.self.name) return false;
+  reader_.exclude_own(*in);
   const monotonic_time now = context_.clock.now();
   const membership::digest_outcome outcome =
       reader_.apply(*in, context_.self, context_.nodes, now);
@@ -111,7 +112,7 @@
                                 relay_timeout(), context_.clock.now());
 }
 
-void digest_service::send_to_relays(const json& heartbeat) {
+void digest_service::send_to_relays(const membership::heartbeat& beat) {
   const monotonic_time now = context_.clock.now();
   const std::map<std::string, std::string> peer_addresses =
       peers_in_region(context_);
@@ -127,9 +128,12 @@
   for (std::string& it :
        relay_selector_.missing_relays(region, candidates, timeout, now))
     receivers.insert(std::move(it));
+  const std::shared_ptr<const membership::heartbeat> sent =
+      std::make_shared<const membership::heartbeat>(beat);
+  json params = membership::to_json(beat);
   for (const std::string& name : receivers) {
-    json params = heartbeat;
     params["ask"] = membership::to_json(reader_.request_for(name));
+    reader_.record_sent(name, sent);
     relay_selector_.heartbeat_sent(name, now);
     context_.links.send(peer_addresses.at(name), "node.heartbeat", params);
   }
@@ -163,21 +167,37 @@
                  context_.clock.now());
 }
 
-void digest_service::send_digest(const std::string& name, const requester& it,
-                                 const shared_content& content) {
-  const monotonic_time now = context_.clock.now();
-  membership::region_digest out = writer_.make_digest(it.known, std::nullopt);
+membership::region_digest digest_service::make_digest(
+    const membership::digest_request& request, const shared_content& content) {
+  membership::region_digest out = writer_.make_digest(request, std::nullopt);
   out.services = content.services;
-  out.sums =
-      membership::excluding_node(content.sums, context_.nodes, name, now);
+  out.sums = content.sums;
   out.reports = content.reports;
+  return out;
+}
+
+transport::encoded_notification digest_service::encode_shared_digest(
+    const membership::digest_request& request, const shared_content& content) {
+  membership::region_digest out = make_digest(request, content);
+  out.includes_receiver = true;
+  return transport::encode_notification(digest_method,
+                                        membership::to_json(out));
+}
+
+void digest_service::send_own_digest(const std::string& name,
+                                     const requester& it,
+                                     const shared_content& content) {
+  const monotonic_time now = context_.clock.now();
+  membership::region_digest out = make_digest(it.known, content);
+  out.sums = membership::excluding_node(std::move(out.sums), context_.nodes,
+                                        name, now);
   const node_record* receiver = context_.nodes.find(name);
   if (receiver != nullptr) {
     for (const auto& [endpoint, own] : receiver->last.reports) {
       out.reports.erase(endpoint);
     }
   }
-  context_.links.send(it.address, "node.digest", membership::to_json(out));
+  context_.links.send(it.address, digest_method, membership::to_json(out));
 }
 
 void digest_service::answer_digest_requests() {
@@ -190,9 +210,18 @@
   ++digest_round_;
   update_writer();
   const shared_content content = collect_shared_content();
+  // By base version. Most requesters have the version of the last round.
+  std::map<std::uint64_t, transport::encoded_notification> encoded;
   for (auto& [name, it] : requesters_) {
-    if (it.waiting) send_digest(name, it, content);
-    it.waiting = false;
+    if (!std::exchange(it.waiting, false)) continue;
+    if (!it.known.excludes_own) {
+      send_own_digest(name, it, content);
+      continue;
+    }
+    const auto [digest, is_new] =
+        encoded.try_emplace(writer_.base_version_for(it.known));
+    if (is_new) digest->second = encode_shared_digest(it.known, content);
+    context_.links.send(it.address, digest->second);
   }
 }
 
--- a/node/src/digest_service.h
+++ b/node/src/digest_service.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "trestlepost/membership/digest_reader.h"
 #include "trestlepost/membership/digest_writer.h"
 #include "trestlepost/membership/relay_selector.h"
+#include "trestlepost/transport/peer_links.h"
 
 namespace trestlepost::node {
 
@@ -28,7 +30,7 @@
   std::chrono::milliseconds interval() const;
   /// Sends a heartbeat to the relays and to those that are missing, with the
   /// version of the last digest received from each.
-  void send_to_relays(const json& heartbeat);
+  void send_to_relays(const membership::heartbeat& beat);
   /// Records the digest request in a heartbeat, if it has one.
   void record_digest_request(const json& heartbeat,
                              const membership::node_info& sender);
@@ -71,8 +73,14 @@
   std::chrono::milliseconds relay_timeout() const;
   shared_content collect_shared_content() const;
   void update_writer();
-  void send_digest(const std::string& name, const requester& it,
-                   const shared_content& content);
+  membership::region_digest make_digest(
+      const membership::digest_request& request, const shared_content& content);
+  /// Encodes a digest for all requesters with this request.
+  transport::encoded_notification encode_shared_digest(
+      const membership::digest_request& request, const shared_content& content);
+  /// Sends a digest without the receiver's own values.
+  void send_own_digest(const std::string& name, const requester& it,
+                       const shared_content& content);
 
   node_context& context_;
   membership::digest_writer writer_;
--- a/node/src/heartbeat_service.cc
+++ b/node/src/heartbeat_service.cc
@@ -43,7 +43,7 @@
       "node.pong", [this](const json& params, const transport::rpc_context&) {
         handle_pong(params);
       });
-  digests_.on_digest = [this] { handle_region_update(); };
+  digests_.on_digest = [this] { in_flight_changed_ = true; };
   digests_.start();
 }
 
@@ -56,18 +56,15 @@
     context_.endpoints.report(endpoint, {it.running, it.waiting, now, 0});
   }
   digests_.record_digest_request(params, beat.node);
-  handle_region_update();
-}
-
-void heartbeat_service::handle_region_update() {
+  heartbeat_received_ = true;
   // In a large region a relay receives too many heartbeats to sum them up on
-  // each one; tick() does it.
-  in_flight_changed_ = true;
+  // each one, or in each tick.
   if (!uses_relays(context_)) report_in_flight();
 }
 
 void heartbeat_service::report_in_flight() {
   in_flight_changed_ = false;
+  heartbeat_received_ = false;
   const membership::endpoint_sums others = digests_.other_gateway_sums();
   context_.endpoints.set_others_in_flight(others.in_flight);
   if (on_region_loads) on_region_loads(others);
@@ -106,11 +103,11 @@
 void heartbeat_service::send_heartbeats() {
   const membership::heartbeat beat = make_heartbeat_();
   context_.nodes.observe(beat, context_.clock.now());
-  const json params = membership::to_json(beat);
   if (uses_relays(context_)) {
-    digests_.send_to_relays(params);
+    digests_.send_to_relays(beat);
     return;
   }
+  const json params = membership::to_json(beat);
   std::set<std::string> addresses;
   // Without control nodes in the settings the seeds are the control nodes,
   // which may be in other regions; those of this region are added below.
@@ -199,6 +196,7 @@
     next_heartbeat_ = now + digests_.interval();
     send_heartbeats();
     digests_.answer_digest_requests();
+    in_flight_changed_ = in_flight_changed_ || heartbeat_received_;
     context_.nodes.remove_expired(now);
   }
   if (in_flight_changed_) report_in_flight();
--- a/node/src/heartbeat_service.h
+++ b/node/src/heartbeat_service.h
@@ -38,8 +38,6 @@
   void send_pings();
   /// Sends the heartbeats of all nodes of a region that uses no digests.
   void send_node_summary(const std::vector<std::string>& addresses);
-  /// Handles new load data from another gateway of the region.
-  void handle_region_update();
   /// Reports the other gateways' requests in flight to the endpoint tracker
   /// and to `on_region_loads`.
   void report_in_flight();
@@ -47,7 +45,8 @@
   node_context& context_;
   std::function<membership::heartbeat()> make_heartbeat_;
   digest_service digests_;
-  bool in_flight_changed_ = false;  // new load data not reported yet
+  bool in_flight_changed_ = false;   // new load data to be reported
+  bool heartbeat_received_ = false;  // since the last report
   std::uint64_t sequence_ = 0;
   monotonic_time next_heartbeat_;
   monotonic_time next_summary_;
