A request's time runs from its arrival, not from when it is read

Cause: a gateway counted the caller's time, and the route's timeout, from when it read the request. What the request had waited in the socket of a busy or suspended process was given to it again; the same at a gateway that serves a forwarded request. A connection that opened in a slow event loop iteration was written to after the deadline, too.

How long a node waits for a confirmation after a suspension still counts from when the request was read. Lines of answered and failed requests say how long the request waited (`waited_ms`) and how old the confirmation of the configuration was (`confirmed_ms`).

--- a/gateway/include/trestlepost/gateway/route_forward_handler.h
+++ b/gateway/include/trestlepost/gateway/route_forward_handler.h
@@ -31,7 +31,8 @@
                                      std::string& body) const;
   /// Finds the route of the request and checks that this node may serve it.
   result<routed_request> accept(route_message message,
-                                transport::request_body body) const;
+                                transport::request_body body,
+                                const request_times& times) const;
 
   gateway_context& context_;
   route_service& service_;
--- a/gateway/include/trestlepost/gateway/route_handler.h
+++ b/gateway/include/trestlepost/gateway/route_handler.h
@@ -37,14 +37,14 @@
   /// Assigns the request to a route and a service.
   result<routed_request> route(surface::call_head head,
                                transport::shared_text body,
-                               monotonic_time arrived) const;
+                               const request_times& times) const;
   /// Returns whether a request may go on waiting for what a recently started
   /// node lacks.
   bool may_wait(const transport::http_exchange& exchange) const;
   /// Waits briefly for state that a recently started node has not received yet.
   /// Returns false immediately if there is no reason to wait.
   transport::awaitable<bool> wait_for_startup(
-      monotonic_time arrived, transport::http_exchange& exchange);
+      monotonic_time read_at, transport::http_exchange& exchange);
   /// Tries one region after another until an attempt succeeds or no further
   /// one is permitted.
   transport::awaitable<attempt> run(routed_request& request,
@@ -68,7 +68,7 @@
   /// Handles a request whose head and body were read.
   transport::awaitable<void> answer(surface::call_head head,
                                     transport::shared_text body,
-                                    monotonic_time arrived,
+                                    request_times times,
                                     transport::http_exchange& exchange);
   /// Logs and sends a refusal of a request that was not tried anywhere.
   transport::awaitable<void> refuse_untried(const attempt& refused,
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -11,10 +11,17 @@
 #include "trestlepost/routing/completion_estimate.h"
 #include "trestlepost/routing/engine_table.h"
 #include "trestlepost/surface/call_head.h"
+#include "trestlepost/transport/http_server.h"
 #include "trestlepost/transport/request_body.h"
 
 namespace trestlepost::gateway {
 
+/// When a request reached this system, and when this process had read its head.
+struct request_times {
+  monotonic_time arrived;
+  monotonic_time read_at;
+};
+
 /// The request, its route, and the attempts made so far.
 struct routed_request {
   surface::call_head head;
@@ -24,7 +31,7 @@
   config::organisation_ptr organisation;  // of the caller, or null
   std::string service;
   routing::engine_work work;
-  monotonic_time arrived;
+  request_times times;
   /// The earlier of the caller's deadline and the route's timeout.
   monotonic_time deadline;
   /// Endpoints that the request was sent to or that refused it.
@@ -36,6 +43,8 @@
   /// Returns the request's fingerprint (see `request_fingerprint.h`), computed
   /// on first use.
   const std::string& fingerprint(std::string_view secret);
+  /// Returns whether the time for an answer is over.
+  bool is_overdue(monotonic_time now) const { return now >= deadline; }
   /// Returns whether the request may be served, cached and stored in `region`.
   bool permits(const std::string& region) const;
 
@@ -43,6 +52,13 @@
   std::string fingerprint_;
 };
 
+/// Returns the times of a request that is read at `now`. It may have waited in
+/// its socket before.
+request_times times_of(transport::http_exchange& exchange, monotonic_time now);
+
+/// The error of a request that was read when its time was over.
+error overdue_error();
+
 /// Returns the priority at an endpoint; 0 is the highest. The priority of the
 /// organisation, if any, precedes that of the route, which decides between
 /// requests of organisations with the same one.
--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -84,8 +84,9 @@
   }
   if (answer.status < first_error) record_begin(current);
   pool_.engines().record_event(current.ticket, context_.clock.now());
-  context_.metrics.first_piece(current.request.service,
-                               context_.clock.now() - current.request.arrived);
+  context_.metrics.first_piece(
+      current.request.service,
+      context_.clock.now() - current.request.times.arrived);
   out.delivered = true;
   out.ran = run_state::yes;
   co_await current.exchange.respond(std::move(answer));
@@ -116,7 +117,7 @@
   if (reader.has_event() || (plain && current.call->status() < first_error))
     record_begin(current);
   context_.metrics.first_piece(current.request.service,
-                               at - current.request.arrived);
+                               at - current.request.times.arrived);
   attempt out;
   out.delivered = true;
   out.ran = run_state::yes;
@@ -219,7 +220,7 @@
   if (begins) {
     context_.metrics.first_piece(
         current.request.service,
-        context_.clock.now() - current.request.arrived);
+        context_.clock.now() - current.request.times.arrived);
     http_response head = answer_head(*current.call, *surfaces_.endpoints);
     const bool open = co_await current.exchange.start_stream(std::move(head));
     if (!open) co_return false;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -29,6 +29,7 @@
 
 /// Returns whether `failure` is no sign that the endpoint is merely slow.
 bool may_be_unreachable(const transport::call_failure& failure) {
+  if (failure.too_late) return false;
   return !failure.bytes_written || is_connection_loss(failure.cause);
 }
 
@@ -161,7 +162,7 @@
   }
   if (failure.refused) {
     context_.endpoints.connection_refused(current.endpoint.name, at);
-  } else if (!current.exchange.is_disconnected() &&
+  } else if (!current.exchange.is_disconnected() && !failure.too_late &&
              !(late && failure.bytes_written)) {
     context_.endpoints.request_failed(current.endpoint.name, at);
   }
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -45,7 +45,8 @@
 }
 
 result<routed_request> route_forward_handler::accept(
-    route_message message, transport::request_body body) const {
+    route_message message, transport::request_body body,
+    const request_times& times) const {
   if (!context_.state.may_cross_regions(context_.clock.now())) {
     return fail(error_kind::isolated, "this node accepts no forwarded requests",
                 "use another node");
@@ -77,8 +78,11 @@
                 "send it again after Retry-After");
   }
   out.service = std::move(message.service);
-  out.arrived = context_.clock.now();
-  out.deadline = out.arrived + message.remaining;
+  out.times = times;
+  out.deadline = times.arrived + message.remaining;
+  if (out.is_overdue(context_.clock.now())) {
+    return tl::make_unexpected(overdue_error());
+  }
   out.avoid = std::move(message.avoid);
   out.sends = routing::charged_sends(message.sends);
   return out;
@@ -90,13 +94,14 @@
     co_return;
   }
   result<transport::request_body> body = co_await exchange.read_body();
+  const request_times times = times_of(exchange, context_.clock.now());
   attempt outcome;
   if (!body) {
     outcome = unread_attempt(body.error());
   } else {
     result<route_message> message = read_message(exchange, body->text);
     result<routed_request> request =
-        message ? accept(std::move(*message), std::move(*body))
+        message ? accept(std::move(*message), std::move(*body), times)
                 : result<routed_request>(tl::make_unexpected(message.error()));
     if (request && context_.endpoints.is_unreachable(request->service)) {
       outcome = failed_attempt(
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -28,6 +28,19 @@
   return request.organisation && request.organisation->limit;
 }
 
+std::string ms_between(monotonic_time from, monotonic_time to) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(to - from).count());
+}
+
+/// Returns how long before `now` a leader had confirmed the configuration, or
+/// an empty string if none has.
+std::string confirmation_age(const membership::node_state& state,
+                             monotonic_time now) {
+  const std::optional<monotonic_time> at = state.last_confirmed_at();
+  return at ? ms_between(*at, now) : "";
+}
+
 error unavailable_error(const std::string& what) {
   return {error_kind::unavailable, what, "send it again after Retry-After"};
 }
@@ -38,18 +51,18 @@
   return accepting_ && !exchange.is_disconnected();
 }
 
-awaitable<bool> route_handler::wait_for_startup(monotonic_time arrived,
+awaitable<bool> route_handler::wait_for_startup(monotonic_time read_at,
                                                 http_exchange& exchange) {
   const monotonic_time now = context_.clock.now();
   const bool waits = context_.state.is_catching_up(now) &&
-                     now < arrived + max_startup_wait && may_wait(exchange);
+                     now < read_at + max_startup_wait && may_wait(exchange);
   if (!waits) co_return false;
   co_await transport::sleep_for(context_.io, startup_check_interval);
   co_return !exchange.is_disconnected();
 }
 
 awaitable<void> route_handler::handle(http_exchange& exchange) {
-  const monotonic_time arrived = context_.clock.now();
+  const request_times times = times_of(exchange, context_.clock.now());
   result<surface::call_head> head = surfaces_.callers->read_head(exchange);
   // The body is read in any case: closing a connection with unread bytes resets
   // it, and the caller may lose the answer.
@@ -66,7 +79,7 @@
     co_return;
   }
   transport::shared_text text = transport::share_text(std::move(*body));
-  co_await answer(std::move(*head), std::move(text), arrived, exchange);
+  co_await answer(std::move(*head), std::move(text), times, exchange);
 }
 
 void route_handler::record_abandoned(const std::string& request_id) {
@@ -78,7 +91,7 @@
 
 result<routed_request> route_handler::route(surface::call_head head,
                                             transport::shared_text body,
-                                            monotonic_time arrived) const {
+                                            const request_times& times) const {
   const config::plan_ptr& plan = routes_.plan();
   if (!plan) {
     return tl::make_unexpected(unavailable_error("this node has no plan yet"));
@@ -110,10 +123,13 @@
                 "ask the operator to change the home regions");
   }
   out.service = routing::choose_service(*found, context_.random);
-  out.arrived = arrived;
+  out.times = times;
   const milliseconds time_limit =
       std::min(head.caller_timeout.value_or(found->timeout), found->timeout);
-  out.deadline = out.arrived + time_limit;
+  out.deadline = times.arrived + time_limit;
+  if (out.is_overdue(context_.clock.now())) {
+    return tl::make_unexpected(overdue_error());
+  }
   out.head = std::move(head);
   out.body = std::move(body);
   out.work = work_of(out);
@@ -122,26 +138,25 @@
 
 awaitable<void> route_handler::answer(surface::call_head head,
                                       transport::shared_text body,
-                                      monotonic_time arrived,
+                                      const request_times times,
                                       http_exchange& exchange) {
   const std::string id = head.request_id;
   // After a stall, pending requests and configuration changes are read in
   // arbitrary order. A request may be read before the change that forbids a
   // destination for it.
   while (!routes_.plan() || context_.state.is_behind(context_.clock.now())) {
-    const bool waited = co_await wait_for_startup(arrived, exchange);
+    const bool waited = co_await wait_for_startup(times.read_at, exchange);
     if (!waited) break;
   }
   result<routed_request> request =
-      route(std::move(head), std::move(body), arrived);
+      route(std::move(head), std::move(body), times);
   if (request && co_await wait_for_usage(*request, exchange)) {
     if (exchange.is_disconnected()) {
       record_abandoned(id);
       co_return;
     }
     // The plan may have changed meanwhile.
-    request =
-        route(std::move(request->head), std::move(request->body), arrived);
+    request = route(std::move(request->head), std::move(request->body), times);
   }
   if (!request) {
     const milliseconds retry_after =
@@ -270,7 +285,7 @@
       const bool untried = tried.attempts == 0 && request.sends.count() == 0;
       bool waited = false;
       if (untried)
-        waited = co_await wait_for_startup(request.arrived, exchange);
+        waited = co_await wait_for_startup(request.times.read_at, exchange);
       if (waited) continue;
       if (untried && request.permits(context_.self.region))
         last.retry_after = local_.retry_after(request);
@@ -319,7 +334,7 @@
 void route_handler::record(const routed_request& request,
                            const attempt& outcome) {
   const std::chrono::nanoseconds passed =
-      context_.clock.now() - request.arrived;
+      context_.clock.now() - request.times.arrived;
   const std::string name = outcome.delivered
                                ? "answered"
                                : std::string(to_string(outcome.cause.kind));
@@ -329,18 +344,22 @@
   // Log lines are rate-limited by event name. Failures have their own, so that
   // they are not dropped among the lines of answered requests.
   const bool complete = outcome.delivered && outcome.cause.message.empty();
-  log_event(complete ? log_level::info : log_level::warn,
-            complete ? "request-answered" : "request-failed",
-            {{"request_id", request.head.request_id},
-             {"route", request.route->name},
-             {"organisation", request.head.organisation},
-             {"service", request.service},
-             {"plan", std::to_string(request.plan->number)},
-             {"outcome", name},
-             {"endpoint", outcome.endpoint},
-             {"ran", std::string(to_string(outcome.ran))},
-             {"ms", std::to_string(ms)},
-             {"cause", outcome.cause.message}});
+  log_event(
+      complete ? log_level::info : log_level::warn,
+      complete ? "request-answered" : "request-failed",
+      {{"request_id", request.head.request_id},
+       {"route", request.route->name},
+       {"organisation", request.head.organisation},
+       {"service", request.service},
+       {"plan", std::to_string(request.plan->number)},
+       {"outcome", name},
+       {"endpoint", outcome.endpoint},
+       {"ran", std::string(to_string(outcome.ran))},
+       {"ms", std::to_string(ms)},
+       {"waited_ms", ms_between(request.times.arrived, request.times.read_at)},
+       {"confirmed_ms",
+        confirmation_age(context_.state, request.times.read_at)},
+       {"cause", outcome.cause.message}});
 }
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -51,8 +51,9 @@
               monotonic_time now) {
   if (now + expected.wait >= request.deadline) return true;
   const bool stream = request.route->kind == config::route_kind::stream;
-  return stream && now + expected.wait >=
-                       request.arrived + first_event_timeout(*request.route);
+  return stream &&
+         now + expected.wait >=
+             request.times.arrived + first_event_timeout(*request.route);
 }
 
 attempt long_wait_refusal(const chosen_endpoint& chosen) {
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -19,6 +19,18 @@
   return fingerprint_;
 }
 
+request_times times_of(transport::http_exchange& exchange, monotonic_time now) {
+  const std::chrono::milliseconds waited =
+      exchange.time_since_data().value_or(std::chrono::milliseconds(0));
+  return {now - waited, now};
+}
+
+error overdue_error() {
+  return {error_kind::deadline,
+          "the request was read after its time for an answer had passed",
+          "send it to another node"};
+}
+
 int priority_of(const config::route& route,
                 const config::organisation* organisation) {
   if (organisation == nullptr) return route.priority;
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -65,6 +65,9 @@
   /// Whether requests may be exchanged with other regions.
   bool crosses_regions() const { return is(node_states::ready); }
   bool confirmed_at(monotonic_time now) const;
+  /// The time at which the configuration was last known to be current, if a
+  /// leader has confirmed it.
+  std::optional<monotonic_time> last_confirmed_at() const;
   /// Whether this node was suspended and no leader has confirmed its
   /// configuration since. Changes made during the suspension may still be
   /// unread.
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -43,6 +43,11 @@
   return first_confirmed_at_ && now < confirmed_until_;
 }
 
+std::optional<monotonic_time> node_state::last_confirmed_at() const {
+  if (!first_confirmed_at_) return std::nullopt;
+  return confirmed_until_ - options_.config_lease;
+}
+
 bool node_state::is_behind(monotonic_time now) const {
   // After a suspension, pending requests may be read from the sockets before
   // the next tick.
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -51,6 +51,9 @@
   bool bytes_written = false;
   /// Whether the connection was refused, since no process listens there.
   bool refused = false;
+  /// Whether the connection was open, but the deadline passed before the
+  /// request was written.
+  bool too_late = false;
 };
 
 /// Outcome of an attempt to connect.
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -247,6 +247,14 @@
   if (ec) {
     co_return tl::make_unexpected(failure("cannot connect to", ec, false));
   }
+  // In a slow event loop iteration the timer may expire after the connection
+  // has opened.
+  if (boot_clock::now() >= deadline) {
+    deadline_passed_ = true;
+    call_failure late = failure("no time is left for", ec, false);
+    late.too_late = true;
+    co_return tl::make_unexpected(std::move(late));
+  }
   is_head_request_ = request.method == "HEAD";
   set_deadline(deadline);
   start_write(request);
