--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -26,9 +26,10 @@
   std::size_t first_frame_limit = 4UL * 1024;
   std::size_t queue_limit = 64UL * 1024 * 1024;  // bytes per peer
   std::string source_ip;  // of outgoing connections; empty: any
-  /// Limit for establishing the connection, and again for receiving the peer's
-  /// challenge.
+  /// Limit for establishing the connection, which the peer's system does.
   std::chrono::milliseconds connect_timeout{2000};
+  /// Limit for receiving the peer's challenge, which a busy process sends late.
+  std::chrono::milliseconds challenge_timeout{5000};
   /// TCP user timeout: a connection is replaced if the peer's host acknowledges
   /// nothing for this long.
   std::chrono::milliseconds tcp_user_timeout{default_tcp_user_timeout};
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -10,9 +10,11 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "peer_frame.h"
 #include "trestlepost/base/compression.h"
+#include "trestlepost/base/log.h"
 
 namespace trestlepost::transport {
 namespace {
@@ -41,6 +43,7 @@
   std::uint64_t counter = 0;
   bool closed = false;
   bool lost_before = false;          // a connection to this peer was lost
+  bool failed_before = false;        // the last attempt to connect failed
   bool reconnect_requested = false;  // the current connection is to be replaced
   monotonic_time opened_at{};
 };
@@ -65,6 +68,14 @@
 
 using links_state = std::shared_ptr<peer_links::state>;
 
+/// Logs the first of several failures in a row.
+void record_connect_failure(link& to, const char* step, error_code cause) {
+  if (std::exchange(to.failed_before, true)) return;
+  log_event(
+      log_level::info, "peer-connect-failed",
+      {{"peer", to.address}, {"step", step}, {"detail", cause.message()}});
+}
+
 /// Connects and reads the peer's challenge.
 awaitable<bool> connect(const peer_links::state& all, link& to) {
   const result<tcp::endpoint> at = parse_address(to.address);
@@ -74,15 +85,22 @@
   open_and_bind(to.stream.socket(), *at, all.options.source_ip);
   to.stream.expires_after(all.options.connect_timeout);
   co_await to.stream.async_connect(*at, redirect_error(use_awaitable, ec));
-  if (ec) co_return false;
+  if (ec) {
+    record_connect_failure(to, "connect", ec);
+    co_return false;
+  }
   set_outgoing_options(to.stream.socket(), all.options.tcp_user_timeout);
-  // The challenge arrives after a second round trip.
-  to.stream.expires_after(all.options.connect_timeout);
+  to.stream.expires_after(all.options.challenge_timeout);
   to.challenge.assign(detail::challenge_size, '\0');
   co_await asio::async_read(to.stream, asio::buffer(to.challenge),
                             redirect_error(use_awaitable, ec));
   to.counter = 0;
-  co_return !ec;
+  if (ec) {
+    record_connect_failure(to, "challenge", ec);
+    co_return false;
+  }
+  to.failed_before = false;
+  co_return true;
 }
 
 /// Sends one frame. Returns false if the connection failed.
--- a/transport/test/peer-test.cc
+++ b/transport/test/peer-test.cc
@@ -78,6 +78,36 @@
       run_until([&links] { return links.traffic().messages_sent == 1; }));
 }
 
+// Guards against a busy node that no other node can send to: its system accepts
+// connections at once, but its process sends the challenges late.
+TEST_F(peer_test, a_peer_that_sends_its_challenge_late_is_reached) {
+  constexpr std::chrono::milliseconds connect_timeout{50};
+  for (const int delay : {1, 4, 10}) {
+    const std::string other = loopback_ip() + ":7805";
+    result<tcp::acceptor> listening = listen_on(context_, other);
+    ASSERT_TRUE(listening);
+    peer_options options;
+    options.connect_timeout = connect_timeout;
+    peer_links links(context_, secret, options);
+    links.send(other, "count", make_params(1));
+    tcp::socket accepted(context_);
+    listening->async_accept(accepted, [](boost::system::error_code) {});
+    ASSERT_TRUE(run_until([&accepted] { return accepted.is_open(); }));
+    const monotonic_time end = boot_clock::now() + delay * connect_timeout;
+    run_until([end] { return boot_clock::now() >= end; });
+    const std::string challenge(detail::challenge_size, 'c');
+    boost::system::error_code ec;
+    asio::write(accepted, asio::buffer(challenge), ec);
+    std::string head(detail::frame_head_size, '\0');
+    std::size_t received = 0;
+    asio::async_read(accepted, asio::buffer(head),
+                     [&received](boost::system::error_code, std::size_t n) {
+                       received += n;
+                     });
+    EXPECT_TRUE(run_until([&received] { return received > 0; })) << delay;
+  }
+}
+
 TEST_F(peer_test, a_message_sent_on_connection_loss_is_delivered) {
   const std::string other = loopback_ip() + ":7803";
   auto server = std::make_unique<peer_server>(context_, secret, dispatcher_,
