The end of a connection between nodes is noticed without a message

Cause: a link only writes, so the close by a killed process was noticed at the second message after it; the first one was lost. A leader can't tell a stopped node from a busy one meanwhile.

Change: the link waits for the peer's close.

Test: three restarts of a peer; the loss was not noticed before.

--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -45,6 +45,7 @@
   bool lost_before = false;          // a connection to this peer was lost
   bool failed_before = false;        // the last attempt to connect failed
   bool reconnect_requested = false;  // the current connection is to be replaced
+  bool ended = false;                // the peer closed the current connection
   monotonic_time opened_at{};
 };
 
@@ -123,13 +124,24 @@
   return make_rpc_notification(detail::hello_method, params);
 }
 
-/// Sends queued messages until the connection fails or is to be replaced.
+/// Waits for the end of the connection: the peer sends nothing after its
+/// challenge. Ends when this node closes the connection.
+awaitable<void> detect_end(std::shared_ptr<link> to) {
+  error_code ec;
+  co_await to->stream.socket().async_wait(tcp::socket::wait_read,
+                                          redirect_error(use_awaitable, ec));
+  if (ec) co_return;
+  to->ended = true;
+  to->wake.cancel();
+}
+
+/// Sends queued messages until the connection ends, fails or is to be replaced.
 awaitable<void> send_queue(peer_links::state& all, link& to) {
   to.reconnect_requested = false;
   to.opened_at = boot_clock::now();
   const std::string hello = make_hello(all, to);
   bool connected = co_await write(all, to, hello);
-  while (connected && !to.closed && !to.reconnect_requested) {
+  while (connected && !to.closed && !to.ended && !to.reconnect_requested) {
     if (to.queue.empty()) {
       error_code ec;
       to.wake.expires_at(monotonic_time::max());
@@ -147,8 +159,15 @@
 awaitable<void> run_link(links_state all, std::shared_ptr<link> to) {
   while (!to->closed) {
     const bool connected = co_await connect(*all, *to);
-    if (connected) co_await send_queue(*all, *to);
+    if (connected) {
+      to->ended = false;
+      asio::co_spawn(all->context, detect_end(to), asio::detached);
+      co_await send_queue(*all, *to);
+    }
     if (to->closed) co_return;
+    // Ends the wait for the peer's close.
+    error_code ec;
+    to->stream.socket().close(ec);
     // Queued messages would be outdated when the next connection is open.
     all->traffic.messages_dropped += to->queue.size();
     to->queue.clear();
@@ -157,7 +176,6 @@
       to->lost_before = true;
       all->on_connection_lost(to->address);
     }
-    error_code ec;
     to->wake.expires_after(reconnect_delay);
     co_await to->wake.async_wait(redirect_error(use_awaitable, ec));
     while (to->queue.empty() && !to->closed &&
--- a/transport/test/peer-test.cc
+++ b/transport/test/peer-test.cc
@@ -137,6 +137,28 @@
   EXPECT_EQ(received_.back(), 2);
 }
 
+// Guards against a leader that waits for a node whose process has been killed:
+// without a message to it, the closed connection was not noticed.
+TEST_F(peer_test, a_connection_that_the_peer_closes_is_lost_without_a_message) {
+  const std::string other = loopback_ip() + ":7806";
+  peer_links links(context_, secret, {});
+  std::vector<std::string> lost;
+  links.set_on_connection_lost(
+      [&lost](const std::string& it) { lost.push_back(it); });
+  for (int n = 1; n <= 3; ++n) {
+    auto server = std::make_unique<peer_server>(context_, secret, dispatcher_,
+                                                random_, peer_options());
+    ASSERT_TRUE(server->listen(other));
+    const std::size_t received = received_.size();
+    links.send(other, "count", make_params(n));
+    ASSERT_TRUE(
+        run_until([this, received] { return received_.size() > received; }));
+    server.reset();
+    EXPECT_TRUE(run_until(
+        [&lost, n] { return lost.size() == static_cast<std::size_t>(n); }));
+  }
+}
+
 TEST_F(peer_test, reconnects_to_a_peer_that_lost_its_connection) {
   constexpr std::chrono::milliseconds tcp_user_timeout{20};
   const std::string other = loopback_ip() + ":7804";
