An acknowledgement waits for nodes that poll late

Seen: plan 51 of the record was acknowledged 0.64 s after it was sent; a gateway obeyed plan 47 at least 4.4 s later.

Cause: a leader waits for watchers that polled within 1.5 s. One that is busy for longer, and serves requests by its old plan, was not waited for, so the acknowledgement said nothing of it.

Change: a leader waits for each watcher that polled within 5 s, unless the connection to it has ended since; 3 s at the latest, as before. The line `plan-acknowledged` says which nodes had not confirmed. Polls no longer scan all watchers while no revision waits for its confirmation.

--- a/config/include/trestlepost/config/confirmation_tracker.h
+++ b/config/include/trestlepost/config/confirmation_tracker.h
@@ -29,6 +29,8 @@
   std::vector<confirmed_revision> confirm(revision_number revision,
                                           monotonic_time now);
   void clear() { waiting_.clear(); }
+  /// Whether no revision waits for its confirmation.
+  bool empty() const { return waiting_.empty(); }
 
  private:
   struct waiting_revision {
--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -14,9 +14,6 @@
 
 // A watcher that hasn't polled for this time is removed.
 constexpr milliseconds watcher_expiry{5000};
-// Three poll intervals of an up-to-date watcher. One that hasn't polled for
-// longer has stopped or is partitioned, and confirmations don't wait for it.
-constexpr milliseconds active_window{1500};
 constexpr char update_method[] = "config.update";
 
 }  // namespace
@@ -27,6 +24,7 @@
       watchers_.try_emplace(poll.name, watcher{watcher_paths(now)});
   watcher& it = known->second;
   it.polled_at = now;
+  it.lost = false;
   if (poll.missed) it.delivery.discard_sent();
   // A forwarded poll can arrive after a newer one and report an older revision.
   const bool late = poll.sequence < it.sequence;
@@ -43,16 +41,30 @@
   it.delivery.acknowledge(poll.revision, it.polled_at);
 }
 
+bool config_watchers::may_be_running(const watcher& it) const {
+  return !it.lost && it.polled_at + watcher_expiry >= context_.clock.now();
+}
+
 config::revision_number config_watchers::lowest_revision() const {
-  const monotonic_time oldest = context_.clock.now() - active_window;
   config::revision_number out = machine_.store().revision();
   for (const auto& [name, it] : watchers_) {
-    if (it.polled_at >= oldest) out = std::min(out, it.delivery.acknowledged());
+    if (may_be_running(it)) out = std::min(out, it.delivery.acknowledged());
+  }
+  return out;
+}
+
+std::vector<std::string> config_watchers::without(
+    config::revision_number revision) const {
+  std::vector<std::string> out;
+  for (const auto& [name, it] : watchers_) {
+    const bool lacks = it.delivery.acknowledged() < revision;
+    if (lacks && may_be_running(it)) out.push_back(name);
   }
   return out;
 }
 
 void config_watchers::report_confirmed() {
+  if (confirmations_.empty()) return;
   for (const config::confirmed_revision& it :
        confirmations_.confirm(lowest_revision(), context_.clock.now())) {
     on_confirmed(it.latency);
@@ -66,6 +78,7 @@
 void config_watchers::handle_connection_lost(const std::string& address) {
   const monotonic_time now = context_.clock.now();
   for (auto& [name, it] : watchers_) {
+    it.lost = it.lost || it.paths.address() == address;
     const std::vector<watcher_paths::path> paths =
         it.paths.after_loss(address, now);
     if (paths.empty()) continue;
--- a/node/src/config_watchers.h
+++ b/node/src/config_watchers.h
@@ -58,9 +58,11 @@
   /// term has no effect.
   void start_term(consensus::term_number term);
 
-  /// The lowest revision among the watchers that polled recently; the newest
+  /// The lowest revision among the watchers that may be running; the newest
   /// revision if there are none.
   config::revision_number lowest_revision() const;
+  /// The names of the watchers that may be running and lack the revision.
+  std::vector<std::string> without(config::revision_number revision) const;
   /// Called when all watchers have a revision, with the time since it was
   /// decided on this node.
   std::function<void(std::chrono::milliseconds)> on_confirmed =
@@ -75,9 +77,14 @@
     std::uint64_t sequence = 0;
     monotonic_time polled_at{};
     config::delivery_tracker delivery{};
+    /// The connection to the watcher was lost after its last poll.
+    bool lost = false;
   };
 
   void apply_poll(watcher& it, const watcher_poll& poll);
+  /// Whether the watcher may be running. A busy one polls late, and serves
+  /// requests by the configuration that it has.
+  bool may_be_running(const watcher& it) const;
   void report_confirmed();
   /// Sends the watcher the changes that it lacks, over the preferred path, or
   /// over all paths if they were sent before and count as lost.
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -75,6 +75,11 @@
   /// Whether all reachable watchers have applied the revision. False while a
   /// new leader may not know all watchers yet.
   bool is_confirmed(config::revision_number revision) const;
+  /// The names of the known watchers that may be running without the revision.
+  std::vector<std::string> watchers_without(
+      config::revision_number revision) const {
+    return watchers_.without(revision);
+  }
   /// Operators' changes and reads, which any control node accepts.
   group_orders& orders() { return orders_; }
   /// The number of full or incremental configurations sent to watchers.
--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -25,6 +25,9 @@
 // time. It covers the granularity of times between nodes.
 constexpr milliseconds min_overtaking_time{25};
 
+// Nodes that a log line names.
+constexpr std::size_t max_named = 5;
+
 constexpr char retry_remedy[] = "send the same request again";
 
 tl::unexpected<error> no_leader() {
@@ -173,7 +176,27 @@
     ready.push_back(std::move(it));
     return true;
   });
-  for (const unconfirmed_plan& it : ready) it.answer(it.outcome);
+  for (const unconfirmed_plan& it : ready) {
+    log_acknowledgement(it);
+    it.answer(it.outcome);
+  }
+}
+
+void group_orders::log_acknowledgement(const unconfirmed_plan& it) const {
+  const std::vector<std::string> missing =
+      control_.watchers_without(it.revision);
+  std::string names;
+  for (std::size_t i = 0; i < std::min(missing.size(), max_named); ++i) {
+    names += (names.empty() ? "" : ", ") + missing[i];
+  }
+  const milliseconds passed = std::chrono::duration_cast<milliseconds>(
+      context_.clock.now() - it.decided_at);
+  log_event(missing.empty() ? log_level::info : log_level::warn,
+            "plan-acknowledged",
+            {{"revision", std::to_string(it.revision)},
+             {"ms", std::to_string(passed.count())},
+             {"nodes_without", std::to_string(missing.size())},
+             {"names", names}});
 }
 
 void group_orders::confirm_as_leader(const answer_function& answer) {
--- a/node/src/group_orders.h
+++ b/node/src/group_orders.h
@@ -75,6 +75,7 @@
   void handle_submitted(const json& params, const answer_function& answer);
   /// Answers at once if the change was rejected, else once it is confirmed.
   void await_confirmation(const json& outcome, const answer_function& answer);
+  void log_acknowledgement(const unconfirmed_plan& it) const;
   /// On the leader, confirms leadership with a quorum and answers with the
   /// index that a read has to wait for.
   void confirm_as_leader(const answer_function& answer);
