Logs and a metric tell late nodes from late messages

`configuration-behind` and `configuration-caught-up`: a node hears that others have had a newer configuration for a second. The measuring of ticks has left node.cc for a file of its own.

--- /dev/null
+++ b/node/src/configuration/revision_lag.cc
@@ -0,0 +1,40 @@
+#include "configuration/revision_lag.h"
+
+#include <chrono>
+#include <string>
+
+#include "trestlepost/base/log.h"
+
+namespace trestlepost::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Changes reach all nodes within this time unless a node or a link is slow.
+constexpr milliseconds min_logged_lag{1000};
+
+}  // namespace
+
+void revision_lag::record(config::revision_number own,
+                          config::revision_number newest, monotonic_time now) {
+  if (own >= newest) {
+    if (logged_) {
+      const milliseconds lag =
+          std::chrono::duration_cast<milliseconds>(now - *since_);
+      log_event(log_level::info, "configuration-caught-up",
+                {{"revision", std::to_string(own)},
+                 {"ms", std::to_string(lag.count())}});
+    }
+    since_.reset();
+    logged_ = false;
+    return;
+  }
+  if (!since_) since_ = now;
+  if (logged_ || now < *since_ + min_logged_lag) return;
+  logged_ = true;
+  log_event(
+      log_level::warn, "configuration-behind",
+      {{"revision", std::to_string(own)}, {"newest", std::to_string(newest)}});
+}
+
+}  // namespace trestlepost::node
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -18,6 +18,7 @@
 #include "crash_reporter.h"
 #include "heartbeat_service.h"
 #include "ledger_service.h"
+#include "loop/tick_monitor.h"
 #include "memory/memory_limit.h"
 #include "memory/memory_monitor.h"
 #include "node_context.h"
@@ -39,9 +40,6 @@
 
 constexpr milliseconds tick_interval{25};
 constexpr milliseconds connection_check_interval{1000};
-// An event loop iteration that takes longer is logged as a stall: half of the
-// time without heartbeats after which followers start an election.
-constexpr milliseconds stall_threshold{250};
 // Upper bounds in seconds.
 const prometheus::Histogram::BucketBoundaries confirm_buckets{
     0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
@@ -130,8 +128,6 @@
   awaitable<void> run_ticks();
   awaitable<void> wait_for_signals();
   void collect_metrics();
-  /// Records the delay of a tick that was due at `due`, and logs a long one.
-  void record_tick_delay(monotonic_time due);
   /// Closes idle connections to endpoints and nodes that are gone.
   void close_unusable_connections(monotonic_time now);
 
@@ -153,6 +149,7 @@
   node_context context;
   std::shared_ptr<prometheus::Registry> registry;
   memory_monitor memory_use;
+  tick_monitor ticks;
   gateway::gateway_metrics metrics;
   ledger_service ledger;
   gateway::gateway_context gateway;
@@ -178,8 +175,6 @@
   prometheus::Family<prometheus::Gauge>& node_gauges;
   prometheus::Histogram& confirm_seconds;
   std::uint64_t sequence = 0;
-  /// The longest delay of a tick since the start.
-  milliseconds max_tick_delay{0};
   monotonic_time next_connection_check;
 };
 
@@ -213,6 +208,7 @@
               {}},
       registry(std::make_shared<prometheus::Registry>()),
       memory_use(memory, *registry),
+      ticks(*registry),
       metrics(*registry),
       ledger(context),
       gateway{io,
@@ -389,7 +385,7 @@
   monotonic_time due = resources.clock.now();
   while (!stop.ended()) {
     const monotonic_time now = resources.clock.now();
-    record_tick_delay(due);
+    ticks.record(due, now);
     memory_use.tick(now);
     client.cancel_expired(now);
     close_unusable_connections(now);
@@ -425,15 +421,6 @@
   client.close_unusable(now);
 }
 
-void node::implementation::record_tick_delay(monotonic_time due) {
-  const milliseconds late =
-      std::chrono::duration_cast<milliseconds>(resources.clock.now() - due);
-  max_tick_delay = std::max(max_tick_delay, late);
-  if (late < stall_threshold) return;
-  log_event(log_level::warn, "event-loop-stalled",
-            {{"ms", std::to_string(late.count())}});
-}
-
 void node::implementation::collect_metrics() {
   const auto set = [this](const char* what, double value) {
     node_gauges.Add({{"what", what}}).Set(value);
@@ -443,7 +430,7 @@
   set("ready", state.crosses_regions() ? 1 : 0);
   set("isolated", state.is(membership::node_states::isolated) ? 1 : 0);
   set("leads_configuration", control && control->leads() ? 1 : 0);
-  set("longest_turn_ms", static_cast<double>(max_tick_delay.count()));
+  set("longest_turn_ms", static_cast<double>(ticks.longest().count()));
   set("configurations_sent",
       control ? static_cast<double>(control->updates_sent()) : 0);
   set("idle_connections", static_cast<double>(client.idle_connections()));
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -16,6 +16,7 @@
 // In poll intervals: a leader that confirms nothing for this long is looked up
 // again.
 constexpr int max_unanswered_polls = 3;
+constexpr std::chrono::milliseconds lag_check_interval{250};
 
 /// Whether the revision of `store` is one of `group`. Earlier versions of nodes
 /// don't name their group.
@@ -64,6 +65,7 @@
 
 void watch_client::tick() {
   const monotonic_time now = context_.clock.now();
+  check_lag();
   if (now < next_poll_) return;
   next_poll_ = now + time_to_next_poll(state_for_poll(),
                                        context_.options.timing.poll_interval);
@@ -75,6 +77,19 @@
   }
 }
 
+void watch_client::check_lag() {
+  const monotonic_time now = context_.clock.now();
+  if (now < next_lag_check_) return;
+  next_lag_check_ = now + lag_check_interval;
+  config::revision_number newest = 0;
+  for (const membership::node_record* it : context_.nodes.all()) {
+    const bool live =
+        context_.nodes.state_of(*it, now) == membership::peer_state::live;
+    if (live) newest = std::max(newest, it->last.revision);
+  }
+  lag_.record(context_.store.revision(), newest, now);
+}
+
 void watch_client::poll(const std::string& address) {
   json params;
   const std::uint64_t token = next_token_++;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "configuration/revision_lag.h"
 #include "disk/configuration_saver.h"
 #include "leader_finder.h"
 #include "node_context.h"
@@ -75,6 +76,8 @@
   /// Logs that an update could not be applied, and reports it to the leader in
   /// an immediate poll.
   void request_missed_update(const error& cause);
+  /// Compares this node's revision with those of the other live nodes.
+  void check_lag();
   /// Takes the node addresses and ledger groups from a confirmed update.
   void read_directory(const json& update);
 
@@ -94,6 +97,8 @@
   /// Null if this node has no data folder.
   std::unique_ptr<configuration_saver> saver_;
   std::optional<unsaved_answer> unsaved_answer_;
+  revision_lag lag_;
+  monotonic_time next_lag_check_;
 };
 
 }  // namespace trestlepost::node
