One ms_between for the fields of log lines

The route handler had a copy of the one in the order handler; two new lines wrote the same conversion out.

--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/base/log_fields.h"
 #include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_regions.h"
 
@@ -28,11 +29,6 @@
   return request.organisation && request.organisation->limit;
 }
 
-std::string ms_between(monotonic_time from, monotonic_time to) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(to - from).count());
-}
-
 /// Returns how long before `now` a leader had confirmed the configuration, or
 /// an empty string if none has.
 std::string confirmation_age(const membership::node_state& state,
--- a/node/src/configuration/revision_lag.cc
+++ b/node/src/configuration/revision_lag.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/base/log_fields.h"
 
 namespace trestlepost::node {
 namespace {
@@ -19,11 +20,9 @@
                           config::revision_number newest, monotonic_time now) {
   if (own >= newest) {
     if (logged_) {
-      const milliseconds lag =
-          std::chrono::duration_cast<milliseconds>(now - *since_);
       log_event(log_level::info, "configuration-caught-up",
                 {{"revision", std::to_string(own)},
-                 {"ms", std::to_string(lag.count())}});
+                 {"ms", ms_between(*since_, now)}});
     }
     since_.reset();
     logged_ = false;
--- a/node/src/group_orders.cc
+++ b/node/src/group_orders.cc
@@ -6,6 +6,7 @@
 
 #include "control_service.h"
 #include "trestlepost/base/log.h"
+#include "trestlepost/base/log_fields.h"
 
 namespace trestlepost::node {
 namespace {
@@ -189,12 +190,10 @@
   for (std::size_t i = 0; i < std::min(missing.size(), max_named); ++i) {
     names += (names.empty() ? "" : ", ") + missing[i];
   }
-  const milliseconds passed = std::chrono::duration_cast<milliseconds>(
-      context_.clock.now() - it.decided_at);
   log_event(missing.empty() ? log_level::info : log_level::warn,
             "plan-acknowledged",
             {{"revision", std::to_string(it.revision)},
-             {"ms", std::to_string(passed.count())},
+             {"ms", ms_between(it.decided_at, context_.clock.now())},
              {"nodes_without", std::to_string(missing.size())},
              {"names", names}});
 }
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/base/log_fields.h"
 
 namespace trestlepost::node {
 namespace {
@@ -118,11 +119,6 @@
   return "end-evacuation";
 }
 
-std::string ms_between(monotonic_time from, monotonic_time to) {
-  return std::to_string(
-      std::chrono::duration_cast<milliseconds>(to - from).count());
-}
-
 /// Encodes an order as a change. `base_plan` is the plan in force, the base of
 /// a plan edit, or null.
 config::change make_change(const operator_order& order,
