A new leader waits for gateways that have not found it yet

Found by trying acknowledgements right after a change of the leader.

Cause: a leader knows a node once it has polled it, and acknowledges nothing in its first second. A gateway that keeps polling the leader before, since it has not noticed the change or is busy, was not known, so a plan was acknowledged while it served by the plan before.

--- a/node/src/config_watchers.cc
+++ b/node/src/config_watchers.cc
@@ -45,21 +45,39 @@
   return !it.lost && it.polled_at + watcher_expiry >= context_.clock.now();
 }
 
-config::revision_number config_watchers::lowest_revision() const {
-  config::revision_number out = machine_.store().revision();
+void config_watchers::visit_running(
+    const std::function<void(const std::string&, config::revision_number)>&
+        visit) const {
   for (const auto& [name, it] : watchers_) {
-    if (may_be_running(it)) out = std::min(out, it.delivery.acknowledged());
+    if (may_be_running(it)) visit(name, it.delivery.acknowledged());
+  }
+  const monotonic_time now = context_.clock.now();
+  if (now >= term_started_at_ + watcher_expiry) return;
+  for (const membership::node_record* it : context_.nodes.all()) {
+    const membership::node_info& node = it->last.node;
+    const bool unheard_gateway =
+        !node.forward_address.empty() && !watchers_.contains(node.name);
+    const bool dead =
+        context_.nodes.state_of(*it, now) == membership::peer_state::dead;
+    if (unheard_gateway && !dead) visit(node.name, it->last.revision);
   }
+}
+
+config::revision_number config_watchers::lowest_revision() const {
+  config::revision_number out = machine_.store().revision();
+  visit_running([&out](const std::string&, config::revision_number held) {
+    out = std::min(out, held);
+  });
   return out;
 }
 
 std::vector<std::string> config_watchers::without(
     config::revision_number revision) const {
   std::vector<std::string> out;
-  for (const auto& [name, it] : watchers_) {
-    const bool lacks = it.delivery.acknowledged() < revision;
-    if (lacks && may_be_running(it)) out.push_back(name);
-  }
+  visit_running(
+      [&out, revision](const std::string& name, config::revision_number held) {
+        if (held < revision) out.push_back(name);
+      });
   return out;
 }
 
@@ -90,6 +108,7 @@
 void config_watchers::start_term(consensus::term_number term) {
   if (term == term_) return;
   term_ = term;
+  term_started_at_ = context_.clock.now();
   watchers_.clear();
   confirmations_.clear();
 }
--- a/node/src/config_watchers.h
+++ b/node/src/config_watchers.h
@@ -58,10 +58,10 @@
   /// term has no effect.
   void start_term(consensus::term_number term);
 
-  /// The lowest revision among the watchers that may be running; the newest
+  /// The lowest revision among the nodes that may be running; the newest
   /// revision if there are none.
   config::revision_number lowest_revision() const;
-  /// The names of the watchers that may be running and lack the revision.
+  /// The names of the nodes that may be running and lack the revision.
   std::vector<std::string> without(config::revision_number revision) const;
   /// Called when all watchers have a revision, with the time since it was
   /// decided on this node.
@@ -85,6 +85,12 @@
   /// Whether the watcher may be running. A busy one polls late, and serves
   /// requests by the configuration that it has.
   bool may_be_running(const watcher& it) const;
+  /// Calls `visit` with the name and the revision of each node that may be
+  /// running: watchers and, in the first seconds of a term, gateways that have
+  /// not polled this leader yet.
+  void visit_running(
+      const std::function<void(const std::string&, config::revision_number)>&
+          visit) const;
   void report_confirmed();
   /// Sends the watcher the changes that it lacks, over the preferred path, or
   /// over all paths if they were sent before and count as lost.
@@ -111,6 +117,7 @@
       encoded_updates_;
   config::revision_number encoded_revision_ = 0;
   consensus::term_number term_ = 0;
+  monotonic_time term_started_at_{};
   std::uint64_t updates_sent_ = 0;
 };
 
