A gauge tells the age of a node's configuration

configuration_age_ms: since a leader last confirmed that the revision was current; with the tick delays it tells a gateway that is late from one that is not reached.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -426,6 +426,12 @@
     node_gauges.Add({{"what", what}}).Set(value);
   };
   set("configuration_revision", static_cast<double>(store.revision()));
+  const std::optional<monotonic_time> confirmed_at = state.last_confirmed_at();
+  if (confirmed_at) {
+    const std::chrono::duration<double, std::milli> age =
+        resources.clock.now() - *confirmed_at;
+    set("configuration_age_ms", age.count());
+  }
   set("evacuated_zones", static_cast<double>(store.evacuated_zones().size()));
   set("ready", state.crosses_regions() ? 1 : 0);
   set("isolated", state.is(membership::node_states::isolated) ? 1 : 0);
