Logs and metrics tell what polls cost control nodes

After a start or a change of the leader each control node logs control-load once a second for 20 s: processor time, polls, those that others forwarded, answers, directory entries, lapses of the lease, messages and bytes sent, bytes queued. The same counters are metrics. They tell an overloaded leader from one without a majority, and polls from messages of the group.

No change of behaviour.

--- a/node/src/control/polls.cc
+++ b/node/src/control/polls.cc
@@ -47,6 +47,7 @@
   }
   json forwarded = params;
   forwarded["via"] = context_.self.peer_address;
+  ++load_.counters().passed_on;
   context_.links.send(leader, "config.poll", forwarded);
 }
 
@@ -58,6 +59,9 @@
                        : text_of(member_of(beat, "node"), "peer_address");
   const std::string poller = identify_poller(params);
   const std::string via = text_of(params, "via");
+  control_counters& counters = load_.counters();
+  ++counters.polls;
+  if (!via.empty()) ++counters.forwarded_polls;
   json answer;
   answer["token"] = as_number(number_of(params, "token"));
   answer["leader"] = leader_node();
@@ -81,6 +85,8 @@
     answer["confirmed"] = true;
     answer["update"] = make_update(directory_position_from(params),
                                    node_directory_.find(poller)->region);
+    ++counters.answers;
+    counters.directory_entries += member_of(answer["update"], "book").size();
   }
   // A node that does not lead sends no configuration: its copy may be
   // outdated, and a gateway using it could run requests outside their home
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -247,6 +247,7 @@
     log_event(log_level::info, "lease-renewed",
               {{"term", term}, {"ms", std::to_string(lapsed_for.count())}});
   } else if (!holds) {
+    ++load_.counters().lease_lapses;
     log_event(log_level::warn, "lease-lapsed", {{"term", term}});
   }
   had_lease_ = holds;
@@ -259,6 +260,7 @@
   host_->tick(now);
   log_lease_changes();
   maintenance_.tick(host_->core());
+  load_.tick(leader_node(), leads(), now);
   orders_.tick();
   request_join();
   found_ledgers();
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config_watchers.h"
+#include "control/control_load.h"
 #include "group_maintenance.h"
 #include "group_orders.h"
 #include "hold_proposer.h"
@@ -31,9 +32,10 @@
 class control_service final : public consensus::message_sink {
  public:
   explicit control_service(node_context& context)
-      : context_(context), maintenance_(context, [this](const std::string& it) {
-          return address_of(it);
-        }) {}
+      : context_(context),
+        maintenance_(context,
+                     [this](const std::string& it) { return address_of(it); }),
+        load_(context.links) {}
 
   result<void> start();
   void tick();
@@ -84,6 +86,8 @@
   group_orders& orders() { return orders_; }
   /// The number of full or incremental configurations sent to watchers.
   std::uint64_t updates_sent() const { return watchers_.updates_sent(); }
+  /// What watchers have asked of this node.
+  const control_counters& counters() const { return load_.counters(); }
   /// `action` is called when all watchers have applied a revision, with the
   /// time since the revision was decided.
   void set_on_confirmed(std::function<void(std::chrono::milliseconds)> action) {
@@ -163,6 +167,7 @@
 
   node_context& context_;
   group_maintenance maintenance_;
+  control_load load_;
   config::config_state_machine machine_;
   std::unique_ptr<consensus::group_host> host_;
   consensus::group_formation formation_{context_.observed_addresses};
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -21,13 +21,14 @@
 #include "loop/tick_monitor.h"
 #include "memory/memory_limit.h"
 #include "memory/memory_monitor.h"
+#include "metrics/node_gauges.h"
 #include "node_context.h"
 #include "operator_service.h"
 #include "planned_stop.h"
 #include "probe_service.h"
 #include "routed_gateway.h"
 #include "settings_watch.h"
-#include "trestlepost/consensus/file_storage.h"
+#include "start/node_resources.h"
 #include "trestlepost/gateway/entry_handler.h"
 #include "trestlepost/gateway/forward_handler.h"
 #include "watch_client.h"
@@ -44,47 +45,6 @@
 const prometheus::Histogram::BucketBoundaries confirm_buckets{
     0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8};
 
-}  // namespace
-
-/// Resources that the services of a node use and whose loading may fail: the
-/// clock, the charts, the lock of the data folder and the incarnation.
-struct node::node_resources {
-  result<void> prepare(const settings& options);
-
-  system_clock_source clock;
-  system_random random;
-  std::optional<consensus::unique_fd> folder_lock;
-  std::uint64_t incarnation = 0;
-  std::optional<charts::chart> node_chart;
-  std::optional<charts::chart> endpoint_chart;
-};
-
-result<void> node::node_resources::prepare(const settings& options) {
-  result<charts::chart> node =
-      charts::chart::load(options.charts_folder + "/node.jsonc",
-                          membership::node_chart_interface());
-  if (!node) return tl::make_unexpected(node.error());
-  result<charts::chart> endpoint =
-      charts::chart::load(options.charts_folder + "/endpoint.jsonc",
-                          membership::endpoint_chart_interface());
-  if (!endpoint) return tl::make_unexpected(endpoint.error());
-  node_chart = std::move(*node);
-  endpoint_chart = std::move(*endpoint);
-  incarnation = (random.next() >> 1) | 1;
-  if (options.data_folder.empty()) return {};
-  result<consensus::unique_fd> lock =
-      consensus::lock_folder(options.data_folder);
-  if (!lock) return tl::make_unexpected(lock.error());
-  folder_lock = std::move(*lock);
-  const result<std::uint64_t> stored =
-      consensus::load_or_create_incarnation(options.data_folder, random);
-  if (!stored) return tl::make_unexpected(stored.error());
-  incarnation = *stored;
-  return {};
-}
-
-namespace {
-
 membership::node_info info_of(const settings& options,
                               std::uint64_t incarnation) {
   membership::node_info out;
@@ -127,7 +87,6 @@
   void apply_settings(const settings& next);
   awaitable<void> run_ticks();
   awaitable<void> wait_for_signals();
-  void collect_metrics();
   /// Closes idle connections to endpoints and nodes that are gone.
   void close_unusable_connections(monotonic_time now);
 
@@ -172,7 +131,7 @@
   transport::http_server directory_server;
   transport::http_server readiness_server;
   planned_stop stop;
-  prometheus::Family<prometheus::Gauge>& node_gauges;
+  node_gauges gauges;
   prometheus::Histogram& confirm_seconds;
   std::uint64_t sequence = 0;
   monotonic_time next_connection_check;
@@ -255,10 +214,8 @@
                        query_server_options(memory)),
       stop(context, {heartbeats, ledger, routed_services.entry(), entry_server,
                      forward_server, operator_server}),
-      node_gauges(prometheus::BuildGauge()
-                      .Name("trestlepost_node")
-                      .Help("State of this node, by what is measured.")
-                      .Register(*registry)),
+      gauges(*registry, {context, control.get(), ticks, ledger, routed_services,
+                         peer_server}),
       confirm_seconds(prometheus::BuildHistogram()
                           .Name("trestlepost_configuration_confirm_seconds")
                           .Help("From a decision until all watchers hold it.")
@@ -406,7 +363,7 @@
     endpoints.tick(now);
     local.queue().dispatch_all();
     operators.tick();
-    collect_metrics();
+    gauges.collect();
     due = resources.clock.now() + tick_interval;
     timer.expires_after(tick_interval);
     boost::system::error_code ec;
@@ -421,39 +378,6 @@
   client.close_unusable(now);
 }
 
-void node::implementation::collect_metrics() {
-  const auto set = [this](const char* what, double value) {
-    node_gauges.Add({{"what", what}}).Set(value);
-  };
-  set("configuration_revision", static_cast<double>(store.revision()));
-  const std::optional<monotonic_time> confirmed_at = state.last_confirmed_at();
-  if (confirmed_at) {
-    const std::chrono::duration<double, std::milli> age =
-        resources.clock.now() - *confirmed_at;
-    set("configuration_age_ms", age.count());
-  }
-  set("evacuated_zones", static_cast<double>(store.evacuated_zones().size()));
-  set("ready", state.crosses_regions() ? 1 : 0);
-  set("isolated", state.is(membership::node_states::isolated) ? 1 : 0);
-  set("leads_configuration", control && control->leads() ? 1 : 0);
-  set("longest_turn_ms", static_cast<double>(ticks.longest().count()));
-  set("configurations_sent",
-      control ? static_cast<double>(control->updates_sent()) : 0);
-  set("idle_connections", static_cast<double>(client.idle_connections()));
-  set("ledger_records", static_cast<double>(ledger.records()));
-  set("peer_bytes_sent", static_cast<double>(links.traffic().bytes_sent));
-  set("peer_bytes_received",
-      static_cast<double>(peer_server.traffic().bytes_received));
-  set("peer_messages_dropped",
-      static_cast<double>(links.traffic().messages_dropped));
-  set("platform_entries_unreadable",
-      static_cast<double>(routed_services.unreadable_entries()));
-  set("peer_frames_too_large",
-      static_cast<double>(peer_server.traffic().oversized_refused));
-  set("peer_strangers_refused",
-      static_cast<double>(peer_server.traffic().unauthenticated_refused));
-}
-
 awaitable<void> node::implementation::wait_for_signals() {
   while (!stop.ended()) {
     boost::system::error_code ec;
--- a/node/src/node.h
+++ b/node/src/node.h
@@ -9,6 +9,8 @@
 
 namespace trestlepost::node {
 
+struct node_resources;
+
 class node {
  public:
   /// `file` is the settings file to watch for changes; empty for none.
@@ -22,7 +24,6 @@
   void run();
 
  private:
-  struct node_resources;
   struct implementation;
 
   settings options_;
--- a/transport/include/trestlepost/transport/peer_links.h
+++ b/transport/include/trestlepost/transport/peer_links.h
@@ -91,6 +91,8 @@
   void reconnect(const std::string& address);
 
   const peer_traffic& traffic() const;
+  /// The bytes that wait to be sent, over all peers.
+  std::size_t queued_bytes() const;
   /// Closes all connections and drops what is queued.
   void close();
 
--- a/transport/src/peer_links.cc
+++ b/transport/src/peer_links.cc
@@ -266,6 +266,12 @@
   return state_->traffic;
 }
 
+std::size_t peer_links::queued_bytes() const {
+  std::size_t out = 0;
+  for (const auto& [address, it] : state_->links) out += it->queued_bytes;
+  return out;
+}
+
 void peer_links::close() {
   for (const auto& [address, it] : state_->links) {
     it->closed = true;
