Nodes poll no more often while answers are late

Cause: gateways have no disk. One without a configuration polled all control nodes that it knew every 150 ms, whether or not the polls before were answered, and each follower forwarded them: some 10,000 polls a second at a leader with 0.6 of a core. Its lease lapses, a leader without a lease confirms nothing, and the polls go on: the overload keeps itself up.

Change: a node polls one control node at a time: the leader, or the others in turn. Unanswered polls are repeated with exponential delays and jitter, up to the default interval, so late answers cause no more polls. A follower forwards a poll only for a node that does not reach the leader, and tells the nodes that polled it meanwhile as soon as a leader is known. Nodes of earlier versions are served as before.

--- a/node/src/control/polls.cc
+++ b/node/src/control/polls.cc
@@ -13,6 +13,21 @@
 // How long a poll is saved; longer than an election takes.
 constexpr milliseconds saved_poll_lifetime{2000};
 
+/// Returns the address at which the node that sent the poll accepts peers.
+std::string address_of_poller(const json& poll) {
+  const json& alive = member_of(poll, "alive");
+  return alive.isObject()
+             ? text_of(alive, "address")
+             : text_of(member_of(member_of(poll, "heartbeat"), "node"),
+                       "peer_address");
+}
+
+/// Whether the node that sent the poll may not reach the leader. Nodes of
+/// earlier versions don't say so.
+bool wants_forwarding(const json& poll) {
+  return !poll.isMember("forward") || flag_of(poll, "forward");
+}
+
 }  // namespace
 
 std::string control_service::identify_poller(const json& params) {
@@ -52,16 +67,16 @@
 }
 
 void control_service::handle_poll(const json& params) {
-  const json& alive = member_of(params, "alive");
-  const json& beat = member_of(params, "heartbeat");
-  const std::string address =
-      alive.isObject() ? text_of(alive, "address")
-                       : text_of(member_of(beat, "node"), "peer_address");
+  ++load_.counters().polls;
+  const std::string via = text_of(params, "via");
+  if (!via.empty()) ++load_.counters().forwarded_polls;
+  answer_poll(params);
+}
+
+void control_service::answer_poll(const json& params) {
+  const std::string address = address_of_poller(params);
   const std::string poller = identify_poller(params);
   const std::string via = text_of(params, "via");
-  control_counters& counters = load_.counters();
-  ++counters.polls;
-  if (!via.empty()) ++counters.forwarded_polls;
   json answer;
   answer["token"] = as_number(number_of(params, "token"));
   answer["leader"] = leader_node();
@@ -71,34 +86,43 @@
     // send its full heartbeat first.
     answer["stranger"] = true;
   } else if (leads()) {
-    watchers_.start_term(host_->core().term());
-    // Send the configuration first, so that it is in force when the answer
-    // arrives.
-    const json& sender = alive.isObject() ? alive : beat;
-    const bool foreign = is_foreign(params);
-    if (foreign) continue_after(params);
-    const config::revision_number held =
-        foreign ? 0 : number_of(params, "revision");
-    watchers_.handle_poll({poller, address, via, number_of(sender, "sequence"),
-                           held, flag_of(params, "missed")});
-    orders_.acknowledge_confirmed();
     answer["confirmed"] = true;
-    answer["update"] = make_update(directory_position_from(params),
-                                   node_directory_.find(poller)->region);
-    ++counters.answers;
-    counters.directory_entries += member_of(answer["update"], "book").size();
-  }
-  // A node that does not lead sends no configuration: its copy may be
-  // outdated, and a gateway using it could run requests outside their home
-  // regions.
-  if (!leads()) {
-    forward_poll(params);
+    answer["update"] = answer_as_leader(poller, params);
+  } else {
+    // A node that does not lead sends no configuration: its copy may be
+    // outdated, and a gateway using it could run requests outside their home
+    // regions.
+    if (wants_forwarding(params)) forward_poll(params);
     if (via.empty()) save_poll(address, params);
   }
   if (!via.empty()) answer["for"] = address;
   context_.links.send(via.empty() ? address : via, "config.update", answer);
 }
 
+json control_service::answer_as_leader(const std::string& poller,
+                                       const json& params) {
+  const std::string address = address_of_poller(params);
+  const std::string via = text_of(params, "via");
+  const json& alive = member_of(params, "alive");
+  const json& sender =
+      alive.isObject() ? alive : member_of(params, "heartbeat");
+  const bool foreign = is_foreign(params);
+  watchers_.start_term(host_->core().term());
+  if (foreign) continue_after(params);
+  const config::revision_number held =
+      foreign ? 0 : number_of(params, "revision");
+  // Sends the configuration before the answer, so that it is in force when the
+  // answer arrives.
+  watchers_.handle_poll({poller, address, via, number_of(sender, "sequence"),
+                         held, flag_of(params, "missed")});
+  orders_.acknowledge_confirmed();
+  ++load_.counters().answers;
+  json update = make_update();
+  const directory_position known = directory_position_from(params);
+  add_directory(update, known, node_directory_.find(poller)->region);
+  return update;
+}
+
 bool control_service::is_foreign(const json& poll) const {
   const std::string group = text_of(poll, "group");
   return !group.empty() && group != host_->core().group_id();
@@ -126,7 +150,7 @@
 
 void control_service::save_poll(const std::string& address,
                                 const json& params) {
-  saved_polls_[address] = {params, context_.clock.now()};
+  saved_polls_[address] = {params, context_.clock.now(), leader_node()};
 }
 
 void control_service::answer_saved_polls() {
@@ -135,18 +159,32 @@
   std::erase_if(saved_polls_, [now](const auto& it) {
     return it.second.at + saved_poll_lifetime < now;
   });
-  if (!leads()) return;
-  const std::map<std::string, saved_poll> saved =
-      std::exchange(saved_polls_, {});
-  for (const auto& [address, it] : saved) handle_poll(it.params);
+  const std::string leader = leader_node();
+  std::vector<json> unanswered;
+  for (auto& [address, it] : saved_polls_) {
+    const bool new_leader = !leader.empty() && leader != it.named_leader;
+    if (!leads() && !new_leader) continue;
+    it.named_leader = leader;
+    unanswered.push_back(it.params);
+  }
+  if (leads()) saved_polls_.clear();
+  for (const json& it : unanswered) answer_poll(it);
+}
+
+void control_service::add_directory(json& update,
+                                    const directory_position& known,
+                                    const std::string& region) {
+  const std::uint64_t term = host_->core().term();
+  node_directory_.add_changes(
+      update, node_directory_.first_missing(known, term), region);
+  add_position(update, {term, node_directory_.version()});
+  load_.counters().directory_entries += member_of(update, "book").size();
 }
 
-json control_service::make_update(const directory_position& known,
-                                  const std::string& region) const {
+json control_service::make_update() const {
   json out;
   out["to"] = as_number(machine_.store().revision());
   out["group"] = host_->core().group_id();
-  node_directory_.add_changes(out, known, host_->core().term(), region);
   json& ledgers = out["ledgers"] = json(Json::arrayValue);
   for (const auto& [name, it] : machine_.ledgers()) {
     ledgers.append(config::to_json(it));
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -106,6 +106,8 @@
   struct saved_poll {
     json params;
     monotonic_time at;
+    /// The leader named in the answer, or empty.
+    std::string named_leader;
   };
   struct founding {
     answer_function answer;
@@ -118,16 +120,21 @@
   /// it. The answer returns through this node.
   void forward_poll(const json& params);
   void handle_poll(const json& params);
+  /// Answers a poll: as the leader, or with the leader's name.
+  void answer_poll(const json& params);
+  /// Records the poll of the node `poller` and sends it what it lacks. Returns
+  /// the part of the answer that only the leader sends.
+  json answer_as_leader(const std::string& poller, const json& params);
   /// Whether the poll is from a watcher whose configuration is from another
   /// group than this one.
   bool is_foreign(const json& poll) const;
   /// Makes this group's revisions higher than that of a watcher whose group was
   /// lost, since watchers take nothing but newer revisions.
   void continue_after(const json& poll);
-  /// Saves a poll received while this node does not lead, in case it is
-  /// elected soon.
+  /// Saves a poll received while this node does not lead, in case it or another
+  /// node is elected soon.
   void save_poll(const std::string& address, const json& params);
-  /// Answers the polls saved before this node was elected. A gateway that has
+  /// Answers saved polls again once another leader is known. A gateway that has
   /// just started serves no requests until a leader has answered it.
   void answer_saved_polls();
   /// Records the sender of a poll and returns its name. Returns an empty name
@@ -139,10 +146,11 @@
   /// Records the answer to a founding probe, and founds the group after the
   /// last one. The founding fails if the probed node belongs to a group.
   void handle_probe_answer(const json& params);
-  /// The part of an answer to a poll that only the leader sends: the
-  /// revision, new or changed nodes, and the ledgers.
-  json make_update(const directory_position& known,
-                   const std::string& region) const;
+  /// The revision and the ledgers, for an answer to a poll.
+  json make_update() const;
+  /// Adds the entries of the directory that a node lacks to an answer.
+  void add_directory(json& update, const directory_position& known,
+                     const std::string& region);
   void on_decided(const config::audit_record& record);
   void finish_founding_if_ready();
   /// Selects the id and the members of a new ledger in `region`; no members
--- a/node/src/leader_finder.cc
+++ b/node/src/leader_finder.cc
@@ -15,8 +15,4 @@
   return leader_;
 }
 
-std::string leader_finder::select_next(const std::vector<std::string>& all) {
-  return all.empty() ? "" : all[next_index_++ % all.size()];
-}
-
 }  // namespace trestlepost::node
--- a/node/src/leader_finder.h
+++ b/node/src/leader_finder.h
@@ -1,11 +1,8 @@
-// Finds the leader of the configuration group. While no leader answers, control
-// nodes are queried in turn until one of them names the leader.
+// Keeps the name of the leader of the configuration group while it answers.
 #pragma once
 
 #include <chrono>
-#include <cstddef>
 #include <string>
-#include <vector>
 
 #include "trestlepost/base/clock.h"
 
@@ -23,17 +20,13 @@
   /// Records that the leader confirmed that it leads.
   void confirmed(monotonic_time now) { last_confirmed_at_ = now; }
 
-  /// The leader at `now`. When empty, query the control node that `select_next`
-  /// returns.
+  /// The leader at `now`; empty if it is not known.
   const std::string& leader(monotonic_time now);
-  /// Selects from `all` in round-robin order; empty when `all` is.
-  std::string select_next(const std::vector<std::string>& all);
 
  private:
   std::chrono::milliseconds timeout_;
   std::string leader_;
   monotonic_time last_confirmed_at_;  // or when it was named
-  std::size_t next_index_ = 0;
 };
 
 }  // namespace trestlepost::node
--- a/node/src/node_directory.cc
+++ b/node/src/node_directory.cc
@@ -24,13 +24,15 @@
   return it == entries_.end() ? nullptr : &it->second.info;
 }
 
-void node_directory::add_changes(json& update, const directory_position& known,
-                                 std::uint64_t term,
-                                 const std::string& region) const {
+std::uint64_t node_directory::first_missing(const directory_position& known,
+                                            std::uint64_t term) const {
   // A position without a term comes from a node of an earlier version.
   const bool comparable = known.term == 0 || known.term == term;
-  const std::uint64_t from =
-      comparable && known.version <= version_ ? known.version : 0;
+  return comparable && known.version <= version_ ? known.version : 0;
+}
+
+void node_directory::add_changes(json& update, std::uint64_t from,
+                                 const std::string& region) const {
   json& entries = update["book"] = json(Json::arrayValue);
   for (const auto& [name, it] : entries_) {
     const bool concerns = it.info.region == region || it.info.control;
@@ -39,7 +41,6 @@
       entries.append(membership::to_json(it.info));
     }
   }
-  add_position(update, {term, version_});
 }
 
 }  // namespace trestlepost::node
--- a/node/src/node_directory.h
+++ b/node/src/node_directory.h
@@ -31,11 +31,17 @@
   void record(const membership::node_info& info);
   /// The node with that name, or null.
   const membership::node_info* find(const std::string& name) const;
-  /// Adds to `update` the entries changed since `known` that a node in `region`
-  /// needs: nodes of its region, control nodes, and nodes with a disk in other
-  /// regions, which may be relays. `term` is that of this leader.
-  void add_changes(json& update, const directory_position& known,
-                   std::uint64_t term, const std::string& region) const;
+  /// The number of changes recorded so far.
+  std::uint64_t version() const { return version_; }
+  /// The version after which a node at position `known` lacks changes. `term`
+  /// is that of this leader.
+  std::uint64_t first_missing(const directory_position& known,
+                              std::uint64_t term) const;
+  /// Adds to `update` the entries changed after version `from` that a node in
+  /// `region` needs: nodes of its region, control nodes, and nodes with a disk
+  /// in other regions, which may be relays.
+  void add_changes(json& update, std::uint64_t from,
+                   const std::string& region) const;
 
  private:
   struct entry {
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -11,12 +11,14 @@
 namespace trestlepost::node {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Maximum number of unanswered polls that are kept; older ones are dropped.
 constexpr std::size_t max_pending_polls = 64;
 // In poll intervals: a leader that confirms nothing for this long is looked up
 // again.
 constexpr int max_unanswered_polls = 3;
-constexpr std::chrono::milliseconds lag_check_interval{250};
+constexpr milliseconds lag_check_interval{250};
 
 /// Whether the revision of `store` is one of `group`. Earlier versions of nodes
 /// don't name their group.
@@ -37,7 +39,8 @@
                            std::function<membership::heartbeat()> beat)
     : context_(context),
       make_heartbeat_(std::move(beat)),
-      finder_(max_unanswered_polls * context.options.timing.poll_interval) {}
+      finder_(max_unanswered_polls * context.options.timing.poll_interval),
+      scheduler_(context.options.timing.poll_interval, context.random) {}
 
 void watch_client::start() {
   if (!context_.options.data_folder.empty()) {
@@ -58,23 +61,19 @@
       });
 }
 
-poll_state watch_client::state_for_poll() const {
-  return {context_.store.revision() > 0,
-          context_.state.confirmed_at(context_.clock.now())};
+poll_situation watch_client::situation() {
+  const monotonic_time now = context_.clock.now();
+  const std::string& leader = finder_.leader(now);
+  return {context_.state.confirmed_at(now),
+          leader.empty() ? "" : context_.peer_address(leader),
+          context_.control_addresses()};
 }
 
 void watch_client::tick() {
-  const monotonic_time now = context_.clock.now();
   check_lag();
-  if (now < next_poll_) return;
-  next_poll_ = now + time_to_next_poll(state_for_poll(),
-                                       context_.options.timing.poll_interval);
-  const std::string& leader = finder_.leader(now);
-  const std::string known = leader.empty() ? "" : context_.peer_address(leader);
-  for (const std::string& it : poll_targets(
-           state_for_poll(), known, context_.control_addresses(), finder_)) {
-    poll(it);
-  }
+  const std::optional<planned_poll> due =
+      scheduler_.next(situation(), context_.clock.now());
+  if (due) poll(*due);
 }
 
 void watch_client::check_lag() {
@@ -90,11 +89,12 @@
   lag_.record(context_.store.revision(), newest, now);
 }
 
-void watch_client::poll(const std::string& address) {
+void watch_client::poll(const planned_poll& planned) {
   json params;
   const std::uint64_t token = next_token_++;
   params["token"] = as_number(token);
-  add_identity(params, address);
+  params["forward"] = planned.forward;
+  add_identity(params, planned.address);
   params["revision"] = as_number(context_.store.revision());
   params["group"] = context_.store.group();
   if (!context_.state.confirmed_at(context_.clock.now())) {
@@ -103,18 +103,15 @@
   add_position(params, directory_position_);
   if (update_missed_) params["missed"] = true;
   update_missed_ = false;
-  pending_polls_.push_back({token, context_.clock.now()});
+  pending_polls_.push_back({token, planned.address, context_.clock.now()});
   if (pending_polls_.size() > max_pending_polls) pending_polls_.pop_front();
-  context_.links.send(address, "config.poll", params);
+  context_.links.send(planned.address, "config.poll", params);
 }
 
 void watch_client::add_identity(json& params, const std::string& address) {
   const membership::heartbeat beat = make_heartbeat_();
-  const bool known =
-      identified_to_ == address && identified_state_ == beat.state;
-  identified_to_ = address;
-  identified_state_ = beat.state;
-  if (!known) {
+  std::string& identified = identified_[address];
+  if (std::exchange(identified, beat.state) != beat.state) {
     params["heartbeat"] = membership::to_json(beat);
     return;
   }
@@ -133,15 +130,10 @@
     context_.links.send(recipient, "config.update", params);
     return;
   }
-  const monotonic_time now = context_.clock.now();
-  const std::string leader = text_of(params, "leader");
-  const std::string leader_address = text_of(params, "leader_address");
-  if (!leader_address.empty())
-    context_.observed_addresses[leader] = leader_address;
-  if (finder_.set_leader(leader, now)) next_poll_ = now;
+  record_leader(params);
   if (flag_of(params, "stranger")) {
-    identified_to_.clear();
-    next_poll_ = now;
+    identified_.clear();
+    scheduler_.poll_now();
   }
   const std::uint64_t token = number_of(params, "token");
   const auto pending = std::find_if(
@@ -150,16 +142,32 @@
   const json& update = member_of(params, "update");
   if (update.isObject()) apply(update);
   if (pending == pending_polls_.end()) return;
-  // A follower's answer is not final: it has forwarded the poll to the leader.
+  scheduler_.record_answer(pending->address);
+  // A follower's answer is not final: it may have forwarded the poll to the
+  // leader.
   if (!flag_of(params, "confirmed")) return;
-  finder_.confirmed(now);
-  read_directory(update);
+  finder_.confirmed(context_.clock.now());
+  scheduler_.record_confirmation();
+  read_answer(update);
   const leader_position position{text_of(update, "group"),
                                  number_of(update, "to")};
   confirm(position, pending->sent_at);
   pending_polls_.erase(pending);
 }
 
+void watch_client::record_leader(const json& params) {
+  const std::string leader = text_of(params, "leader");
+  const std::string leader_address = text_of(params, "leader_address");
+  if (!leader_address.empty())
+    context_.observed_addresses[leader] = leader_address;
+  finder_.set_leader(leader, context_.clock.now());
+  if (leader.empty() || leader == named_leader_) return;
+  named_leader_ = leader;
+  // The new leader may not know this node.
+  identified_.clear();
+  scheduler_.record_new_leader(context_.clock.now());
+}
+
 void watch_client::confirm(const leader_position& leader,
                            monotonic_time sent_at) {
   const bool current = context_.store.revision() >= leader.revision;
@@ -221,7 +229,7 @@
   context_.store = std::move(next);
   // Reports the revision to the leader, which waits for it before it
   // acknowledges a plan.
-  next_poll_ = context_.clock.now();
+  scheduler_.poll_now();
   log_event(log_level::info, "configuration-in-force",
             {{"revision", std::to_string(context_.store.revision())},
              {"group", context_.store.group()},
@@ -234,10 +242,10 @@
             {{"revision", std::to_string(context_.store.revision())},
              {"detail", cause.message}});
   update_missed_ = true;
-  next_poll_ = context_.clock.now();
+  scheduler_.poll_now();
 }
 
-void watch_client::read_directory(const json& update) {
+void watch_client::read_answer(const json& update) {
   for (const json& it : member_of(update, "book")) {
     const membership::node_info info = membership::node_info_from(it);
     if (!info.name.empty()) context_.known_nodes[info.name] = info;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -10,12 +10,12 @@
 #include <optional>
 #include <string>
 
+#include "configuration/poll_scheduler.h"
 #include "configuration/revision_lag.h"
 #include "disk/configuration_saver.h"
 #include "leader_finder.h"
 #include "node_context.h"
 #include "node_directory.h"
-#include "poll_schedule.h"
 #include "trestlepost/config/state_machine.h"
 
 namespace trestlepost::node {
@@ -42,6 +42,7 @@
   /// A poll that has not been answered yet.
   struct pending_poll {
     std::uint64_t token = 0;
+    std::string address;
     monotonic_time sent_at;
   };
   /// The group that a leader leads, and its revision.
@@ -55,16 +56,18 @@
     monotonic_time poll_sent_at;
   };
 
-  /// The state that decides when and whom this node polls.
-  poll_state state_for_poll() const;
-  void poll(const std::string& address);
+  /// What decides when and whom this node polls.
+  poll_situation situation();
+  void poll(const planned_poll& planned);
   /// Adds this node's identity to a poll: the full heartbeat if the receiver
-  /// doesn't have this node's current state, else only the fields that show
+  /// may not have this node's current state, else only the fields that show
   /// that the node is alive.
   void add_identity(json& params, const std::string& address);
   /// Handles an answer to a poll or a pushed update. Forwards it if it is meant
   /// for another watcher.
   void handle_update(const json& params);
+  /// Records the leader that an answer names.
+  void record_leader(const json& params);
   void apply(const json& update);
   /// Puts a configuration into force.
   void set_configuration(config::object_store next);
@@ -79,7 +82,7 @@
   /// Compares this node's revision with those of the other live nodes.
   void check_lag();
   /// Takes the node addresses and ledger groups from a confirmed update.
-  void read_directory(const json& update);
+  void read_answer(const json& update);
 
   node_context& context_;
   std::function<membership::heartbeat()> make_heartbeat_;
@@ -90,10 +93,12 @@
   directory_position directory_position_;
   /// Whether an update since the last poll skipped revisions or was unreadable.
   bool update_missed_ = false;
-  monotonic_time next_poll_;
-  /// The receiver of the last poll, and this node's state in it.
-  std::string identified_to_;
-  std::string identified_state_;
+  poll_scheduler scheduler_;
+  /// The leader that a control node named last.
+  std::string named_leader_;
+  /// The state of this node in the last full heartbeat to each control node, by
+  /// address.
+  std::map<std::string, std::string> identified_;
   /// Null if this node has no data folder.
   std::unique_ptr<configuration_saver> saver_;
   std::optional<unsaved_answer> unsaved_answer_;
--- a/node/test/leader_finder-test.cc
+++ b/node/test/leader_finder-test.cc
@@ -34,14 +34,5 @@
   EXPECT_EQ(finder.leader(start + milliseconds(2500)), "a");
 }
 
-TEST(leader_finder_test, without_a_leader_control_nodes_are_selected_in_turn) {
-  leader_finder finder(timeout);
-  const std::vector<std::string> all{"x", "y"};
-  EXPECT_EQ(finder.select_next(all), "x");
-  EXPECT_EQ(finder.select_next(all), "y");
-  EXPECT_EQ(finder.select_next(all), "x");
-  EXPECT_EQ(finder.select_next({}), "");
-}
-
 }  // namespace
 }  // namespace trestlepost::node
--- a/node/test/node_directory-test.cc
+++ b/node/test/node_directory-test.cc
@@ -24,7 +24,8 @@
 json update_of(const node_directory& directory, const directory_position& known,
                std::uint64_t term) {
   json out;
-  directory.add_changes(out, known, term, region);
+  directory.add_changes(out, directory.first_missing(known, term), region);
+  add_position(out, {term, directory.version()});
   return out;
 }
 
