Directory entries are encoded once for all nodes that lack them

Cause: the leader answered each poll with the entries of its directory that the poll's position lacks, encoded and compressed for this one node. When all nodes start at once, each is a new entry and lacks all others: 104 nodes of a region cost some 104 times 104 entries, and again for each poll sent meanwhile.

Change: entries are published in rounds, a millisecond for each entry apart, and sent in messages of their own that are encoded once a round, region and position. Nodes of earlier versions, and those reached through another node, get them in their answer as before.

--- a/node/src/control/polls.cc
+++ b/node/src/control/polls.cc
@@ -119,7 +119,12 @@
   ++load_.counters().answers;
   json update = make_update();
   const directory_position known = directory_position_from(params);
-  add_directory(update, known, node_directory_.find(poller)->region);
+  const std::string& region = node_directory_.find(poller)->region;
+  if (via.empty() && flag_of(params, "takes_directory")) {
+    send_directory(address, known, region);
+  } else {
+    add_directory(update, known, region);
+  }
   return update;
 }
 
@@ -171,6 +176,17 @@
   for (const json& it : unanswered) answer_poll(it);
 }
 
+void control_service::send_directory(const std::string& address,
+                                     const directory_position& known,
+                                     const std::string& region) {
+  const directory_publisher::published* changes =
+      directory_publisher_.changes_for(known, host_->core().term(), region,
+                                       context_.clock.now());
+  if (changes == nullptr) return;
+  context_.links.send(address, changes->message);
+  load_.counters().directory_entries += changes->entries;
+}
+
 void control_service::add_directory(json& update,
                                     const directory_position& known,
                                     const std::string& region) {
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -13,6 +13,7 @@
 
 #include "config_watchers.h"
 #include "control/control_load.h"
+#include "control/directory_publisher.h"
 #include "group_maintenance.h"
 #include "group_orders.h"
 #include "hold_proposer.h"
@@ -148,7 +149,12 @@
   void handle_probe_answer(const json& params);
   /// The revision and the ledgers, for an answer to a poll.
   json make_update() const;
-  /// Adds the entries of the directory that a node lacks to an answer.
+  /// Sends a node the entries of the directory that it lacks.
+  void send_directory(const std::string& address,
+                      const directory_position& known,
+                      const std::string& region);
+  /// Adds these entries to an answer, for nodes that don't take messages with
+  /// entries or are not reached directly.
   void add_directory(json& update, const directory_position& known,
                      const std::string& region);
   void on_decided(const config::audit_record& record);
@@ -190,6 +196,7 @@
   std::map<std::string, pending_change> pending_changes_;
   std::map<std::string, saved_poll> saved_polls_;  // the latest, by address
   std::optional<founding> founding_;
+  directory_publisher directory_publisher_{node_directory_};
   monotonic_time next_join_;
   monotonic_time next_restart_;
   std::uint64_t next_read_ = 1;
--- a/node/src/node_directory.h
+++ b/node/src/node_directory.h
@@ -11,6 +11,9 @@
 
 namespace trestlepost::node {
 
+/// The notification that contains entries of the directory.
+inline constexpr char directory_method[] = "config.directory";
+
 /// How much of a leader's directory a node has. Versions of different terms are
 /// not comparable, since each leader counts the changes that it has recorded.
 struct directory_position {
@@ -31,6 +34,8 @@
   void record(const membership::node_info& info);
   /// The node with that name, or null.
   const membership::node_info* find(const std::string& name) const;
+  /// The number of entries.
+  std::size_t size() const { return entries_.size(); }
   /// The number of changes recorded so far.
   std::uint64_t version() const { return version_; }
   /// The version after which a node at position `known` lacks changes. `term`
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -63,6 +63,11 @@
 
 poll_situation watch_client::situation() {
   const monotonic_time now = context_.clock.now();
+  context_.peers.add_notification(
+      directory_method,
+      [this](const json& params, const transport::rpc_context&) {
+        handle_directory(params);
+      });
   const std::string& leader = finder_.leader(now);
   return {context_.state.confirmed_at(now),
           leader.empty() ? "" : context_.peer_address(leader),
@@ -97,6 +102,7 @@
   add_identity(params, planned.address);
   params["revision"] = as_number(context_.store.revision());
   params["group"] = context_.store.group();
+  params["takes_directory"] = true;
   if (!context_.state.confirmed_at(context_.clock.now())) {
     params["unconfirmed"] = true;
   }
@@ -245,12 +251,30 @@
   scheduler_.poll_now();
 }
 
-void watch_client::read_answer(const json& update) {
+void watch_client::handle_directory(const json& params) {
+  record_entries(params);
+  const directory_position next = directory_position_from(params);
+  const std::uint64_t from = number_of(params, "from");
+  const bool same_term = next.term == directory_position_.term;
+  // Messages that overtake others leave gaps.
+  const bool complete =
+      from == 0 || (same_term && from <= directory_position_.version);
+  const bool newer = !same_term || next.version > directory_position_.version;
+  if (complete && newer) directory_position_ = next;
+}
+
+void watch_client::record_entries(const json& update) {
   for (const json& it : member_of(update, "book")) {
     const membership::node_info info = membership::node_info_from(it);
     if (!info.name.empty()) context_.known_nodes[info.name] = info;
   }
-  directory_position_ = directory_position_from(update);
+}
+
+void watch_client::read_answer(const json& update) {
+  if (update.isMember("book")) {
+    record_entries(update);
+    directory_position_ = directory_position_from(update);
+  }
   for (const json& it : member_of(update, "ledgers")) {
     const config::ledger_founding one = config::ledger_founding_from(it);
     ledgers_[one.region] = one;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -81,7 +81,12 @@
   void request_missed_update(const error& cause);
   /// Compares this node's revision with those of the other live nodes.
   void check_lag();
-  /// Takes the node addresses and ledger groups from a confirmed update.
+  /// Handles entries of the leader's node directory.
+  void handle_directory(const json& params);
+  /// Takes the entries of the node directory from a message.
+  void record_entries(const json& update);
+  /// Takes the ledger groups, and directory entries if it contains any, from
+  /// the leader's part of an answer.
   void read_answer(const json& update);
 
   node_context& context_;
