Polls take a bounded share of a control node's time

Cause: a control node answered each poll where it was read. However many nodes poll, the group's messages wait behind them, the leader's lease lapses, and then no poll is confirmed at all.

--- a/node/src/control/polls.cc
+++ b/node/src/control/polls.cc
@@ -70,7 +70,16 @@
   ++load_.counters().polls;
   const std::string via = text_of(params, "via");
   if (!via.empty()) ++load_.counters().forwarded_polls;
-  answer_poll(params);
+  polls_.push(address_of_poller(params), via, params);
+  answer_polls();
+}
+
+void control_service::answer_polls() {
+  while (const std::optional<json> next = polls_.pop()) {
+    const monotonic_time started_at = context_.clock.now();
+    answer_poll(*next);
+    polls_.record_duration(context_.clock.now() - started_at);
+  }
 }
 
 void control_service::answer_poll(const json& params) {
@@ -173,7 +182,7 @@
     unanswered.push_back(it.params);
   }
   if (leads()) saved_polls_.clear();
-  for (const json& it : unanswered) answer_poll(it);
+  for (const json& it : unanswered) polls_.push(address_of_poller(it), "", it);
 }
 
 void control_service::send_directory(const std::string& address,
--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -266,6 +266,8 @@
   found_ledgers();
   hold_proposer_.tick(leads());
   answer_saved_polls();
+  polls_.start_tick();
+  answer_polls();
   std::erase_if(pending_changes_, [now](const auto& it) {
     return it.second.since + pending_change_lifetime < now;
   });
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -14,6 +14,7 @@
 #include "config_watchers.h"
 #include "control/control_load.h"
 #include "control/directory_publisher.h"
+#include "control/poll_queue.h"
 #include "group_maintenance.h"
 #include "group_orders.h"
 #include "hold_proposer.h"
@@ -121,6 +122,8 @@
   /// it. The answer returns through this node.
   void forward_poll(const json& params);
   void handle_poll(const json& params);
+  /// Answers polls for as long as they may take in this tick.
+  void answer_polls();
   /// Answers a poll: as the leader, or with the leader's name.
   void answer_poll(const json& params);
   /// Records the poll of the node `poller` and sends it what it lacks. Returns
@@ -192,11 +195,12 @@
         propose(std::move(requested), [](const result<json>&) {});
       }};
   group_orders orders_{context_, *this};
+  poll_queue polls_;
   node_directory node_directory_;
+  directory_publisher directory_publisher_{node_directory_};
   std::map<std::string, pending_change> pending_changes_;
   std::map<std::string, saved_poll> saved_polls_;  // the latest, by address
   std::optional<founding> founding_;
-  directory_publisher directory_publisher_{node_directory_};
   monotonic_time next_join_;
   monotonic_time next_restart_;
   std::uint64_t next_read_ = 1;
