A gateway that is outdated takes a newer plan from others, or refuses

Cause: only a leader gave configuration away. A gateway whose way to the leader is cut, slow or loses data stayed behind, and served by what it had, although the heartbeats of other nodes told it of a newer revision; once its lease had expired it did so without an end (isolated).

Change: a node that others have been ahead of for a second requests the configuration from one of them, of the same group only, with delays that double. Such a copy is not confirmed. If it stays behind for 2 s it serves no requests (state outdated: 503 with Retry-After, not in the directory) until it has caught up. The time runs from the last confirmation of a leader, so what a node reports stops no gateway that a leader confirms; and a region whose nodes all have the same revision serves on without any leader.

Test, over processes, behind a proxy that disturbs what control nodes send to one gateway: cut, 8 s late, 95% lost with their connections, with the leader kept and killed; and a gateway that can get the newer plan from nobody. Two cases that held before check that such a gateway serves on: confirmed by a leader, and without any leader.

--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -30,6 +30,19 @@
   return kind != error_kind::endpoint_failed;
 }
 
+/// Why a node in this state serves no callers.
+error not_serving_error(const membership::node_state& state) {
+  const char remedy[] = "query /v1/entries for another node";
+  if (state.is(membership::node_states::draining))
+    return {error_kind::draining, "this node is stopping", remedy};
+  if (state.is(membership::node_states::outdated)) {
+    return {error_kind::configuration_behind,
+            "other nodes have a newer configuration", remedy};
+  }
+  return {error_kind::unavailable, "this node has no configuration yet",
+          remedy};
+}
+
 }  // namespace
 
 awaitable<void> entry_handler::handle(http_exchange& exchange) {
@@ -171,13 +184,9 @@
     return tl::make_unexpected(failed_attempt(run_state::no, cause));
   };
   if (!context_.state.serves_callers()) {
-    const bool stopping = context_.state.is(membership::node_states::draining);
-    error cause{stopping ? error_kind::draining : error_kind::unavailable,
-                stopping ? "this node is stopping"
-                         : "this node has no configuration yet",
-                "query /v1/entries for another node"};
+    error cause = not_serving_error(context_.state);
     co_return tl::make_unexpected(
-        failed_attempt(run_state::no, cause, seconds(1)));
+        failed_attempt(run_state::no, std::move(cause), seconds(1)));
   }
   const result<std::shared_ptr<const config::caller>> caller =
       authenticate(exchange);
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -96,6 +96,10 @@
     return fail(error_kind::draining, "this node is stopping",
                 "use another node");
   }
+  if (context_.state.is(membership::node_states::outdated)) {
+    return fail(error_kind::configuration_behind,
+                "other nodes have a newer configuration", "use another node");
+  }
   const config::route* found = routes_.find(head.host, head.path());
   if (found == nullptr) {
     return fail(error_kind::not_found,
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -16,6 +16,7 @@
 inline constexpr char starting[] = "starting";
 inline constexpr char ready[] = "ready";
 inline constexpr char isolated[] = "isolated";
+inline constexpr char outdated[] = "outdated";
 inline constexpr char draining[] = "draining";
 }  // namespace node_states
 
@@ -56,6 +57,8 @@
   /// `requested_at`, the time at which this node sent its request.
   void confirm(monotonic_time requested_at, monotonic_time now);
   void order_stop();
+  /// Sets whether live nodes have had a newer configuration for too long.
+  void set_outdated(bool outdated, monotonic_time now);
   void tick(monotonic_time now, bool has_configuration);
 
   const std::string& name() const { return state_; }
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -9,8 +9,9 @@
 
 charts::chart_interface node_chart_interface() {
   return {{node_states::starting, node_states::ready, node_states::isolated,
-           node_states::draining},
-          {"confirmed", "lease_expired", "startup_over", "stop_ordered"},
+           node_states::outdated, node_states::draining},
+          {"confirmed", "lease_expired", "startup_over", "superseded",
+           "caught_up", "stop_ordered"},
           {"has_configuration"}};
 }
 
@@ -68,6 +69,11 @@
   handle("stop_ordered", true);
 }
 
+void node_state::set_outdated(bool outdated, monotonic_time now) {
+  handle(outdated ? "superseded" : "caught_up", true);
+  if (!outdated && confirmed_at(now)) handle("confirmed", true);
+}
+
 void node_state::tick(monotonic_time now, bool has_configuration) {
   if (last_tick_ && now >= *last_tick_ + options_.suspension_threshold)
     resumed_at_ = now;
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -19,6 +19,9 @@
 // again.
 constexpr int max_unanswered_polls = 3;
 constexpr milliseconds lag_check_interval{250};
+// A node that others have been ahead of for longer serves no requests: a plan
+// may have been acknowledged without it.
+constexpr milliseconds max_lag{2000};
 
 /// Whether the revision of `store` is one of `group`. Earlier versions of nodes
 /// don't name their group.
@@ -40,7 +43,8 @@
     : context_(context),
       make_heartbeat_(std::move(beat)),
       finder_(max_unanswered_polls * context.options.timing.poll_interval),
-      scheduler_(context.options.timing.poll_interval, context.random) {}
+      scheduler_(context.options.timing.poll_interval, context.random),
+      newer_(context, [this](const json& update) { apply(update); }) {}
 
 void watch_client::start() {
   if (!context_.options.data_folder.empty()) {
@@ -59,15 +63,16 @@
       [this](const json& params, const transport::rpc_context&) {
         handle_update(params);
       });
-}
-
-poll_situation watch_client::situation() {
-  const monotonic_time now = context_.clock.now();
+  newer_.start();
   context_.peers.add_notification(
       directory_method,
       [this](const json& params, const transport::rpc_context&) {
         handle_directory(params);
       });
+}
+
+poll_situation watch_client::situation() {
+  const monotonic_time now = context_.clock.now();
   const std::string& leader = finder_.leader(now);
   return {context_.state.confirmed_at(now),
           leader.empty() ? "" : context_.peer_address(leader),
@@ -85,13 +90,12 @@
   const monotonic_time now = context_.clock.now();
   if (now < next_lag_check_) return;
   next_lag_check_ = now + lag_check_interval;
-  config::revision_number newest = 0;
-  for (const membership::node_record* it : context_.nodes.all()) {
-    const bool live =
-        context_.nodes.state_of(*it, now) == membership::peer_state::live;
-    if (live) newest = std::max(newest, it->last.revision);
-  }
-  lag_.record(context_.store.revision(), newest, now);
+  const reported_configuration newest = newest_reported(context_);
+  lag_.record(context_.store.revision(), newest.revision,
+              context_.state.last_confirmed_at(), now);
+  const milliseconds lag = lag_.lag(now);
+  newer_.tick(newest, lag);
+  context_.state.set_outdated(lag >= max_lag, now);
 }
 
 void watch_client::poll(const planned_poll& planned) {
@@ -99,10 +103,10 @@
   const std::uint64_t token = next_token_++;
   params["token"] = as_number(token);
   params["forward"] = planned.forward;
+  params["takes_directory"] = true;
   add_identity(params, planned.address);
   params["revision"] = as_number(context_.store.revision());
   params["group"] = context_.store.group();
-  params["takes_directory"] = true;
   if (!context_.state.confirmed_at(context_.clock.now())) {
     params["unconfirmed"] = true;
   }
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "configuration/newer_configuration.h"
 #include "configuration/poll_scheduler.h"
 #include "configuration/revision_lag.h"
 #include "disk/configuration_saver.h"
@@ -79,7 +80,8 @@
   /// Logs that an update could not be applied, and reports it to the leader in
   /// an immediate poll.
   void request_missed_update(const error& cause);
-  /// Compares this node's revision with those of the other live nodes.
+  /// Compares this node's revision with those of the other live nodes. Requests
+  /// a newer one from them, and sets the node's state, if this node lags.
   void check_lag();
   /// Handles entries of the leader's node directory.
   void handle_directory(const json& params);
@@ -108,6 +110,7 @@
   std::unique_ptr<configuration_saver> saver_;
   std::optional<unsaved_answer> unsaved_answer_;
   revision_lag lag_;
+  newer_configuration newer_;
   monotonic_time next_lag_check_;
 };
 
