--- a/node/src/control/control_load.cc
+++ b/node/src/control/control_load.cc
@@ -28,14 +28,12 @@
 
 void control_load::tick(const std::string& leader, bool leads,
                         monotonic_time now) {
-  if (!started_ || leader != leader_) {
-    if (!started_) logged_at_ = now;
-    started_ = true;
+  if (!logged_at_ || leader != leader_) {
     leader_ = leader;
     log_until_ = now + log_period;
   }
-  if (now < logged_at_ + log_interval) return;
-  if (now < log_until_) log(leads, now);
+  if (logged_at_ && now < *logged_at_ + log_interval) return;
+  if (logged_at_ && now < log_until_) log(leads, now);
   logged_ = counters_;
   logged_traffic_ = links_.traffic();
   logged_cpu_time_ = cpu_time();
@@ -47,7 +45,7 @@
   log_event(
       log_level::info, "control-load",
       {{"leads", leads ? "yes" : "no"},
-       {"ms", ms_between(logged_at_, now)},
+       {"ms", ms_between(*logged_at_, now)},
        {"cpu_ms", std::to_string((cpu_time() - logged_cpu_time_).count())},
        {"polls", difference(logged_.polls, counters_.polls)},
        {"forwarded_polls",
--- a/node/src/control/control_load.h
+++ b/node/src/control/control_load.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "trestlepost/base/clock.h"
@@ -45,8 +46,7 @@
   std::chrono::milliseconds logged_cpu_time_{};
   std::string leader_;
   monotonic_time log_until_;
-  monotonic_time logged_at_;
-  bool started_ = false;
+  std::optional<monotonic_time> logged_at_;
 };
 
 }  // namespace trestlepost::node
