Polls are planned when they are due, holders listed when one is asked

Found by reading the change: each tick collected the addresses of all control nodes, and each check of the lag those of all nodes with the newest revision. Behaviour unchanged; the tests of returns, of outdated gateways and of node pass.

--- a/node/src/configuration/newer_configuration.cc
+++ b/node/src/configuration/newer_configuration.cc
@@ -20,20 +20,35 @@
 constexpr milliseconds min_retry_delay{400};
 constexpr milliseconds max_retry_delay{3200};
 
-}  // namespace
-
-reported_configuration newest_reported(const node_context& context) {
+/// Calls `visit` with the last heartbeat of each live node but this one.
+template <typename F>
+void for_each_live_node(const node_context& context, const F& visit) {
   const monotonic_time now = context.clock.now();
-  reported_configuration out;
   for (const membership::node_record* it : context.nodes.all()) {
-    const membership::heartbeat& last = it->last;
     const bool live =
         context.nodes.state_of(*it, now) == membership::peer_state::live;
-    if (!live || last.node.name == context.self.name) continue;
-    if (last.revision < out.revision) continue;
-    if (last.revision > out.revision) out = {last.revision, {}};
-    out.holders.push_back(last.node.peer_address);
+    if (live && it->last.node.name != context.self.name) visit(it->last);
   }
+}
+
+}  // namespace
+
+config::revision_number newest_reported(const node_context& context) {
+  config::revision_number out = 0;
+  for_each_live_node(context, [&out](const membership::heartbeat& it) {
+    out = std::max(out, it.revision);
+  });
+  return out;
+}
+
+std::vector<std::string> newer_configuration::holders_of(
+    config::revision_number revision) const {
+  std::vector<std::string> out;
+  for_each_live_node(context_,
+                     [&out, revision](const membership::heartbeat& it) {
+                       if (it.revision == revision)
+                         out.push_back(it.node.peer_address);
+                     });
   return out;
 }
 
@@ -49,23 +64,22 @@
       });
 }
 
-void newer_configuration::tick(const reported_configuration& newest,
+void newer_configuration::tick(config::revision_number newest,
                                milliseconds lag) {
   const monotonic_time now = context_.clock.now();
   const config::object_store& own = context_.store;
-  const bool behind = newest.revision > own.revision();
-  if (!behind || lag < min_lag) {
+  if (newest <= own.revision() || lag < min_lag) {
     retry_delay_ = min_retry_delay;
     return;
   }
   // Without a configuration of a known group there is nothing to compare a copy
   // with.
-  if (own.group().empty() || now < next_request_ || newest.holders.empty())
-    return;
+  if (own.group().empty() || now < next_request_) return;
+  const std::vector<std::string> holders = holders_of(newest);
+  if (holders.empty()) return;
   next_request_ = now + retry_delay_;
   retry_delay_ = std::min(2 * retry_delay_, max_retry_delay);
-  const std::string& holder =
-      newest.holders[context_.random.below(newest.holders.size())];
+  const std::string& holder = holders[context_.random.below(holders.size())];
   json params;
   params["revision"] = as_number(own.revision());
   params["group"] = own.group();
@@ -74,7 +88,7 @@
   log_event(log_level::info, "configuration-requested",
             {{"node_address", holder},
              {"revision", std::to_string(own.revision())},
-             {"newest", std::to_string(newest.revision)}});
+             {"newest", std::to_string(newest)}});
 }
 
 void newer_configuration::handle_request(const json& params) {
--- a/node/src/configuration/newer_configuration.h
+++ b/node/src/configuration/newer_configuration.h
@@ -13,14 +13,9 @@
 
 namespace trestlepost::node {
 
-/// The newest configuration that live nodes report.
-struct reported_configuration {
-  config::revision_number revision = 0;
-  std::vector<std::string> holders;  // peer addresses
-};
-
-/// Returns the newest configuration that live nodes, this one excepted, report.
-reported_configuration newest_reported(const node_context& context);
+/// Returns the newest revision that live nodes, this one excepted, report; 0 if
+/// there are none.
+config::revision_number newest_reported(const node_context& context);
 
 /// A copy from another node is not confirmed: it replaces an older one of the
 /// same group, and only a leader tells whether it is current.
@@ -32,12 +27,13 @@
       : context_(context), apply_(std::move(apply)) {}
 
   void start();
-  /// Sends a request if none is under way. `lag` is how long other nodes have
-  /// had a newer configuration.
-  void tick(const reported_configuration& newest,
-            std::chrono::milliseconds lag);
+  /// Sends a request if one is due. `lag` is how long other nodes have had a
+  /// newer configuration, of which `newest` is the newest revision.
+  void tick(config::revision_number newest, std::chrono::milliseconds lag);
 
  private:
+  /// The peer addresses of the live nodes that report `revision`.
+  std::vector<std::string> holders_of(config::revision_number revision) const;
   void handle_request(const json& params);
   void handle_answer(const json& params);
   /// The own configuration, encoded once for all that request it.
--- a/node/src/configuration/poll_scheduler.cc
+++ b/node/src/configuration/poll_scheduler.cc
@@ -30,7 +30,7 @@
 
 std::optional<planned_poll> poll_scheduler::next(
     const poll_situation& situation, monotonic_time now) {
-  if (!due_now_ && now < next_poll_at_) return std::nullopt;
+  if (!is_due(now)) return std::nullopt;
   std::optional<planned_poll> out = choose(situation, now);
   if (!out) return std::nullopt;
   record_sent(out->address, now);
--- a/node/src/configuration/poll_scheduler.h
+++ b/node/src/configuration/poll_scheduler.h
@@ -42,7 +42,11 @@
   poll_scheduler(std::chrono::milliseconds default_interval,
                  random_source& random);
 
-  /// The poll to send now; nullopt if none is due.
+  bool is_due(monotonic_time now) const {
+    return due_now_ || now >= next_poll_at_;
+  }
+  /// The poll to send now; nullopt if none is due or no control node may be
+  /// polled yet.
   std::optional<planned_poll> next(const poll_situation& situation,
                                    monotonic_time now);
   /// Makes a poll due now, for news that the leader waits for. Such a poll is
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -81,17 +81,18 @@
 
 void watch_client::tick() {
   check_lag();
-  const std::optional<planned_poll> due =
-      scheduler_.next(situation(), context_.clock.now());
-  if (due) poll(*due);
+  const monotonic_time now = context_.clock.now();
+  if (!scheduler_.is_due(now)) return;
+  const std::optional<planned_poll> planned = scheduler_.next(situation(), now);
+  if (planned) poll(*planned);
 }
 
 void watch_client::check_lag() {
   const monotonic_time now = context_.clock.now();
   if (now < next_lag_check_) return;
   next_lag_check_ = now + lag_check_interval;
-  const reported_configuration newest = newest_reported(context_);
-  lag_.record(context_.store.revision(), newest.revision,
+  const config::revision_number newest = newest_reported(context_);
+  lag_.record(context_.store.revision(), newest,
               context_.state.last_confirmed_at(), now);
   const milliseconds lag = lag_.lag(now);
   newer_.tick(newest, lag);
