A node sends its full heartbeat until the leader has confirmed it

Cause: a node counted as known once its full heartbeat had been sent to a control node, also to one that forwards only on request. The forwarded poll after it had the short form, the leader asked for the full one, and that went to the leader that the node can't reach. Now only a leader's confirmation tells that it knows the node.

--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -105,7 +105,8 @@
   params["token"] = as_number(token);
   params["forward"] = planned.forward;
   params["takes_directory"] = true;
-  add_identity(params, planned.address);
+  const membership::heartbeat beat = make_heartbeat_();
+  add_identity(params, beat);
   params["revision"] = as_number(context_.store.revision());
   params["group"] = context_.store.group();
   if (!context_.state.confirmed_at(context_.clock.now())) {
@@ -114,15 +115,15 @@
   add_position(params, directory_position_);
   if (update_missed_) params["missed"] = true;
   update_missed_ = false;
-  pending_polls_.push_back({token, planned.address, context_.clock.now()});
+  pending_polls_.push_back(
+      {token, planned.address, context_.clock.now(), beat.state});
   if (pending_polls_.size() > max_pending_polls) pending_polls_.pop_front();
   context_.links.send(planned.address, "config.poll", params);
 }
 
-void watch_client::add_identity(json& params, const std::string& address) {
-  const membership::heartbeat beat = make_heartbeat_();
-  std::string& identified = identified_[address];
-  if (std::exchange(identified, beat.state) != beat.state) {
+void watch_client::add_identity(json& params,
+                                const membership::heartbeat& beat) const {
+  if (identified_state_ != beat.state) {
     params["heartbeat"] = membership::to_json(beat);
     return;
   }
@@ -143,7 +144,7 @@
   }
   record_leader(params);
   if (flag_of(params, "stranger")) {
-    identified_.clear();
+    identified_state_.clear();
     scheduler_.poll_now();
   }
   const std::uint64_t token = number_of(params, "token");
@@ -159,6 +160,7 @@
   if (!flag_of(params, "confirmed")) return;
   finder_.confirmed(context_.clock.now());
   scheduler_.record_confirmation();
+  identified_state_ = pending->state;
   read_answer(update);
   const leader_position position{text_of(update, "group"),
                                  number_of(update, "to")};
@@ -175,7 +177,7 @@
   if (leader.empty() || leader == named_leader_) return;
   named_leader_ = leader;
   // The new leader may not know this node.
-  identified_.clear();
+  identified_state_.clear();
   scheduler_.record_new_leader(context_.clock.now());
 }
 
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -45,6 +45,8 @@
     std::uint64_t token = 0;
     std::string address;
     monotonic_time sent_at;
+    /// The state of this node in the poll.
+    std::string state;
   };
   /// The group that a leader leads, and its revision.
   struct leader_position {
@@ -60,10 +62,10 @@
   /// What decides when and whom this node polls.
   poll_situation situation();
   void poll(const planned_poll& planned);
-  /// Adds this node's identity to a poll: the full heartbeat if the receiver
-  /// may not have this node's current state, else only the fields that show
-  /// that the node is alive.
-  void add_identity(json& params, const std::string& address);
+  /// Adds this node's identity to a poll: the full heartbeat if the leader may
+  /// not have this node's current state, else only the fields that show that
+  /// the node is alive.
+  void add_identity(json& params, const membership::heartbeat& beat) const;
   /// Handles an answer to a poll or a pushed update. Forwards it if it is meant
   /// for another watcher.
   void handle_update(const json& params);
@@ -103,9 +105,9 @@
   poll_scheduler scheduler_;
   /// The leader that a control node named last.
   std::string named_leader_;
-  /// The state of this node in the last full heartbeat to each control node, by
-  /// address.
-  std::map<std::string, std::string> identified_;
+  /// The state of this node that the leader has; empty if it may not know this
+  /// node.
+  std::string identified_state_;
   /// Null if this node has no data folder.
   std::unique_ptr<configuration_saver> saver_;
   std::optional<unsaved_answer> unsaved_answer_;
