--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -187,35 +187,50 @@
   }
 }
 
+/// Describes the answer of a node that doesn't serve.
+std::string describe(const std::string& node,
+                     const bench::caller_answer& answer) {
+  return node + " answered " + std::to_string(answer.status) + " " +
+         answer.body;
+}
+
+/// Returns which node doesn't serve and its answer, or nothing if all serve.
 /// `attempt` must differ between calls: a request whose id has already arrived
 /// counts as a repeat.
-bool all_nodes_serve(deployment& target, plan_record& plans, int attempt) {
+std::optional<std::string> find_failing_node(deployment& target,
+                                             plan_record& plans, int attempt) {
   for (const std::string& it : target.gateways()) {
     const std::string id = "again-" + std::to_string(attempt) + "-" + it;
-    if (target.request(it, "GET", "/get/1", id).status != 200) return false;
+    const bench::caller_answer answer = target.request(it, "GET", "/get/1", id);
+    if (answer.status != 200) return describe(it, answer);
   }
   for (const std::string& it : control_nodes) {
     const std::uint64_t acknowledged_number = plans.newest_acknowledged();
     const bench::caller_answer answer =
         bench::send_and_wait(target.read_request(it));
-    if (!answer.complete || answer.status != 200) return false;
+    if (!answer.complete || answer.status != 200) return describe(it, answer);
     plans.record_read(acknowledged_number,
                       deployment::plan_version(answer.body), answer.body, it);
   }
-  return true;
+  return std::nullopt;
 }
 
 void check_recovery(deployment& target, plan_record& plans, soak_result& out) {
   const steady_clock::time_point faults_ended_at = steady_clock::now();
   int attempts = 0;
-  const bool recovered =
-      wait_until([&] { return all_nodes_serve(target, plans, ++attempts); });
+  std::string last_failure;
+  const bool recovered = wait_until([&] {
+    const std::optional<std::string> failure =
+        find_failing_node(target, plans, ++attempts);
+    if (failure) last_failure = *failure;
+    return !failure;
+  });
   out.recovery = std::chrono::duration_cast<milliseconds>(steady_clock::now() -
                                                           faults_ended_at);
   if (!recovered || out.recovery > max_recovery_time) {
-    out.violations.push_back("not all nodes serve " +
-                             std::to_string(out.recovery.count()) +
-                             " ms after the end of the last fault");
+    out.violations.push_back(
+        "not all nodes serve " + std::to_string(out.recovery.count()) +
+        " ms after the end of the last fault: " + last_failure);
   }
 }
 
