A release is not undone by reports of crashes before it

An operator released a held request and it was held again a second later: gateways repeat their reports of a crash after 1, 2, 4, 8 and 16 s, and the evidence that the release had cleared was counted anew. Now reports of crashes before the release are ignored, as those before a run that succeeded are.

--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -294,7 +294,7 @@
   // them.
   for (const std::string& it : changes.held) local_holds_.erase(it);
   for (const std::string& it : changes.released) {
-    attribution_.forget(it);
+    attribution_.forget(it, context_.clock.now());
     monitored_.erase(it);
     suspects_.erase(it);
   }
--- a/node/src/hold_proposer.cc
+++ b/node/src/hold_proposer.cc
@@ -86,7 +86,7 @@
   const config::hold_changes changes = holds_.update(store_);
   for (const std::string& it : changes.held) proposed_holds_.erase(it);
   for (const std::string& it : changes.released) {
-    attribution_.forget(it);
+    attribution_.forget(it, context_.clock.now());
     releases_.erase(it);
   }
 }
--- a/routing/include/trestlepost/routing/crash_attribution.h
+++ b/routing/include/trestlepost/routing/crash_attribution.h
@@ -99,8 +99,9 @@
   /// Returns traits whose successful runs gateways should report. Each is
   /// returned once.
   std::vector<std::string> take_suspects();
-  /// Clears all crashes of a trait, for one that was released from its hold.
-  void forget(const std::string& fingerprint);
+  /// Clears all crashes of a trait that was released from its hold at `at`.
+  /// Later reports of crashes before that are ignored.
+  void forget(const std::string& fingerprint, monotonic_time at);
 
  private:
   using crash_id = std::uint64_t;
--- a/routing/src/crash_attribution.cc
+++ b/routing/src/crash_attribution.cc
@@ -376,7 +376,9 @@
   return out;
 }
 
-void crash_attribution::forget(const std::string& fingerprint) {
+void crash_attribution::forget(const std::string& fingerprint,
+                               monotonic_time at) {
+  record_success(fingerprint, at);
   const auto known = traits_.find(fingerprint);
   if (known == traits_.end()) return;
   const std::set<crash_id> crashes = known->second.crashes;
--- a/routing/test/crash_attribution-test.cc
+++ b/routing/test/crash_attribution-test.cc
@@ -87,11 +87,23 @@
 TEST_F(crash_attribution_test, a_released_request_starts_without_crashes) {
   for (const char* it : {"a", "b", "c"}) crash(it, 0, {"x"});
   EXPECT_EQ(proposals(500).size(), 1U);
-  attribution_.forget("x");
+  attribution_.forget("x", after(500));
   crash("d", 3000, {"x"});
   EXPECT_TRUE(proposals(4000).empty());
 }
 
+// Guards against a request that is held again right after an operator released
+// it: gateways repeat their reports of crashes for several seconds.
+TEST_F(crash_attribution_test, reports_repeated_after_a_release_are_ignored) {
+  for (const char* it : {"a", "b", "c"}) crash(it, 0, {"x"});
+  EXPECT_EQ(proposals(500).size(), 1U);
+  attribution_.forget("x", after(500));
+  for (const char* it : {"a", "b", "c"})
+    attribution_.record_crash({"x", it, "s", after(0)}, after(1000));
+  EXPECT_FALSE(attribution_.has_crashes("x"));
+  EXPECT_TRUE(proposals(5000).empty());
+}
+
 TEST_F(crash_attribution_test, suspects_are_returned_once) {
   crash("a", 0, {"x"});
   EXPECT_TRUE(attribution_.take_suspects().empty());
--- a/routing/test/crash_simulation.cc
+++ b/routing/test/crash_simulation.cc
@@ -331,7 +331,7 @@
     if (cleared && held_in_log_.erase(success.fingerprint) > 0) {
       proposed_.erase(success.fingerprint);
       for (crash_attribution& other : attribution_)
-        other.forget(success.fingerprint);
+        other.forget(success.fingerprint, now_);
       for (gateway& by : gateways_) by.held.erase(success.fingerprint);
     }
   }
