Gateways are told of holds that were withdrawn or released

Callers were refused a sound request (503, Retry-After of minutes) by one gateway for up to 60 s while all others served it. The leader tells gateways of a proposed hold before it is in the log; a gateway ended its own hold when its configuration listed the request. One that read the hold and its release at once, or whose proposal was withdrawn since a run had succeeded, never saw it listed. Now the leader tells them, over the same connection and so in order.

--- a/gateway/include/trestlepost/gateway/crash_monitor.h
+++ b/gateway/include/trestlepost/gateway/crash_monitor.h
@@ -83,6 +83,9 @@
   /// Adds traits that the leader of the control nodes proposes to hold. The
   /// configuration lists them shortly afterwards.
   void add_proposed_holds(const std::vector<std::string>& fingerprints);
+  /// Ends this gateway's own holds of traits that the control nodes no longer
+  /// hold or propose to hold.
+  void withdraw_holds(const std::vector<std::string>& fingerprints);
 
   void tick();
 
@@ -121,6 +124,7 @@
   void hold_locally(const std::string& fingerprint);
   /// Clears the evidence against requests that were released.
   void apply_releases();
+  void clear_evidence(const std::string& fingerprint);
   void remove_expired();
 
   gateway_context& context_;
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -270,6 +270,15 @@
   for (const std::string& it : fingerprints) hold_locally(it);
 }
 
+void crash_monitor::withdraw_holds(
+    const std::vector<std::string>& fingerprints) {
+  for (const std::string& it : fingerprints) {
+    if (local_holds_.erase(it) == 0) continue;
+    clear_evidence(it);
+    log_event(log_level::info, "local-hold-withdrawn", {{"fingerprint", it}});
+  }
+}
+
 void crash_monitor::hold_locally(const std::string& fingerprint) {
   // A request held by the configuration stays held until an operator releases
   // it, so a local hold is not needed.
@@ -293,11 +302,13 @@
   // The configuration holds them now; from here on only an operator releases
   // them.
   for (const std::string& it : changes.held) local_holds_.erase(it);
-  for (const std::string& it : changes.released) {
-    attribution_.forget(it, context_.clock.now());
-    monitored_.erase(it);
-    suspects_.erase(it);
-  }
+  for (const std::string& it : changes.released) clear_evidence(it);
+}
+
+void crash_monitor::clear_evidence(const std::string& fingerprint) {
+  attribution_.forget(fingerprint, context_.clock.now());
+  monitored_.erase(fingerprint);
+  suspects_.erase(fingerprint);
 }
 
 void crash_monitor::remove_expired() {
--- a/node/src/hold_proposer.cc
+++ b/node/src/hold_proposer.cc
@@ -80,6 +80,7 @@
   const bool held = store_.held_requests().contains(report.fingerprint);
   if (cleared && (proposed || held))
     releases_[report.fingerprint].since = context_.clock.now();
+  if (cleared && proposed) withdrawn_.push_back(report.fingerprint);
 }
 
 void hold_proposer::apply_hold_changes() {
@@ -88,6 +89,7 @@
   for (const std::string& it : changes.released) {
     attribution_.forget(it, context_.clock.now());
     releases_.erase(it);
+    withdrawn_.push_back(it);
   }
 }
 
@@ -170,11 +172,15 @@
   apply_hold_changes();
   const std::vector<std::string> suspects = attribution_.take_suspects();
   const std::vector<std::string> proposed = evaluate_reports();
+  const std::vector<std::string> withdrawn = std::exchange(withdrawn_, {});
   if (!leads) return;
   notify_gateways("crash.suspects", suspects);
   // Sent without waiting for the log, which takes several round trips: more
   // endpoints could crash until then.
   notify_gateways("crash.condemned", proposed);
+  // A gateway that reads a hold and its release at once sees neither in its
+  // configuration.
+  notify_gateways("crash.withdrawn", withdrawn);
   propose_holds();
   propose_releases();
 }
--- a/node/src/hold_proposer.h
+++ b/node/src/hold_proposer.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "node_context.h"
 #include "trestlepost/config/change.h"
@@ -64,6 +65,8 @@
   std::map<std::string, proposed_hold> proposed_holds_;
   /// By fingerprint; held or about to be.
   std::map<std::string, pending_release> releases_;
+  /// The fingerprints whose proposal or hold has ended since the last tick.
+  std::vector<std::string> withdrawn_;
   config::hold_tracker holds_;
 };
 
--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -269,6 +269,11 @@
       [this](const json& params, const transport::rpc_context&) {
         crashes.add_proposed_holds(texts_of(params, "fingerprints"));
       });
+  peer_dispatcher.add_notification(
+      "crash.withdrawn",
+      [this](const json& params, const transport::rpc_context&) {
+        crashes.withdraw_holds(texts_of(params, "fingerprints"));
+      });
 }
 
 result<void> node::implementation::start() {
