A gateway that reaches a leader holds a request on its own for 5 s, not 60 s

Callers of one gateway were refused a sound request (503, request-held) for up to a minute while all other gateways served it: three crashes of endpoints had ended its own runs of the request, and its own decision to hold lasted 60 s. The control nodes knew of runs at other gateways that had succeeded, and never proposed the hold. Now such a hold lasts 5 s while a leader confirms the gateway's configuration: the leader proposes it within that time, or never. Without a leader it lasts 60 s as before.

--- a/gateway/include/trestlepost/gateway/crash_monitor.h
+++ b/gateway/include/trestlepost/gateway/crash_monitor.h
@@ -2,6 +2,7 @@
 // crashes from those that merely ran on the same endpoint.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -121,7 +122,9 @@
   /// and holds requests. Whether other runs with a part succeed, only the
   /// control nodes know.
   void apply_own_attribution();
-  void hold_locally(const std::string& fingerprint);
+  void hold_locally(const std::string& fingerprint,
+                    std::chrono::seconds duration);
+  void end_expired_holds(monotonic_time now);
   /// Clears the evidence against requests that were released.
   void apply_releases();
   void clear_evidence(const std::string& fingerprint);
--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -33,9 +33,13 @@
 // involved in a crash is monitored.
 constexpr std::chrono::minutes monitoring_time{10};
 constexpr std::size_t max_monitored = 4096;
-// How long a gateway holds a request on its own decision. The configuration
-// lists the request by then, unless the control nodes have lost their majority.
+// How long a gateway holds a request before the configuration lists it, on the
+// leader's proposal, or on its own decision while it reaches no leader.
 constexpr std::chrono::seconds local_hold_time{60};
+// How long it holds a request on its own decision while a leader confirms its
+// configuration. The leader also knows the runs at other gateways: it proposes
+// the hold within this time, or never.
+constexpr std::chrono::seconds unproposed_hold_time{5};
 
 // Traits of the crashes that one gateway keeps; the control nodes keep more.
 constexpr std::size_t max_own_observations = 5000;
@@ -54,7 +58,8 @@
         [](const auto& a, const auto& b) { return a.second < b.second; });
     all.erase(first_to_expire);
   }
-  all[fingerprint] = until;
+  monotonic_time& expiry = all[fingerprint];
+  expiry = std::max(expiry, until);
 }
 
 void erase_expired(expiry_by_fingerprint& all, monotonic_time now) {
@@ -267,7 +272,7 @@
 
 void crash_monitor::add_proposed_holds(
     const std::vector<std::string>& fingerprints) {
-  for (const std::string& it : fingerprints) hold_locally(it);
+  for (const std::string& it : fingerprints) hold_locally(it, local_hold_time);
 }
 
 void crash_monitor::withdraw_holds(
@@ -279,11 +284,12 @@
   }
 }
 
-void crash_monitor::hold_locally(const std::string& fingerprint) {
+void crash_monitor::hold_locally(const std::string& fingerprint,
+                                 std::chrono::seconds duration) {
   // A request held by the configuration stays held until an operator releases
   // it, so a local hold is not needed.
   if (context_.store.held_requests().contains(fingerprint)) return;
-  set_expiry(local_holds_, fingerprint, context_.clock.now() + local_hold_time);
+  set_expiry(local_holds_, fingerprint, context_.clock.now() + duration);
   log_event(log_level::info, "request-held-locally",
             {{"fingerprint", fingerprint}});
 }
@@ -291,9 +297,24 @@
 void crash_monitor::apply_own_attribution() {
   add_suspects(attribution_.take_suspects());
   const monotonic_time now = context_.clock.now();
+  const std::chrono::seconds duration =
+      context_.state.confirmed_at(now) ? unproposed_hold_time : local_hold_time;
   for (const routing::hold_proposal& it :
        attribution_.take_hold_proposals(now)) {
-    if (it.kind == trait_kind::request) hold_locally(it.fingerprint);
+    if (it.kind == trait_kind::request) hold_locally(it.fingerprint, duration);
+  }
+}
+
+void crash_monitor::end_expired_holds(monotonic_time now) {
+  std::vector<std::string> ended;
+  for (const auto& [fingerprint, until] : local_holds_) {
+    if (until <= now) ended.push_back(fingerprint);
+  }
+  for (const std::string& it : ended) {
+    local_holds_.erase(it);
+    // Further crashes are needed to hold it again.
+    attribution_.forget(it, now);
+    log_event(log_level::info, "local-hold-expired", {{"fingerprint", it}});
   }
 }
 
@@ -317,7 +338,7 @@
   next_cleanup_ = now + cleanup_interval;
   erase_expired(monitored_, now);
   erase_expired(suspects_, now);
-  erase_expired(local_holds_, now);
+  end_expired_holds(now);
   refusals_.remove_expired(now);
 }
 
