Control nodes see each hold and release, not the difference of two ticks

A request that an operator had released at once was held again 2 s later: a control node compared what is held once a tick, so a hold and its release within one tick left the proposal in place, and gateways were not told that it had ended. Now it compares after each decision.

released_request_test failed 1 of 20 beside other tests.

--- a/node/src/control_service.cc
+++ b/node/src/control_service.cc
@@ -160,6 +160,7 @@
 }
 
 void control_service::on_decided(const config::audit_record& record) {
+  hold_proposer_.apply_hold_changes();
   // Every replica applies every change, and again when it replays its log;
   // only the leader logs it at info level.
   const config::change_result& outcome = record.outcome;
--- a/node/src/hold_proposer.h
+++ b/node/src/hold_proposer.h
@@ -30,6 +30,10 @@
       : context_(context), store_(store), propose_(std::move(propose)) {}
 
   void handle_report(const json& params);
+  /// Drops proposals that are in force, and the crashes of what was released.
+  /// Call it after each decision: a hold and its release may follow each other
+  /// within a tick.
+  void apply_hold_changes();
   /// `leads`: whether this node leads the configuration group.
   void tick(bool leads);
 
@@ -45,8 +49,6 @@
 
   void handle_success(const routing::crash_report& report);
   void handle_part_reports(const json& crash, monotonic_time now);
-  /// Drops proposals that are in force, and the crashes of what was released.
-  void apply_hold_changes();
   /// Sends the notification `method` to all reachable gateways.
   void notify_gateways(const std::string& method,
                        const std::vector<std::string>& fingerprints);
