Tests: one piece of code relays disturbed TCP connections

The proxy of outdated_gateway_test had loops of its own beside those of the bench's relay. Both use bench/src/relay_connection now; delays no longer add up over the pieces of a connection, and a piece is lost with the same probability.

--- a/bench/src/relay.cc
+++ b/bench/src/relay.cc
@@ -1,19 +1,16 @@
 #include "relay.h"
 
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <deque>
 #include <iostream>
 #include <map>
 #include <memory>
 #include <set>
 
+#include "relay_connection.h"
 #include "serve.h"
-#include "trestlepost/base/clock.h"
 #include "trestlepost/transport/http_server.h"
 
 namespace trestlepost::bench {
@@ -26,10 +23,6 @@
 using transport::tcp;
 using error_code = boost::system::error_code;
 
-constexpr std::size_t read_buffer_bytes = 64UL * 1024;
-// The reader stops when this much waits for the link, so that TCP flow control
-// reaches the sender.
-constexpr std::size_t max_queued_bytes = 4UL * 1024 * 1024;
 constexpr milliseconds cut_poll_interval{20};
 
 /// The second octet of an IPv4 address, which identifies the region.
@@ -39,15 +32,10 @@
   return ip.substr(first + 1, ip.find('.', first + 1) - first - 1);
 }
 
-/// State of one direction of the link between two regions.
-struct link_state {
-  milliseconds delay{0};
-  bool cut = false;
-};
-
 struct network {
   std::map<std::pair<std::string, std::string>, link_state> links;
   milliseconds between_regions{0};
+  system_random random;
 
   link_state& between(const std::string& from, const std::string& to) {
     const auto [it, added] = links.try_emplace({from, to});
@@ -56,89 +44,6 @@
   }
 };
 
-/// Sockets of a relayed connection.
-struct connection_pair {
-  explicit connection_pair(transport::asio::io_context& io)
-      : source(io), target(io) {}
-  tcp::socket source;
-  tcp::socket target;
-
-  void close() {
-    error_code ec;
-    source.close(ec);
-    target.close(ec);
-  }
-};
-
-struct delayed_chunk {
-  monotonic_time due;
-  std::string data;
-};
-
-/// One direction of a connection: data that waits for the delay of the link.
-/// `wake` is cancelled when the queue changes.
-struct flow_state {
-  explicit flow_state(transport::asio::io_context& io) : wake(io) {}
-  std::deque<delayed_chunk> queue;
-  std::size_t bytes = 0;
-  bool ended = false;
-  transport::timer wake;
-};
-
-awaitable<void> read_loop(transport::asio::io_context& io,
-                          std::shared_ptr<connection_pair> pair,
-                          tcp::socket& from, std::shared_ptr<flow_state> flow,
-                          link_state& link) {
-  std::array<char, read_buffer_bytes> buf{};
-  while (true) {
-    error_code ec;
-    const std::size_t n = co_await from.async_read_some(
-        boost::asio::buffer(buf), redirect_error(use_awaitable, ec));
-    if (ec || !pair->target.is_open()) break;
-    flow->queue.push_back(
-        {boot_clock::now() + link.delay, std::string(buf.data(), n)});
-    flow->bytes += n;
-    flow->wake.cancel();
-    while (flow->bytes > max_queued_bytes)
-      co_await transport::sleep_for(io, cut_poll_interval);
-  }
-  flow->ended = true;
-  flow->wake.cancel();
-}
-
-awaitable<void> write_loop(transport::asio::io_context& io,
-                           std::shared_ptr<connection_pair> pair,
-                           tcp::socket& to, std::shared_ptr<flow_state> flow,
-                           link_state& link) {
-  while (true) {
-    if (flow->queue.empty()) {
-      if (flow->ended) break;
-      flow->wake.expires_at(monotonic_time::max());
-      error_code ec;
-      co_await flow->wake.async_wait(redirect_error(use_awaitable, ec));
-      continue;
-    }
-    // As in a network partition: nothing is sent and no connection is closed.
-    while (link.cut && to.is_open())
-      co_await transport::sleep_for(io, cut_poll_interval);
-    const monotonic_time now = boot_clock::now();
-    if (flow->queue.front().due > now) {
-      flow->wake.expires_at(flow->queue.front().due);
-      error_code ec;
-      co_await flow->wake.async_wait(redirect_error(use_awaitable, ec));
-      continue;
-    }
-    const std::string data = std::move(flow->queue.front().data);
-    flow->queue.pop_front();
-    flow->bytes -= data.size();
-    error_code ec;
-    co_await boost::asio::async_write(to, boost::asio::buffer(data),
-                                      redirect_error(use_awaitable, ec));
-    if (ec) break;
-  }
-  pair->close();
-}
-
 awaitable<void> connect_and_relay(transport::asio::io_context& io, network& net,
                                   tcp::socket source,
                                   std::string target_address) {
@@ -161,14 +66,7 @@
   }
   transport::set_accepted_options(pair->source);
   transport::set_accepted_options(pair->target);
-  const std::shared_ptr<flow_state> out = std::make_shared<flow_state>(io);
-  const std::shared_ptr<flow_state> in = std::make_shared<flow_state>(io);
-  using boost::asio::co_spawn;
-  using boost::asio::detached;
-  co_spawn(io, read_loop(io, pair, pair->source, out, forward), detached);
-  co_spawn(io, write_loop(io, pair, pair->target, out, forward), detached);
-  co_spawn(io, read_loop(io, pair, pair->target, in, back), detached);
-  co_spawn(io, write_loop(io, pair, pair->source, in, back), detached);
+  relay_data(io, pair, forward, back, net.random);
 }
 
 awaitable<void> accept_loop(transport::asio::io_context& io, network& net,
