--- a/gateway/src/crash_monitor.cc
+++ b/gateway/src/crash_monitor.cc
@@ -306,16 +306,15 @@
 }
 
 void crash_monitor::end_expired_holds(monotonic_time now) {
-  std::vector<std::string> ended;
-  for (const auto& [fingerprint, until] : local_holds_) {
-    if (until <= now) ended.push_back(fingerprint);
-  }
-  for (const std::string& it : ended) {
-    local_holds_.erase(it);
+  std::erase_if(local_holds_, [this, now](const auto& it) {
+    const auto& [fingerprint, until] = it;
+    if (until > now) return false;
     // Further crashes are needed to hold it again.
-    attribution_.forget(it, now);
-    log_event(log_level::info, "local-hold-expired", {{"fingerprint", it}});
-  }
+    attribution_.forget(fingerprint, now);
+    log_event(log_level::info, "local-hold-expired",
+              {{"fingerprint", fingerprint}});
+    return true;
+  });
 }
 
 void crash_monitor::apply_releases() {
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -77,7 +77,7 @@
 }
 
 surface::node_report entry_handler::report(bool ready) const {
-  return {ready, context_.state.name(), context_.store.revision()};
+  return {ready, std::string(context_.state.name()), context_.store.revision()};
 }
 
 http_response entry_handler::answer_entries(
--- a/membership/include/trestlepost/membership/node_state.h
+++ b/membership/include/trestlepost/membership/node_state.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/charts/chart.h"
@@ -63,8 +64,8 @@
   void set_outdated(bool outdated);
   void tick(monotonic_time now, bool has_configuration);
 
-  std::string name() const;
-  bool is(const char* state) const { return name() == state; }
+  std::string_view name() const;
+  bool is(std::string_view state) const { return name() == state; }
   /// Whether this node accepts new requests of its own callers.
   bool serves_callers() const;
   /// Whether requests may be exchanged with other regions.
@@ -91,7 +92,7 @@
  private:
   void handle(const std::string& event, bool has_configuration);
   /// Logs a change of the state from `from`, if there was one.
-  void log_change(const std::string& from, const std::string& cause) const;
+  void log_change(std::string_view from, const std::string& cause) const;
 
   charts::chart chart_;
   node_state_options options_;
--- a/membership/src/node_state.cc
+++ b/membership/src/node_state.cc
@@ -26,22 +26,25 @@
       state_, event,
       [has_configuration](const std::string&) { return has_configuration; });
   if (next == state_) return;
-  const std::string from = name();
+  const std::string from(name());
   state_ = next;
   log_change(from, event);
 }
 
-void node_state::log_change(const std::string& from,
+void node_state::log_change(std::string_view from,
                             const std::string& cause) const {
   if (name() == from) return;
   log_event(log_level::info, "node-state-changed",
-            {{"from", from}, {"to", name()}, {"cause", cause}});
+            {{"from", std::string(from)},
+             {"to", std::string(name())},
+             {"cause", cause}});
 }
 
-std::string node_state::name() const {
+std::string_view node_state::name() const {
   const bool serves =
       state_ == node_states::ready || state_ == node_states::isolated;
-  return outdated_ && serves ? node_states::outdated : state_;
+  if (outdated_ && serves) return node_states::outdated;
+  return state_;
 }
 
 void node_state::confirm(monotonic_time requested_at, monotonic_time now) {
@@ -82,7 +85,7 @@
 }
 
 void node_state::set_outdated(bool outdated) {
-  const std::string from = name();
+  const std::string_view from = name();
   outdated_ = outdated;
   log_change(from, outdated ? "superseded" : "caught_up");
 }
--- a/membership/test/node_state-test.cc
+++ b/membership/test/node_state-test.cc
@@ -101,7 +101,6 @@
 }
 
 TEST(node_state_test, a_node_catches_up_until_confirmed_or_timed_out) {
-  const monotonic_time start;
   node_state it = make_state(start);
   EXPECT_TRUE(it.is_catching_up(start + milliseconds(1900)));
   EXPECT_FALSE(it.is_catching_up(start + milliseconds(2000)));
@@ -114,7 +113,6 @@
 }
 
 TEST(node_state_test, a_suspended_node_is_behind_until_confirmed) {
-  const monotonic_time start;
   node_state it = make_state(start);
   it.confirm(start, start);
   it.tick(start + milliseconds(3000), true);
@@ -134,7 +132,6 @@
 // Pending requests have already waited a second in the node's sockets, so the
 // node must not wait long for a leader.
 TEST(node_state_test, a_suspended_node_continues_without_a_leader) {
-  const monotonic_time start;
   node_state it = make_state(start);
   it.tick(start, true);
   const monotonic_time resumed = start + milliseconds(1500);
--- a/node/src/configuration/newer_configuration.cc
+++ b/node/src/configuration/newer_configuration.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "trestlepost/base/log.h"
+#include "trestlepost/config/watch_update.h"
 
 namespace trestlepost::node {
 namespace {
@@ -103,11 +104,12 @@
 newer_configuration::encoded_configuration() {
   const config::object_store& own = context_.store;
   if (encoded_revision_ == own.revision()) return encoded_;
+  config::watch_update update;
+  update.to = own.revision();
+  update.whole = own.to_json(config::plan_form::without_document);
   json params;
-  json& update = params["update"];
-  update["to"] = as_number(own.revision());
-  update["group"] = own.group();
-  update["whole"] = own.to_json(config::plan_form::without_document);
+  params["update"] = config::to_json(update);
+  params["update"]["group"] = own.group();
   encoded_ = transport::encode_notification(answer_method, params);
   encoded_revision_ = own.revision();
   return encoded_;
--- a/node/src/control/poll_queue.h
+++ b/node/src/control/poll_queue.h
@@ -13,17 +13,23 @@
 
 namespace trestlepost::node {
 
+/// A poll of the node that accepts peers at `address`, received through the
+/// control node `via` or, if that is empty, directly.
+struct queued_poll {
+  std::string address;
+  std::string via;
+  json message;
+};
+
 /// Bounds the time that polls take in each tick, so that the group's own
 /// messages, which keep the leader's lease, are handled in time however many
 /// nodes poll. Keeps the newest poll of each sender: older ones are outdated.
 class poll_queue {
  public:
-  /// Adds a poll of the node at `address`, received through the control node
-  /// `via` or, if that is empty, directly.
-  void push(const std::string& address, const std::string& via, json poll);
+  void push(queued_poll poll);
   /// The poll that has waited longest; nullopt if there is none or if polls
   /// have used up their time in this tick.
-  std::optional<json> pop();
+  std::optional<queued_poll> pop();
   /// Records that answering a poll took `duration`.
   void record_duration(std::chrono::nanoseconds duration) { used_ += duration; }
   /// Gives polls their time of the next tick.
--- a/node/src/control/polls.cc
+++ b/node/src/control/polls.cc
@@ -70,22 +70,21 @@
   ++load_.counters().polls;
   const std::string via = text_of(params, "via");
   if (!via.empty()) ++load_.counters().forwarded_polls;
-  polls_.push(address_of_poller(params), via, params);
+  polls_.push({address_of_poller(params), via, params});
   answer_polls();
 }
 
 void control_service::answer_polls() {
-  while (const std::optional<json> next = polls_.pop()) {
+  while (const std::optional<queued_poll> next = polls_.pop()) {
     const monotonic_time started_at = context_.clock.now();
     answer_poll(*next);
     polls_.record_duration(context_.clock.now() - started_at);
   }
 }
 
-void control_service::answer_poll(const json& params) {
-  const std::string address = address_of_poller(params);
+void control_service::answer_poll(const queued_poll& poll) {
+  const json& params = poll.message;
   const std::string poller = identify_poller(params);
-  const std::string via = text_of(params, "via");
   json answer;
   answer["token"] = as_number(number_of(params, "token"));
   answer["leader"] = leader_node();
@@ -96,22 +95,22 @@
     answer["stranger"] = true;
   } else if (leads()) {
     answer["confirmed"] = true;
-    answer["update"] = answer_as_leader(poller, params);
+    answer["update"] = answer_as_leader(poller, poll);
   } else {
     // A node that does not lead sends no configuration: its copy may be
     // outdated, and a gateway using it could run requests outside their home
     // regions.
     if (wants_forwarding(params)) forward_poll(params);
-    if (via.empty()) save_poll(address, params);
+    if (poll.via.empty()) save_poll(poll.address, params);
   }
-  if (!via.empty()) answer["for"] = address;
-  context_.links.send(via.empty() ? address : via, "config.update", answer);
+  if (!poll.via.empty()) answer["for"] = poll.address;
+  context_.links.send(poll.via.empty() ? poll.address : poll.via,
+                      "config.update", answer);
 }
 
 json control_service::answer_as_leader(const std::string& poller,
-                                       const json& params) {
-  const std::string address = address_of_poller(params);
-  const std::string via = text_of(params, "via");
+                                       const queued_poll& poll) {
+  const json& params = poll.message;
   const json& alive = member_of(params, "alive");
   const json& sender =
       alive.isObject() ? alive : member_of(params, "heartbeat");
@@ -122,15 +121,16 @@
       foreign ? 0 : number_of(params, "revision");
   // Sends the configuration before the answer, so that it is in force when the
   // answer arrives.
-  watchers_.handle_poll({poller, address, via, number_of(sender, "sequence"),
-                         held, flag_of(params, "missed")});
+  watchers_.handle_poll({poller, poll.address, poll.via,
+                         number_of(sender, "sequence"), held,
+                         flag_of(params, "missed")});
   orders_.acknowledge_confirmed();
   ++load_.counters().answers;
   json update = make_update();
   const directory_position known = directory_position_from(params);
   const std::string& region = node_directory_.find(poller)->region;
-  if (via.empty() && flag_of(params, "takes_directory")) {
-    send_directory(address, known, region);
+  if (poll.via.empty() && flag_of(params, "takes_directory")) {
+    send_directory(poll.address, known, region);
   } else {
     add_directory(update, known, region);
   }
@@ -174,15 +174,13 @@
     return it.second.at + saved_poll_lifetime < now;
   });
   const std::string leader = leader_node();
-  std::vector<json> unanswered;
   for (auto& [address, it] : saved_polls_) {
     const bool new_leader = !leader.empty() && leader != it.named_leader;
     if (!leads() && !new_leader) continue;
     it.named_leader = leader;
-    unanswered.push_back(it.params);
+    polls_.push({address, "", it.params});
   }
   if (leads()) saved_polls_.clear();
-  for (const json& it : unanswered) polls_.push(address_of_poller(it), "", it);
 }
 
 void control_service::send_directory(const std::string& address,
--- a/node/src/control_service.h
+++ b/node/src/control_service.h
@@ -125,10 +125,10 @@
   /// Answers polls for as long as they may take in this tick.
   void answer_polls();
   /// Answers a poll: as the leader, or with the leader's name.
-  void answer_poll(const json& params);
+  void answer_poll(const queued_poll& poll);
   /// Records the poll of the node `poller` and sends it what it lacks. Returns
   /// the part of the answer that only the leader sends.
-  json answer_as_leader(const std::string& poller, const json& params);
+  json answer_as_leader(const std::string& poller, const queued_poll& poll);
   /// Whether the poll is from a watcher whose configuration is from another
   /// group than this one.
   bool is_foreign(const json& poll) const;
--- a/node/src/entry_handlers.cc
+++ b/node/src/entry_handlers.cc
@@ -92,7 +92,7 @@
   } else if (is_query && body) {
     const surface::node_report report{
         context_.state.serves_callers() && context_.store.plan() != nullptr,
-        context_.state.name(), context_.store.revision()};
+        std::string(context_.state.name()), context_.store.revision()};
     out = surface_->show_readiness(report);
   } else {
     out = unknown_call(*surface_);
--- a/node/src/operator_service.cc
+++ b/node/src/operator_service.cc
@@ -147,7 +147,7 @@
   add_sync_method("drain", "change", [this](const json&) -> result<json> {
     if (on_drain) on_drain();
     json out;
-    out["state"] = context_.state.name();
+    out["state"] = std::string(context_.state.name());
     return out;
   });
   add_sync_method("recover", "found", [this](const json&) -> result<json> {
--- a/node/src/operators/reports.cc
+++ b/node/src/operators/reports.cc
@@ -50,7 +50,7 @@
   out["node"] = context_.self.name;
   out["region"] = context_.self.region;
   out["availability_zone"] = context_.self.availability_zone;
-  out["state"] = context_.state.name();
+  out["state"] = std::string(context_.state.name());
   out["revision"] = as_number(context_.store.revision());
   out["confirmed"] = context_.state.confirmed_at(context_.clock.now());
   out["leader"] = watch_.leader();
--- a/node/src/routed_gateway.cc
+++ b/node/src/routed_gateway.cc
@@ -62,7 +62,7 @@
     log_event(log_level::info, "plan-in-force",
               {{"number", std::to_string(plan->number)},
                {"routes", std::to_string(plan->routes.size())},
-               {"state", context_.state.name()}});
+               {"state", std::string(context_.state.name())}});
   }
   pool_.refresh();
 }
--- a/node/test/poll_queue-test.cc
+++ b/node/test/poll_queue-test.cc
@@ -13,8 +13,8 @@
   return out;
 }
 
-std::uint64_t token_of(const std::optional<json>& poll) {
-  return poll ? number_of(*poll, "token") : 0;
+std::uint64_t token_of(const std::optional<queued_poll>& poll) {
+  return poll ? number_of(poll->message, "token") : 0;
 }
 
 // Guards against a leader that answers polls for longer than its lease lasts
@@ -22,7 +22,7 @@
 TEST(poll_queue_test, polls_use_no_more_than_their_time_in_a_tick) {
   poll_queue it;
   for (std::uint64_t n = 1; n <= 1000; ++n)
-    it.push("node-" + std::to_string(n), "", poll(n));
+    it.push({"node-" + std::to_string(n), "", poll(n)});
   int answered = 0;
   while (it.pop()) {
     ++answered;
@@ -38,10 +38,10 @@
 // to the newest one suffices.
 TEST(poll_queue_test, newest_poll_of_each_sender_and_path_is_kept) {
   poll_queue it;
-  it.push("a", "", poll(1));
-  it.push("b", "", poll(2));
-  it.push("a", "", poll(3));
-  it.push("a", "follower", poll(4));
+  it.push({"a", "", poll(1)});
+  it.push({"b", "", poll(2)});
+  it.push({"a", "", poll(3)});
+  it.push({"a", "follower", poll(4)});
   EXPECT_EQ(it.size(), 3U);
   EXPECT_EQ(token_of(it.pop()), 3U);
   EXPECT_EQ(token_of(it.pop()), 2U);
@@ -55,11 +55,11 @@
   poll_queue it;
   json lost = poll(1);
   lost["missed"] = true;
-  it.push("a", "", lost);
-  it.push("a", "", poll(2));
-  const std::optional<json> kept = it.pop();
+  it.push({"a", "", lost});
+  it.push({"a", "", poll(2)});
+  const std::optional<queued_poll> kept = it.pop();
   ASSERT_TRUE(kept);
-  EXPECT_TRUE(flag_of(*kept, "missed"));
+  EXPECT_TRUE(flag_of(kept->message, "missed"));
   EXPECT_EQ(token_of(kept), 2U);
 }
 
