Connections are kept as announced; a stop ends work before the exit

Callers saw: at each planned stop the next request on every busy connection was closed without an answer, and what was in progress at the exit was cut.

Cause: an exchange took the flag `draining` when it began and announced keep-alive; after it the flag of that moment closed the connection. The exit stopped the event loop whatever was in progress.

Change: the head of an answer decides whether its connection stays open. A slow body is answered before its connection closes.

--- a/gateway/include/trestlepost/gateway/context.h
+++ b/gateway/include/trestlepost/gateway/context.h
@@ -10,6 +10,7 @@
 #include "trestlepost/base/random.h"
 #include "trestlepost/config/store.h"
 #include "trestlepost/gateway/metrics.h"
+#include "trestlepost/gateway/stop_deadline.h"
 #include "trestlepost/ledger/record.h"
 #include "trestlepost/membership/endpoint_tracker.h"
 #include "trestlepost/membership/node_state.h"
@@ -69,6 +70,7 @@
   std::map<std::string, std::chrono::milliseconds>& round_trips;
   /// Pays for answers that are held; null for no bound.
   std::shared_ptr<memory_budget> memory{};
+  stop_deadline stop{};
 };
 
 }  // namespace trestlepost::gateway
--- a/transport/include/trestlepost/transport/http_client.h
+++ b/transport/include/trestlepost/transport/http_client.h
@@ -125,6 +125,9 @@
   /// but after a suspension of the machine they are late by its length.
   void cancel_expired(monotonic_time now);
 
+  /// Bounds the deadlines of all calls, also of those in progress.
+  void limit_deadlines(monotonic_time latest);
+
   /// Closes the idle connections that can't be reused: those that the server
   /// has closed, and those that have been idle for too long.
   void close_unusable(monotonic_time now);
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -129,14 +129,19 @@
   /// Sets the limits for subsequent requests.
   void set_options(const http_server_options& options);
   const http_server_options& options() const;
-  /// Closes each connection after its response. New connections are still
-  /// accepted.
+  /// Announces in each response from now on that its connection closes after
+  /// it. Connections that were told otherwise stay open for another request,
+  /// and new ones are still accepted.
   void disable_keep_alive();
-  /// Stops accepting connections, closes idle ones and each other one after its
-  /// response.
+  /// Stops accepting connections and closes idle ones, unless a request has
+  /// begun to arrive. Each other one is closed as by `disable_keep_alive`.
   void drain();
+  /// Refuses the requests whose head or body has arrived in part.
+  void stop_reading();
   /// Returns the number of requests in progress.
   std::size_t in_progress() const;
+  /// Returns the number of open connections.
+  std::size_t connections() const;
 
   /// Implementation detail.
   struct state;
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "trestlepost/transport/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <set>
 
 #include "connection_pool.h"
+#include "framing_bound.h"
 #include "header_lists.h"
 
 namespace trestlepost::transport {
@@ -81,6 +83,7 @@
   http_client_options options;
   connection_pool pool;
   std::set<pooled_call*> calls;
+  monotonic_time latest_deadline = monotonic_time::max();  // of all calls
 };
 
 /// Call over a connection from the pool of its client.
@@ -97,8 +100,11 @@
   awaitable<tl::expected<void, call_failure>> send(
       http_request request, monotonic_time deadline) override;
   void set_deadline(monotonic_time deadline) override {
-    deadline_ = deadline;
-    if (connection_) connection_->stream.expires_at(to_steady_time(deadline));
+    deadline_ = std::min(deadline, client_->latest_deadline);
+    if (connection_) connection_->stream.expires_at(to_steady_time(deadline_));
+  }
+  void limit_deadline(monotonic_time latest) {
+    deadline_ = std::min(deadline_, latest);
   }
   /// Cancels the call if its deadline has passed, even if its timer has not
   /// expired.
@@ -241,22 +247,22 @@
 
 awaitable<tl::expected<void, call_failure>> pooled_call::send(
     http_request request, monotonic_time deadline) {
-  deadline_ = deadline;
-  error_code ec = co_await connect(deadline);
+  deadline_ = std::min(deadline, client_->latest_deadline);
+  error_code ec = co_await connect(deadline_);
   if (cancelled_ && !ec) ec = asio::error::operation_aborted;
   if (ec) {
     co_return tl::make_unexpected(failure("cannot connect to", ec, false));
   }
   // In a slow event loop iteration the timer may expire after the connection
   // has opened.
-  if (boot_clock::now() >= deadline) {
+  if (boot_clock::now() >= deadline_) {
     deadline_passed_ = true;
     call_failure late = failure("no time is left for", ec, false);
     late.too_late = true;
     co_return tl::make_unexpected(std::move(late));
   }
   is_head_request_ = request.method == "HEAD";
-  set_deadline(deadline);
+  set_deadline(deadline_);
   start_write(request);
   co_return co_await read_head();
 }
@@ -406,6 +412,11 @@
   for (pooled_call* it : state_->calls) it->cancel_if_expired(now);
 }
 
+void http_client::limit_deadlines(monotonic_time latest) {
+  state_->latest_deadline = latest;
+  for (pooled_call* it : state_->calls) it->limit_deadline(latest);
+}
+
 void http_client::close_unusable(monotonic_time now) {
   state_->pool.close_unusable(now);
 }
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -36,8 +36,8 @@
   http_handler& handler;
   http_server_options options;
   std::optional<tcp::acceptor> acceptor;
-  /// Connections that wait for a request, and since when.
-  std::map<beast::tcp_stream*, monotonic_time> idle;
+  /// Connections that wait for a request or read its head, and since when.
+  std::map<server_connection*, monotonic_time> idle;
   std::set<server_connection*> active;  // with a request in progress
   std::size_t connections = 0;
   bool draining = false;
@@ -48,16 +48,15 @@
 awaitable<void> serve(std::shared_ptr<http_server::state> server,
                       std::shared_ptr<server_connection> self) {
   while (true) {
-    server->idle.emplace(&self->stream(), boot_clock::now());
+    server->idle.emplace(self.get(), boot_clock::now());
     const bool has_request = co_await self->read_head();
-    server->idle.erase(&self->stream());
+    server->idle.erase(self.get());
     if (!has_request) break;
     server->active.insert(self.get());
-    self->set_draining(server->draining);
     co_await server->handler.handle(*self);
     server->active.erase(self.get());
     self->end_exchange();
-    if (!self->keeps_alive(server->draining)) break;
+    if (!self->keeps_alive()) break;
   }
   if (self->has_unread_input()) co_await self->discard_input();
   --server->connections;
@@ -67,16 +66,15 @@
 
 /// Closes the connections that wait for a request since before `limit`.
 void close_idle(http_server::state& server, monotonic_time limit) {
-  error_code ec;
-  for (const auto& [stream, since] : server.idle) {
-    if (since < limit) stream->socket().cancel(ec);
+  for (const auto& [connection, since] : server.idle) {
+    if (since < limit) connection->close_if_idle();
   }
 }
 
 /// Closes the `count` connections that have waited longest for a request.
 void close_longest_idle(http_server::state& server, std::size_t count) {
   std::vector<monotonic_time> since;
-  for (const auto& [stream, at] : server.idle) since.push_back(at);
+  for (const auto& [connection, at] : server.idle) since.push_back(at);
   if (since.empty()) return;
   const auto last = since.begin() + static_cast<std::ptrdiff_t>(
                                         std::min(count, since.size()) - 1);
@@ -90,8 +88,12 @@
     std::shared_ptr<http_server::state> server) {
   while (server->acceptor->is_open() || !server->active.empty()) {
     co_await sleep_for(server->context, connection_check_interval);
-    for (server_connection* it : server->active) it->disconnect_if_silent();
-    close_idle(*server, boot_clock::now() - server->options.idle_timeout);
+    const monotonic_time now = boot_clock::now();
+    for (server_connection* it : server->active) {
+      it->disconnect_if_silent();
+      it->stop_overdue_body(now);
+    }
+    close_idle(*server, now - server->options.idle_timeout);
   }
 }
 
@@ -113,7 +115,8 @@
     set_accepted_options(socket, server->options.write_timeout);
     ++server->connections;
     std::shared_ptr<server_connection> accepted =
-        std::make_shared<server_connection>(std::move(socket), server->options);
+        std::make_shared<server_connection>(std::move(socket), server->options,
+                                            server->draining);
     asio::co_spawn(server->context, serve(server, accepted), asio::detached);
   }
 }
@@ -154,7 +157,18 @@
   state_->draining = true;
   error_code ec;
   if (state_->acceptor) state_->acceptor->close(ec);
-  for (const auto& [stream, since] : state_->idle) stream->socket().cancel(ec);
+  close_idle(*state_, monotonic_time::max());
+}
+
+void http_server::stop_reading() {
+  for (const auto& [connection, since] : state_->idle) {
+    connection->stop_reading();
+  }
+  for (server_connection* it : state_->active) it->stop_reading();
+}
+
+std::size_t http_server::connections() const {
+  return state_->connections;
 }
 
 std::size_t http_server::in_progress() const {
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -19,9 +19,6 @@
 using asio::redirect_error;
 using asio::use_awaitable;
 
-using string_response = http::response<http::string_body>;
-
-constexpr char server_header[] = "trestlepost";
 // Input that is discarded after a response ends after a pause of this length.
 constexpr std::chrono::milliseconds max_discard_pause{2000};
 // Room for one read of a body. Beast reads as much as the buffer has room for,
@@ -29,46 +26,13 @@
 constexpr std::size_t body_read_bytes = 16UL * 1024;
 constexpr unsigned http_1_1 = 11;
 
-http::status status_of(unsigned n) {
-  return http::int_to_status(n);
-}
-
-string_response make_head(const http_response& response, unsigned version) {
-  string_response out(status_of(response.status), version);
-  out.result(response.status);
-  out.set(http::field::server, server_header);
-  if (!response.content_type.empty()) {
-    out.set(http::field::content_type, response.content_type);
-  }
-  for (const auto& [name, value] : response.headers) out.set(name, value);
-  return out;
+/// Why a request that has not arrived completely is refused.
+error stopping_error() {
+  return {error_kind::draining, "this node is stopping", "use another node"};
 }
 
 }  // namespace
 
-http_response problem_response(unsigned status, const error& cause,
-                               std::string_view ran,
-                               std::chrono::seconds retry_after) {
-  json body;
-  body["type"] = "about:blank";
-  body["title"] = std::string(http::obsolete_reason(status_of(status)));
-  body["status"] = status;
-  body["kind"] = std::string(to_string(cause.kind));
-  body["ran"] = std::string(ran);
-  body["detail"] = cause.message;
-  body["remedy"] = cause.remedy;
-  http_response out;
-  out.status = status;
-  out.content_type = "application/problem+json";
-  out.headers.emplace_back("Trestlepost-Ran", std::string(ran));
-  if (retry_after.count() > 0) {
-    out.headers.emplace_back("Retry-After",
-                             std::to_string(retry_after.count()));
-  }
-  out.body = to_text(body);
-  return out;
-}
-
 void server_connection::set_reset_on_close(bool reset) {
   error_code ec;
   stream_.socket().set_option(asio::socket_base::linger(reset, 0), ec);
@@ -143,6 +107,27 @@
   watching_for_disconnect_ = false;
 }
 
+bool server_connection::has_input() {
+  error_code ec;
+  const bool open = !disconnected_ && stream_.socket().is_open();
+  return open && (buffer_.size() > 0 || stream_.socket().available(ec) > 0);
+}
+
+void server_connection::close_if_idle() {
+  error_code ec;
+  if (!has_input()) stream_.socket().cancel(ec);
+}
+
+void server_connection::stop_reading() {
+  if (reading_ == reading::nothing || !has_input()) return;
+  stopped_reading_ = true;
+  stream_.cancel();
+}
+
+void server_connection::stop_overdue_body(monotonic_time now) {
+  if (reading_ == reading::body && now >= body_deadline_) stream_.cancel();
+}
+
 std::string server_connection::peer_ip() const {
   error_code ec;
   const tcp::endpoint peer = stream_.socket().remote_endpoint(ec);
@@ -180,8 +165,10 @@
   }
   first_request_ = false;
   stream_.expires_after(options_.header_timeout);
+  reading_ = reading::head;
   co_await http::async_read_header(stream_, buffer_, *parser_,
                                    redirect_error(use_awaitable, ec));
+  reading_ = reading::nothing;
   if (ec) co_return co_await reject_head(ec);
   const bool both_lengths =
       parser_->get().count(http::field::content_length) > 0 &&
@@ -196,9 +183,12 @@
 
 awaitable<bool> server_connection::reject_head(error_code ec) {
   unusable_ = true;
+  const bool closed_idle =
+      ec == asio::error::operation_aborted && !stopped_reading_;
   const bool no_response =
-      ec == http::error::end_of_stream || ec == asio::error::connection_reset ||
-      ec == asio::error::eof || ec == asio::error::bad_descriptor ||
+      closed_idle || ec == http::error::end_of_stream ||
+      ec == asio::error::connection_reset || ec == asio::error::eof ||
+      ec == asio::error::bad_descriptor ||
       // After a timeout the stream has already closed its socket.
       ec == beast::error::timeout;
   if (no_response) co_return false;
@@ -206,7 +196,11 @@
   error cause{error_kind::bad_input,
               "cannot read the request's head: " + ec.message(),
               "send a well-formed HTTP/1.1 request"};
-  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+  if (stopped_reading_) {
+    status = 503;
+    cause = stopping_error();
+  } else if (ec == http::error::header_limit ||
+             ec == http::error::buffer_overflow) {
     status = 431;
     cause = {error_kind::too_large, "the request's head is too large",
              "send fewer or shorter headers"};
@@ -248,7 +242,10 @@
   }
   if (!parser_->is_done()) buffer_.reserve(body_read_bytes);
   if (options_.memory) options_.memory->add_reclaimable(*this);
-  stream_.expires_after(options_.body_timeout);
+  // The server checks the deadline. A timeout of the stream would close the
+  // socket, so that no response could be sent.
+  body_deadline_ = last_progress_ + options_.body_timeout;
+  reading_ = reading::body;
   bool fits = true;
   while (!ec && fits && !parser_->is_done()) {
     co_await http::async_read_some(stream_, buffer_, *parser_,
@@ -256,7 +253,7 @@
     last_progress_ = boot_clock::now();
     fits = !reclaimed_ && hold_body(parser_->get().body().capacity());
   }
-  stream_.expires_never();
+  reading_ = reading::nothing;
   if (options_.memory) options_.memory->remove_reclaimable(*this);
   co_return fits;
 }
@@ -279,21 +276,23 @@
     co_return out;
   }
   body_share_.clear();
+  co_return tl::make_unexpected(body_error(ec));
+}
+
+error server_connection::body_error(error_code ec) const {
+  if (stopped_reading_) return stopping_error();
   if (ec == http::error::body_limit) {
-    co_return fail(error_kind::too_large,
-                   "the body is larger than " +
-                       std::to_string(options_.body_limit) + " bytes",
-                   "send a smaller request");
+    return {error_kind::too_large,
+            "the body is larger than " + std::to_string(options_.body_limit) +
+                " bytes",
+            "send a smaller request"};
   }
-  if (ec == beast::error::timeout) {
-    // On a timeout the stream closes its socket, so no response can be sent.
-    unusable_ = true;
-    co_return fail(error_kind::deadline, "the body was not received in time",
-                   "send the body faster, without pauses");
+  if (ec == asio::error::operation_aborted) {
+    return {error_kind::deadline, "the body was not received in time",
+            "send the body faster, without pauses"};
   }
-  co_return fail(error_kind::bad_input, "cannot read the body: " + ec.message(),
-                 "send as many bytes as Content-Length states, or well-formed "
-                 "chunks");
+  return {error_kind::bad_input, "cannot read the body: " + ec.message(),
+          "send as many bytes as Content-Length states, or well-formed chunks"};
 }
 
 bool server_connection::has_unread_input() const {
@@ -315,117 +314,4 @@
   }
 }
 
-awaitable<bool> server_connection::respond(http_response response) {
-  if (disconnected_ || response_started_) co_return false;
-  if (response.close_delimited && method() != "HEAD") {
-    co_return co_await respond_until_close(std::move(response));
-  }
-  response_started_ = true;
-  string_response out = make_head(response, http_1_1);
-  const bool keeps_open = parser_->is_done() && parser_->get().keep_alive() &&
-                          !draining_ && !unusable_;
-  out.keep_alive(keeps_open);
-  if (method() == "HEAD") {
-    out.content_length(response.body.size());
-  } else {
-    out.body() = std::move(response.body);
-    out.prepare_payload();
-  }
-  error_code ec;
-  stream_.expires_after(options_.write_timeout);
-  co_await http::async_write(stream_, out, redirect_error(use_awaitable, ec));
-  stream_.expires_never();
-  if (ec) {
-    unusable_ = true;
-    co_return false;
-  }
-  response_complete_ = keeps_open;
-  co_return true;
-}
-
-awaitable<bool> server_connection::respond_until_close(http_response response) {
-  std::string body = std::move(response.body);
-  bool open = co_await start_stream(std::move(response));
-  if (open) open = co_await write_piece(std::move(body));
-  if (open) open = co_await finish_stream();
-  co_return open;
-}
-
-http::response<http::empty_body> make_stream_head(const http_response& head) {
-  http::response<http::empty_body> out;
-  static_cast<http::response_header<>&>(out) = make_head(head, http_1_1).base();
-  return out;
-}
-
-awaitable<bool> server_connection::start_stream(http_response head) {
-  http::response<http::empty_body> out = make_stream_head(head);
-  const bool until_close =
-      head.close_delimited || parser_->get().version() < http_1_1;
-  framing_ = until_close ? body_framing::close : body_framing::chunked;
-  if (until_close) {
-    set_reset_on_close(true);
-  } else {
-    out.chunked(true);
-  }
-  co_return co_await write_stream_head(std::move(out));
-}
-
-awaitable<bool> server_connection::start_sized_stream(http_response head,
-                                                      std::size_t length) {
-  http::response<http::empty_body> out = make_stream_head(head);
-  out.content_length(length);
-  framing_ = body_framing::sized;
-  co_return co_await write_stream_head(std::move(out));
-}
-
-awaitable<bool> server_connection::write_stream_head(
-    http::response<http::empty_body> out) {
-  if (disconnected_ || response_started_) co_return false;
-  response_started_ = true;
-  out.keep_alive(parser_->get().keep_alive() && !draining_ &&
-                 framing_ != body_framing::close);
-  http::response_serializer<http::empty_body> serializer(out);
-  error_code ec;
-  stream_.expires_after(options_.write_timeout);
-  co_await http::async_write_header(stream_, serializer,
-                                    redirect_error(use_awaitable, ec));
-  stream_.expires_never();
-  if (ec) handle_disconnect();
-  co_return !ec;
-}
-
-awaitable<bool> server_connection::write(const piece_buffers& data) {
-  if (disconnected_ || unusable_) co_return false;
-  error_code ec;
-  stream_.expires_after(options_.write_timeout);
-  co_await asio::async_write(stream_, data, redirect_error(use_awaitable, ec));
-  stream_.expires_never();
-  if (ec) handle_disconnect();
-  co_return !ec;
-}
-
-awaitable<bool> server_connection::write_piece(std::string piece) {
-  if (piece.empty()) co_return !disconnected_;
-  const bool chunked = framing_ == body_framing::chunked;
-  char size[32];
-  const int n = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-  static constexpr std::string_view end = "\r\n";
-  const piece_buffers data{
-      asio::buffer(size, chunked ? static_cast<std::size_t>(n) : 0),
-      asio::buffer(piece), asio::buffer(end.data(), chunked ? end.size() : 0)};
-  co_return co_await write(data);
-}
-
-awaitable<bool> server_connection::finish_stream() {
-  static constexpr std::string_view final_chunk = "0\r\n\r\n";
-  const piece_buffers data{asio::buffer(final_chunk)};
-  const bool sent = framing_ == body_framing::chunked
-                        ? co_await write(data)
-                        : !disconnected_ && !unusable_;
-  const bool closes = framing_ == body_framing::close;
-  if (sent && closes) set_reset_on_close(false);
-  response_complete_ = sent && !draining_ && !closes;
-  co_return sent;
-}
-
 }  // namespace trestlepost::transport
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -27,9 +27,12 @@
       private reclaimable_memory,
       public std::enable_shared_from_this<server_connection> {
  public:
-  server_connection(tcp::socket socket, const http_server_options& options)
+  /// `options` and `draining` are those of the server, which outlives it.
+  server_connection(tcp::socket socket, const http_server_options& options,
+                    const bool& draining)
       : stream_(std::move(socket)),
         options_(options),
+        draining_(draining),
         own_share_(options.memory) {
     own_share_.set(connection_bytes);
   }
@@ -39,12 +42,21 @@
   /// Reads the head of the next request. Returns false at the end of the
   /// connection.
   awaitable<bool> read_head();
-  bool keeps_alive(bool draining) const {
-    return !unusable_ && response_complete_ && parser_->is_done() &&
-           parser_->get().keep_alive() && !draining;
+  /// Whether another request is read on the connection, as its last response
+  /// has announced.
+  bool keeps_alive() const {
+    return !unusable_ && response_complete_ && parser_->is_done();
   }
-  void set_draining(bool draining) { draining_ = draining; }
   void end_exchange();
+  /// Whether bytes of a request have arrived that was not read completely.
+  bool has_input();
+  /// Closes the connection if it waits for a request, unless one has begun to
+  /// arrive.
+  void close_if_idle();
+  /// Ends the reading of an incomplete head or body. The request is refused.
+  void stop_reading();
+  /// Ends the reading of a body whose time is over. The request is refused.
+  void stop_overdue_body(monotonic_time now);
   /// Whether the caller may still be sending a request that has been answered.
   bool has_unread_input() const;
   /// Discards what the caller still sends: closing a connection with unread
@@ -86,6 +98,11 @@
   void on_disconnect(std::function<void()> action) override;
 
  private:
+  /// What the connection is reading.
+  enum class reading { nothing, head, body };
+
+  /// Returns why `read_body` failed with `ec`.
+  error body_error(boost::system::error_code ec) const;
   /// Responds to a request whose head cannot be read. Always returns false.
   awaitable<bool> reject_head(boost::system::error_code ec);
   awaitable<bool> write_stream_head(
@@ -119,10 +136,13 @@
 
   boost::beast::tcp_stream stream_;
   const http_server_options& options_;
+  const bool& draining_;
   boost::beast::flat_buffer buffer_;
   memory_share own_share_;
   memory_share body_share_;  // of the body that is being read
   monotonic_time last_progress_;
+  monotonic_time body_deadline_ = monotonic_time::max();
+  reading reading_ = reading::nothing;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
@@ -130,12 +150,13 @@
   std::uint64_t request_number_ = 0;  // counts requests on this connection
   bool watching_for_disconnect_ = false;
   bool response_started_ = false;
-  bool response_complete_ = false;  // sent, and the connection may stay open
+  bool announces_keep_alive_ = false;  // in the head of the current response
+  bool response_complete_ = false;     // sent, and the connection may stay open
   body_framing framing_ = body_framing::sized;  // of the current response
   bool unusable_ = false;                       // no further request is read
   bool disconnected_ = false;
-  bool draining_ = false;
-  bool reclaimed_ = false;     // the memory of the body was taken back
+  bool reclaimed_ = false;  // the memory of the body was taken back
+  bool stopped_reading_ = false;
   bool first_request_ = true;  // no request has been read yet
 };
 
