A request cut off by a stop before it was read may go elsewhere at once

unread_attempt knew a time to return only for a lack of memory; with the kind draining callers got no Retry-After.

--- a/gateway/src/delivery.cc
+++ b/gateway/src/delivery.cc
@@ -66,10 +66,10 @@
 }
 
 attempt unread_attempt(error cause) {
-  const bool no_memory = cause.kind == error_kind::overloaded;
-  return failed_attempt(
-      run_state::no, std::move(cause),
-      no_memory ? retry_after_no_memory : std::chrono::milliseconds(0));
+  std::chrono::milliseconds retry_after{0};
+  if (cause.kind == error_kind::overloaded) retry_after = retry_after_no_memory;
+  if (cause.kind == error_kind::draining) retry_after = retry_after_wrong_node;
+  return failed_attempt(run_state::no, std::move(cause), retry_after);
 }
 
 header_list answer_headers(const std::string& region, run_state ran,
