A stopping gateway takes no work that it can't end, and ends the rest truly

Cause: nothing compared a request with the end of the stop; requests that came late in the grace were passed on and cut at the exit, without an answer and without a line in the log. Change: requests and forwards are refused as not run unless their deadline or the bound of their kind (and the engine's estimate) lies before the end; retries, continuations, the queue, claims and waits take the earlier of both times; what the stop ends gets 504 with ran unknown, or is broken off visibly, is logged and counted, and is not held against the endpoint.

--- a/gateway/include/trestlepost/gateway/admission.h
+++ b/gateway/include/trestlepost/gateway/admission.h
@@ -71,6 +71,8 @@
   service_queue& queue_of(const std::string& service);
   /// Assigns free endpoints to queued requests of `service`.
   void dispatch_queued(const std::string& service);
+  /// Refuses the queued requests that can't end before this node has stopped.
+  void refuse_at_stop(const std::string& service, service_queue& queue);
   std::optional<membership::endpoint_view> choose(
       const std::string& service, std::uint64_t affinity,
       const std::set<std::string>& avoid) const;
--- a/gateway/include/trestlepost/gateway/context.h
+++ b/gateway/include/trestlepost/gateway/context.h
@@ -16,6 +16,7 @@
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/membership/node_table.h"
 #include "trestlepost/routing/region_choice.h"
+#include "trestlepost/routing/run_time_bounds.h"
 #include "trestlepost/transport/http_client.h"
 
 namespace trestlepost::gateway {
@@ -71,6 +72,7 @@
   /// Pays for answers that are held; null for no bound.
   std::shared_ptr<memory_budget> memory{};
   stop_deadline stop{};
+  routing::run_time_bounds run_times{};
 };
 
 }  // namespace trestlepost::gateway
--- a/gateway/include/trestlepost/gateway/endpoint_runner.h
+++ b/gateway/include/trestlepost/gateway/endpoint_runner.h
@@ -47,6 +47,14 @@
   skip_stale_answers(active_run& current);
   attempt send_failed(const active_run& current,
                       const transport::call_failure& failure);
+  /// Records and logs that no answer came from the endpoint.
+  void record_send_failure(const active_run& current,
+                           const transport::call_failure& failure);
+  /// Records that the endpoint failed, unless the caller or the stop of this
+  /// node has ended the run.
+  void record_failure(const active_run& current, const error& cause);
+  /// Returns whether the run failed with `cause` since this node is stopping.
+  bool ended_by_stop(const active_run& current, const error& cause) const;
   /// Reports to the crash monitor how the run ended.
   void record_end(routed_request& request, const active_run& current,
                   const attempt& out);
--- a/gateway/include/trestlepost/gateway/local_service.h
+++ b/gateway/include/trestlepost/gateway/local_service.h
@@ -58,6 +58,11 @@
   transport::awaitable<delivery_result> dispatch(
       const incoming_request& request, const std::string& attempt_id,
       std::set<std::string> avoid, transport::http_exchange& exchange);
+  /// Sends the request to the endpoint of `lease` and delivers the answer.
+  transport::awaitable<delivery_result> run(const incoming_request& request,
+                                            const std::string& attempt_id,
+                                            const endpoint_lease& lease,
+                                            transport::http_exchange& exchange);
   delivery_result send_failed(const incoming_request& request,
                               const std::string& endpoint,
                               const transport::call_failure& failure);
--- a/gateway/include/trestlepost/gateway/metrics.h
+++ b/gateway/include/trestlepost/gateway/metrics.h
@@ -37,6 +37,9 @@
   /// result of the probe: "crashed", "well" or "silent".
   void runs_interrupted(const std::string& service,
                         const std::string& endpoint_is, std::size_t n);
+  /// The planned stop of this node ended a request. `outcome` is "not-run",
+  /// "unknown" or, if the answer had begun, "incomplete".
+  void ended_by_stop(const std::string& service, const std::string& outcome);
   void forwarded(const std::string& region);
   void queue_length(const std::string& service, std::size_t n);
 
@@ -50,6 +53,7 @@
   prometheus::Family<prometheus::Counter>& retries_denied_;
   prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Counter>& interrupted_runs_;
+  prometheus::Family<prometheus::Counter>& stop_ends_;
   prometheus::Family<prometheus::Counter>& forwards_;
   prometheus::Family<prometheus::Gauge>& queue_;
 };
--- a/gateway/include/trestlepost/gateway/route_service.h
+++ b/gateway/include/trestlepost/gateway/route_service.h
@@ -49,9 +49,9 @@
                     const std::string& region);
 
   /// Returns the refusal for `request` if it is held because endpoints crash
-  /// when they run it. Must be checked before every send, to an endpoint or to
-  /// another region.
-  std::optional<attempt> hold_refusal(routed_request& request) const;
+  /// when they run it, or if this node is stopping too soon for it. Must be
+  /// checked before every send, to an endpoint or to another region.
+  std::optional<attempt> send_refusal(routed_request& request) const;
   /// Returns whether `request` must not be retried after `last`, since an
   /// endpoint may have crashed under it and it is already suspected of earlier
   /// crashes.
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -43,6 +43,8 @@
   /// Returns the request's fingerprint (see `request_fingerprint.h`), computed
   /// on first use.
   const std::string& fingerprint(std::string_view secret);
+  /// Returns the kind of the request in `run_time_bounds`.
+  std::string run_kind() const { return route->name + "/" + service; }
   /// Returns whether the time for an answer is over.
   bool is_overdue(monotonic_time now) const { return now >= deadline; }
   /// Returns whether the request may be served, cached and stored in `region`.
--- a/gateway/src/admission.cc
+++ b/gateway/src/admission.cc
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include "trestlepost/gateway/work_at_stop.h"
+
 namespace trestlepost::gateway {
 namespace {
 
@@ -53,6 +55,7 @@
   transport::timer wake;
   std::uint64_t affinity = 0;
   std::set<std::string> avoid;
+  monotonic_time deadline;
   std::optional<endpoint_lease> lease;
   std::optional<attempt> refusal;
 };
@@ -152,6 +155,19 @@
   queue.waiters.erase(it);
 }
 
+void admission::refuse_at_stop(const std::string& service,
+                               service_queue& queue) {
+  if (may_begin(context_, service, monotonic_time::max())) return;
+  std::vector<std::uint64_t> refused;
+  for (const auto& [id, it] : queue.waiters) {
+    if (it->deadline > context_.stop.ends_at()) refused.push_back(id);
+  }
+  for (const std::uint64_t id : refused) {
+    queue.queue.remove(id);
+    complete_waiter(queue, id, stopping_refusal());
+  }
+}
+
 void admission::dispatch_queued(const std::string& service) {
   service_queue& queue = queue_of(service);
   const monotonic_time now = context_.clock.now();
@@ -164,6 +180,7 @@
                         "send it again with a later deadline"},
                        std::chrono::seconds(1)));
   }
+  refuse_at_stop(service, queue);
   while (queue.queue.size() > 0) {
     // Whether any endpoint has capacity does not depend on the next request.
     if (!choose(service, 0, {})) break;
@@ -190,6 +207,8 @@
     const incoming_request& request, std::set<std::string> avoid,
     transport::http_exchange& exchange) {
   const std::string& service = request.service->name;
+  if (!may_begin(context_, service, request.deadline))
+    co_return tl::make_unexpected(stopping_refusal());
   service_queue& queue = queue_of(service);
   if (queue.queue.size() == 0) {
     const std::optional<endpoint_view> chosen =
@@ -205,13 +224,15 @@
   const std::chrono::nanoseconds min_duration =
       std::chrono::duration_cast<std::chrono::nanoseconds>(
           queue.mean_duration * min_duration_fraction);
-  const monotonic_time latest = request.deadline - min_duration;
+  const monotonic_time latest =
+      context_.stop.bound(request.deadline) - min_duration;
   if (context_.clock.now() + wait >= latest) {
     co_return tl::make_unexpected(overload_refusal(wait));
   }
   const std::uint64_t id = next_id_++;
   std::shared_ptr<waiter> pending = std::make_shared<waiter>(context_.io);
   pending->affinity = request.affinity;
+  pending->deadline = request.deadline;
   pending->avoid = std::move(avoid);
   queue.waiters[id] = pending;
   const std::optional<std::uint64_t> evicted =
--- a/gateway/src/endpoint_delivery.cc
+++ b/gateway/src/endpoint_delivery.cc
@@ -59,10 +59,7 @@
     co_return co_await relay(current, reader, std::move(body->text));
   }
   if (!body) {
-    if (!current.exchange.is_disconnected()) {
-      context_.endpoints.request_failed(current.endpoint.name,
-                                        context_.clock.now());
-    }
+    record_failure(current, body.error());
     co_return interrupted_run(*current.call, body.error());
   }
   context_.endpoints.request_succeeded(current.endpoint.name);
@@ -99,10 +96,7 @@
                        max_stream_bytes(current.request));
   result<std::string> piece = co_await reader.read_piece();
   if (!piece) {
-    if (!current.exchange.is_disconnected()) {
-      context_.endpoints.request_failed(current.endpoint.name,
-                                        context_.clock.now());
-    }
+    record_failure(current, piece.error());
     co_return interrupted_run(*current.call, piece.error());
   }
   co_return co_await relay(current, reader, std::move(*piece));
@@ -133,8 +127,7 @@
     co_return out;
   }
   if (relayed.interruption) {
-    context_.endpoints.request_failed(current.endpoint.name,
-                                      context_.clock.now());
+    record_failure(current, *relayed.interruption);
     out.cause = *relayed.interruption;
     out.connection_lost = is_connection_loss(*current.call, out.cause);
     co_return out;
@@ -234,8 +227,7 @@
   // Before the call is cancelled, which is no loss of its connection.
   attempt from_start = interrupted_run(*current.call, cause);
   current.call->cancel();
-  context_.endpoints.request_failed(current.endpoint.name,
-                                    context_.clock.now());
+  record_failure(current, cause);
   if (!current.exchange.has_response_started()) return from_start;
   attempt out;
   out.delivered = true;
--- a/gateway/src/endpoint_runner.cc
+++ b/gateway/src/endpoint_runner.cc
@@ -6,6 +6,7 @@
 
 #include "active_run.h"
 #include "trestlepost/base/log.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -59,7 +60,9 @@
   const unanswered_requests::key waiting = unanswered_.begin(
       endpoint.name, current.started, current.started + silence);
   const send_result sent = co_await send(current);
-  unanswered_.end(waiting, sent.has_value(), context_.clock.now());
+  const bool heard_or_ended =
+      sent || ended_by_stop(current, sent.error().cause);
+  unanswered_.end(waiting, heard_or_ended, context_.clock.now());
   pool_.record_outcome(endpoint.name, sent && current.answer.not_run);
   if (sent) {
     std::optional<attempt> refused = read_head(current);
@@ -83,6 +86,8 @@
   pool_.engines().end_request(current.ticket, context_.clock.now());
   context_.endpoints.request_ended(endpoint.name);
   out.endpoint = endpoint.name;
+  record_if_ended_by_stop(context_, request.head.request_id, request.service,
+                          request.deadline, exchange, out);
   co_return out;
 }
 
@@ -151,8 +156,22 @@
   co_return sent;
 }
 
-attempt endpoint_runner::send_failed(const active_run& current,
-                                     const transport::call_failure& failure) {
+bool endpoint_runner::ended_by_stop(const active_run& current,
+                                    const error& cause) const {
+  return is_ended_by_stop(context_, cause, current.request.deadline);
+}
+
+void endpoint_runner::record_failure(const active_run& current,
+                                     const error& cause) {
+  if (current.exchange.is_disconnected() || ended_by_stop(current, cause))
+    return;
+  context_.endpoints.request_failed(current.endpoint.name,
+                                    context_.clock.now());
+}
+
+void endpoint_runner::record_send_failure(
+    const active_run& current, const transport::call_failure& failure) {
+  if (ended_by_stop(current, failure.cause)) return;
   const monotonic_time at = context_.clock.now();
   // If the request's own deadline passed, the endpoint may merely be slow.
   const bool late = failure.cause.kind == error_kind::deadline &&
@@ -166,12 +185,6 @@
              !(late && failure.bytes_written)) {
     context_.endpoints.request_failed(current.endpoint.name, at);
   }
-  attempt out =
-      failed_attempt(failure.bytes_written ? run_state::unknown : run_state::no,
-                     failure.cause, refused_retry_after);
-  out.sends = failure.bytes_written ? 1 : 0;
-  out.connection_lost =
-      failure.bytes_written && is_connection_loss(failure.cause);
   if (!current.exchange.is_disconnected()) {
     log_event(log_level::warn, "endpoint-failed",
               {{"request_id", current.request.head.request_id},
@@ -179,6 +192,17 @@
                {"sent", failure.bytes_written ? "yes" : "no"},
                {"detail", failure.cause.message}});
   }
+}
+
+attempt endpoint_runner::send_failed(const active_run& current,
+                                     const transport::call_failure& failure) {
+  record_send_failure(current, failure);
+  attempt out =
+      failed_attempt(failure.bytes_written ? run_state::unknown : run_state::no,
+                     failure.cause, refused_retry_after);
+  out.sends = failure.bytes_written ? 1 : 0;
+  out.connection_lost =
+      failure.bytes_written && is_connection_loss(failure.cause);
   return out;
 }
 
--- a/gateway/src/entry_handler.cc
+++ b/gateway/src/entry_handler.cc
@@ -6,6 +6,7 @@
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/region_views.h"
+#include "trestlepost/gateway/work_at_stop.h"
 #include "trestlepost/own/request_options.h"
 
 namespace trestlepost::gateway {
@@ -199,7 +200,7 @@
       check_before_body(**caller, target, options->labels);
   if (!early) co_return refused(early.error());
   result<transport::request_body> body = co_await exchange.read_body();
-  if (!body) co_return refused(body.error());
+  if (!body) co_return tl::make_unexpected(unread_attempt(body.error()));
   if (target.service.empty()) {
     const result<own::model_call> call = own::read_model_call(body->text);
     if (!call) co_return refused(call.error());
@@ -224,6 +225,9 @@
   out.priority = options->priority;
   out.deadline = context_.clock.now() +
                  out.head.caller_timeout.value_or(out.service->timeout);
+  // The stop may have begun while the body arrived.
+  if (!may_begin(context_, out.service->name, out.deadline))
+    co_return tl::make_unexpected(stopping_refusal());
   co_return out;
 }
 
@@ -259,7 +263,10 @@
   const bool safe = last.ran == run_state::no ||
                     (last.ran == run_state::unknown && request.repeatable);
   if (!safe || !is_retryable(last.cause.kind)) return false;
-  if (context_.clock.now() >= request.deadline) return false;
+  if (!may_begin(context_, request.service->name, request.deadline))
+    return false;
+  if (context_.clock.now() >= context_.stop.bound(request.deadline))
+    return false;
   return retries_.try_take();
 }
 
--- a/gateway/src/forwarder.cc
+++ b/gateway/src/forwarder.cc
@@ -7,6 +7,7 @@
 #include "gateway_choice.h"
 #include "trestlepost/gateway/delivery.h"
 #include "trestlepost/gateway/forward_message.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -85,12 +86,17 @@
       context_.client.call(address);
   if (request.repeatable) exchange.on_disconnect([call] { call->cancel(); });
   context_.metrics.forwarded(region);
+  const std::string& service = request.service->name;
   const tl::expected<void, transport::call_failure> sent =
       co_await call->send(std::move(out), request.deadline);
   if (!sent) {
     const run_state ran =
         sent.error().bytes_written ? run_state::unknown : run_state::no;
-    co_return failed_attempt(ran, sent.error().cause, std::chrono::seconds(1));
+    attempt failed =
+        failed_attempt(ran, sent.error().cause, std::chrono::seconds(1));
+    record_if_ended_by_stop(context_, request.head.request_id, service,
+                            request.deadline, exchange, failed);
+    co_return failed;
   }
   if (!call->header(refused_header).empty()) {
     const result<std::string> body =
@@ -103,9 +109,11 @@
     headers.emplace_back("Trestlepost-Replayed", "true");
   }
   std::function<void()> on_first = [] {};
-  const delivery_result delivered =
+  delivery_result delivered =
       co_await deliver(*call, exchange, std::move(headers), context_.memory,
                        std::move(on_first));
+  record_if_ended_by_stop(context_, request.head.request_id, service,
+                          request.deadline, exchange, delivered.outcome);
   co_return delivered.outcome;
 }
 
--- a/gateway/src/local_service.cc
+++ b/gateway/src/local_service.cc
@@ -7,6 +7,7 @@
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/region_views.h"
 #include "trestlepost/gateway/request_fingerprint.h"
+#include "trestlepost/gateway/work_at_stop.h"
 #include "trestlepost/own/codecs.h"
 #include "trestlepost/routing/placement.h"
 
@@ -61,6 +62,13 @@
        "look up its effect at the service; it will not be run again"});
 }
 
+/// The ledger did not decide in time.
+attempt ledger_failed(const gateway_context& context, const error& cause) {
+  const bool stopped = context.clock.now() >= context.stop.ends_at();
+  return stopped ? stopping_refusal()
+                 : failed_attempt(run_state::no, cause, seconds(2));
+}
+
 awaitable<attempt> replay(http_exchange& exchange,
                           const ledger::stored_answer& answer,
                           const std::string& region, const std::string& id) {
@@ -168,12 +176,12 @@
     command.at = context_.clock.wall_now();
     command.window = request.service->key_window;
     const monotonic_time until =
-        std::min(request.deadline,
+        std::min(context_.stop.bound(request.deadline),
                  context_.clock.now() + context_.options.claim_timeout);
     const result<ledger::claim_decision> decided =
         co_await context_.ledger.fence(region, command, until);
     if (!decided) {
-      co_return failed_attempt(run_state::no, decided.error(), seconds(2));
+      co_return ledger_failed(context_, decided.error());
     }
     if (decided->verdict == claim_verdict::moved) continue;
     co_return co_await answer_decision(request, *decided, exchange);
@@ -196,12 +204,12 @@
       std::chrono::duration_cast<milliseconds>(request.deadline - now) +
       claim_grace;
   command.window = request.service->key_window;
-  const monotonic_time until =
-      std::min(request.deadline, now + context_.options.claim_timeout);
+  const monotonic_time until = std::min(context_.stop.bound(request.deadline),
+                                        now + context_.options.claim_timeout);
   const result<ledger::claim_decision> decided =
       co_await context_.ledger.claim(command, until);
   if (!decided) {
-    co_return failed_attempt(run_state::no, decided.error(), seconds(2));
+    co_return ledger_failed(context_, decided.error());
   }
   if (decided->verdict == claim_verdict::granted) co_return std::nullopt;
   co_return co_await answer_decision(request, *decided, exchange);
@@ -260,9 +268,11 @@
     const incoming_request& request, const std::string& endpoint,
     const transport::call_failure& failure) {
   const monotonic_time now = context_.clock.now();
+  const bool by_stop =
+      is_ended_by_stop(context_, failure.cause, request.deadline);
   if (failure.refused) {
     context_.endpoints.connection_refused(endpoint, now);
-  } else {
+  } else if (!by_stop) {
     context_.endpoints.request_failed(endpoint, now);
   }
   delivery_result out;
@@ -292,28 +302,42 @@
   // The request may have been held while it was queued.
   held = refuse_held(request);
   if (held) co_return std::move(*held);
+  const std::string& service = request.service->name;
+  const monotonic_time started = context_.clock.now();
+  context_.run_times.begin(service, started);
+  delivery_result out = co_await run(request, attempt_id, *lease, exchange);
+  record_if_ended_by_stop(context_, request.head.request_id, service,
+                          request.deadline, exchange, out.outcome);
+  record_run_time(context_, service, started, out.outcome);
+  co_return out;
+}
+
+awaitable<delivery_result> local_service::run(const incoming_request& request,
+                                              const std::string& attempt_id,
+                                              const endpoint_lease& lease,
+                                              http_exchange& exchange) {
   const monotonic_time started = context_.clock.now();
   const std::shared_ptr<transport::http_call> call =
-      context_.client.call(lease->address());
+      context_.client.call(lease.address());
   // A request that must not run twice is left to complete, so that its outcome
   // is recorded.
   if (request.repeatable) exchange.on_disconnect([call] { call->cancel(); });
   const own::endpoint_codec codec(request.service->refusal_means_not_run);
   const surface::endpoint_attempt sending{.head = request.head,
                                           .body = request.body,
-                                          .endpoint_id = lease->name(),
+                                          .endpoint_id = lease.name(),
                                           .priority = request.priority,
                                           .attempt_id = attempt_id};
   transport::http_request out = codec.encode(sending);
   const tl::expected<void, transport::call_failure> sent =
       co_await call->send(std::move(out), request.deadline);
-  const run_location at{lease->name(), lease->address(), request.service->name};
+  const run_location at{lease.name(), lease.address(), request.service->name};
   if (!sent) {
     const bool interrupted = sent.error().bytes_written &&
                              !exchange.is_disconnected() &&
                              is_connection_loss(sent.error().cause);
     if (interrupted) crashes_.run_interrupted(fingerprint(request), at);
-    co_return send_failed(request, lease->name(), sent.error());
+    co_return send_failed(request, lease.name(), sent.error());
   }
   const surface::endpoint_answer answer = codec.read_head(*call);
   if (!answer.attempt_id.empty() && answer.attempt_id != attempt_id) {
@@ -321,20 +345,20 @@
     transport::call_failure wrong_answer;
     wrong_answer.cause = {error_kind::endpoint_failed,
                           "the endpoint answered another request",
-                          "check the endpoint " + lease->name()};
+                          "check the endpoint " + lease.name()};
     wrong_answer.bytes_written = true;
-    co_return send_failed(request, lease->name(), wrong_answer);
+    co_return send_failed(request, lease.name(), wrong_answer);
   }
   if (answer.not_run) {
     call->cancel();
-    context_.endpoints.request_failed(lease->name(), context_.clock.now());
+    context_.endpoints.request_failed(lease.name(), context_.clock.now());
     delivery_result refused;
     refused.outcome = failed_attempt(
         run_state::no,
         {error_kind::unavailable, "the endpoint refused the request",
          "send it again after Retry-After"},
         seconds(1));
-    refused.outcome.endpoint = lease->name();
+    refused.outcome.endpoint = lease.name();
     co_return refused;
   }
   const std::string service = request.service->name;
@@ -348,13 +372,15 @@
   delivery_result delivered =
       co_await deliver(*call, exchange, std::move(headers), context_.memory,
                        std::move(on_first));
-  delivered.outcome.endpoint = lease->name();
+  delivered.outcome.endpoint = lease.name();
   const bool interrupted =
       delivered.outcome.connection_lost && !exchange.is_disconnected();
   if (interrupted) crashes_.run_interrupted(fingerprint(request), at);
+  const bool by_stop =
+      is_ended_by_stop(context_, delivered.outcome.cause, request.deadline);
   if (!delivered.outcome.delivered) {
-    if (!exchange.is_disconnected()) {
-      context_.endpoints.request_failed(lease->name(), context_.clock.now());
+    if (!exchange.is_disconnected() && !by_stop) {
+      context_.endpoints.request_failed(lease.name(), context_.clock.now());
     }
     co_return delivered;
   }
@@ -364,9 +390,9 @@
     crashes_.run_completed(fingerprint(request));
   }
   if (complete) {
-    context_.endpoints.request_succeeded(lease->name());
-  } else {
-    context_.endpoints.request_failed(lease->name(), context_.clock.now());
+    context_.endpoints.request_succeeded(lease.name());
+  } else if (!by_stop) {
+    context_.endpoints.request_failed(lease.name(), context_.clock.now());
   }
   context_.metrics.served_in(service, context_.self.region);
   admission_.observe_duration(service, context_.clock.now() - started);
--- a/gateway/src/metrics.cc
+++ b/gateway/src/metrics.cc
@@ -52,6 +52,8 @@
           counter(registry, "trestlepost_runs_broken_total",
                   "Runs that broke off with their connection, by what "
                   "became of the endpoint.")),
+      stop_ends_(counter(registry, "trestlepost_ended_by_stop_total",
+                         "Requests that this node's planned stop ended.")),
       forwards_(counter(registry, "trestlepost_forwards_total",
                         "Requests sent to another region.")),
       queue_(gauge(registry, "trestlepost_queue_length",
@@ -101,6 +103,11 @@
       .Increment(static_cast<double>(n));
 }
 
+void gateway_metrics::ended_by_stop(const std::string& service,
+                                    const std::string& outcome) {
+  stop_ends_.Add({{"service", service}, {"outcome", outcome}}).Increment();
+}
+
 void gateway_metrics::forwarded(const std::string& region) {
   forwards_.Add({{"region", region}}).Increment();
 }
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -8,6 +8,7 @@
 #include "trestlepost/base/hash.h"
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/retry_after.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -113,7 +114,10 @@
     } else if (request) {
       const unsigned before = request->sends.count();
       const std::optional<chosen_endpoint> no_endpoint;
+      const std::string kind = request->run_kind();
+      context_.run_times.begin(kind, times.arrived);
       outcome = co_await service_.serve(*request, no_endpoint, exchange);
+      record_run_time(context_, kind, times.arrived, outcome);
       outcome.sends = request->sends.count() - before;
       service_.release_unused_sends(*request);
     } else {
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -11,6 +11,7 @@
 #include "trestlepost/gateway/forward_message.h"
 #include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_message.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -123,6 +124,8 @@
   }
   exchange.on_disconnect(nullptr);
   outcome.gateway = name;
+  record_if_ended_by_stop(context_, request.head.request_id, request.service,
+                          request.deadline, exchange, outcome);
   if (!outcome.delivered && !exchange.is_disconnected()) {
     log_event(log_level::info, "forward-failed",
               {{"request_id", request.head.request_id},
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -8,6 +8,7 @@
 #include "trestlepost/base/log_fields.h"
 #include "trestlepost/gateway/retry_after.h"
 #include "trestlepost/gateway/route_regions.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -44,7 +45,8 @@
 }  // namespace
 
 bool route_handler::may_wait(const http_exchange& exchange) const {
-  return accepting_ && !exchange.is_disconnected();
+  const bool ends_now = context_.clock.now() >= context_.stop.ends_at();
+  return accepting_ && !ends_now && !exchange.is_disconnected();
 }
 
 awaitable<bool> route_handler::wait_for_startup(monotonic_time read_at,
@@ -92,10 +94,7 @@
   if (!plan) {
     return tl::make_unexpected(unavailable_error("this node has no plan yet"));
   }
-  if (!accepting_) {
-    return fail(error_kind::draining, "this node is stopping",
-                "use another node");
-  }
+  if (!accepting_) return tl::make_unexpected(stopping_error());
   if (context_.state.is(membership::node_states::outdated)) {
     return fail(error_kind::configuration_behind,
                 "other nodes have a newer configuration", "use another node");
@@ -130,6 +129,9 @@
   if (out.is_overdue(context_.clock.now())) {
     return tl::make_unexpected(overdue_error());
   }
+  if (!may_begin(context_, out)) {
+    return tl::make_unexpected(stopping_error());
+  }
   out.head = std::move(head);
   out.body = std::move(body);
   out.work = work_of(out);
@@ -173,7 +175,10 @@
     co_return;
   }
   local_.record_request(request->service);
+  const std::string kind = request->run_kind();
+  context_.run_times.begin(kind, times.arrived);
   attempt outcome = co_await run(*request, exchange);
+  record_run_time(context_, kind, times.arrived, outcome);
   return_unused_amount(*request, outcome);
   local_.release_unused_sends(*request);
   record(*request, outcome);
@@ -243,7 +248,8 @@
                                          const attempt& last) const {
   if (local_.must_stop_retrying(request, last)) return false;
   if (request.sends.count() >= request.route->attempts) return false;
-  if (context_.clock.now() >= request.deadline) return false;
+  if (context_.clock.now() >= context_.stop.bound(request.deadline))
+    return false;
   return last.ran == run_state::no || request.route->may_repeat();
 }
 
@@ -274,7 +280,7 @@
   bool may_have_run = false;
   std::optional<transport::http_response> last_endpoint_answer;
   while (tried.attempts < max_attempts) {
-    std::optional<attempt> refusal = local_.hold_refusal(request);
+    std::optional<attempt> refusal = local_.send_refusal(request);
     if (refusal) {
       if (request.sends.count() == 0) last = std::move(*refusal);
       break;
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -6,6 +6,7 @@
 
 #include "trestlepost/base/log.h"
 #include "trestlepost/gateway/retry_after.h"
+#include "trestlepost/gateway/work_at_stop.h"
 
 namespace trestlepost::gateway {
 namespace {
@@ -102,8 +103,9 @@
 
 }  // namespace
 
-std::optional<attempt> route_service::hold_refusal(
+std::optional<attempt> route_service::send_refusal(
     routed_request& request) const {
+  if (!may_begin(context_, request)) return stopping_refusal();
   if (!crashes_.holds_any()) return std::nullopt;
   return crashes_.refusal_of(request);
 }
@@ -117,7 +119,8 @@
 
 bool route_service::may_retry(routed_request& request, const attempt& last,
                               unsigned unsent) const {
-  if (context_.clock.now() >= request.deadline) return false;
+  if (context_.clock.now() >= context_.stop.bound(request.deadline))
+    return false;
   if (must_stop_retrying(request, last)) return false;
   if (last.sends == 0) return unsent < max_unsent_attempts;
   if (request.sends.count() >= request.route->attempts) return false;
@@ -159,6 +162,9 @@
 tl::expected<chosen_endpoint, attempt> route_service::check_value(
     const routed_request& request, const chosen_endpoint& chosen) const {
   const monotonic_time now = context_.clock.now();
+  const bool fits =
+      may_take(context_.stop, chosen.expected.finish, request.deadline, now);
+  if (!fits) return tl::make_unexpected(stopping_refusal());
   if (too_late(request, chosen.expected, now)) {
     return tl::make_unexpected(long_wait_refusal(chosen));
   }
@@ -190,7 +196,7 @@
   bool may_have_run = false;
   unsigned unsent = 0;
   while (true) {
-    std::optional<attempt> refusal = hold_refusal(request);
+    std::optional<attempt> refusal = send_refusal(request);
     if (refusal) {
       if (!last) last = std::move(refusal);
       break;
@@ -241,9 +247,11 @@
   if (events.resume_point().empty()) {
     return resume_error("the last event has no id");
   }
-  if (hold_refusal(request)) return resume_error("the request is held");
+  const std::optional<attempt> refusal = send_refusal(request);
+  if (refusal) return resume_error(refusal->cause.message);
   const monotonic_time now = context_.clock.now();
-  if (now >= request.deadline) return resume_error("the deadline passed");
+  if (now >= context_.stop.bound(request.deadline))
+    return resume_error("the deadline passed");
   if (request.sends.count() >= request.route->attempts) {
     return resume_error("the route permits no more attempts");
   }
@@ -252,6 +260,9 @@
   }
   result<chosen_endpoint> chosen = pool_.choose(request);
   if (!chosen) return chosen;
+  const bool fits =
+      may_take(context_.stop, chosen->expected.finish, request.deadline, now);
+  if (!fits) return resume_error(stopping_error().message);
   if (continuation_too_late(request, chosen->expected, now)) {
     return resume_error("queued prompts would take too long");
   }
