The value of a choice counts the time until this node has stopped

A stopping gateway compared endpoints and regions by the request's deadline, which its stop may precede.

--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -7,6 +7,7 @@
 
 #include "trestlepost/base/clock.h"
 #include "trestlepost/config/traffic_plan.h"
+#include "trestlepost/gateway/stop_deadline.h"
 #include "trestlepost/routing/charged_sends.h"
 #include "trestlepost/routing/completion_estimate.h"
 #include "trestlepost/routing/engine_table.h"
@@ -77,9 +78,10 @@
                 const config::usage_limit& limit);
 
 /// Returns the latency objective and the remaining time for an answer that
-/// starts at `now`.
+/// starts at `now`. The stop of this node ends the answer.
 routing::latency_requirements latency_requirements_of(
-    const routed_request& request, monotonic_time now);
+    const routed_request& request, const stop_deadline& stop,
+    monotonic_time now);
 
 /// Returns whether a list of home regions permits `region`; an empty list
 /// permits all.
--- a/gateway/src/endpoint_pool.cc
+++ b/gateway/src/endpoint_pool.cc
@@ -185,7 +185,7 @@
     candidates.push_back(one.candidate);
   }
   const routing::latency_requirements requirements =
-      latency_requirements_of(request, now);
+      latency_requirements_of(request, context_.stop, now);
   const std::optional<std::size_t> best =
       routing::choose_engine(candidates, requirements);
   if (!best) return std::nullopt;
--- a/gateway/src/route_regions.cc
+++ b/gateway/src/route_regions.cc
@@ -185,7 +185,7 @@
            .empty();
   if (by_own_gateways) return region_decision{own_region, std::nullopt};
   const routing::latency_requirements requirements =
-      latency_requirements_of(request, now);
+      latency_requirements_of(request, context.stop, now);
   std::optional<valued_decision> best_local;
   const bool locally = own_permitted && !tried.own_endpoints &&
                        !certainly_unreachable(context, request.service);
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -169,7 +169,7 @@
     return tl::make_unexpected(long_wait_refusal(chosen));
   }
   const routing::latency_requirements requirements =
-      latency_requirements_of(request, now);
+      latency_requirements_of(request, context_.stop, now);
   if (routing::net_value(chosen.expected, requirements) < -max_net_loss) {
     return tl::make_unexpected(
         delay_refusal(chosen, pool_.engines().mean_slot_time(request.service)));
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -67,10 +67,11 @@
 }
 
 routing::latency_requirements latency_requirements_of(
-    const routed_request& request, monotonic_time now) {
+    const routed_request& request, const stop_deadline& stop,
+    monotonic_time now) {
   return {request.route->latency_objective,
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              request.deadline - now)};
+              stop.bound(request.deadline) - now)};
 }
 
 bool permits_region(const std::vector<std::string>& homes,
--- a/gateway/src/work_at_stop.cc
+++ b/gateway/src/work_at_stop.cc
@@ -27,8 +27,8 @@
     return;
   }
   ended.cause = {error_kind::deadline,
-                 "this node stopped before the answer was complete",
-                 "if the request may run twice, send it to another node"};
+                 "the node that ran it stopped before the answer was complete",
+                 "send it to another node if it may run twice"};
   ended.retry_after = std::chrono::milliseconds(0);
 }
 
--- a/gateway/test/work_at_stop-test.cc
+++ b/gateway/test/work_at_stop-test.cc
@@ -60,8 +60,7 @@
   learn("long", seconds(4));
   const monotonic_time deadline = start + seconds(30);
   EXPECT_TRUE(may_begin_at("short", deadline, start + seconds(6)));
-  EXPECT_FALSE(
-      may_begin_at("short", deadline, stop_end - milliseconds(50)));
+  EXPECT_FALSE(may_begin_at("short", deadline, stop_end - milliseconds(50)));
   EXPECT_TRUE(may_begin_at("long", deadline, start + seconds(1)));
   EXPECT_FALSE(may_begin_at("long", deadline, start + seconds(3)));
 }
@@ -80,8 +79,7 @@
   EXPECT_TRUE(is_ended_by_stop(stop_, late, deadline, stop_end));
   EXPECT_FALSE(is_ended_by_stop(stop_, lost, deadline, stop_end));
   EXPECT_FALSE(is_ended_by_stop(stop_, late, stop_end, stop_end));
-  EXPECT_FALSE(
-      is_ended_by_stop(stop_, late, deadline, stop_end - seconds(1)));
+  EXPECT_FALSE(is_ended_by_stop(stop_, late, deadline, stop_end - seconds(1)));
   const stop_deadline none;
   EXPECT_FALSE(is_ended_by_stop(none, late, deadline, start + seconds(60)));
 }
--- a/routing/src/run_time_bounds.cc
+++ b/routing/src/run_time_bounds.cc
@@ -66,8 +66,8 @@
   const observations seen = recent(kind, now);
   if (seen.completed < min_completed) return std::nullopt;
   const auto open = in_progress_.find(kind);
-  const bool outlasted = open != in_progress_.end() &&
-                         now - *open->second.begin() > seen.longest;
+  const bool outlasted =
+      open != in_progress_.end() && now - *open->second.begin() > seen.longest;
   if (outlasted) return std::nullopt;
   return with_margin(seen.longest);
 }
--- a/routing/test/run_time_bounds-test.cc
+++ b/routing/test/run_time_bounds-test.cc
@@ -38,8 +38,7 @@
   run_time_bounds it;
   monotonic_time now = run(it, "a", enough, milliseconds(50), start);
   now = run(it, "b", enough, milliseconds(800), now);
-  EXPECT_EQ(it.bound("a", now),
-            run_time_bounds::with_margin(milliseconds(50)));
+  EXPECT_EQ(it.bound("a", now), run_time_bounds::with_margin(milliseconds(50)));
   EXPECT_EQ(it.bound("b", now),
             run_time_bounds::with_margin(milliseconds(800)));
   EXPECT_FALSE(it.bound("c", now));
