Soak: planned stops, reloads and plan changes that overlap

The soak had no run in which all disturbances are planned, so requests that a stop, a SIGHUP or a plan change ends without an answer were lost among those that kills and partitions end.

--stops stops up to a third of the entries and one control node at a time (SIGTERM, also twice, also right after a SIGHUP, also twice in series), reloads any node and changes the plan, with drain_timeout and drain_grace drawn from the seed. Callers use kept connections until the entry closes them. stop_record checks each request that was written whole, and each exit. Test endpoints take as long as the target asks for, since one slow prefix gives all requests the same length.

--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -72,6 +72,11 @@
   out["evacuation_orders"] = it.evacuation_orders;
   out["zone_changes"] = it.zone_changes;
   out["late_zone_arrivals"] = it.late_zone_arrivals;
+  out["stops"] = it.stops;
+  out["longest_stop_ms"] = trestlepost::as_number(it.longest_stop);
+  out["unanswered"] = json(Json::objectValue);
+  for (const auto& [end, requests] : it.unanswered)
+    out["unanswered"][end] = requests;
   out["recovery_ms"] = trestlepost::as_number(it.recovery);
   json& violations = out["violations"] = json(Json::arrayValue);
   for (const std::string& one : it.violations) violations.append(one);
@@ -114,6 +119,9 @@
                "send bursts of large requests to the gateways");
   app.add_flag("--evacuations", evacuations,
                "a zone is evacuated and put back into service all the time");
+  bool stops = false;
+  app.add_flag("--stops", stops,
+               "only stop and reload nodes in order, and change the plan");
   std::vector<std::string> kinds;
   app.add_option("--faults", kinds,
                  "leave out all faults but those of these kinds, for example "
@@ -135,7 +143,7 @@
   for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
     const soak_result it =
         run_soak({seed, std::chrono::seconds(seconds), gateways, limits,
-                  crashes, evacuations, bursts, program, only});
+                  crashes, evacuations, bursts, stops, program, only});
     print_row(seed, it);
     passed = passed && it.violations.empty();
   }
--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -12,8 +12,10 @@
 #include "deployment.h"
 #include "fault_injection.h"
 #include "part_check.h"
+#include "planned_work.h"
 #include "request_record.h"
 #include "schedule.h"
+#include "stop_load.h"
 #include "trestlepost/transport/http_client.h"
 #include "zone_orders.h"
 
@@ -39,6 +41,7 @@
 constexpr milliseconds operator_pause{150};
 constexpr milliseconds order_timeout{1000};
 constexpr milliseconds caller_timeout{3000};
+constexpr milliseconds route_timeout{4000};
 constexpr unsigned max_extra_routes = 400;
 // How long an evacuated zone is watched after the end of the allowed delay.
 constexpr milliseconds evacuated_time{2000};
@@ -61,8 +64,11 @@
       : deployment_(target),
         plans_(plans),
         engine_(options.seed),
-        crashes_(options.crashes) {
+        crashes_(options.crashes),
+        timeout_(options.stops ? stop_load::time_limit : route_timeout) {
     for (const std::string& entry : target.gateways()) {
+      // Those of `stop_load` send requests instead.
+      if (options.stops) break;
       for (int n = 0; n < callers_per_entry; ++n) spawn(run_caller(entry));
     }
     for (int n = 0; n < operators; ++n) spawn(run_operator());
@@ -99,6 +105,7 @@
   plan_record& plans_;
   std::mt19937_64 engine_;
   bool crashes_;
+  milliseconds timeout_;  // of the plans' routes
   std::atomic<bool> stopping_{false};
   transport::asio::io_context io_{1};
   transport::http_client client_{io_, client_options()};
@@ -151,7 +158,8 @@
     const std::string plan = deployment::large_plan(
         static_cast<unsigned>(number),
         static_cast<unsigned>(random_below(max_extra_routes)),
-        min_attempts + static_cast<unsigned>(random_below(2)));
+        min_attempts + static_cast<unsigned>(random_below(2)),
+        static_cast<unsigned>(timeout_.count()));
     plans_.record_sent(number, plan);
     for (bool open = true; open && !stopping_;) {
       bench::caller_request request = deployment_.replace_request(
@@ -254,6 +262,30 @@
   if (worst.exceeds_limit()) out.violations.push_back(to_string(worst));
 }
 
+void report_stops(const stop_record& stops, soak_result& out) {
+  out.violations.insert(out.violations.end(), stops.violations().begin(),
+                        stops.violations().end());
+  out.stops = stops.stops();
+  out.longest_stop = stops.longest_stop();
+  out.unanswered = stops.ends();
+  out.faults = out.stops + stops.reloads();
+}
+
+/// Sends a plan whose routes have the time limit of the callers of `stop_load`.
+void set_time_limit(deployment& target, plan_record& plans) {
+  const std::uint64_t number = plans.next_number();
+  const std::string plan = deployment::large_plan(
+      static_cast<unsigned>(number), 0, min_attempts,
+      static_cast<unsigned>(stop_load::time_limit.count()));
+  plans.record_sent(number, plan);
+  wait_until([&] {
+    return bench::send_and_wait(
+               target.replace_request(control_nodes.front(), plan))
+               .status == 200;
+  });
+  plans.record_acknowledged(number);
+}
+
 }  // namespace
 
 soak_result run_soak(const soak_options& options) {
@@ -262,11 +294,13 @@
   target.retries = retry_limits;
   target.gateways_per_region = options.gateways_per_region;
   target.program = options.program;
+  if (options.stops) draw_stop_settings(options.seed, target);
   deployment it(target);
   it.bring_up();
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
+  stop_record stops(target.drain_timeout, stop_load::time_limit);
   const std::vector<fault> schedule = make_schedule(
       options.seed,
       {control_nodes, it.gateways(), endpoints, options.span, options.limits,
@@ -274,6 +308,7 @@
   zone_orders orders(it, control_nodes, options.seed, out.violations);
   {
     if (options.crashes) begin_crashes(it);
+    if (options.stops) set_time_limit(it, plans);
     if (options.evacuations) it.record_gateways();
     traffic load(it, options, plans);
     if (options.evacuations) load.add_zone_orders(orders);
@@ -282,7 +317,16 @@
     const steady_clock::time_point start = steady_clock::now();
     const std::chrono::system_clock::time_point started_at =
         std::chrono::system_clock::now();
-    inject_faults(it, schedule);
+    std::vector<planned_request> planned;
+    if (options.stops) {
+      stop_load callers(it, options.seed);
+      run_planned_work(it, control_nodes, options.span, options.seed, stops);
+      callers.stop();
+      planned = callers.requests();
+    } else {
+      inject_faults(it, schedule);
+      out.faults = static_cast<int>(schedule.size());
+    }
     if (options.evacuations) watch_evacuated_zone(orders);
     bursts.reset();
     load.stop();
@@ -298,11 +342,15 @@
     for (const request_outcome& one : load.requests()) {
       requests.check(one, it.runs_of(one.id));
     }
+    for (const planned_request& one : planned) {
+      stops.check(one, it.runs_of(one.outcome.id));
+      requests.check(one.outcome, it.runs_of(one.outcome.id));
+    }
     out.answered = requests.answered();
     out.refused = requests.refused();
     out.failed = requests.failed();
   }
-  out.faults = static_cast<int>(schedule.size());
+  if (options.stops) report_stops(stops, out);
   out.acknowledged = plans.acknowledgements();
   out.reads = plans.reads();
   if (!out.violations.empty()) out.folder = it.keep_folder();
--- a/soak/src/soak_run.h
+++ b/soak/src/soak_run.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
   bool crashes = false;
   bool evacuations = false;  // a zone is evacuated and put back all the time
   bool bursts = false;       // many large requests are sent at once
+  bool stops = false;        // only planned stops, reloads and plan changes
   std::string program = "trestlepostd";  // the daemon that nodes run
   /// If not empty, all faults of other kinds are left out.
   std::vector<fault_kind> only;
@@ -49,6 +51,11 @@
   int evacuation_orders = 0;
   int zone_changes = 0;
   int late_zone_arrivals = 0;
+  /// Planned stops, the longest time until an exit, and the requests without a
+  /// complete answer by what became of them, as `stop_record` tells them apart.
+  int stops = 0;
+  std::chrono::milliseconds longest_stop{0};
+  std::map<std::string, int> unanswered;
   int peak_memory_mb = 0;  // of the process that has used most
   /// Time from the end of the last fault until all nodes serve.
   std::chrono::milliseconds recovery{0};
