--- a/gateway/include/trestlepost/gateway/context.h
+++ b/gateway/include/trestlepost/gateway/context.h
@@ -10,11 +10,13 @@
 #include "trestlepost/base/random.h"
 #include "trestlepost/config/store.h"
 #include "trestlepost/gateway/metrics.h"
+#include "trestlepost/gateway/stop_deadline.h"
 #include "trestlepost/ledger/record.h"
 #include "trestlepost/membership/endpoint_tracker.h"
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/membership/node_table.h"
 #include "trestlepost/routing/region_choice.h"
+#include "trestlepost/routing/run_time_bounds.h"
 #include "trestlepost/transport/http_client.h"
 
 namespace trestlepost::gateway {
@@ -69,6 +71,8 @@
   std::map<std::string, std::chrono::milliseconds>& round_trips;
   /// Pays for answers that are held; null for no bound.
   std::shared_ptr<memory_budget> memory{};
+  stop_deadline stop{};
+  routing::run_time_bounds run_times{};
 };
 
 }  // namespace trestlepost::gateway
