The end of a stop answers new connections, late processes and orders

Change: what the system has accepted is served before the acceptor closes; a new connection counts as idle after 150 ms only, and no idle one is closed once bytes have arrived. Orders end with the work. A head that comes too slowly is answered with 408. Requests that are cut at the exit are logged. Signals are handled before a port is opened.

--- a/node/src/node.cc
+++ b/node/src/node.cc
@@ -310,11 +310,11 @@
   routed_services.start();
   declare_endpoints();
   if (routed()) routed_services.apply_plan(entry_server);
-  result<void> opened = listen_all();
-  if (!opened) return opened;
   signals.add(SIGTERM);
   signals.add(SIGINT);
   signals.add(SIGHUP);
+  result<void> opened = listen_all();
+  if (!opened) return opened;
   file_watch.start();
   boost::asio::co_spawn(io, run_ticks(), boost::asio::detached);
   boost::asio::co_spawn(io, wait_for_signals(), boost::asio::detached);
--- a/node/src/node_context.h
+++ b/node/src/node_context.h
@@ -40,6 +40,9 @@
   /// The peer addresses from which control nodes last sent a message, by name.
   std::map<std::string, std::string> observed_addresses;
 
+  /// When the planned stop of this node ends the work in progress.
+  monotonic_time work_ends_at = monotonic_time::max();
+
   /// The peer address of a node, or empty.
   std::string peer_address(const std::string& node) const {
     const auto observed = observed_addresses.find(node);
--- a/node/src/planned_stop.cc
+++ b/node/src/planned_stop.cc
@@ -42,6 +42,7 @@
       schedule_stop(context_.clock.now(), context_.options.timing);
   context_.state.order_stop();
   services_.work.begin(schedule.works_until);
+  context_.work_ends_at = schedule.works_until;
   context_.client.limit_deadlines(schedule.works_until);
   for (transport::http_server* it : services_.servers) it->disable_keep_alive();
   services_.heartbeats.announce();
@@ -72,6 +73,8 @@
 }
 
 awaitable<void> planned_stop::close_servers(monotonic_time until) {
+  // A process that was suspended, or whose event loop is late, still answers.
+  until = std::max(until, context_.clock.now() + answer_margin);
   bool open = true;
   while (open && context_.clock.now() < until) {
     for (transport::http_server* it : services_.servers) {
@@ -96,6 +99,8 @@
   const std::size_t unfinished = in_progress();
   co_await close_servers(schedule.exits_at);
   const std::size_t cut = in_progress();
+  for (const transport::http_server* it : services_.servers)
+    it->log_requests_in_progress();
   log_event(cut == 0 ? log_level::info : log_level::warn, "node-stopped",
             {{"in_progress", std::to_string(cut)},
              {"ended", std::to_string(unfinished)},
--- a/transport/include/trestlepost/transport/http_server.h
+++ b/transport/include/trestlepost/transport/http_server.h
@@ -134,12 +134,15 @@
   /// and new ones are still accepted.
   void disable_keep_alive();
   /// Stops accepting connections and closes idle ones, unless a request has
-  /// begun to arrive. Each other one is closed as by `disable_keep_alive`.
+  /// begun to arrive or the connection is new. Each other one is closed as by
+  /// `disable_keep_alive`. To be called again until no connection is left.
   void drain();
   /// Refuses the requests whose head or body has arrived in part.
   void stop_reading();
   /// Returns the number of requests in progress.
   std::size_t in_progress() const;
+  /// Logs the requests in progress, before the process exits.
+  void log_requests_in_progress() const;
   /// Returns the number of open connections.
   std::size_t connections() const;
 
--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -13,6 +13,7 @@
 
 #include "accept_errors.h"
 #include "server_connection.h"
+#include "trestlepost/base/log.h"
 
 namespace trestlepost::transport {
 namespace {
@@ -25,6 +26,9 @@
 constexpr std::chrono::milliseconds connection_check_interval{1000};
 // Idle connections that are closed when the process has no descriptors left.
 constexpr std::size_t connections_to_free = 64;
+// A new connection is not closed for being idle for this time, since its first
+// request is probably on its way.
+constexpr std::chrono::milliseconds first_request_wait{150};
 
 }  // namespace
 
@@ -71,6 +75,16 @@
   }
 }
 
+/// Closes the connections that wait for a request, but for new ones.
+void close_all_idle(http_server::state& server) {
+  const monotonic_time now = boot_clock::now();
+  for (const auto& [connection, since] : server.idle) {
+    const bool expects_request =
+        connection->is_new() && now < since + first_request_wait;
+    if (!expects_request) connection->close_if_idle();
+  }
+}
+
 /// Closes the `count` connections that have waited longest for a request.
 void close_longest_idle(http_server::state& server, std::size_t count) {
   std::vector<monotonic_time> since;
@@ -93,10 +107,27 @@
       it->disconnect_if_silent();
       it->stop_overdue_body(now);
     }
+    for (const auto& [connection, since] : server->idle)
+      connection->stop_overdue_head(now);
     close_idle(*server, now - server->options.idle_timeout);
   }
 }
 
+void start_serving(const std::shared_ptr<http_server::state>& server,
+                   tcp::socket socket) {
+  if (server->connections >= server->options.max_connections) {
+    log_event(log_level::warn, "connection-limit-reached",
+              {{"connections", std::to_string(server->connections)}});
+    return;
+  }
+  set_accepted_options(socket, server->options.write_timeout);
+  ++server->connections;
+  std::shared_ptr<server_connection> accepted =
+      std::make_shared<server_connection>(std::move(socket), server->options,
+                                          server->draining);
+  asio::co_spawn(server->context, serve(server, accepted), asio::detached);
+}
+
 awaitable<void> accept_loop(std::shared_ptr<http_server::state> server) {
   while (server->acceptor && server->acceptor->is_open()) {
     error_code ec;
@@ -111,16 +142,22 @@
       co_await wait_after_accept_error(server->context, ec);
       continue;
     }
-    if (server->connections >= server->options.max_connections) continue;
-    set_accepted_options(socket, server->options.write_timeout);
-    ++server->connections;
-    std::shared_ptr<server_connection> accepted =
-        std::make_shared<server_connection>(std::move(socket), server->options,
-                                            server->draining);
-    asio::co_spawn(server->context, serve(server, accepted), asio::detached);
+    start_serving(server, std::move(socket));
   }
 }
 
+/// Closes the acceptor. Connections that the system has accepted are served.
+void close_acceptor(const std::shared_ptr<http_server::state>& server) {
+  error_code ec;
+  server->acceptor->non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(server->context);
+    server->acceptor->accept(socket, ec);
+    if (!ec) start_serving(server, std::move(socket));
+  }
+  server->acceptor->close(ec);
+}
+
 }  // namespace
 
 http_server::http_server(asio::io_context& context, http_handler& handler,
@@ -128,7 +165,11 @@
     : state_(std::make_shared<state>(context, handler, std::move(options))) {}
 
 http_server::~http_server() {
-  drain();
+  // Serves no further connection, unlike `drain`.
+  state_->draining = true;
+  error_code ec;
+  if (state_->acceptor) state_->acceptor->close(ec);
+  close_idle(*state_, monotonic_time::max());
 }
 
 result<void> http_server::listen(const std::string& address) {
@@ -155,9 +196,13 @@
 
 void http_server::drain() {
   state_->draining = true;
-  error_code ec;
-  if (state_->acceptor) state_->acceptor->close(ec);
-  close_idle(*state_, monotonic_time::max());
+  const bool listening = state_->acceptor && state_->acceptor->is_open();
+  if (listening) close_acceptor(state_);
+  close_all_idle(*state_);
+}
+
+void http_server::log_requests_in_progress() const {
+  for (const server_connection* it : state_->active) it->log_cut();
 }
 
 void http_server::stop_reading() {
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -119,15 +119,30 @@
 }
 
 void server_connection::stop_reading() {
-  if (reading_ == reading::nothing || !has_input()) return;
+  const bool partial =
+      reading_ == reading::body || (reading_ == reading::head && has_input());
+  if (!partial) return;
   stopped_reading_ = true;
   stream_.cancel();
 }
 
+void server_connection::stop_overdue_head(monotonic_time now) {
+  if (reading_ == reading::head && now >= head_deadline_) stream_.cancel();
+}
+
 void server_connection::stop_overdue_body(monotonic_time now) {
   if (reading_ == reading::body && now >= body_deadline_) stream_.cancel();
 }
 
+void server_connection::log_cut() const {
+  const std::string_view path = target().substr(0, target().find('?'));
+  log_event(log_level::warn, "request-cut",
+            {{"method", std::string(method())},
+             {"path", std::string(path)},
+             {"caller", peer_ip()},
+             {"answer_begun", response_started_ ? "yes" : "no"}});
+}
+
 std::string server_connection::peer_ip() const {
   error_code ec;
   const tcp::endpoint peer = stream_.socket().remote_endpoint(ec);
@@ -157,19 +172,22 @@
   response_started_ = false;
   response_complete_ = false;
   error_code ec;
-  if (buffer_.size() == 0 && !first_request_) {
+  if (buffer_.size() == 0 && !is_new_) {
     // The server closes connections that are idle for too long.
     co_await stream_.socket().async_wait(tcp::socket::wait_read,
                                          redirect_error(use_awaitable, ec));
-    if (ec) co_return false;
+    if (ec && !has_input()) co_return false;
   }
-  first_request_ = false;
-  stream_.expires_after(options_.header_timeout);
-  reading_ = reading::head;
-  co_await http::async_read_header(stream_, buffer_, *parser_,
-                                   redirect_error(use_awaitable, ec));
-  reading_ = reading::nothing;
+  // The server checks the deadline, as that of a body.
+  head_deadline_ = boot_clock::now() + options_.header_timeout;
+  do {
+    ec = co_await read_partial_head();
+    // A request has begun to arrive while the connection was being closed for
+    // being idle.
+  } while (ec == asio::error::operation_aborted && has_input() &&
+           !stopped_reading_ && boot_clock::now() < head_deadline_);
   if (ec) co_return co_await reject_head(ec);
+  is_new_ = false;
   const bool both_lengths =
       parser_->get().count(http::field::content_length) > 0 &&
       parser_->get().count(http::field::transfer_encoding) > 0;
@@ -177,14 +195,22 @@
     ec = http::error::bad_transfer_encoding;
     co_return co_await reject_head(ec);
   }
-  stream_.expires_never();
   co_return true;
 }
 
+awaitable<error_code> server_connection::read_partial_head() {
+  error_code ec;
+  reading_ = reading::head;
+  co_await http::async_read_header(stream_, buffer_, *parser_,
+                                   redirect_error(use_awaitable, ec));
+  reading_ = reading::nothing;
+  co_return ec;
+}
+
 awaitable<bool> server_connection::reject_head(error_code ec) {
   unusable_ = true;
-  const bool closed_idle =
-      ec == asio::error::operation_aborted && !stopped_reading_;
+  const bool aborted = ec == asio::error::operation_aborted;
+  const bool closed_idle = aborted && !has_input();
   const bool no_response =
       closed_idle || ec == http::error::end_of_stream ||
       ec == asio::error::connection_reset || ec == asio::error::eof ||
@@ -196,9 +222,16 @@
   error cause{error_kind::bad_input,
               "cannot read the request's head: " + ec.message(),
               "send a well-formed HTTP/1.1 request"};
+  std::chrono::seconds retry_after{0};
   if (stopped_reading_) {
     status = 503;
     cause = stopping_error();
+    retry_after = std::chrono::seconds(1);
+  } else if (aborted) {
+    status = 408;
+    cause = {error_kind::deadline,
+             "the request's head was not received in time",
+             "send the head faster, without pauses"};
   } else if (ec == http::error::header_limit ||
              ec == http::error::buffer_overflow) {
     status = 431;
@@ -212,7 +245,7 @@
   parser_.emplace();
   response_complete_ = false;
   const http_response response =
-      problem_response(status, cause, "no", std::chrono::seconds(0));
+      problem_response(status, cause, "no", retry_after);
   co_await respond(response);
   co_return false;
 }
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -55,8 +55,14 @@
   void close_if_idle();
   /// Ends the reading of an incomplete head or body. The request is refused.
   void stop_reading();
-  /// Ends the reading of a body whose time is over. The request is refused.
+  /// Whether no request has been read on the connection yet.
+  bool is_new() const { return is_new_; }
+  /// Ends the reading of a head or a body whose time is over. The request is
+  /// refused, if any byte of it has arrived.
+  void stop_overdue_head(monotonic_time now);
   void stop_overdue_body(monotonic_time now);
+  /// Logs a request that is in progress when the process exits.
+  void log_cut() const;
   /// Whether the caller may still be sending a request that has been answered.
   bool has_unread_input() const;
   /// Discards what the caller still sends: closing a connection with unread
@@ -103,6 +109,7 @@
 
   /// Returns why `read_body` failed with `ec`.
   error body_error(boost::system::error_code ec) const;
+  awaitable<boost::system::error_code> read_partial_head();
   /// Responds to a request whose head cannot be read. Always returns false.
   awaitable<bool> reject_head(boost::system::error_code ec);
   awaitable<bool> write_stream_head(
@@ -141,6 +148,7 @@
   memory_share own_share_;
   memory_share body_share_;  // of the body that is being read
   monotonic_time last_progress_;
+  monotonic_time head_deadline_ = monotonic_time::max();
   monotonic_time body_deadline_ = monotonic_time::max();
   reading reading_ = reading::nothing;
   std::optional<
@@ -157,7 +165,7 @@
   bool disconnected_ = false;
   bool reclaimed_ = false;  // the memory of the body was taken back
   bool stopped_reading_ = false;
-  bool first_request_ = true;  // no request has been read yet
+  bool is_new_ = true;  // no request has been read yet
 };
 
 }  // namespace trestlepost::transport
