Bytes without end that frame a body are given up

Cause: the size line of a chunk and the trailers stay whole in the buffer until they end, and the buffers of client and server had no maximum. The limits of bodies and the memory budget saw content only. One-byte chunks cost a step of the event loop each. Input after an answer was bounded by time only.

Ruled out: limits on heads and plain bodies; those ended before as well.

Change: buffers have a maximum (server: head limit and one read; client: 8 KB and one read; trestlepost: 128 KB), what the server's buffer takes beyond one read is charged to the budget, framing may cost 64 KB and twice the content, all that one read brought is parsed in one step, and at most 64 MB (256 KB after such a body) are discarded after an answer. Callers get 413 (`too_large`). An endpoint's answer is cancelled, so that its body is not taken for a crash.

Known: Lists (1000 pages of 4 MB), the number of unauthenticated peer connections, and over-long heads of endpoints that count as crashes were found by reading only.

--- a/ctl/src/client.cc
+++ b/ctl/src/client.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds first_ticket_interval{4};
 constexpr std::chrono::milliseconds max_ticket_interval{100};
 constexpr std::uint64_t max_answer_bytes = 256ULL * 1024 * 1024;
+// Room for a head or what frames a chunk, and one read behind it.
+constexpr std::size_t max_buffer_bytes = 128UL * 1024;
 
 error unreachable(const std::string& address, const std::string& why) {
   return {error_kind::unavailable, "node " + address + ": " + why,
@@ -43,7 +45,7 @@
   co_await http::async_write(
       stream, request,
       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(max_buffer_bytes);
   while (!ec && !answer.is_done()) {
     stream.expires_after(timeout);
     co_await http::async_read_some(
--- a/transport/src/connection_pool.h
+++ b/transport/src/connection_pool.h
@@ -7,20 +7,27 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "framing_bound.h"
 #include "trestlepost/transport/http_client.h"
 
 namespace trestlepost::transport {
 
+/// Bytes that the head of a response may take.
+constexpr std::uint32_t max_head_bytes = 8UL * 1024;
+
 /// Connection that is used by a call or idle in the pool.
 struct client_connection {
   explicit client_connection(asio::io_context& context) : stream(context) {}
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  /// Room for a head or what frames a body, and one read behind it.
+  static constexpr std::size_t max_buffer_bytes = max_head_bytes + read_bytes;
+  boost::beast::flat_buffer buffer{max_buffer_bytes};
   /// Request that is being written, and the rest of its body. The response is
   /// read concurrently, since an endpoint may respond before it has read a long
   /// body.
--- a/transport/src/framing_bound.h
+++ b/transport/src/framing_bound.h
@@ -5,10 +5,13 @@
 
 namespace trestlepost::transport {
 
-/// Counts the bytes of a body that are not its content, such as chunk sizes,
-/// chunk extensions and trailers. They may exceed the content by a constant
-/// factor and a fixed amount, so that a body of bounded length also ends after
-/// a bounded number of bytes.
+/// Bytes for which a buffer has room in one read of a body.
+constexpr std::size_t read_bytes = 16UL * 1024;
+
+/// Counts the bytes of a body that are not its content: chunk sizes, chunk
+/// extensions and trailers. They may exceed the content by a constant factor
+/// and a fixed amount, so that a body with a limit also ends after a limited
+/// number of bytes.
 class framing_bound {
  public:
   /// Adds the bytes of one read, of which `content` are content. Returns
@@ -21,7 +24,7 @@
 
  private:
   static constexpr std::size_t base_bytes = 64UL * 1024;
-  static constexpr std::size_t max_ratio = 4;
+  static constexpr std::size_t max_ratio = 2;
 
   std::size_t framing_ = 0;
   std::size_t content_ = 0;
--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 
+#include "body_reading.h"
 #include "connection_pool.h"
 #include "framing_bound.h"
 #include "header_lists.h"
@@ -24,8 +25,6 @@
 using asio::redirect_error;
 using asio::use_awaitable;
 
-// Maximum size in bytes of one read of a body.
-constexpr std::size_t piece_size = 16UL * 1024;
 // Maximum number of interim responses before the final one.
 constexpr int max_interim_responses = 8;
 constexpr unsigned first_final_status = 200;
@@ -147,6 +146,8 @@
   error_kind kind_of(error_code ec) const;
   /// Closes the connection and describes the failure.
   call_failure failure(const std::string& what, error_code ec, bool written);
+  /// Reads some of the body into `out`, and sets `n` to its size in bytes.
+  awaitable<error_code> read_body(asio::mutable_buffer out, std::size_t& n);
   /// Returns the connection to the pool after a complete response, if it can be
   /// reused.
   void release_connection();
@@ -155,6 +156,7 @@
   std::string address_;
   connection_ptr connection_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
+  framing_bound framing_;  // of the current response's body
   bool cancelled_ = false;
   bool deadline_passed_ = false;
   monotonic_time deadline_ = monotonic_time::max();
@@ -269,7 +271,9 @@
 
 awaitable<error_code> pooled_call::read_one_head() {
   parser_.emplace();
+  parser_->header_limit(max_head_bytes);
   parser_->body_limit(boost::none);
+  framing_ = framing_bound();
   if (is_head_request_) parser_->skip(true);
   error_code ec;
   co_await http::async_read_header(connection_->stream, connection_->buffer,
@@ -295,19 +299,22 @@
   co_return tl::expected<void, call_failure>();
 }
 
+awaitable<error_code> pooled_call::read_body(asio::mutable_buffer out,
+                                             std::size_t& n) {
+  return read_body_some(connection_->stream, connection_->buffer, *parser_,
+                        framing_, out, n);
+}
+
 awaitable<tl::expected<void, call_failure>> pooled_call::read_next_response() {
   // Does not use `read_piece`, which would return the connection to the pool at
   // the end of the discarded response.
   std::size_t discarded_bytes = 0;
   while (connection_ && !cancelled_ && !parser_->is_done()) {
-    std::array<char, piece_size> discarded{};
-    parser_->get().body().data = discarded.data();
-    parser_->get().body().size = discarded.size();
-    error_code ec;
-    co_await http::async_read_some(connection_->stream, connection_->buffer,
-                                   *parser_, redirect_error(use_awaitable, ec));
-    if (ec == http::error::need_buffer) ec = {};
-    discarded_bytes += discarded.size() - parser_->get().body().size;
+    std::array<char, read_bytes> discarded{};
+    std::size_t n = 0;
+    const asio::mutable_buffer out = asio::buffer(discarded);
+    error_code ec = co_await read_body(out, n);
+    discarded_bytes += n;
     if (discarded_bytes > max_discarded) ec = http::error::body_limit;
     if (ec)
       co_return tl::make_unexpected(failure("no response from", ec, true));
@@ -326,16 +333,19 @@
                    endpoint_remedy);
   }
   std::string piece;
-  // Beast reads as much as the buffer has room for.
-  if (!parser_->is_done()) connection_->buffer.reserve(piece_size);
   while (piece.empty() && !parser_->is_done()) {
-    piece.resize(piece_size);
-    parser_->get().body().data = piece.data();
-    parser_->get().body().size = piece.size();
-    error_code ec;
-    co_await http::async_read_some(connection_->stream, connection_->buffer,
-                                   *parser_, redirect_error(use_awaitable, ec));
-    if (ec == http::error::need_buffer) ec = {};
+    piece.resize(read_bytes);
+    std::size_t n = 0;
+    const asio::mutable_buffer out = asio::buffer(piece);
+    const error_code ec = co_await read_body(out, n);
+    if (ec == http::error::buffer_overflow && !cancelled_) {
+      // Given up by this side: the endpoint has not closed the connection.
+      cancel();
+      co_return fail(error_kind::endpoint_failed,
+                     "the response from " + address_ +
+                         " has too long chunk extensions, trailers or sizes",
+                     endpoint_remedy);
+    }
     if (ec || cancelled_) {
       connection_.reset();
       co_return fail(
@@ -343,7 +353,7 @@
           "the response from " + address_ + " was truncated: " + ec.message(),
           endpoint_remedy);
     }
-    piece.resize(piece.size() - parser_->get().body().size);
+    piece.resize(n);
   }
   if (parser_->is_done()) release_connection();
   co_return piece;
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -1,5 +1,7 @@
 #include "server_connection.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -7,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <vector>
 
+#include "body_reading.h"
+#include "framing_bound.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/base/log.h"
 
@@ -21,9 +25,10 @@
 
 // Input that is discarded after a response ends after a pause of this length.
 constexpr std::chrono::milliseconds max_discard_pause{2000};
-// Room for one read of a body. Beast reads as much as the buffer has room for,
-// which after a short head is half a kilobyte.
-constexpr std::size_t body_read_bytes = 16UL * 1024;
+// Input that is discarded after a response: of any request, and of one that was
+// refused for what frames its body.
+constexpr std::size_t max_discarded_bytes = 64UL * 1024 * 1024;
+constexpr std::size_t max_discarded_framing_bytes = 256UL * 1024;
 constexpr unsigned http_1_1 = 11;
 
 /// Why a request that has not arrived completely is refused.
@@ -153,6 +158,10 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(options_.header_limit));
   parser_->body_limit(options_.body_limit);
+  // A plan may lower the limit while a longer request is buffered.
+  buffer_.max_size(
+      std::max(options_.header_limit + read_bytes, buffer_.size()));
+  discard_limit_ = max_discarded_bytes;
   framing_ = body_framing::sized;
   response_started_ = false;
   response_complete_ = false;
@@ -218,8 +227,10 @@
 }
 
 bool server_connection::hold_body(std::size_t body_bytes) {
+  const std::size_t buffered =
+      std::max(buffer_.capacity(), read_bytes) - read_bytes;
   return body_share_.grow_to(
-      request_bytes + options_.memory_per_body_byte * body_bytes,
+      request_bytes + buffered + options_.memory_per_body_byte * body_bytes,
       options_.request_use, last_progress_);
 }
 
@@ -240,17 +251,29 @@
     co_await http::async_write(stream_, interim,
                                redirect_error(use_awaitable, ec));
   }
-  if (!parser_->is_done()) buffer_.reserve(body_read_bytes);
+  // A read fills the room that the buffer has, which after a short head is half
+  // a kilobyte.
+  if (!parser_->is_done()) buffer_.reserve(read_bytes);
   if (options_.memory) options_.memory->add_reclaimable(*this);
   // The server checks the deadline. A timeout of the stream would close the
   // socket, so that no response could be sent.
   body_deadline_ = last_progress_ + options_.body_timeout;
   reading_ = reading::body;
   bool fits = true;
+  bool unparsed = buffer_.size() > 0;
+  framing_bound framing;
   while (!ec && fits && !parser_->is_done()) {
-    co_await http::async_read_some(stream_, buffer_, *parser_,
-                                   redirect_error(use_awaitable, ec));
+    const std::size_t content = parser_->get().body().size();
+    // What arrived with the head is parsed first.
+    if (!std::exchange(unparsed, false))
+      ec = co_await receive(stream_, buffer_);
     last_progress_ = boot_clock::now();
+    if (ec == asio::error::eof) ec = http::error::partial_message;
+    if (!ec && !reclaimed_) {
+      const std::size_t n = parse_buffered(*parser_, buffer_, ec);
+      const std::size_t added = parser_->get().body().size() - content;
+      if (!framing.add(n, added) && !ec) ec = http::error::buffer_overflow;
+    }
     fits = !reclaimed_ && hold_body(parser_->get().body().capacity());
   }
   reading_ = reading::nothing;
@@ -276,6 +299,8 @@
     co_return out;
   }
   body_share_.clear();
+  if (ec == http::error::buffer_overflow)
+    discard_limit_ = max_discarded_framing_bytes;
   co_return tl::make_unexpected(body_error(ec));
 }
 
@@ -287,6 +312,12 @@
                 " bytes",
             "send a smaller request"};
   }
+  if (ec == http::error::buffer_overflow) {
+    return {error_kind::too_large,
+            "the chunk extensions, trailers and sizes of the body's chunks are "
+            "too long",
+            "send fewer and larger chunks, with short extensions and trailers"};
+  }
   if (ec == asio::error::operation_aborted) {
     return {error_kind::deadline, "the body was not received in time",
             "send the body faster, without pauses"};
@@ -307,10 +338,11 @@
   const monotonic_time end = boot_clock::now() + options_.body_timeout;
   // One for all connections, since nobody reads what is in it.
   static thread_local std::vector<char> discarded(64UL * 1024);
-  while (!ec && boot_clock::now() < end) {
+  std::size_t n = 0;
+  while (!ec && n < discard_limit_ && boot_clock::now() < end) {
     stream_.expires_after(max_discard_pause);
-    co_await stream_.async_read_some(asio::buffer(discarded),
-                                     redirect_error(use_awaitable, ec));
+    n += co_await stream_.async_read_some(asio::buffer(discarded),
+                                          redirect_error(use_awaitable, ec));
   }
 }
 
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -141,6 +141,7 @@
   memory_share own_share_;
   memory_share body_share_;  // of the body that is being read
   monotonic_time last_progress_;
+  std::size_t discard_limit_ = 0;  // bytes of input after the response
   monotonic_time body_deadline_ = monotonic_time::max();
   reading reading_ = reading::nothing;
   std::optional<
