--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -124,9 +124,8 @@
 }
 
 void server_connection::stop_reading() {
-  const bool partial =
-      reading_ == reading::body || (reading_ == reading::head && has_input());
-  if (!partial) return;
+  if (reading_ == reading::nothing) return;
+  if (reading_ == reading::head && !has_input()) return;
   stopped_reading_ = true;
   stream_.cancel();
 }
