--- a/soak/src/planned_work.cc
+++ b/soak/src/planned_work.cc
@@ -80,8 +80,7 @@
   bool repeats = engine_() % 3 == 0;
   const steady_time again = it.begun + random_time(10, 1500);
   trestlepost::test::process& process = target_.process_of(node);
-  const steady_time kill_at = 
-      it.begun + record_.drain_timeout() + kill_delay;
+  const steady_time kill_at = it.begun + record_.drain_timeout() + kill_delay;
   while (process.running() && steady_clock::now() < kill_at) {
     co_await transport::sleep_for(io_, check_interval);
     if (!repeats || steady_clock::now() < again) continue;
--- a/soak/src/stop_load.cc
+++ b/soak/src/stop_load.cc
@@ -120,10 +120,10 @@
   const bool in_parts = engine_() % 4 == 0;
   const std::string path =
       "/" + it.route + "/for-" + std::to_string(work.count());
-  std::string head = (it.route == "book" || in_parts ? "POST " : "GET ") +
-                     path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " +
-                     it.outcome.id + "\r\nX-Deadline-Ms: " +
-                     std::to_string(time_limit.count()) + "\r\n";
+  std::string head =
+      (it.route == "book" || in_parts ? "POST " : "GET ") + path +
+      " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + it.outcome.id +
+      "\r\nX-Deadline-Ms: " + std::to_string(time_limit.count()) + "\r\n";
   std::string rest = in_parts ? std::string(body_bytes, 'x') : "";
   if (in_parts) head += "Content-Length: " + std::to_string(body_bytes * 2);
   if (in_parts) head += "\r\n\r\n" + rest;
--- a/soak/src/stop_record.cc
+++ b/soak/src/stop_record.cc
@@ -20,15 +20,13 @@
 }  // namespace
 
 void stop_record::add_stop(planned_stop it) {
-  const milliseconds time =
-      duration_cast<milliseconds>(it.exited - it.begun);
+  const milliseconds time = duration_cast<milliseconds>(it.exited - it.begun);
   longest_stop_ = std::max(longest_stop_, time);
   if (it.status != 0 || time >= drain_timeout_) {
-    violations_.push_back("the stop of " + it.node + " took " +
-                          std::to_string(time.count()) + " of " +
-                          std::to_string(drain_timeout_.count()) +
-                          " ms and ended with status " +
-                          std::to_string(it.status));
+    violations_.push_back(
+        "the stop of " + it.node + " took " + std::to_string(time.count()) +
+        " of " + std::to_string(drain_timeout_.count()) +
+        " ms and ended with status " + std::to_string(it.status));
   }
   stops_.push_back(std::move(it));
 }
