--- a/transport/src/body_reading.h
+++ b/transport/src/body_reading.h
@@ -13,8 +13,8 @@
 
 namespace trestlepost::transport {
 
-/// Reads once from `stream` into `buffer`. Fails with `buffer_overflow` if it is
-/// full.
+/// Reads once from `stream` into `buffer`. Fails with `buffer_overflow` if it
+/// is full.
 awaitable<boost::system::error_code> receive(boost::beast::tcp_stream& stream,
                                              boost::beast::flat_buffer& buffer);
 
@@ -31,9 +31,9 @@
   return n;
 }
 
-/// Reads once and parses all that has arrived of a body into `out`, and sets `n`
-/// to the size of that content, which may be zero. Fails with `buffer_overflow`
-/// if too much of what has arrived only frames the body.
+/// Reads once and parses all that has arrived of a body into `out`, and sets
+/// `n` to the size of that content, which may be zero. Fails with
+/// `buffer_overflow` if too much of what has arrived only frames the body.
 awaitable<boost::system::error_code> read_body_some(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
     boost::beast::http::response_parser<boost::beast::http::buffer_body>&
