--- a/soak/src/stop_load.cc
+++ b/soak/src/stop_load.cc
@@ -31,7 +31,17 @@
 constexpr milliseconds extra_patience{2000};
 // A request within it after an answer does not meet an idle connection.
 constexpr milliseconds idle_time{20};
-constexpr std::size_t body_bytes = 4000;
+constexpr std::size_t body_bytes = 4000;  // of each of two parts
+
+std::string write_head(const bench::caller_request& request,
+                       std::size_t all_body_bytes) {
+  std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : request.headers)
+    out += name + ": " + value + "\r\n";
+  if (request.method == "POST")
+    out += "Content-Length: " + std::to_string(all_body_bytes) + "\r\n";
+  return out + "\r\n";
+}
 
 }  // namespace
 
@@ -120,15 +130,12 @@
   const bool in_parts = engine_() % 4 == 0;
   const std::string path =
       "/" + it.route + "/for-" + std::to_string(work.count());
-  std::string head =
-      (it.route == "book" || in_parts ? "POST " : "GET ") + path +
-      " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + it.outcome.id +
-      "\r\nX-Deadline-Ms: " + std::to_string(time_limit.count()) + "\r\n";
-  std::string rest = in_parts ? std::string(body_bytes, 'x') : "";
-  if (in_parts) head += "Content-Length: " + std::to_string(body_bytes * 2);
-  if (in_parts) head += "\r\n\r\n" + rest;
-  if (!in_parts && it.route == "book") rest = "Content-Length: 0\r\n";
-  if (!in_parts) rest += "\r\n";
+  const bench::caller_request request = target_.caller_request(
+      entry, it.route == "book" || in_parts ? "POST" : "GET", path,
+      it.outcome.id, time_limit);
+  std::string head = write_head(request, in_parts ? 2 * body_bytes : 0);
+  std::string rest(in_parts ? body_bytes : 0, 'x');
+  head += rest;
   target_.record_request(path);
   it.follows_answer =
       !fresh && steady_clock::now() - on.answered_at < idle_time;
@@ -138,7 +145,7 @@
                                asio::redirect_error(asio::use_awaitable, ec));
     co_await transport::sleep_for(io_, random_time(0, 400));
   } else {
-    rest = head + rest;
+    rest = head;
   }
   if (!ec) {
     co_await asio::async_write(*on.stream, asio::buffer(rest),
