--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -396,8 +396,9 @@
       ASSERT_TRUE(run_until([this] { return server_.connections() > 0; }));
     }
     server_.drain();
-    asio::write(socket, asio::buffer(std::string_view(
-                            "GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    asio::write(
+        socket,
+        asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
     const std::string answer = read_all(socket);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << accepted << answer;
     EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
