--- a/gateway/src/forward_handler.cc
+++ b/gateway/src/forward_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "trestlepost/base/hash.h"
+#include "trestlepost/gateway/work_at_stop.h"
 #include "trestlepost/own/codecs.h"
 
 namespace trestlepost::gateway {
@@ -55,8 +56,7 @@
 result<incoming_request> forward_handler::accept(
     const forward_message& message, transport::request_body body) const {
   if (context_.state.is(membership::node_states::draining)) {
-    return fail(error_kind::draining, "this node is stopping",
-                "use another node");
+    return tl::make_unexpected(stopping_error());
   }
   if (!context_.state.crosses_regions()) {
     return fail(
