One time at which a stop ends the work, for orders and requests

The node's context held it a second time beside the gateway's stop_deadline, and the planned stop set both. The context owns it now and the gateway refers to it.

--- a/gateway/include/trestlepost/gateway/context.h
+++ b/gateway/include/trestlepost/gateway/context.h
@@ -69,9 +69,9 @@
   gateway_options options;
   /// Measured round-trip time to each region.
   std::map<std::string, std::chrono::milliseconds>& round_trips;
+  const stop_deadline& stop;
   /// Pays for answers that are held; null for no bound.
   std::shared_ptr<memory_budget> memory{};
-  stop_deadline stop{};
   routing::run_time_bounds run_times{};
 };
 
--- a/node/src/node_context.h
+++ b/node/src/node_context.h
@@ -11,6 +11,7 @@
 #include "trestlepost/base/clock.h"
 #include "trestlepost/base/random.h"
 #include "trestlepost/config/store.h"
+#include "trestlepost/gateway/stop_deadline.h"
 #include "trestlepost/membership/endpoint_tracker.h"
 #include "trestlepost/membership/node_state.h"
 #include "trestlepost/membership/node_table.h"
@@ -41,7 +42,7 @@
   std::map<std::string, std::string> observed_addresses;
 
   /// When the planned stop of this node ends the work in progress.
-  monotonic_time work_ends_at = monotonic_time::max();
+  gateway::stop_deadline stop{};
 
   /// The peer address of a node, or empty.
   std::string peer_address(const std::string& node) const {
--- a/node/src/order_handler.cc
+++ b/node/src/order_handler.cc
@@ -207,7 +207,7 @@
   const bool evacuation = order.kind == order_kind::evacuate ||
                           order.kind == order_kind::end_evacuation;
   const monotonic_time from = evacuation ? arrived : context_.clock.now();
-  return std::min(from + answer_timeout, context_.work_ends_at);
+  return context_.stop.bound(from + answer_timeout);
 }
 
 awaitable<void> order_handler::wait_for_lease(monotonic_time deadline) {
--- a/node/src/planned_stop.cc
+++ b/node/src/planned_stop.cc
@@ -41,8 +41,7 @@
   const stop_schedule schedule =
       schedule_stop(context_.clock.now(), context_.options.timing);
   context_.state.order_stop();
-  services_.work.begin(schedule.works_until);
-  context_.work_ends_at = schedule.works_until;
+  context_.stop.begin(schedule.works_until);
   context_.client.limit_deadlines(schedule.works_until);
   for (transport::http_server* it : services_.servers) it->disable_keep_alive();
   services_.heartbeats.announce();
--- a/node/src/planned_stop.h
+++ b/node/src/planned_stop.h
@@ -33,7 +33,6 @@
     heartbeat_service& heartbeats;
     ledger_service& ledger;
     gateway::route_handler& routed_entry;
-    gateway::stop_deadline& work;
     std::vector<transport::http_server*> servers;
   };
 
