--- a/soak/src/soak_run.cc
+++ b/soak/src/soak_run.cc
@@ -65,7 +65,7 @@
         plans_(plans),
         engine_(options.seed),
         crashes_(options.crashes),
-        timeout_(options.stops ? stop_load::time_limit : route_timeout) {
+        timeout_(options.stops ? stop_load::request_timeout : route_timeout) {
     for (const std::string& entry : target.gateways()) {
       // Those of `stop_load` send requests instead.
       if (options.stops) break;
@@ -271,12 +271,12 @@
   out.faults = out.stops + stops.reloads();
 }
 
-/// Sends a plan whose routes have the time limit of the callers of `stop_load`.
-void set_time_limit(deployment& target, plan_record& plans) {
+/// Sends a plan whose routes have the timeout of the requests of `stop_load`.
+void set_request_timeout(deployment& target, plan_record& plans) {
   const std::uint64_t number = plans.next_number();
   const std::string plan = deployment::large_plan(
       static_cast<unsigned>(number), 0, min_attempts,
-      static_cast<unsigned>(stop_load::time_limit.count()));
+      static_cast<unsigned>(stop_load::request_timeout.count()));
   plans.record_sent(number, plan);
   wait_until([&] {
     return bench::send_and_wait(
@@ -300,7 +300,7 @@
   plan_record plans(out.violations);
   plans.record_sent(1, deployment::plan(1));
   plans.record_acknowledged(1);
-  stop_record stops(target.drain_timeout, stop_load::time_limit);
+  stop_record stops(target.drain_timeout, stop_load::request_timeout);
   const std::vector<fault> schedule = make_schedule(
       options.seed,
       {control_nodes, it.gateways(), endpoints, options.span, options.limits,
@@ -308,7 +308,7 @@
   zone_orders orders(it, control_nodes, options.seed, out.violations);
   {
     if (options.crashes) begin_crashes(it);
-    if (options.stops) set_time_limit(it, plans);
+    if (options.stops) set_request_timeout(it, plans);
     if (options.evacuations) it.record_gateways();
     traffic load(it, options, plans);
     if (options.evacuations) load.add_zone_orders(orders);
--- a/soak/src/stop_load.cc
+++ b/soak/src/stop_load.cc
@@ -27,7 +27,7 @@
 constexpr milliseconds rare_interval{500};
 constexpr milliseconds max_pause{300};
 constexpr milliseconds retry_pause{20};
-// Callers wait for an answer so much longer than the time limit.
+// Callers wait for an answer so much longer than the timeout.
 constexpr milliseconds extra_patience{2000};
 // A request within it after an answer does not meet an idle connection.
 constexpr milliseconds idle_time{20};
@@ -132,14 +132,14 @@
       "/" + it.route + "/for-" + std::to_string(work.count());
   const bench::caller_request request = target_.caller_request(
       entry, it.route == "book" || in_parts ? "POST" : "GET", path,
-      it.outcome.id, time_limit);
+      it.outcome.id, request_timeout);
   std::string head = write_head(request, in_parts ? 2 * body_bytes : 0);
   std::string rest(in_parts ? body_bytes : 0, 'x');
   head += rest;
   target_.record_request(path);
   it.follows_answer =
       !fresh && steady_clock::now() - on.answered_at < idle_time;
-  on.stream->expires_after(time_limit + extra_patience);
+  on.stream->expires_after(request_timeout + extra_patience);
   if (in_parts) {
     co_await asio::async_write(*on.stream, asio::buffer(head),
                                asio::redirect_error(asio::use_awaitable, ec));
--- a/soak/src/stop_load.h
+++ b/soak/src/stop_load.h
@@ -16,8 +16,8 @@
 /// longer requests on connections of their own, until it is stopped.
 class stop_load {
  public:
-  /// The time limit of the requests.
-  static constexpr std::chrono::milliseconds time_limit{12'000};
+  /// The timeout of the requests.
+  static constexpr std::chrono::milliseconds request_timeout{12'000};
 
   stop_load(platform::test::deployment& target, std::uint64_t seed);
   ~stop_load() { stop(); }
--- a/soak/src/stop_record.cc
+++ b/soak/src/stop_record.cc
@@ -48,7 +48,7 @@
   if (!ran && it.closed && at_once)
     return it.follows_answer ? "crossed-after-answer" : "crossed";
   if (is_stream(it) && is_cut_by_stop(it)) return "cut-" + it.route;
-  const bool expired = it.ended_at - it.written_at >= time_limit_;
+  const bool expired = it.ended_at - it.written_at >= timeout_;
   if (is_stream(it) && expired && it.closed) return "expired-" + it.route;
   return "lost";
 }
--- a/soak/src/stop_record.h
+++ b/soak/src/stop_record.h
@@ -41,10 +41,10 @@
   /// after the request's last byte.
   static constexpr std::chrono::milliseconds crossing_time{100};
 
-  /// `time_limit`: the time that a request may take.
+  /// `request_timeout`: the time that a request may take.
   stop_record(std::chrono::milliseconds drain_timeout,
-              std::chrono::milliseconds time_limit)
-      : drain_timeout_(drain_timeout), time_limit_(time_limit) {}
+              std::chrono::milliseconds request_timeout)
+      : drain_timeout_(drain_timeout), timeout_(request_timeout) {}
 
   std::chrono::milliseconds drain_timeout() const { return drain_timeout_; }
   void add_stop(planned_stop it);
@@ -60,7 +60,7 @@
   /// Returns requests without a complete answer by what became of them:
   /// "lost", or one of those that are no violation: "unsent", "crossed",
   /// "crossed-after-answer", "cut-NAME" and "expired-NAME" (streams of the
-  /// route NAME that the end of a stop or their time limit cut).
+  /// route NAME that the end of a stop or their timeout cut).
   const std::map<std::string, int>& ends() const { return ends_; }
 
  private:
@@ -69,7 +69,7 @@
 
   violation_list violations_;
   std::chrono::milliseconds drain_timeout_;
-  std::chrono::milliseconds time_limit_;
+  std::chrono::milliseconds timeout_;
   std::vector<planned_stop> stops_;
   std::chrono::milliseconds longest_stop_{0};
   int reloads_ = 0;
--- a/soak/test/stop_record-test.cc
+++ b/soak/test/stop_record-test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds drain_timeout{4000};
-constexpr milliseconds time_limit{12'000};
+constexpr milliseconds request_timeout{12'000};
 
 steady_time at(int ms) {
   return steady_time(milliseconds(100'000 + ms));
@@ -27,7 +27,7 @@
 
 /// Returns what becomes of the request beside a stop from 0 to 3600 ms.
 std::string end_of(const planned_request& it, const endpoint_names& ran) {
-  stop_record record(drain_timeout, time_limit);
+  stop_record record(drain_timeout, request_timeout);
   record.add_stop({"entry-n", at(0), at(3600), 0});
   record.check(it, ran);
   const std::string end =
@@ -70,7 +70,7 @@
 }
 
 TEST(stop_record_test, a_late_or_unclean_exit_is_a_violation) {
-  stop_record record(drain_timeout, time_limit);
+  stop_record record(drain_timeout, request_timeout);
   record.add_stop({"entry-n", at(0), at(3999), 0});
   EXPECT_TRUE(record.violations().empty());
   record.add_stop({"entry-n", at(0), at(4000), 0});
