One deadline for the head or the body that is being read

A connection reads one of them at a time; it had two deadlines and two functions that differed in nothing else.

--- a/transport/src/http_server.cc
+++ b/transport/src/http_server.cc
@@ -105,10 +105,10 @@
     const monotonic_time now = boot_clock::now();
     for (server_connection* it : server->active) {
       it->disconnect_if_silent();
-      it->stop_overdue_body(now);
+      it->stop_overdue_read(now);
     }
     for (const auto& [connection, since] : server->idle)
-      connection->stop_overdue_head(now);
+      connection->stop_overdue_read(now);
     close_idle(*server, now - server->options.idle_timeout);
   }
 }
--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -131,12 +131,8 @@
   stream_.cancel();
 }
 
-void server_connection::stop_overdue_head(monotonic_time now) {
-  if (reading_ == reading::head && now >= head_deadline_) stream_.cancel();
-}
-
-void server_connection::stop_overdue_body(monotonic_time now) {
-  if (reading_ == reading::body && now >= body_deadline_) stream_.cancel();
+void server_connection::stop_overdue_read(monotonic_time now) {
+  if (reading_ != reading::nothing && now >= read_deadline_) stream_.cancel();
 }
 
 void server_connection::log_cut() const {
@@ -188,13 +184,13 @@
     if (ec && !has_input()) co_return false;
   }
   // The server checks the deadline, as that of a body.
-  head_deadline_ = boot_clock::now() + options_.header_timeout;
+  read_deadline_ = boot_clock::now() + options_.header_timeout;
   do {
     ec = co_await read_partial_head();
     // A request has begun to arrive while the connection was being closed for
     // being idle.
   } while (ec == asio::error::operation_aborted && has_input() &&
-           !stopped_reading_ && boot_clock::now() < head_deadline_);
+           !stopped_reading_ && boot_clock::now() < read_deadline_);
   if (ec) co_return co_await reject_head(ec);
   is_new_ = false;
   const bool both_lengths =
@@ -290,7 +286,7 @@
   if (options_.memory) options_.memory->add_reclaimable(*this);
   // The server checks the deadline. A timeout of the stream would close the
   // socket, so that no response could be sent.
-  body_deadline_ = last_progress_ + options_.body_timeout;
+  read_deadline_ = last_progress_ + options_.body_timeout;
   reading_ = reading::body;
   bool fits = true;
   bool unparsed = buffer_.size() > 0;
--- a/transport/src/server_connection.h
+++ b/transport/src/server_connection.h
@@ -59,8 +59,7 @@
   bool is_new() const { return is_new_; }
   /// Ends the reading of a head or a body whose time is over. The request is
   /// refused, if any byte of it has arrived.
-  void stop_overdue_head(monotonic_time now);
-  void stop_overdue_body(monotonic_time now);
+  void stop_overdue_read(monotonic_time now);
   /// Logs a request that is in progress when the process exits.
   void log_cut() const;
   /// Whether the caller may still be sending a request that has been answered.
@@ -148,9 +147,8 @@
   memory_share own_share_;
   memory_share body_share_;  // of the body that is being read
   monotonic_time last_progress_;
-  monotonic_time head_deadline_ = monotonic_time::max();
+  monotonic_time read_deadline_;   // of the head or the body that is being read
   std::size_t discard_limit_ = 0;  // bytes of input after the response
-  monotonic_time body_deadline_ = monotonic_time::max();
   reading reading_ = reading::nothing;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
