--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -30,6 +30,7 @@
   printf '%3d.%03d  %s\n' $((ms / 1000)) $((ms % 1000)) "$*" >> "$record"
 }
 finish() {
+  exec 2> /dev/null
   for it in "${!pid[@]}"; do kill -KILL "${pid[$it]}" 2> /dev/null || true; done
   wait 2> /dev/null || true
   rm -rf "$work"
@@ -144,3 +145,44 @@
       sed -nE 's/.*"leader": "([^"]*)".*"term": "([0-9]*)".*/\2 \1/p'
   done | grep -E '^[0-9]+ .' | sort -n | tail -n 1 | cut -d' ' -f2
 }
+
+# The services and limits of a desired state with the service "plain".
+plain_service='"services":[{"name":"plain","health_path":"/health","max_conns":100,"protocol":"h1","tls":false,"warmup_s":0.0,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}'
+
+# The platform's list: one replica of "plain" in each zone.
+replica_list() {
+  local letter separator=
+  printf '{"instances":['
+  for letter in a b c; do
+    printf '%s{"id":"i-%s","backend":"plain","address":"%s","zone":"zone-%s","version":"v1","slots":8,"state":"ready","cold_left_ms":0}' \
+      "$separator" "$letter" "$(replica_address "$letter")" "$letter"
+    separator=,
+  done
+  printf '],"next_token":null}'
+}
+replica_address() { echo "$net.$((100 + $(printf '%d' "'$1")))":8080; }
+
+# Starts the replicas, which write what they run to $work/runs.
+start_replicas() {
+  : > "$work/runs"
+  for it in a b c; do
+    "$tool" replica "$(replica_address "$it")" "i-$it" "$work/runs" \
+      X-Expect-Instance X-Reply-Stamp &
+    pid[replica-$it]=$!
+  done
+}
+
+# call GATEWAY FILE MS: sends the bytes of FILE to a gateway as a client.
+call() { "$tool" raw "${ip[$1]}:8144" "$2" "$3"; }
+
+# Waits until a gateway answers a GET at this path with 200.
+await_gateway() {
+  local n
+  for n in $(seq 100); do
+    printf 'GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: up-%s-%s\r\nX-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n' \
+      "$2" "$1" "$n" > "$work/up"
+    call "$1" "$work/up" 1000 | head -n 1 | grep -q ' 200 ' && return 0
+    sleep 0.2
+  done
+  cannot_run "$1 does not serve requests"
+}
