--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -1,5 +1,6 @@
 # Starts a small deployment on loopback for the scripts of cases 6 to 10: five
-# control nodes and three gateways in three regions. To be sourced by a script
+# control nodes and, unless `gateways` and `replicas` are set, three gateways
+# and replicas in three regions. To be sourced by a script
 # that has set `case_folder`.
 root=$(cd "$case_folder/../.." && pwd)
 tool=$root/target/review-2/tool
@@ -13,7 +14,10 @@
 declare -A pid ip region zone
 
 controls=(core-a1 core-a2 core-b1 core-b2 core-c1)
-gateways=(front-a front-b front-c)
+gateways=("${gateways[@]:-front-a}")
+[ "${#gateways[@]}" -gt 1 ] || gateways=(front-a front-b front-c)
+replicas=("${replicas[@]:-a}")
+[ "${#replicas[@]}" -gt 1 ] || replicas=(a b c)
 number=10
 for it in "${controls[@]}" "${gateways[@]}"; do
   number=$((number + 1))
@@ -31,7 +35,7 @@
 }
 finish() {
   exec 2> /dev/null
-  for it in "${!pid[@]}"; do kill -KILL "${pid[$it]}" 2> /dev/null || true; done
+  for name in "${!pid[@]}"; do kill -KILL "${pid[$name]}" 2> /dev/null || true; done
   wait 2> /dev/null || true
   rm -rf "$work"
 }
@@ -149,26 +153,33 @@
 # The services and limits of a desired state with the service "plain".
 plain_service='"services":[{"name":"plain","health_path":"/health","max_conns":100,"protocol":"h1","tls":false,"warmup_s":0.0,"cold_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}'
 
-# The platform's list: one replica of "plain" in each zone.
+# The platform's list: the replicas of "plain".
 replica_list() {
-  local letter separator=
+  local it separator=
   printf '{"instances":['
-  for letter in a b c; do
-    printf '%s{"id":"i-%s","backend":"plain","address":"%s","zone":"zone-%s","version":"v1","slots":8,"state":"ready","cold_left_ms":0}' \
-      "$separator" "$letter" "$(replica_address "$letter")" "$letter"
+  for it in "${replicas[@]}"; do
+    printf '%s{"id":"i-%s","backend":"plain","address":"%s","zone":"zone-%s","version":"v1","slots":32,"state":"ready","cold_left_ms":0}' \
+      "$separator" "$it" "$(replica_address "$it")" "${it:0:1}"
     separator=,
   done
   printf '],"next_token":null}'
 }
-replica_address() { echo "$net.$((100 + $(printf '%d' "'$1")))":8080; }
+replica_address() {
+  local n=100
+  for it in "${replicas[@]}"; do
+    n=$((n + 1))
+    [ "$it" != "$1" ] || echo "$net.$n:8080"
+  done
+}
 
-# Starts the replicas, which write what they run to $work/runs.
+# start_replicas [MS]: starts the replicas, which write what they run to
+# $work/runs. Requests for paths with "/slow" take so many ms.
 start_replicas() {
   : > "$work/runs"
-  for it in a b c; do
-    "$tool" replica "$(replica_address "$it")" "i-$it" "$work/runs" \
-      X-Expect-Instance X-Reply-Stamp &
-    pid[replica-$it]=$!
+  for name in "${replicas[@]}"; do
+    "$tool" replica "$(replica_address "$name")" "i-$name" "$work/runs" \
+      X-Expect-Instance X-Reply-Stamp "${1:-0}" &
+    pid[replica-$name]=$!
   done
 }
 
--- a/review/standins-2/tool.cc
+++ b/review/standins-2/tool.cc
@@ -1,10 +1,16 @@
 // Small stand-ins for the scripts of a review, without libraries:
 //   tool list ADDRESS FILE                    serves FILE as JSON to every GET
-//   tool replica ADDRESS ID LOG EXPECTED STAMP
+//   tool replica ADDRESS ID LOG EXPECTED STAMP MS
 //                                             answers as the replica ID and
 //                                             writes to LOG what it runs;
 //                                             EXPECTED and STAMP are the names
-//                                             of the platform's headers
+//                                             of the platform's headers;
+//                                             paths with /slow take MS
+//   tool load ADDRESS HOST PREFIX COUNT INTERVAL MS DEADLINE
+//                                             sends COUNT GETs for PREFIX-N,
+//                                             one every INTERVAL ms, each with
+//                                             MS to go in the header DEADLINE,
+//                                             and prints the status of each
 //   tool raw ADDRESS FILE MS                  sends the bytes of FILE and
 //                                             prints what arrives
 //   tool send ADDRESS METHOD TARGET FILE MS [HEADER]...
@@ -25,6 +31,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -127,6 +134,7 @@
   std::string log;
   std::string expected_header;  // in lower case
   std::string stamp_header;
+  milliseconds slow_time{0};
 };
 
 std::string lower_case(std::string text) {
@@ -161,6 +169,8 @@
           << options.id << " runs " << line << ", id " << request_id << ", "
           << length << " bytes of body" << std::endl;
     }
+    const bool slow = line.find("/slow") != std::string::npos;
+    if (slow && !is_other) std::this_thread::sleep_for(options.slow_time);
     if (!send_all(fd, answer)) break;
   }
   ::close(fd);
@@ -239,6 +249,47 @@
   return 0;
 }
 
+/// A client of a load: sends one GET and returns the status of its answer.
+std::string get_status(const std::string& address, const std::string& request,
+                       milliseconds timeout) {
+  const steady_clock::time_point deadline = steady_clock::now() + timeout;
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in at = parse_address(address);
+  std::string buf;
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
+      send_all(fd, request)) {
+    while (buf.find("\r\n\r\n") == std::string::npos &&
+           receive_some(fd, buf, deadline)) {
+    }
+  }
+  ::close(fd);
+  return buf.size() > 12 ? buf.substr(9, 3) : "none";
+}
+
+int send_load(const std::vector<std::string>& arguments) {
+  const int count = std::stoi(arguments[3]);
+  const milliseconds interval(std::stol(arguments[4]));
+  const milliseconds limit(std::stol(arguments[5]));
+  std::mutex lock;
+  std::vector<std::thread> clients;
+  for (int n = 1; n <= count; ++n) {
+    const std::string id = arguments[2] + "-" + std::to_string(n);
+    const std::string request =
+        "GET " + id + " HTTP/1.1\r\nHost: " + arguments[1] +
+        "\r\nX-Request-Id: " + id.substr(id.rfind('/') + 1) + "\r\n" +
+        arguments[6] + ": " + arguments[5] + "\r\nConnection: close\r\n\r\n";
+    clients.emplace_back([&lock, &arguments, request, id, limit] {
+      const std::string status =
+          get_status(arguments[0], request, limit + milliseconds(500));
+      const std::scoped_lock guard(lock);
+      std::cout << id.substr(id.rfind('/') + 1) << " " << status << std::endl;
+    });
+    std::this_thread::sleep_for(interval);
+  }
+  for (std::thread& it : clients) it.join();
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -250,12 +301,16 @@
     return listen_at(arguments[1],
                      [path](int fd) { serve_connection(fd, path); });
   }
-  if (verb == "replica" && arguments.size() == 6) {
+  if (verb == "replica" && arguments.size() == 7) {
     const replica_options options{arguments[2], arguments[3],
-                                  lower_case(arguments[4]), arguments[5]};
+                                  lower_case(arguments[4]), arguments[5],
+                                  milliseconds(std::stol(arguments[6]))};
     return listen_at(arguments[1],
                      [options](int fd) { serve_replica(fd, options); });
   }
+  if (verb == "load" && arguments.size() == 8) {
+    return send_load({arguments.begin() + 1, arguments.end()});
+  }
   if (verb == "raw" && arguments.size() == 4) {
     return send_raw({arguments.begin() + 1, arguments.end()});
   }
