--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -72,7 +72,7 @@
 sleep 0.3
 restart_nodes "${rest[@]}"
 signal_gateway CONT
-sleep 3
+sleep 0.5
 restart_nodes "$first" "$second"
 sleep 12  # recovery_s
 acknowledged=3
