--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -1,7 +1,7 @@
-# Starts a small deployment on loopback for the scripts of cases 6 to 10: five
-# control nodes and, unless `gateways` and `replicas` are set, three gateways
-# and replicas in three regions. To be sourced by a script
-# that has set `case_folder`.
+# Starts a small deployment on loopback for the scripts of cases 6 to 9: five
+# control nodes and, unless `gateways` and `replicas` are set, three gateways and
+# three replicas, in three regions. To be sourced by a script that has set
+# `case_folder`.
 root=$(cd "$case_folder/../.." && pwd)
 tool=$root/target/review-2/tool
 program=$root/target/bin/trestlepostd
