--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,6 +6,8 @@
 set -uo pipefail
 case_folder=$(cd "$(dirname "$0")" && pwd)
 : > "$case_folder/record.txt"
+# Ten machines with the control nodes: the frozen one is a tenth of them.
+gateways=(front-a front-b front-c front-a2 front-b2)
 # shellcheck source=review/standins-2/deployment.sh
 . "$case_folder/../standins-2/deployment.sh"
 
