--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -41,6 +41,6 @@
 broken=0
 version=$(read_version 10) || broken=1
 [ "${version:-5}" -ge 5 ] || broken=1
-replace 7 10 || broken=1
+replace 7 10  # noted only: the rule is about what is read back
 note "$([ $broken = 0 ] && echo "the rule held" || echo "the rule was broken")"
 exit $broken
