--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of cases 6 to 9 into target/review-2/.
+# Builds the stand-ins of cases 6 to 8 into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standins-2/deployment.sh
+++ b/review/standins-2/deployment.sh
@@ -1,4 +1,4 @@
-# Starts a small deployment on loopback for the scripts of cases 6 to 9: five
+# Starts a small deployment on loopback for the scripts of cases 6 to 8: five
 # control nodes and, unless `gateways` and `replicas` are set, three gateways and
 # three replicas, in three regions. To be sourced by a script that has set
 # `case_folder`.
