Number a process's requests to peers from a random start

Cause: peer_calls numbered its calls from 1 in each process and matched answers by that number alone. An answer is sent to an address. A leader that answered a call of an earlier process at the same address answered, to the new process, the call of the same number: "accepted" for version 5 was taken for the decision on version 7, which had no majority. watch_client had the same: an answer to a poll of the earlier process confirmed the configuration as of the time of the new poll.

Change: request_numbers starts at a random 63-bit number. Peers echo it as before, so both builds understand each other. Answers that match no call are logged as peer-answer-unmatched.

Ruled out: an acknowledgement before a majority has the change; without the restart the case answers 503.

--- a/node/src/peer_calls.cc
+++ b/node/src/peer_calls.cc
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "trestlepost/base/log.h"
+
 namespace trestlepost::node {
 namespace {
 
@@ -40,7 +42,7 @@
 
 void peer_calls::call(const std::string& address, const std::string& method,
                       json params, answer_function answer) {
-  const std::uint64_t token = next_token_++;
+  const std::uint64_t token = numbers_.next();
   params["token"] = as_number(token);
   params["reply_to"] = context_.self.peer_address;
   pending_[token] = {std::move(answer), context_.clock.now()};
@@ -49,7 +51,11 @@
 
 void peer_calls::handle_answer(const json& params) {
   const auto found = pending_.find(number_of(params, "token"));
-  if (found == pending_.end()) return;
+  if (found == pending_.end()) {
+    // The call has timed out, or an earlier process made it.
+    log_event(log_level::info, "peer-answer-unmatched");
+    return;
+  }
   const answer_function answer = std::move(found->second.answer);
   pending_.erase(found);
   const json& failed = member_of(params, "error");
--- a/node/src/peer_calls.h
+++ b/node/src/peer_calls.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "connections/request_numbers.h"
 #include "node_context.h"
 #include "ticket_table.h"
 
@@ -18,7 +19,8 @@
   using call_handler =
       std::function<void(const json& params, const answer_function& answer)>;
 
-  explicit peer_calls(node_context& context) : context_(context) {}
+  explicit peer_calls(node_context& context)
+      : context_(context), numbers_(context.random) {}
 
   void start();
   void tick();
@@ -40,7 +42,7 @@
 
   node_context& context_;
   std::map<std::uint64_t, pending_call> pending_;
-  std::uint64_t next_token_ = 1;
+  request_numbers numbers_;
 };
 
 }  // namespace trestlepost::node
--- a/node/src/watch_client.cc
+++ b/node/src/watch_client.cc
@@ -43,6 +43,7 @@
     : context_(context),
       make_heartbeat_(std::move(beat)),
       finder_(max_unanswered_polls * context.options.timing.poll_interval),
+      poll_numbers_(context.random),
       scheduler_(context.options.timing.poll_interval, context.random),
       newer_(context, [this](const json& update) { apply(update); }) {}
 
@@ -101,7 +102,7 @@
 
 void watch_client::poll(const planned_poll& planned) {
   json params;
-  const std::uint64_t token = next_token_++;
+  const std::uint64_t token = poll_numbers_.next();
   params["token"] = as_number(token);
   params["forward"] = planned.forward;
   params["takes_directory"] = true;
--- a/node/src/watch_client.h
+++ b/node/src/watch_client.h
@@ -13,6 +13,7 @@
 #include "configuration/newer_configuration.h"
 #include "configuration/poll_scheduler.h"
 #include "configuration/revision_lag.h"
+#include "connections/request_numbers.h"
 #include "disk/configuration_saver.h"
 #include "leader_finder.h"
 #include "node_context.h"
@@ -98,7 +99,7 @@
   leader_finder finder_;
   std::map<std::string, config::ledger_founding> ledgers_;
   std::deque<pending_poll> pending_polls_;
-  std::uint64_t next_token_ = 1;
+  request_numbers poll_numbers_;
   directory_position directory_position_;
   /// Whether an update since the last poll skipped revisions or was unreadable.
   bool update_missed_ = false;
