Usage reports of a restarted process begin a session of their own

What operators would see: usage of an organisation beyond its limit after a restart of a gateway that keeps a data folder.

Sessions of usage reports started from 1, and the gateway's name in them held its incarnation, which a data folder keeps over a restart. The collector took the first counts of the new process for a continuation: what the earlier process had used was not counted again. A late answer to the earlier process also named session 1. Found by reading.

--- a/node/test/test_node.cc
+++ b/node/test/test_node.cc
@@ -37,15 +37,15 @@
     : settings_(std::move(options)),
       state_(load_chart("node.jsonc", membership::node_chart_interface()), {},
              clock_.now()),
-      endpoints_(load_chart("endpoint.jsonc",
-                            membership::endpoint_chart_interface()),
-                 {}),
+      endpoints_(
+          load_chart("endpoint.jsonc", membership::endpoint_chart_interface()),
+          {}),
       links_(io, secret, options_of(address)),
       server_(io, secret, dispatcher_, random_, {}),
       client_(io, {}),
-      context_{io,     settings_, clock_,     random_, info_of(address),
-               store_, state_,    nodes_,     endpoints_, links_,
-               dispatcher_, client_, {}, {}, {}} {
+      context_{io,          settings_, clock_, random_,    info_of(address),
+               store_,      state_,    nodes_, endpoints_, links_,
+               dispatcher_, client_,   {},     {},         {}} {
   const result<void> opened = server_.listen(address);
   if (!opened) throw std::runtime_error(opened.error().message);
 }
--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -22,9 +22,11 @@
 
 class shared_limiter : public usage_limiter {
  public:
-  /// `gateway` must differ between incarnations of a node.
+  /// `gateway` must differ between processes of a node.
   shared_limiter(std::string gateway, random_source& random)
-      : gateway_(std::move(gateway)), random_(random) {}
+      : gateway_(std::move(gateway)),
+        random_(random),
+        session_((random.next() >> 1) | 1) {}
 
   void record_request(const config::organisation& organisation, double amount,
                       monotonic_time now) override;
@@ -87,7 +89,9 @@
   std::optional<monotonic_time> first_heard_at_;
   bool has_urgent_usage_ = false;
   std::string collector_;  // that answered the current session
-  std::uint64_t session_ = 1;
+  /// Starts at a random number. A late answer to an earlier process at the same
+  /// address must not belong to a session of this one.
+  std::uint64_t session_;
   std::uint64_t sequence_ = 0;
   std::map<std::string, organisation_state> states_;
 };
--- a/usage/include/trestlepost/usage/usage_collector.h
+++ b/usage/include/trestlepost/usage/usage_collector.h
@@ -21,7 +21,7 @@
 
 class usage_collector {
  public:
-  /// `name` must differ between incarnations of a node.
+  /// `name` must differ between processes of a node.
   usage_collector(std::string name, std::string region)
       : name_(std::move(name)), region_(std::move(region)) {}
 
--- a/usage/test/shared_limiter-test.cc
+++ b/usage/test/shared_limiter-test.cc
@@ -71,6 +71,23 @@
   EXPECT_TRUE(limiter_.make_report(now_).counts.empty());
 }
 
+// Guards against usage that is counted from what an earlier process had
+// reported, and against answers to that process.
+TEST_F(shared_limiter_test, a_restarted_gateway_begins_a_session_of_its_own) {
+  exchange(10);
+  EXPECT_TRUE(admit(300));
+  exchange();
+  const usage_reply late = collector_.handle(limiter_.make_report(now_), now_);
+  shared_limiter restarted("g-1", random_);
+  restarted.record_request(*acme_, 400, now_);
+  restarted.handle(late, now_);
+  EXPECT_TRUE(restarted.is_learning(now_));
+  restarted.handle(collector_.handle(restarted.make_report(now_), now_), now_);
+  EXPECT_TRUE(restarted.admit(*acme_, 400, now_).admitted);
+  collector_.handle(restarted.make_report(now_), now_);
+  EXPECT_EQ(used(), 700);
+}
+
 TEST_F(shared_limiter_test, an_amount_given_back_is_not_used) {
   exchange(10);
   EXPECT_TRUE(admit(900));
