A forward without an answer counts all sends that it permitted

Cause: the gateway that forwarded a request counted one send if the call broke after bytes had been written, if the answer broke off after its head, or if a refusal had no readable body, though the other gateway may have made as many sends as the route permits.

Change: a forward states how many sends it permits, and the other gateway makes no more. The sender counts all of them unless it hears the number.

Ruled out: repeats by callers, which have ids of their own.

a_refusal_without_sends_counts_one becomes ..._counts_all_permitted: one send is too few where more were permitted.

--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -42,10 +42,11 @@
   transport::awaitable<attempt> relay_answer(
       const routed_request& request, transport::http_call& call,
       transport::http_exchange& exchange);
-  /// Relays an answer piece by piece, beginning with `first`.
+  /// Relays an answer piece by piece, beginning with `first`, for which the
+  /// other gateway has made at most `sends`.
   static transport::awaitable<attempt> relay_pieces(
       answer_reader& reader, transport::http_exchange& exchange,
-      transport::http_response head, std::string first);
+      transport::http_response head, std::string first, unsigned sends);
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
--- a/gateway/include/trestlepost/gateway/route_message.h
+++ b/gateway/include/trestlepost/gateway/route_message.h
@@ -25,6 +25,7 @@
   std::chrono::milliseconds remaining{0};  // until the deadline
   std::set<std::string> avoid;             // endpoints
   unsigned sends = 0;                      // endpoints that were tried
+  unsigned max_sends = 0;                  // of all gateways; 0: not stated
   config::plan_number plan = 0;            // the plan used by the sender
 };
 
--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -39,6 +39,9 @@
   std::set<std::string> avoid;
   /// Endpoints that this gateway could not reach. Another one may reach them.
   std::set<std::string> unreached;
+  /// The number of endpoints that the request may be sent to, with those that
+  /// other gateways have sent it to.
+  unsigned max_sends = 1;
   routing::charged_sends sends;
 
   /// Returns the request's fingerprint (see `request_fingerprint.h`), computed
@@ -46,6 +49,9 @@
   const std::string& fingerprint(std::string_view secret);
   /// Returns the kind of the request in `run_time_bounds`.
   std::string run_kind() const { return route->name + "/" + service; }
+  /// Returns how many sends another gateway may make for a forward of this
+  /// request.
+  unsigned sends_left() const;
   /// Returns whether the time for an answer is over.
   bool is_overdue(monotonic_time now) const { return now >= deadline; }
   /// Returns whether the request may be served, cached and stored in `region`.
--- a/gateway/src/refusal_message.cc
+++ b/gateway/src/refusal_message.cc
@@ -33,7 +33,7 @@
   return out;
 }
 
-attempt read_refusal(const std::string& body) {
+attempt read_refusal(const std::string& body, unsigned max_sends) {
   const result<json> parsed = parse_json(body);
   const json value =
       parsed && parsed->isObject() ? *parsed : json(Json::objectValue);
@@ -43,12 +43,11 @@
        text_of(value, "remedy")},
       std::chrono::milliseconds(number_of(value, "retry_after_ms")));
   out.endpoint = text_of(value, "endpoint");
-  // Without this member the request may have been sent to an endpoint.
-  // Counting no send could exceed the number of attempts that the route
-  // permits.
+  // Without this member the other gateway may have made all sends that it was
+  // permitted.
   out.sends = value.isMember("sends")
                   ? static_cast<unsigned>(number_of(value, "sends"))
-                  : 1;
+                  : max_sends;
   return out;
 }
 
--- a/gateway/src/refusal_message.h
+++ b/gateway/src/refusal_message.h
@@ -11,7 +11,8 @@
 /// Returns the answer to the gateway that forwarded the request.
 transport::http_response make_refusal(const attempt& outcome);
 
-/// Parses the body of a refusal. If `ran` is missing, the request may have run.
-attempt read_refusal(const std::string& body);
+/// Parses the body of a refusal. If `ran` is missing, the request may have run;
+/// if the number of sends is missing, it is `max_sends`.
+attempt read_refusal(const std::string& body, unsigned max_sends);
 
 }  // namespace trestlepost::gateway
--- a/gateway/src/route_forward_handler.cc
+++ b/gateway/src/route_forward_handler.cc
@@ -1,6 +1,7 @@
 // Verifies, routes and serves forwarded routed requests.
 #include "trestlepost/gateway/route_forward_handler.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -86,6 +87,10 @@
   }
   out.avoid = std::move(message.avoid);
   out.sends = routing::charged_sends(message.sends);
+  out.max_sends = route->attempts;
+  // The sender counts as many sends if it doesn't hear how many were made.
+  if (message.max_sends > 0)
+    out.max_sends = std::min(out.max_sends, message.max_sends);
   return out;
 }
 
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -71,6 +71,7 @@
   message.remaining = std::max(message.remaining, milliseconds(1));
   message.avoid = request.avoid;
   message.sends = request.sends.count();
+  message.max_sends = request.sends.count() + request.sends_left();
   message.plan = request.plan->number;
   const std::string text = to_text(to_json(message));
   transport::http_request out;
@@ -114,11 +115,12 @@
     const bool written = sent.error().bytes_written;
     outcome = failed_attempt(written ? run_state::unknown : run_state::no,
                              sent.error().cause, retry_after_wrong_node);
-    outcome.sends = written ? 1 : 0;
+    // How many sends the other gateway has made isn't known.
+    outcome.sends = written ? request.sends_left() : 0;
   } else if (!call->header(refused_header).empty()) {
     const result<std::string> body =
         co_await call->read_rest(max_refusal_bytes);
-    outcome = read_refusal(body ? *body : "{}");
+    outcome = read_refusal(body ? *body : "{}", request.sends_left());
   } else {
     outcome = co_await relay_answer(request, *call, exchange);
   }
@@ -141,7 +143,8 @@
     const routed_request& request, transport::http_call& call,
     transport::http_exchange& exchange) {
   attempt out;
-  out.sends = 1;
+  // The answer doesn't tell at how many endpoints the other gateway has tried.
+  out.sends = request.sends_left();
   out.ran = run_state::unknown;
   transport::http_response head = caller_head(call, *surfaces_.endpoints);
   const bool streamed = request.route->kind == config::route_kind::stream;
@@ -155,7 +158,7 @@
     if (!body->complete) {
       answer_reader rest(call, answer_body::opaque, max_plain_bytes);
       co_return co_await relay_pieces(rest, exchange, std::move(head),
-                                      std::move(body->text));
+                                      std::move(body->text), out.sends);
     }
     out.delivered = true;
     out.ran = run_state::yes;
@@ -172,14 +175,14 @@
     co_return out;
   }
   co_return co_await relay_pieces(reader, exchange, std::move(head),
-                                  std::move(*piece));
+                                  std::move(*piece), out.sends);
 }
 
 awaitable<attempt> route_forwarder::relay_pieces(
     answer_reader& reader, transport::http_exchange& exchange,
-    transport::http_response head, std::string first) {
+    transport::http_response head, std::string first, unsigned sends) {
   attempt out;
-  out.sends = 1;
+  out.sends = sends;
   out.delivered = true;
   out.ran = run_state::yes;
   const std::function<void()> on_next = [] {};
--- a/gateway/src/route_handler.cc
+++ b/gateway/src/route_handler.cc
@@ -114,6 +114,7 @@
   routed_request out;
   out.plan = plan;
   out.route = found;
+  out.max_sends = found->attempts;
   out.organisation = *organisation;
   if (has_no_home(out)) {
     return fail(error_kind::not_permitted,
@@ -247,7 +248,7 @@
 bool route_handler::may_try_other_region(routed_request& request,
                                          const attempt& last) const {
   if (local_.must_stop_retrying(request, last)) return false;
-  if (request.sends.count() >= request.route->attempts) return false;
+  if (request.sends.count() >= request.max_sends) return false;
   if (context_.clock.now() >= context_.stop.bound(request.deadline))
     return false;
   return last.ran == run_state::no || request.route->may_repeat();
--- a/gateway/src/route_message.cc
+++ b/gateway/src/route_message.cc
@@ -14,6 +14,7 @@
       as_number(static_cast<std::uint64_t>(value.remaining.count()));
   out["avoid"] = trestlepost::to_json(value.avoid);
   out["sends"] = value.sends;
+  out["max_sends"] = value.max_sends;
   out["plan"] = as_number(value.plan);
   return out;
 }
@@ -31,6 +32,7 @@
   out.remaining = std::chrono::milliseconds(number_of(*parsed, "remaining_ms"));
   out.avoid = text_set_of(*parsed, "avoid");
   out.sends = static_cast<unsigned>(number_of(*parsed, "sends"));
+  out.max_sends = static_cast<unsigned>(number_of(*parsed, "max_sends"));
   out.plan = number_of(*parsed, "plan");
   if (!out.service.empty()) return out;
   return fail(error_kind::bad_input, "a forwarded request names no service",
--- a/gateway/src/route_service.cc
+++ b/gateway/src/route_service.cc
@@ -123,7 +123,7 @@
     return false;
   if (must_stop_retrying(request, last)) return false;
   if (last.sends == 0) return unsent < max_unsent_attempts;
-  if (request.sends.count() >= request.route->attempts) return false;
+  if (request.sends.count() >= request.max_sends) return false;
   return last.ran == run_state::no || request.route->may_repeat();
 }
 
@@ -211,9 +211,8 @@
     // forwarded the request.
     if (last && !charge_send(request)) break;
     if (last) record_retry(request, *last, context_.self.region);
-    const bool may_abandon =
-        request.route->may_repeat() &&
-        request.sends.count() + 1 < request.route->attempts;
+    const bool may_abandon = request.route->may_repeat() &&
+                             request.sends.count() + 1 < request.max_sends;
     event_scanner events;
     last =
         co_await runner_.run(request, *chosen, may_abandon, events, exchange);
@@ -252,7 +251,7 @@
   const monotonic_time now = context_.clock.now();
   if (now >= context_.stop.bound(request.deadline))
     return resume_error("the deadline passed");
-  if (request.sends.count() >= request.route->attempts) {
+  if (request.sends.count() >= request.max_sends) {
     return resume_error("the route permits no more attempts");
   }
   if (unsent >= max_unsent_attempts) {
@@ -309,8 +308,7 @@
     }
     const std::string last_event = events.resume_point();
     events.start_continuation();
-    const bool may_abandon =
-        request.sends.count() + 1 < request.route->attempts;
+    const bool may_abandon = request.sends.count() + 1 < request.max_sends;
     attempt next =
         co_await runner_.run(request, *chosen, may_abandon, events, exchange);
     record_sent(request, next);
--- a/gateway/src/routed_request.cc
+++ b/gateway/src/routed_request.cc
@@ -19,6 +19,11 @@
   return fingerprint_;
 }
 
+unsigned routed_request::sends_left() const {
+  const unsigned made = sends.count();
+  return max_sends > made ? max_sends - made : 1;
+}
+
 request_times times_of(transport::http_exchange& exchange, monotonic_time now) {
   const std::chrono::milliseconds waited =
       exchange.time_since_data().value_or(std::chrono::milliseconds(0));
--- a/gateway/test/refusal_message-test.cc
+++ b/gateway/test/refusal_message-test.cc
@@ -8,16 +8,18 @@
 TEST(refusal_message_test, sends_are_read_back) {
   attempt refused;
   refused.sends = 2;
-  EXPECT_EQ(read_refusal(make_refusal(refused).body).sends, 2U);
+  EXPECT_EQ(read_refusal(make_refusal(refused).body, 3).sends, 2U);
   refused.sends = 0;
-  EXPECT_EQ(read_refusal(make_refusal(refused).body).sends, 0U);
+  EXPECT_EQ(read_refusal(make_refusal(refused).body, 3).sends, 0U);
 }
 
-// A refusal whose body was lost counted as no send, so that the next send of
-// the request was not charged.
-TEST(refusal_message_test, a_refusal_without_sends_counts_one) {
+// A refusal whose body was lost counted as one send or none, although the other
+// gateway may have made more.
+TEST(refusal_message_test, a_refusal_without_sends_counts_all_permitted) {
   for (const char* body : {"{}", "", "[]", "{\"ran\": \"no\"}"}) {
-    EXPECT_EQ(read_refusal(body).sends, 1U) << body;
+    for (const unsigned permitted : {1U, 3U}) {
+      EXPECT_EQ(read_refusal(body, permitted).sends, permitted) << body;
+    }
   }
 }
 
