An end of the connection after a failed write is no end of a response

What callers saw: 200 with part of a body, framed as complete. The endpoint had answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: a socket reports its reset once. The write of the request took the error and ignored it, "since the read operation fails as well"; the read that followed found an orderly end, which is the end of a response without length.

Change: a connection records that its write has failed, and an end that follows is an error. A response with a length or chunks that had arrived whole is still whole, and so is one whose server ends its side in order and reads on. The writing of requests moves to client_connection.

--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -33,30 +31,6 @@
 constexpr char endpoint_remedy[] =
     "check the endpoint; the request may be sent again if it is repeatable";
 
-/// Writes as much of the request as possible without blocking. Returns false if
-/// the connection failed.
-bool write_some(client_connection& it) {
-  error_code ec;
-  it.stream.socket().non_blocking(true, ec);
-  while (!ec && !it.write_done()) {
-    it.written += it.stream.socket().write_some(it.unwritten(), ec);
-  }
-  it.free_written();
-  return !ec || ec == asio::error::would_block;
-}
-
-/// Writes the rest of the request. Errors are ignored: the read operation fails
-/// as well, unless a response has already arrived.
-awaitable<void> write_rest(connection_ptr it) {
-  error_code ec;
-  while (!ec && !it->write_done()) {
-    const std::array<asio::const_buffer, 2> rest = it->unwritten();
-    it->written += co_await it->stream.async_write_some(
-        rest, redirect_error(use_awaitable, ec));
-  }
-  it->free_written();
-}
-
 /// Parses the timeout of the header "Keep-Alive: timeout=N".
 std::optional<std::chrono::seconds> keep_alive_seconds(std::string_view text) {
   constexpr std::string_view key = "timeout=";
@@ -242,9 +216,7 @@
   request.body = std::string();
   connection_->outgoing_body = std::move(request.shared_body);
   connection_->written = 0;
-  if (write_some(*connection_) && !connection_->write_done()) {
-    asio::co_spawn(client_->context, write_rest(connection_), asio::detached);
-  }
+  transport::start_write(client_->context, connection_);
 }
 
 awaitable<tl::expected<void, call_failure>> pooled_call::send(
@@ -301,8 +273,13 @@
 
 awaitable<error_code> pooled_call::read_body(asio::mutable_buffer out,
                                              std::size_t& n) {
-  return read_body_some(connection_->stream, connection_->buffer, *parser_,
-                        framing_, out, n);
+  const error_code ec = co_await read_body_some(
+      connection_->stream, connection_->buffer, *parser_, framing_, out, n);
+  const bool ended = !ec && parser_->is_done() && !is_delimited();
+  // The end of the connection is the end of the body only if it is in order.
+  if (ended && connection_->write_failed)
+    co_return asio::error::connection_reset;
+  co_return ec;
 }
 
 awaitable<tl::expected<void, call_failure>> pooled_call::read_next_response() {
--- a/transport/test/cut-responses-test.cc
+++ b/transport/test/cut-responses-test.cc
@@ -2,122 +2,30 @@
 // response may be taken for a whole one.
 #include <gtest/gtest.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <optional>
-#include <thread>
+#include <vector>
 
-#include "loopback_ip.h"
-#include "trestlepost/transport/http_client.h"
+#include "cutting_server.h"
 
 namespace trestlepost::transport {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
+using test::answer;
+using test::cutting_server;
+using test::ending;
+using test::request;
 
-constexpr unsigned short port = 7817;
 constexpr char body[] = "hello";
 
-/// How a server ends its connection, and what comes before.
-struct ending {
-  const char* what;
-  bool reset = false;
-  bool two_packets = false;
-  milliseconds pause{0};  // before the end
-};
-
 const std::vector<ending> endings{
     {"closed"},
     {"reset", true},
     {"in two packets", false, true},
     {"closed later", false, false, milliseconds(3)}};
 
-/// Answers one request with the bytes `sent`, and ends the connection.
-class cutting_server {
- public:
-  cutting_server() : thread_([this] { run(); }) {}
-  ~cutting_server() {
-    stopping_ = true;
-    boost::system::error_code ec;
-    asio::io_context io;
-    asio::ip::tcp::socket wake(io);
-    wake.connect({asio::ip::make_address(loopback_ip()), port}, ec);
-    thread_.join();
-  }
-  cutting_server(const cutting_server&) = delete;
-  cutting_server& operator=(const cutting_server&) = delete;
-
-  /// Sets the answer to the next requests.
-  void set(std::string sent, const ending& how) {
-    const std::scoped_lock guard(lock_);
-    sent_ = std::move(sent);
-    how_ = how;
-  }
-
- private:
-  void run() {
-    while (true) {
-      boost::system::error_code ec;
-      asio::ip::tcp::socket socket = acceptor_.accept(ec);
-      if (stopping_) return;
-      std::string request;
-      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ec);
-      const std::scoped_lock guard(lock_);
-      const std::size_t half = how_.two_packets ? sent_.size() / 2 : 0;
-      socket.set_option(asio::ip::tcp::no_delay(true), ec);
-      asio::write(socket, asio::buffer(sent_.data(), half), ec);
-      if (how_.two_packets) std::this_thread::sleep_for(milliseconds(2));
-      asio::write(socket,
-                  asio::buffer(sent_.data() + half, sent_.size() - half), ec);
-      std::this_thread::sleep_for(how_.pause);
-      if (how_.reset) socket.set_option(asio::socket_base::linger(true, 0), ec);
-      socket.close(ec);
-    }
-  }
-
-  std::mutex lock_;
-  std::string sent_;
-  ending how_{""};
-  std::atomic<bool> stopping_{false};
-  asio::io_context io_;
-  asio::ip::tcp::acceptor acceptor_{
-      io_, {asio::ip::make_address(loopback_ip()), port}};
-  std::thread thread_;
-};
-
-struct answer {
-  unsigned status = 0;
-  std::string body;
-};
-
-awaitable<void> request(http_client& client, std::optional<answer>& out) {
-  const std::shared_ptr<http_call> call =
-      client.call(loopback_ip() + ":" + std::to_string(port));
-  http_request sent;
-  sent.method = "GET";
-  sent.target = "/";
-  const monotonic_time deadline = boot_clock::now() + seconds(10);
-  const tl::expected<void, call_failure> head =
-      co_await call->send(std::move(sent), deadline);
-  if (!head) co_return;
-  const result<std::string> rest = co_await call->read_rest(1000);
-  if (rest) out = answer{call->status(), *rest};
-}
-
-/// Returns the answer, if the client takes it for a whole one.
 std::optional<answer> get() {
-  asio::io_context io;
-  http_client_options options;
-  options.accept_close_delimited = true;
-  http_client client(io, options);
-  std::optional<answer> out;
-  asio::co_spawn(io, request(client, out), asio::detached);
-  io.run();
-  return out;
+  return request("GET");
 }
 
 std::string head_with(const std::string& header) {
@@ -164,6 +72,44 @@
   }
 }
 
+// Guards against part of a response that is taken for a whole one: the server
+// has reset the connection, but the write of the request has taken the error,
+// so the read finds an orderly end.
+TEST(cut_responses_test, a_reset_during_the_upload_is_no_end) {
+  constexpr int plays = 30;
+  cutting_server server;
+  for (const char* version : {"1.1", "1.0"}) {
+    for (const char* header : {"", "Connection: close\r\n"}) {
+      const std::string sent = std::string("HTTP/") + version + " 200 OK\r\n" +
+                               header + "\r\n" + body;
+      for (const milliseconds pause : {milliseconds(0), milliseconds(2)}) {
+        int whole = 0;
+        for (const std::size_t bytes : {400'000, 4'000'000, 12'000'000}) {
+          for (int n = 0; n < plays; ++n) {
+            server.set(sent, {"reset", true, false, pause});
+            if (request("POST", bytes)) ++whole;
+          }
+        }
+        EXPECT_EQ(whole, 0) << version << " " << header << pause.count();
+      }
+    }
+  }
+}
+
+// A server may answer, and end its side in order, before it has read the whole
+// request.
+TEST(cut_responses_test, an_orderly_end_during_the_upload_is_an_end) {
+  constexpr int plays = 20;
+  cutting_server server;
+  server.set(head_with("") + body,
+             {"reads on", false, false, milliseconds(0), true});
+  for (int n = 0; n < plays; ++n) {
+    const std::optional<answer> got = request("POST", 4'000'000);
+    ASSERT_TRUE(got);
+    EXPECT_EQ(got->body, body);
+  }
+}
+
 TEST(cut_responses_test, responses_after_interim_ones_are_whole) {
   cutting_server server;
   for (const response_example& example : examples()) {
