One check decides whether a head is that of an answer

What callers saw: an endpoint in trouble answered with status 000 or 099, or 101, and a second head behind it, and callers got the second one as a success. An answer with a transfer coding other than "chunked", or with more codings, was passed on as complete, undecoded or with its chunk sizes as part of the body.

Cause: every status below 200 counted as an interim answer, and how a body ends was left to the parser, which takes what it does not know for a body that ends with the connection.

Change: message_head checks each head. A final status is 200 to 599; an interim one is 100 or 102 to 199 and frames no body; the only transfer coding is "chunked", once, in HTTP/1.1; names are tokens and values hold no control characters. Statuses from 600 were passed on and are refused now.

Ruled out: malformed names of headers were refused by the parser before, and are checked here too (malformed_header_is_refused passes without the change).

Evidence: status_that_is_none_is_no_interim_response, interim_response_frames_no_body and only_transfer_coding_is_chunked fail without the check. heads_that_are_none_of_an_answer_are_not_passed_on: own region and forwards, plain and stream routes; 0 of 27 passed on now.

--- a/transport/src/http_client.cc
+++ b/transport/src/http_client.cc
@@ -13,6 +13,7 @@
 #include "connection_pool.h"
 #include "framing_bound.h"
 #include "header_lists.h"
+#include "message_head.h"
 
 namespace trestlepost::transport {
 namespace {
@@ -25,7 +26,6 @@
 
 // Maximum number of interim responses before the final one.
 constexpr int max_interim_responses = 8;
-constexpr unsigned first_final_status = 200;
 // Maximum size in bytes of a response that is discarded to read the next one.
 constexpr std::size_t max_discarded = 1024UL * 1024;
 constexpr char endpoint_remedy[] =
@@ -112,10 +112,6 @@
   /// Reads the head of the final response, after any interim ones.
   awaitable<tl::expected<void, call_failure>> read_head();
   awaitable<error_code> read_one_head();
-  /// Returns whether the response only announces another one (1xx).
-  bool is_interim() const {
-    return parser_->get().result_int() < first_final_status;
-  }
   /// Maps the error of a failed operation to the error kind of the call.
   error_kind kind_of(error_code ec) const;
   /// Closes the connection and describes the failure.
@@ -250,13 +246,13 @@
   error_code ec;
   co_await http::async_read_header(connection_->stream, connection_->buffer,
                                    *parser_, redirect_error(use_awaitable, ec));
-  co_return ec;
+  co_return ec ? ec : check_response_head(parser_->get());
 }
 
 awaitable<tl::expected<void, call_failure>> pooled_call::read_head() {
   error_code ec = co_await read_one_head();
   int interim = 0;
-  while (!ec && !cancelled_ && is_interim()) {
+  while (!ec && !cancelled_ && is_interim(status())) {
     const bool too_many = ++interim > max_interim_responses;
     ec = too_many ? http::error::bad_status : co_await read_one_head();
   }
