Refuse requests with a transfer coding other than chunked

What would be seen: a request with "Transfer-Encoding: gzip" or "identity" alone ran without its body, and the body ran as a second request.

The parser takes such a request for one without a body.

Change: the server checks the framing of a request by the same function, answers 400 and closes the connection (RFC 9112, 6.1 and 6.3).

Evidence: request_with_another_transfer_coding_is_refused failed before in all 18 cases, and passes now.

--- a/transport/src/server_connection.cc
+++ b/transport/src/server_connection.cc
@@ -11,6 +11,7 @@
 
 #include "body_reading.h"
 #include "framing_bound.h"
+#include "message_head.h"
 #include "trestlepost/base/json.h"
 #include "trestlepost/base/log.h"
 
@@ -193,13 +194,8 @@
            !stopped_reading_ && boot_clock::now() < read_deadline_);
   if (ec) co_return co_await reject_head(ec);
   is_new_ = false;
-  const bool both_lengths =
-      parser_->get().count(http::field::content_length) > 0 &&
-      parser_->get().count(http::field::transfer_encoding) > 0;
-  if (both_lengths) {
-    ec = http::error::bad_transfer_encoding;
-    co_return co_await reject_head(ec);
-  }
+  ec = check_framing(parser_->get(), parser_->get().version());
+  if (ec) co_return co_await reject_head(ec);
   co_return true;
 }
 
--- a/transport/test/http-test.cc
+++ b/transport/test/http-test.cc
@@ -355,6 +355,40 @@
   }
 }
 
+// Guards against a request that is smuggled in the body of another one: with a
+// transfer coding that the server doesn't know, the body was read as the next
+// request.
+TEST_F(http_test, request_with_another_transfer_coding_is_refused) {
+  const std::string smuggled = "POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+  const std::string chunks = "3\r\nabc\r\n0\r\n\r\n";
+  struct coded_request {
+    const char* version;
+    const char* coding;
+  };
+  for (const coded_request& it :
+       std::vector<coded_request>{{"1.1", "gzip"},
+                                  {"1.1", "identity"},
+                                  {"1.1", "chunked, gzip"},
+                                  {"1.1", "gzip, chunked"},
+                                  {"1.1", "chunked, chunked"},
+                                  {"1.1", "chunked\r\nTransfer-Encoding: gzip"},
+                                  {"1.1", "x"},
+                                  {"1.0", "chunked"},
+                                  {"1.0", "gzip"}}) {
+    for (const std::string& body : {smuggled, chunks + smuggled}) {
+      const int before = handler_.handled;
+      const std::string response =
+          send_raw(std::string("POST / HTTP/") + it.version +
+                   "\r\nTransfer-Encoding: " + it.coding + "\r\n\r\n" + body);
+      EXPECT_TRUE(response.starts_with("HTTP/1.1 400"))
+          << it.coding << response;
+      EXPECT_EQ(response.find("HTTP/1.1 2"), std::string::npos) << response;
+      EXPECT_NE(response.find("Connection: close"), std::string::npos);
+      EXPECT_EQ(handler_.handled, before) << it.coding;
+    }
+  }
+}
+
 // Guards against connections that wait for a slow sender for ever, and against
 // a request that ends without an answer because it came too slowly.
 TEST_F(http_test, a_slow_sender_is_disconnected_and_the_next_is_served) {
--- a/transport/test/response-heads-test.cc
+++ b/transport/test/response-heads-test.cc
@@ -84,9 +84,17 @@
 // Guards against lines of a head that a client would pass on, or that make
 // another reader see another head.
 TEST(response_heads_test, malformed_header_is_refused) {
-  std::vector<std::string> lines{"X Y: 1", "X\t: 1", ": 1",     "X\x01Y: 1",
-                                 "X\x7f: 1", "X: a\x01", "X: a\x7f", "X\x80: 1",
-                                 " X: 1",  "X", "Content-Length: 5\r\n"
+  std::vector<std::string> lines{"X Y: 1",
+                                 "X\t: 1",
+                                 ": 1",
+                                 "X\x01Y: 1",
+                                 "X\x7f: 1",
+                                 "X: a\x01",
+                                 "X: a\x7f",
+                                 "X\x80: 1",
+                                 " X: 1",
+                                 "X",
+                                 "Content-Length: 5\r\n"
                                  "Content-Length: 6"};
   lines.push_back(std::string("X") + '\0' + ": 1");
   lines.push_back(std::string("X: a") + '\0' + "b");
