--- a/gateway/include/trestlepost/gateway/routed_request.h
+++ b/gateway/include/trestlepost/gateway/routed_request.h
@@ -50,7 +50,7 @@
   /// Returns the kind of the request in `run_time_bounds`.
   std::string run_kind() const { return route->name + "/" + service; }
   /// Returns how many sends another gateway may make for a forward of this
-  /// request.
+  /// request, at least one.
   unsigned sends_left() const;
   /// Returns whether the time for an answer is over.
   bool is_overdue(monotonic_time now) const { return now >= deadline; }
