Soak: a process that creates a thread is not prepared for signals yet

Cause: the test waits until a starting process handles or blocks the signal. While a process creates a thread, it blocks all signals for a moment, which counted; the SIGTERM then ended the process, which had no handler yet.

Change: a blocked signal counts only if no other one is blocked, as the daemon does with SIGHUP at its start. The check of the stop is unchanged.

--- a/tests/test/process.cc
+++ b/tests/test/process.cc
@@ -85,7 +85,8 @@
 namespace {
 
 /// Returns whether the process still has to prepare for the signal: it runs and
-/// neither blocks nor handles it.
+/// neither blocks nor handles it. It blocks all signals for a moment when it
+/// creates a thread, which is no preparation.
 bool is_unprepared(pid_t id, int number) {
   std::ifstream status("/proc/" + std::to_string(id) + "/status");
   const std::uint64_t bit = std::uint64_t{1} << (number - 1);
@@ -94,8 +95,10 @@
   std::string value;
   while (status >> name && std::getline(status, value)) {
     if (name == "State:") out = value.find('Z') == std::string::npos;
-    const bool signals = name == "SigBlk:" || name == "SigCgt:";
-    if (signals && (std::stoull(value, nullptr, 16) & bit) != 0) return false;
+    const bool blocked = name == "SigBlk:";
+    if (!blocked && name != "SigCgt:") continue;
+    const std::uint64_t signals = std::stoull(value, nullptr, 16);
+    if (blocked ? signals == bit : (signals & bit) != 0) return false;
   }
   return out;
 }
