One function for random numbers that identify something

Six places reduced a random number alike, so that it is never 0 and fits a signed number: random_source::identifier. The usage service makes the name of its process once, not apart for its collector and its limiter. Behaviour as before otherwise; base, node, usage and consensus tests pass.

--- a/base/include/trestlepost/base/random.h
+++ b/base/include/trestlepost/base/random.h
@@ -14,6 +14,9 @@
   virtual ~random_source() = default;
   virtual std::uint64_t next() = 0;
 
+  /// Returns a number to identify something by; never 0, and within the range
+  /// of signed numbers.
+  std::uint64_t identifier() { return (next() >> 1) | 1; }
   /// Returns a number in [0, bound), or 0 if `bound` is 0. It is reduced modulo
   /// `bound`, so it is uniform only for a bound far below 2^64.
   std::uint64_t below(std::uint64_t bound);
--- a/consensus/src/file_storage.cc
+++ b/consensus/src/file_storage.cc
@@ -378,7 +378,7 @@
                 "empty the data folder: the node then returns as a learner");
   }
   json value;
-  const std::uint64_t n = (random.next() >> 1) | 1;
+  const std::uint64_t n = random.identifier();
   value["incarnation"] = json(Json::UInt64(n));
   const result<void> done =
       replace_file(folder, incarnation_name, to_text(value));
--- a/node/src/connections/request_numbers.h
+++ b/node/src/connections/request_numbers.h
@@ -14,7 +14,7 @@
 class request_numbers {
  public:
   explicit request_numbers(random_source& random)
-      : next_((random.next() >> 1) | 1) {}
+      : next_(random.identifier()) {}
 
   std::uint64_t next() { return next_++; }
 
--- a/node/src/digest_service.cc
+++ b/node/src/digest_service.cc
@@ -36,8 +36,7 @@
 }  // namespace
 
 digest_service::digest_service(node_context& context)
-    : context_(context),
-      writer_(context.self, (context.random.next() >> 1) | 1) {}
+    : context_(context), writer_(context.self, context.random.identifier()) {}
 
 void digest_service::start() {
   context_.peers.add_notification(
--- a/node/src/endpoint_list_service.cc
+++ b/node/src/endpoint_list_service.cc
@@ -43,7 +43,7 @@
     node_context& context, const surface::endpoint_directory* directory)
     : context_(context),
       directory_(directory),
-      publisher_(context.self.name, (context.random.next() >> 1) | 1),
+      publisher_(context.self.name, context.random.identifier()),
       configured_(context.options.timing.platform_list_lag) {}
 
 void endpoint_list_service::start() {
--- a/node/src/start/node_resources.cc
+++ b/node/src/start/node_resources.cc
@@ -19,7 +19,7 @@
   if (!endpoint) return tl::make_unexpected(endpoint.error());
   node_chart = std::move(*node);
   endpoint_chart = std::move(*endpoint);
-  incarnation = (random.next() >> 1) | 1;
+  incarnation = random.identifier();
   if (options.data_folder.empty()) return {};
   result<consensus::unique_fd> lock =
       consensus::lock_folder(options.data_folder);
--- a/node/src/usage/usage_service.cc
+++ b/node/src/usage/usage_service.cc
@@ -18,9 +18,10 @@
 // A collector that has not answered for this long is replaced.
 constexpr milliseconds collector_timeout{400};
 
-/// The name of this process in messages about usage. An incarnation would not
-/// do: with a data folder it survives a restart, and counts start from 0 again.
-std::string process_name(node_context& context) {
+/// Returns a name for this process in messages about usage. An incarnation
+/// would not do: with a data folder it survives a restart, and counts start
+/// from 0 again.
+std::string make_process_name(node_context& context) {
   return context.self.name + "/" + std::to_string(context.random.next());
 }
 
@@ -30,8 +31,9 @@
                              const routing::organisation_table& organisations)
     : context_(context),
       organisations_(organisations),
-      collector_(process_name(context), context.self.region),
-      limiter_(process_name(context), context.random) {}
+      process_name_(make_process_name(context)),
+      collector_(process_name_, context.self.region),
+      limiter_(process_name_, context.random) {}
 
 void usage_service::start() {
   const auto add = [this](const char* method,
--- a/node/src/usage/usage_service.h
+++ b/node/src/usage/usage_service.h
@@ -33,6 +33,7 @@
 
   node_context& context_;
   const routing::organisation_table& organisations_;
+  std::string process_name_;
   usage::usage_collector collector_;
   usage::shared_limiter limiter_;
   std::string collector_address_;  // that this gateway reports to
--- a/usage/include/trestlepost/usage/shared_limiter.h
+++ b/usage/include/trestlepost/usage/shared_limiter.h
@@ -26,7 +26,7 @@
   shared_limiter(std::string gateway, random_source& random)
       : gateway_(std::move(gateway)),
         random_(random),
-        session_((random.next() >> 1) | 1) {}
+        session_(random.identifier()) {}
 
   void record_request(const config::organisation& organisation, double amount,
                       monotonic_time now) override;
