--- a/node/test/peer_calls-test.cc
+++ b/node/test/peer_calls-test.cc
@@ -2,13 +2,13 @@
 #include "peer_calls.h"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <vector>
 
+#include "loopback_ip.h"
 #include "test_node.h"
 #include "watch_client.h"
 
@@ -23,17 +23,8 @@
 // Longer than a message between two nodes of this test takes.
 constexpr milliseconds delivery_time{300};
 
-/// Returns an address that no other process of this test uses.
-std::string peer_address(int node) {
-  constexpr int numbers = 250;
-  const int process = getpid();
-  return "127." + std::to_string(200 + node) + "." +
-         std::to_string(process / numbers % numbers) + "." +
-         std::to_string(process % numbers + 1) + ":7001";
-}
-
-const std::string address_of_caller = peer_address(1);
-const std::string address_of_called = peer_address(2);
+const std::string address_of_caller = transport::loopback_ip() + ":7841";
+const std::string address_of_called = transport::loopback_ip() + ":7842";
 
 class peer_calls_test : public testing::Test {
  protected:
