Count the sends of a forward in one place

The number of sends that a forward permitted was passed through two functions. serve() sets it for all outcomes that don't tell the number. Behaviour as before; gateway-test and system-attempts-test pass.

--- a/gateway/include/trestlepost/gateway/route_forwarder.h
+++ b/gateway/include/trestlepost/gateway/route_forwarder.h
@@ -38,15 +38,15 @@
 
  private:
   transport::http_request make_request(const routed_request& request) const;
-  /// Relays the answer of the other gateway to the caller.
+  /// Relays the answer of the other gateway to the caller. Leaves the number of
+  /// sends open.
   transport::awaitable<attempt> relay_answer(
       const routed_request& request, transport::http_call& call,
       transport::http_exchange& exchange);
-  /// Relays an answer piece by piece, beginning with `first`, for which the
-  /// other gateway has made at most `sends`.
+  /// Relays an answer piece by piece, beginning with `first`.
   static transport::awaitable<attempt> relay_pieces(
       answer_reader& reader, transport::http_exchange& exchange,
-      transport::http_response head, std::string first, unsigned sends);
+      transport::http_response head, std::string first);
 
   gateway_context& context_;
   const surface::surfaces& surfaces_;
--- a/gateway/src/route_forwarder.cc
+++ b/gateway/src/route_forwarder.cc
@@ -110,19 +110,21 @@
   const tl::expected<void, transport::call_failure> sent =
       co_await call->send(std::move(out), request.deadline);
   unanswered_[region] -= request.work.prompt_tokens;
+  // How many sends the other gateway has made is known from a refusal only.
+  const unsigned permitted_sends = request.sends_left();
   attempt outcome;
   if (!sent) {
     const bool written = sent.error().bytes_written;
     outcome = failed_attempt(written ? run_state::unknown : run_state::no,
                              sent.error().cause, retry_after_wrong_node);
-    // How many sends the other gateway has made isn't known.
-    outcome.sends = written ? request.sends_left() : 0;
+    outcome.sends = written ? permitted_sends : 0;
   } else if (!call->header(refused_header).empty()) {
     const result<std::string> body =
         co_await call->read_rest(max_refusal_bytes);
-    outcome = read_refusal(body ? *body : "{}", request.sends_left());
+    outcome = read_refusal(body ? *body : "{}", permitted_sends);
   } else {
     outcome = co_await relay_answer(request, *call, exchange);
+    outcome.sends = permitted_sends;
   }
   exchange.on_disconnect(nullptr);
   outcome.gateway = name;
@@ -143,8 +145,6 @@
     const routed_request& request, transport::http_call& call,
     transport::http_exchange& exchange) {
   attempt out;
-  // The answer doesn't tell at how many endpoints the other gateway has tried.
-  out.sends = request.sends_left();
   out.ran = run_state::unknown;
   transport::http_response head = caller_head(call, *surfaces_.endpoints);
   const bool streamed = request.route->kind == config::route_kind::stream;
@@ -158,7 +158,7 @@
     if (!body->complete) {
       answer_reader rest(call, answer_body::opaque, max_plain_bytes);
       co_return co_await relay_pieces(rest, exchange, std::move(head),
-                                      std::move(body->text), out.sends);
+                                      std::move(body->text));
     }
     out.delivered = true;
     out.ran = run_state::yes;
@@ -175,14 +175,13 @@
     co_return out;
   }
   co_return co_await relay_pieces(reader, exchange, std::move(head),
-                                  std::move(*piece), out.sends);
+                                  std::move(*piece));
 }
 
 awaitable<attempt> route_forwarder::relay_pieces(
     answer_reader& reader, transport::http_exchange& exchange,
-    transport::http_response head, std::string first, unsigned sends) {
+    transport::http_response head, std::string first) {
   attempt out;
-  out.sends = sends;
   out.delivered = true;
   out.ran = run_state::yes;
   const std::function<void()> on_next = [] {};
