--- a/consensus/include/trestlepost/consensus/replica.h
+++ b/consensus/include/trestlepost/consensus/replica.h
@@ -187,6 +187,8 @@
   void become_follower(term_number term, std::optional<replica_id> leader);
   void start_pre_vote();
   void start_election();
+  /// Returns the progress of a member to which this leader begins to replicate.
+  progress new_progress() const;
   void become_leader();
   void request_votes(bool pre_vote);
   void count_vote(const replica_id& from);
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -279,6 +279,15 @@
   }
 }
 
+replica::progress replica::new_progress() const {
+  progress out;
+  out.next = last_index() + 1;
+  out.first_round = round_ + 1;
+  out.replicating_since = now_;
+  out.retry_at = now_;
+  return out;
+}
+
 void replica::become_leader() {
   role_ = role::leader;
   leader_ = self_;
@@ -288,12 +297,7 @@
   rounds_.clear();
   for (const member& it : members_) {
     if (it.id == self_) continue;
-    progress peer;
-    peer.next = last_index() + 1;
-    peer.first_round = round_ + 1;
-    peer.replicating_since = now_;
-    peer.retry_at = now_;
-    peers_.emplace(it.id, peer);
+    peers_.emplace(it.id, new_progress());
   }
   append(entry_type::noop, {});
   start_round();
@@ -423,11 +427,7 @@
   if (role_ != role::leader) return;
   for (const member& it : members_) {
     if (it.id == self_ || peers_.contains(it.id)) continue;
-    progress peer;
-    peer.next = last_index() + 1;
-    peer.first_round = round_ + 1;
-    peer.replicating_since = now_;
-    peer.retry_at = now_;
+    progress peer = new_progress();
     peer.admitted_at = members_index_;
     peers_.emplace(it.id, peer);
   }
--- a/consensus/test/group_host-test.cc
+++ b/consensus/test/group_host-test.cc
@@ -87,8 +87,8 @@
 
   /// Delays all messages by `latency`.
   void set_latency_of_all(milliseconds latency) {
-    for (const std::string& name : names_) set_latency(name, latency);
     all_distant_ = true;
+    latency_ = latency;
   }
 
   /// Delays messages from and to `name` by `latency`.
@@ -183,10 +183,8 @@
 
   /// The name of the node that leads, or empty.
   std::string leader() {
-    for (auto& [name, it] : nodes_) {
-      if (it.host && it.host->holds_lease(now_)) return name;
-    }
-    return "";
+    const group_host* by = leading();
+    return by == nullptr ? "" : by->core().self().node;
   }
 
   bool is_whole() {
