--- a/consensus/test/lossless_group.h
+++ b/consensus/test/lossless_group.h
@@ -93,7 +93,8 @@
         it.machine, *this, random_);
     EXPECT_TRUE(it.host->start(now_));
     if (open_) {
-      it.host->set_open_membership({names_.size(), std::chrono::milliseconds(4000)});
+      it.host->set_open_membership(
+          {names_.size(), std::chrono::milliseconds(4000)});
     } else {
       it.host->set_desired_voters(names_);
     }
